--- /dev/null
+++ b/internal/platform/quote.go
@@ -0,0 +1,15 @@
+package platform
+
+import (
+	"strconv"
+	"strings"
+)
+
+// quoteAll returns keys in quotes, joined by commas.
+func quoteAll(keys []string) string {
+	quoted := make([]string, 0, len(keys))
+	for _, k := range keys {
+		quoted = append(quoted, strconv.Quote(k))
+	}
+	return strings.Join(quoted, ", ")
+}
--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,112 @@
+// Package process holds what every program of the system needs at start and
+// stop: settings of the log, the admin listener with metrics and health, and
+// the context that ends on a signal.
+package process
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+)
+
+const adminHeaderTimeout = 5 * time.Second
+
+// Version is the version of the programs, set by the linker.
+var Version = "dev"
+
+// VersionString returns the version with the toolchain that built it.
+func VersionString(program string) string {
+	goVersion := "unknown"
+	if info, ok := debug.ReadBuildInfo(); ok {
+		goVersion = info.GoVersion
+	}
+	return fmt.Sprintf("%s %s (%s)", program, Version, goVersion)
+}
+
+// LogSettings are the settings of the log, for embedding in a kong command
+// line.
+type LogSettings struct {
+	Level string `help:"Least level of log lines: trace, debug, info, warn or error." default:"info" enum:"trace,debug,info,warn,error" env:"MASTICHOLLOW_LOG_LEVEL"`
+	JSON  bool   `help:"Write log lines as JSON." env:"MASTICHOLLOW_LOG_JSON"`
+}
+
+// NewLogger returns a logger that writes to standard error.
+func (s LogSettings) NewLogger(name string) hclog.Logger {
+	return hclog.New(&hclog.LoggerOptions{
+		Name:       name,
+		Level:      hclog.LevelFromString(s.Level),
+		JSONFormat: s.JSON,
+		Output:     os.Stderr,
+	})
+}
+
+// SignalContext returns a context that ends at the first SIGTERM or SIGINT.
+// Later signals of these kinds are ignored, so that a second stop during the
+// first cuts nothing.
+func SignalContext() (context.Context, context.CancelFunc) {
+	return signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+}
+
+// NewRegistry returns a registry with the collectors of the Go runtime and of
+// the process.
+func NewRegistry() *prometheus.Registry {
+	reg := prometheus.NewRegistry()
+	reg.MustRegister(collectors.NewGoCollector())
+	reg.MustRegister(collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return reg
+}
+
+// Admin serves /metrics, /healthz and /readyz.
+type Admin struct {
+	listener net.Listener
+	server   *http.Server
+}
+
+// NewAdmin listens on addr (IP:port). ready returns nil when the process can
+// take work, or the reason why not.
+func NewAdmin(addr string, reg *prometheus.Registry, ready func() error) (*Admin, error) {
+	listener, err := net.Listen("tcp", addr)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listening for admin requests on %q", addr)
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
+		_, _ = fmt.Fprintln(w, "ok")
+	})
+	mux.HandleFunc("GET /readyz", func(w http.ResponseWriter, _ *http.Request) {
+		if err := ready(); err != nil {
+			http.Error(w, err.Error(), http.StatusServiceUnavailable)
+			return
+		}
+		_, _ = fmt.Fprintln(w, "ready")
+	})
+	server := &http.Server{Handler: mux, ReadHeaderTimeout: adminHeaderTimeout}
+	return &Admin{listener: listener, server: server}, nil
+}
+
+// Addr returns the address that the admin listener is bound to.
+func (a *Admin) Addr() string { return a.listener.Addr().String() }
+
+// Run serves until ctx ends.
+func (a *Admin) Run(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = a.server.Close() })
+	defer stop()
+	err := a.server.Serve(a.listener)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "serving admin requests")
+}
--- /dev/null
+++ b/internal/request/request.go
@@ -0,0 +1,120 @@
+// Package request holds the lifecycle of one caller's request: its
+// identifiers, its class, the outcome of an attempt and the reasons for which
+// a request is refused.
+//
+// Invariant: OutcomeNotRun is reported only by a process that knows that the
+// attempt has not been handed to a target and never will be.
+package request
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/google/uuid"
+)
+
+// ID identifies a caller's request. The router that received it creates it.
+type ID string
+
+// AttemptID identifies one attempt to run a request on one target.
+type AttemptID string
+
+// NewID returns a random request ID.
+func NewID() ID { return ID(uuid.NewString()) }
+
+// NewAttemptID returns a random attempt ID.
+func NewAttemptID() AttemptID { return AttemptID(uuid.NewString()) }
+
+// Class orders the requests of one workspace.
+type Class uint8
+
+// Classes of requests.
+const (
+	// ClassInteractive requests go before batch requests of their workspace.
+	ClassInteractive Class = iota
+	// ClassBatch requests may wait.
+	ClassBatch
+)
+
+// String returns the class's label in metrics.
+func (c Class) String() string {
+	if c == ClassBatch {
+		return "batch"
+	}
+	return "interactive"
+}
+
+// Outcome says what is known about an attempt.
+type Outcome uint8
+
+// Outcomes of an attempt. The zero value claims nothing.
+const (
+	// OutcomeUnknown means that the attempt may or may not have run.
+	OutcomeUnknown Outcome = iota
+	// OutcomeNotRun means that the attempt did not run and never will.
+	OutcomeNotRun
+	// OutcomeCompleted means that the whole answer is known.
+	OutcomeCompleted
+)
+
+// String returns the outcome's label in metrics.
+func (o Outcome) String() string {
+	switch o {
+	case OutcomeNotRun:
+		return "not_run"
+	case OutcomeCompleted:
+		return "completed"
+	default:
+		return "unknown"
+	}
+}
+
+// Reason is the stable name of a refusal or failure. It is the label of the
+// refusal counters and the last path element of a problem document's type.
+type Reason string
+
+// Reasons for which a request is refused or fails.
+const (
+	ReasonMalformed        Reason = "malformed"
+	ReasonUnauthorized     Reason = "unauthorized"
+	ReasonForbiddenPool    Reason = "pool_not_allowed"
+	ReasonUnknownPool      Reason = "pool_unknown"
+	ReasonTooLarge         Reason = "too_large"
+	ReasonKeyInvalid       Reason = "idempotency_key_invalid"
+	ReasonKeyReused        Reason = "idempotency_key_reused"
+	ReasonInProgress       Reason = "in_progress"
+	ReasonRateLimit        Reason = "rate_limit"
+	ReasonConcurrency      Reason = "concurrency_limit"
+	ReasonQueueFull        Reason = "queue_full"
+	ReasonDeadline         Reason = "deadline"
+	ReasonNoTarget         Reason = "no_target"
+	ReasonDraining         Reason = "draining"
+	ReasonNotReady         Reason = "not_ready"
+	ReasonClaimUnavailable Reason = "claim_unavailable"
+	ReasonQuarantined      Reason = "quarantined"
+	ReasonSuspect          Reason = "suspect"
+	ReasonTargetDown       Reason = "target_down"
+	ReasonTargetFailed     Reason = "target_failed"
+	ReasonFenced           Reason = "fenced"
+	ReasonWithdrawn        Reason = "withdrawn"
+	ReasonConnectionLost   Reason = "connection_lost"
+	ReasonUnknownAttempt   Reason = "attempt_unknown"
+	ReasonRetryBudget      Reason = "retry_budget"
+)
+
+// RefusedError is the error of a request that was given up. Its outcome says
+// whether the request may have run.
+type RefusedError struct {
+	Reason     Reason
+	Outcome    Outcome
+	RetryAfter time.Duration // zero: the caller gets no Retry-After
+	Detail     string
+}
+
+// Error implements error.
+func (r *RefusedError) Error() string {
+	if r.Detail == "" {
+		return fmt.Sprintf("request refused: %s (%s)", r.Reason, r.Outcome)
+	}
+	return fmt.Sprintf("request refused: %s (%s): %s", r.Reason, r.Outcome, r.Detail)
+}
--- /dev/null
+++ b/internal/standin/table.go
@@ -0,0 +1,142 @@
+package standin
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastichollow/mastichollow/internal/platform"
+)
+
+// Fault is what happens to one call of a stand-in.
+type Fault uint8
+
+// Faults of a call.
+const (
+	FaultNone Fault = iota
+	// FaultDown refuses the call without effect.
+	FaultDown
+	// FaultAnswerLost applies the call and loses its answer.
+	FaultAnswerLost
+	// FaultRequestLost loses the call; the caller cannot tell it from
+	// FaultAnswerLost.
+	FaultRequestLost
+)
+
+// Table is an in-memory table service. It is safe for concurrent use.
+type Table struct {
+	mu      sync.Mutex
+	version uint64
+	items   map[string]platform.Item
+	fault   func(op, key string) Fault
+	reads   uint64
+	writes  uint64
+}
+
+// NewTable returns an empty table without faults.
+func NewTable() *Table {
+	return &Table{items: make(map[string]platform.Item)}
+}
+
+// SetFault sets the function that chooses the fault of each call; nil means
+// none. op is "get", "list" or "commit"; key is the first key of the call.
+func (t *Table) SetFault(f func(op, key string) Fault) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.fault = f
+}
+
+// Calls returns the numbers of reads and writes served so far.
+func (t *Table) Calls() (reads, writes uint64) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.reads, t.writes
+}
+
+// Get implements platform.TableService.
+func (t *Table) Get(_ context.Context, key string) (platform.Item, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	if t.faultOf("get", key) != FaultNone {
+		return platform.Item{}, errors.Wrapf(platform.ErrUnavailable, "reading %q", key)
+	}
+	item, ok := t.items[key]
+	if !ok {
+		return platform.Item{}, errors.Wrapf(platform.ErrNotFound, "reading %q", key)
+	}
+	return item, nil
+}
+
+// List implements platform.TableService.
+func (t *Table) List(_ context.Context, prefix string) ([]platform.Item, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.reads++
+	if t.faultOf("list", prefix) != FaultNone {
+		return nil, errors.Wrapf(platform.ErrUnavailable, "listing %q", prefix)
+	}
+	var found []platform.Item
+	for key, item := range t.items {
+		if strings.HasPrefix(key, prefix) {
+			found = append(found, item)
+		}
+	}
+	slices.SortFunc(found, func(a, b platform.Item) int { return strings.Compare(a.Key, b.Key) })
+	return found, nil
+}
+
+// Commit implements platform.TableService.
+func (t *Table) Commit(_ context.Context, writes ...platform.Write) (uint64, error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.writes++
+	if len(writes) == 0 {
+		return t.version, nil
+	}
+	fault := t.faultOf("commit", writes[0].Key)
+	switch fault {
+	case FaultDown:
+		return 0, errors.Wrapf(platform.ErrUnavailable, "committing %q", writes[0].Key)
+	case FaultRequestLost:
+		return 0, errors.Wrapf(platform.ErrUncertain, "committing %q", writes[0].Key)
+	}
+	version, err := t.apply(writes)
+	if fault == FaultAnswerLost {
+		return 0, errors.Wrapf(platform.ErrUncertain, "committing %q", writes[0].Key)
+	}
+	return version, err
+}
+
+// apply applies all writes or none. t.mu is held.
+func (t *Table) apply(writes []platform.Write) (uint64, error) {
+	var conflicts []string
+	for _, w := range writes {
+		if t.items[w.Key].Version != w.If {
+			conflicts = append(conflicts, w.Key)
+		}
+	}
+	if len(conflicts) > 0 {
+		return 0, &platform.ConflictError{Keys: conflicts}
+	}
+	t.version++
+	for _, w := range writes {
+		if w.Delete {
+			delete(t.items, w.Key)
+			continue
+		}
+		t.items[w.Key] = platform.Item{Key: w.Key, Value: slices.Clone(w.Value), Version: t.version}
+	}
+	return t.version, nil
+}
+
+// faultOf returns the fault of a call. t.mu is held.
+func (t *Table) faultOf(op, key string) Fault {
+	if t.fault == nil {
+		return FaultNone
+	}
+	return t.fault(op, key)
+}
--- /dev/null
+++ b/internal/wire/control.go
@@ -0,0 +1,137 @@
+package wire
+
+import (
+	"github.com/mastichollow/mastichollow/internal/target"
+	"github.com/mastichollow/mastichollow/internal/workspace"
+)
+
+// Types of messages on control streams.
+const (
+	TypeHello Type = iota + 64
+	TypeReport
+	TypeDigest
+	TypeConfig
+	TypePing
+	TypePong
+)
+
+// newControlMessage returns an empty control message of type t, or nil.
+func newControlMessage(t Type) Message {
+	switch t {
+	case TypeHello:
+		return new(Hello)
+	case TypeReport:
+		return new(Report)
+	case TypeDigest:
+		return new(Digest)
+	case TypeConfig:
+		return new(Config)
+	case TypePing:
+		return new(Ping)
+	case TypePong:
+		return new(Pong)
+	default:
+		return nil
+	}
+}
+
+// ProtocolVersion is the version of the messages in this package.
+const ProtocolVersion = 1
+
+// Hello opens a control stream from a member to a relay.
+type Hello struct {
+	Protocol    uint   `cbor:"1,keyasint"`
+	Member      string `cbor:"2,keyasint"` // VM ID
+	Incarnation uint64 `cbor:"3,keyasint"` // differs for each start of the process
+	Domain      string `cbor:"4,keyasint"`
+	// Relay is set when the sender is a relay of another failure domain.
+	Relay bool `cbor:"5,keyasint"`
+}
+
+// Sum is what one workspace has got at one source. Service and Started only
+// grow within an incarnation of the source; Running is the latest figure.
+type Sum struct {
+	Workspace workspace.RowID `cbor:"1,keyasint"`
+	Service   uint64          `cbor:"2,keyasint"` // service units
+	Started   uint64          `cbor:"3,keyasint,omitempty"`
+	Running   uint32          `cbor:"4,keyasint,omitempty"`
+	Queued    uint32          `cbor:"5,keyasint,omitempty"`
+}
+
+// PoolSums are the sums of one pool at one source, with its load.
+type PoolSums struct {
+	Pool   string `cbor:"1,keyasint"`
+	Free   uint32 `cbor:"2,keyasint,omitempty"` // free slots
+	Queued uint32 `cbor:"3,keyasint,omitempty"` // waiting offers
+	Sums   []Sum  `cbor:"4,keyasint,omitempty"` // those that changed since the last report; all in a full one
+}
+
+// Report goes from a member to the relays of its failure domain.
+type Report struct {
+	Member      string     `cbor:"1,keyasint"`
+	Incarnation uint64     `cbor:"2,keyasint"`
+	Sequence    uint64     `cbor:"3,keyasint"`
+	Confirmed   uint64     `cbor:"4,keyasint"` // table version in force at the member
+	Pools       []PoolSums `cbor:"5,keyasint,omitempty"`
+}
+
+// Digest carries the sums of one failure domain, from the relay that added
+// them up to other relays and to members.
+type Digest struct {
+	Domain      string     `cbor:"1,keyasint"`
+	Relay       string     `cbor:"2,keyasint"` // VM ID of the relay
+	Incarnation uint64     `cbor:"3,keyasint"`
+	Sequence    uint64     `cbor:"4,keyasint"`
+	Pools       []PoolSums `cbor:"5,keyasint,omitempty"`
+}
+
+// Config carries the table and the VM list to members. An absent part has not
+// changed.
+type Config struct {
+	Table *workspace.Table `cbor:"1,keyasint,omitempty"`
+	VMs   []target.VM      `cbor:"2,keyasint,omitempty"`
+	// VMsRead is the time at which a relay read VMs, in Unix milliseconds.
+	VMsRead int64 `cbor:"3,keyasint,omitempty"`
+	// Suspects are all fingerprints under suspicion; absent when unchanged.
+	Suspects *SuspectList `cbor:"4,keyasint,omitempty"`
+}
+
+// SuspectList holds the fingerprints of requests that ran at the crash of a
+// target.
+type SuspectList struct {
+	Suspects []Suspect `cbor:"1,keyasint"`
+}
+
+// Suspect is the fingerprint of a request that ran at the crash of a target.
+type Suspect struct {
+	Fingerprint []byte `cbor:"1,keyasint"`
+	Quarantined bool   `cbor:"2,keyasint,omitempty"`
+}
+
+// Ping asks for a Pong with the same number.
+type Ping struct {
+	Number uint64 `cbor:"1,keyasint"`
+}
+
+// Pong answers a Ping.
+type Pong struct {
+	Number uint64 `cbor:"1,keyasint"`
+}
+
+// Type implements Message.
+func (*Hello) Type() Type { return TypeHello }
+
+// Type implements Message.
+func (*Report) Type() Type { return TypeReport }
+
+// Type implements Message.
+func (*Digest) Type() Type { return TypeDigest }
+
+// Type implements Message.
+func (*Config) Type() Type { return TypeConfig }
+
+// Type implements Message.
+func (*Ping) Type() Type { return TypePing }
+
+// Type implements Message.
+func (*Pong) Type() Type { return TypePong }
