--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -107,7 +107,9 @@
 }
 
 // Withdraw takes an offer back. The agent answers with Refuse when the attempt
-// has not started, and goes on otherwise.
+// has not been accepted, and with Fail and OutcomeNotRun when it was accepted
+// but not handed to the target. Later, a request that may be repeated is
+// cancelled at the target, and one that may not goes on.
 type Withdraw struct {
 	Attempt request.AttemptID `cbor:"1,keyasint"`
 }
