--- /dev/null
+++ b/internal/agent/fence.go
@@ -0,0 +1,102 @@
+package agent
+
+import (
+	"context"
+	"strconv"
+	"time"
+
+	"github.com/cenkalti/backoff/v5"
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastichollow/mastichollow/internal/platform"
+	"github.com/mastichollow/mastichollow/internal/request"
+	"github.com/mastichollow/mastichollow/internal/wire"
+)
+
+// FenceFunc returns a fencing number that is greater than all numbers returned
+// before for the same target.
+type FenceFunc func(ctx context.Context) (uint64, error)
+
+// Bounds of the pause between two tries to get a fencing number.
+const (
+	minFencePause = 100 * time.Millisecond
+	maxFencePause = 5 * time.Second
+)
+
+// TableFence returns a FenceFunc that counts in the table service, under the
+// target's VM ID. A write whose answer is lost may have used up a number; the
+// next try takes a greater one.
+func TableFence(table platform.TableService, vm string) FenceFunc {
+	return func(ctx context.Context) (uint64, error) {
+		key := platform.PrefixFence + vm
+		item, err := table.Get(ctx, key)
+		if err != nil && !errors.Is(err, platform.ErrNotFound) {
+			return 0, errors.Wrapf(err, "reading the fencing number of %q", vm)
+		}
+		last, err := parseFence(item)
+		if err != nil {
+			return 0, errors.Wrapf(err, "fencing number of %q", vm)
+		}
+		next := platform.Write{
+			Key:   key,
+			Value: []byte(strconv.FormatUint(last+1, 10)),
+			If:    item.Version,
+		}
+		if _, err := table.Commit(ctx, next); err != nil {
+			return 0, errors.Wrapf(err, "raising the fencing number of %q", vm)
+		}
+		return last + 1, nil
+	}
+}
+
+// parseFence returns the number in item, 0 for a missing item.
+func parseFence(item platform.Item) (uint64, error) {
+	if item.Version == 0 {
+		return 0, nil
+	}
+	return strconv.ParseUint(string(item.Value), 10, 64)
+}
+
+// acquireFence gets the fencing number, trying until ctx ends.
+func (a *Agent) acquireFence(ctx context.Context) {
+	if a.cfg.Fence == nil {
+		a.fence.set(0)
+		return
+	}
+	pause := backoff.NewExponentialBackOff()
+	pause.InitialInterval = minFencePause
+	pause.MaxInterval = maxFencePause
+	for ctx.Err() == nil {
+		number, err := a.callFence(ctx)
+		if err == nil {
+			a.fence.set(number)
+			return
+		}
+		a.log.Warn("fencing number is not available", "error", err)
+		a.metrics.retries.WithLabelValues("fence").Inc()
+		sleep(ctx, pause.NextBackOff())
+	}
+}
+
+func (a *Agent) callFence(ctx context.Context) (uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, a.cfg.Limits.Platform)
+	defer cancel()
+	return a.cfg.Fence(ctx)
+}
+
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// fenced stops the agent: its target takes orders from a newer one only.
+func (a *Agent) fenced() {
+	a.fence.refuse()
+	a.log.Error("target refused the fencing number", "number", a.fence.number())
+	a.sched.close(&wire.Refuse{Reason: request.ReasonFenced, RetryAfter: notReadyRetry})
+}
--- /dev/null
+++ b/internal/agent/offer_test.go
@@ -0,0 +1,174 @@
+package agent
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/request"
+	"github.com/mastichollow/mastichollow/internal/target"
+	"github.com/mastichollow/mastichollow/internal/wire"
+)
+
+func TestServesWholeAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		defer r.stop()
+		c := r.offer(nil).run()
+		head := expect[*wire.Head](c)
+		require.Equal(t, 200, head.Status)
+		require.Equal(t, "hello world", c.whole())
+		<-c.done
+		require.EqualValues(t, 11, r.Report().Sums[0].Service)
+		require.EqualValues(t, 1, r.Report().Sums[0].Started)
+		require.Equal(t, 1, r.counter(r.metrics.outcomes, "completed", "none"))
+	})
+}
+
+func TestRefusals(t *testing.T) {
+	tests := []struct {
+		name  string
+		setup func(*rig)
+		edit  func(*wire.Offer)
+		want  request.Reason
+		final bool
+	}{
+		{"no attempt", nil, func(o *wire.Offer) { o.Attempt = "" }, request.ReasonMalformed, true},
+		{"class", nil, func(o *wire.Offer) { o.Class = 9 }, request.ReasonMalformed, true},
+		{"pool", nil, func(o *wire.Offer) { o.Pool = "other" }, request.ReasonUnknownPool, true},
+		{"workspace", nil, func(o *wire.Offer) { o.Workspace = 99 }, request.ReasonUnauthorized, true},
+		{"workspace of a newer table", nil, func(o *wire.Offer) { o.Workspace, o.Version = 99, 2 }, request.ReasonNotReady, false},
+		{"pool not allowed", nil, func(o *wire.Offer) { o.Workspace = 4 }, request.ReasonForbiddenPool, true},
+		{"deadline", nil, func(o *wire.Offer) { o.Deadline = -1 }, request.ReasonDeadline, true},
+		{"quarantined", func(r *rig) { r.suspects.put([]byte("f"), true) }, func(o *wire.Offer) { o.Fingerprint = []byte("f") }, request.ReasonQuarantined, true},
+		{"draining", func(r *rig) { r.stopGrants("test") }, nil, request.ReasonDraining, false},
+		{"target down", func(r *rig) { r.target.set("", true); time.Sleep(5 * time.Second) }, nil, request.ReasonTargetDown, false},
+		{"leaving by the list", func(r *rig) {
+			r.store.ApplyVMs([]target.VM{{ID: "agent-1", State: target.StateLeaving}})
+			synctest.Wait()
+		}, nil, request.ReasonDraining, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, nil)
+				defer r.stop()
+				if tt.setup != nil {
+					tt.setup(r)
+				}
+				got := expect[*wire.Refuse](r.offer(tt.edit))
+				require.Equal(t, tt.want, got.Reason)
+				require.Equal(t, tt.final, got.Final)
+				require.Equal(t, 1, r.counter(r.metrics.refusals, string(tt.want)))
+				require.Zero(t, r.target.count())
+			})
+		})
+	}
+}
+
+func TestNotReadyWithoutTableOrFence(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, func(c *Config) { c.Fence = TableFence(downTable(), "agent-1") })
+		defer r.stop()
+		require.ErrorContains(t, r.Ready(), "fencing number")
+		require.Equal(t, request.ReasonNotReady, expect[*wire.Refuse](r.offer(nil)).Reason)
+	})
+}
+
+func TestSpareGrantWaitsForSlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, func(c *Config) { c.Slots = 1 })
+		defer r.stop()
+		first := r.offer(nil).run()
+		second := r.offer(nil).run()
+		third := r.offer(nil)
+		expect[*wire.Queued](third)
+		synctest.Wait()
+		require.Equal(t, 1, r.target.count())
+		require.Equal(t, "hello world", first.whole())
+		require.Equal(t, "hello world", second.whole())
+		require.Equal(t, "hello world", third.run().whole())
+		require.Equal(t, 1, r.target.peak)
+	})
+}
+
+func TestGrantsByWeightedService(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, func(c *Config) { c.Slots = 1 })
+		defer r.stop()
+		var order []int
+		var conns []*conn
+		for range 12 {
+			for ws := 1; ws <= 2; ws++ {
+				conns = append(conns, r.offer(func(o *wire.Offer) { o.Workspace = uint32ID(ws) }))
+				synctest.Wait()
+			}
+		}
+		finished := make(chan int, len(conns))
+		for i, c := range conns {
+			go func() {
+				if _, queued := c.recv().(*wire.Queued); queued {
+					expect[*wire.Grant](c)
+				}
+				c.send(&wire.Run{Attempt: c.id})
+				c.answer()
+				finished <- i%2 + 1
+			}()
+		}
+		for range 12 {
+			order = append(order, <-finished)
+		}
+		served := map[int]int{}
+		for _, ws := range order {
+			served[ws]++
+		}
+		require.InDelta(t, 9, served[2], 1, "weight 3 beside weight 1: %v", order)
+		for range 12 {
+			<-finished
+		}
+	})
+}
+
+func TestConcurrencyLimitOverFleet(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		defer r.stop()
+		limited := func(o *wire.Offer) { o.Workspace, o.Home = 3, true }
+		digest := func(seq uint64, running, queued uint32) *wire.Digest {
+			sums := []wire.Sum{{Workspace: 3, Running: running, Queued: queued}}
+			return &wire.Digest{Domain: "b", Relay: "r", Sequence: seq, Pools: []wire.PoolSums{{Pool: testPool, Sums: sums}}}
+		}
+		r.ApplyDigest(digest(1, 1, 1))
+		c := r.offer(limited)
+		expect[*wire.Queued](c)
+		refusal := expect[*wire.Refuse](r.offer(limited))
+		require.Equal(t, request.ReasonQueueFull, refusal.Reason, "one waits here and one elsewhere")
+		require.Positive(t, refusal.RetryAfter)
+		r.ApplyDigest(digest(2, 0, 0))
+		r.ApplyDigest(digest(1, 1, 1)) // late
+		c.run()
+		waiting := r.offer(limited)
+		expect[*wire.Queued](waiting)
+		require.Equal(t, "hello world", c.whole())
+		require.Equal(t, "hello world", waiting.run().whole())
+	})
+}
+
+func TestInteractiveBeforeBatch(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, func(c *Config) { c.Slots, c.InteractiveSlots = 3, 1 })
+		defer r.stop()
+		batch := func(o *wire.Offer) { o.Class = request.ClassBatch }
+		for range 3 {
+			r.offer(batch).run()
+		}
+		expect[*wire.Queued](r.offer(batch))
+		synctest.Wait()
+		require.Equal(t, 2, r.target.count(), "batch work leaves a slot free")
+		r.offer(nil).run()
+		synctest.Wait()
+		require.Equal(t, 3, r.target.count(), "interactive work takes it at once")
+	})
+}
