--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -16,7 +16,10 @@
 // MaxFrame is the largest frame accepted, in bytes.
 const MaxFrame = 8 << 20
 
-const headerLen = 5 // bytes: length and type
+const (
+	headerLen  = 5       // bytes: length and type
+	readBuffer = 4 << 10 // bytes
+)
 
 // Errors of the codec.
 var (
@@ -65,29 +68,74 @@
 	return append(buf, body...), nil
 }
 
-// Read reads one frame from r. It returns io.EOF only at a frame's boundary.
-// The second result is the frame's length in bytes.
-func Read(r *bufio.Reader) (Message, int, error) {
-	var header [headerLen]byte
-	if _, err := io.ReadFull(r, header[:]); err != nil {
-		return nil, 0, err
+// Reader reads frames from a byte stream. A read that fails, for example by a
+// deadline, loses nothing: the next call goes on where it stopped.
+type Reader struct {
+	src    io.Reader
+	header [headerLen]byte
+	body   []byte // nil until the header is whole
+	filled int    // bytes of the header or body read so far
+}
+
+// NewReader returns a reader of the frames in src.
+func NewReader(src io.Reader) *Reader {
+	return &Reader{src: bufio.NewReaderSize(src, readBuffer)}
+}
+
+// Next returns the next message and the length of its frame in bytes. It
+// returns io.EOF only at a frame's boundary, and io.ErrUnexpectedEOF inside a
+// frame.
+func (r *Reader) Next() (Message, int, error) {
+	if r.body == nil {
+		if err := r.readHeader(); err != nil {
+			return nil, 0, err
+		}
+	}
+	if err := r.fill(r.body); err != nil {
+		return nil, 0, noEOF(err)
+	}
+	body := r.body
+	r.body, r.filled = nil, 0
+	m, err := Decode(Type(r.header[headerLen-1]), body)
+	return m, headerLen + len(body), err
+}
+
+// readHeader reads the header and makes room for the body.
+func (r *Reader) readHeader() error {
+	if err := r.fill(r.header[:]); err != nil {
+		if r.filled > 0 {
+			err = noEOF(err)
+		}
+		return err
 	}
-	size := binary.BigEndian.Uint32(header[:4])
+	size := binary.BigEndian.Uint32(r.header[:])
 	if size == 0 {
-		return nil, 0, errors.Wrap(ErrMalformed, "frame without a type")
+		return errors.Wrap(ErrMalformed, "frame without a type")
 	}
 	if size > MaxFrame {
-		return nil, 0, errors.Wrapf(ErrFrameTooLarge, "frame has %d bytes", size)
+		return errors.Wrapf(ErrFrameTooLarge, "frame has %d bytes", size)
 	}
-	body := make([]byte, size-1)
-	if _, err := io.ReadFull(r, body); err != nil {
-		if errors.Is(err, io.EOF) {
-			err = io.ErrUnexpectedEOF
+	r.body, r.filled = make([]byte, size-1), 0
+	return nil
+}
+
+// fill reads into buf from r.filled on until it is full.
+func (r *Reader) fill(buf []byte) error {
+	for r.filled < len(buf) {
+		n, err := r.src.Read(buf[r.filled:])
+		r.filled += n
+		if err != nil && r.filled < len(buf) {
+			return err
 		}
-		return nil, 0, err
 	}
-	m, err := Decode(Type(header[4]), body)
-	return m, headerLen + len(body), err
+	return nil
+}
+
+func noEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
+	}
+	return err
 }
 
 // Decode decodes the body of a frame of type t.
