--- /dev/null
+++ b/cmd/mastichollow-standin/listen.go
@@ -0,0 +1,49 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"os"
+
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/mastichollow/mastichollow/internal/standin"
+)
+
+// runContext ends when the program is to stop.
+type runContext = context.Context
+
+// listenSettings are the addresses of a stand-in.
+type listenSettings struct {
+	Listen      string `help:"Address (IP:port) of the interface; port 0 chooses a free port." default:"127.0.0.1:0"`
+	AdminListen string `help:"Address (IP:port) of the admin interface; port 0 chooses a free port." default:"127.0.0.1:0"`
+}
+
+// addresses is the line that the program prints once it listens.
+type addresses struct {
+	Role  string `json:"role"`
+	Addr  string `json:"addr"`
+	Admin string `json:"admin"`
+}
+
+// standIn is a stand-in of one role.
+type standIn interface {
+	Host() *standin.Host
+	Admin(addr string) (*standin.Host, error)
+}
+
+// run prints the addresses of s and serves it until ctx ends.
+func (l listenSettings) run(ctx context.Context, logger hclog.Logger, role string, s standIn) error {
+	admin, err := s.Admin(l.AdminListen)
+	if err != nil {
+		return err
+	}
+	line := addresses{Role: role, Addr: s.Host().Addr(), Admin: admin.Addr()}
+	if err := json.NewEncoder(os.Stdout).Encode(line); err != nil {
+		return err
+	}
+	logger.Info("serving", "role", role, "addr", line.Addr, "admin", line.Admin)
+	err = standin.RunAll(ctx, s.Host(), admin)
+	logger.Info("stopped", "role", role)
+	return err
+}
--- /dev/null
+++ b/cmd/mastichollow-standin/main.go
@@ -0,0 +1,49 @@
+// Command mastichollow-standin runs one stand-in of the platform or of a
+// target, for tests and the demo.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/mastichollow/mastichollow/internal/process"
+)
+
+const program = "mastichollow-standin"
+
+// commandLine is the command line of the program.
+type commandLine struct {
+	Platform platformCommand  `cmd:"" help:"Run the table service, the object store and the VM list."`
+	Engine   engineCommand    `cmd:"" help:"Run a model engine."`
+	Service  serviceCommand   `cmd:"" help:"Run a plain service."`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
+
+	process.LogSettings `embed:"" prefix:"log-"`
+}
+
+func main() {
+	os.Exit(run())
+}
+
+// run runs the program and returns its exit code.
+func run() int {
+	var line commandLine
+	parsed := kong.Parse(&line,
+		kong.Name(program),
+		kong.Description("In-memory platform and targets with faults that can be set over an admin interface."),
+		kong.Vars{"version": process.VersionString(program)},
+		kong.DefaultEnvars("MASTICHOLLOW_STANDIN"),
+	)
+	ctx, stop := process.SignalContext()
+	defer stop()
+	parsed.BindTo(ctx, (*runContext)(nil))
+	parsed.BindTo(line.NewLogger(program), (*hclog.Logger)(nil))
+	if err := parsed.Run(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/cmd/mastichollow-standin/roles.go
@@ -0,0 +1,90 @@
+package main
+
+import (
+	"encoding/json"
+	"os"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/mastichollow/mastichollow/internal/standin"
+	"github.com/mastichollow/mastichollow/internal/target"
+)
+
+// platformCommand runs the platform.
+type platformCommand struct {
+	listenSettings
+	VMs string `help:"JSON file with the VM list at start." type:"existingfile" placeholder:"FILE"`
+}
+
+// Run runs the platform until ctx ends.
+func (c *platformCommand) Run(ctx runContext, logger hclog.Logger) error {
+	p, err := standin.NewPlatform(c.Listen)
+	if err != nil {
+		return err
+	}
+	if c.VMs != "" {
+		vms, err := readVMs(c.VMs)
+		if err != nil {
+			return err
+		}
+		p.VMs.Set(vms)
+	}
+	return c.run(ctx, logger, "platform", p)
+}
+
+func readVMs(path string) ([]target.VM, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "reading the VM list")
+	}
+	var vms []target.VM
+	if err := json.Unmarshal(data, &vms); err != nil {
+		return nil, errors.Wrapf(err, "decoding the VM list %q", path)
+	}
+	return vms, nil
+}
+
+// engineCommand runs a model engine.
+type engineCommand struct {
+	listenSettings
+	Slots         int           `help:"Requests in one batch." default:"8"`
+	FirstToken    time.Duration `help:"Prefill of an empty prompt." default:"50ms"`
+	PrefillToken  time.Duration `help:"Prefill of each prompt token that is not cached." default:"50us"`
+	TokenInterval time.Duration `help:"Time between tokens of a request that runs alone." default:"20ms"`
+	BatchSlowdown float64       `help:"Growth of the token interval for each further running request." default:"0.02"`
+	CacheBlocks   int           `help:"Prefix cache in blocks of 16 tokens; 0: no cache." default:"4096"`
+}
+
+// Run runs the engine until ctx ends.
+func (c *engineCommand) Run(ctx runContext, logger hclog.Logger) error {
+	e, err := standin.NewEngine(c.Listen, standin.ModelConfig{
+		Slots:         c.Slots,
+		FirstToken:    c.FirstToken,
+		PrefillToken:  c.PrefillToken,
+		TokenInterval: c.TokenInterval,
+		BatchSlowdown: c.BatchSlowdown,
+		CacheBlocks:   c.CacheBlocks,
+	})
+	if err != nil {
+		return err
+	}
+	return c.run(ctx, logger, "engine", e)
+}
+
+// serviceCommand runs a plain service.
+type serviceCommand struct {
+	listenSettings
+	Slots int           `help:"Calls that run at once." default:"8"`
+	Time  time.Duration `help:"Time of one call in its slot." default:"5ms"`
+}
+
+// Run runs the service until ctx ends.
+func (c *serviceCommand) Run(ctx runContext, logger hclog.Logger) error {
+	s, err := standin.NewService(c.Listen, standin.ServiceConfig{Slots: c.Slots, Time: c.Time})
+	if err != nil {
+		return err
+	}
+	return c.run(ctx, logger, "service", s)
+}
--- /dev/null
+++ b/internal/platform/vmclient.go
@@ -0,0 +1,70 @@
+package platform
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastichollow/mastichollow/internal/target"
+)
+
+// VMs is the answer of the VM list.
+type VMs struct {
+	VMs []target.VM `json:"vms"`
+}
+
+// VMClient is a VMList over HTTP.
+type VMClient struct {
+	caller *caller
+}
+
+// NewVMClient returns a client of the VM list at base (URL).
+func NewVMClient(base string, options Options) *VMClient {
+	return &VMClient{caller: newCaller(base, options)}
+}
+
+// List implements VMList. Its error is marked ErrUnavailable.
+func (v *VMClient) List(ctx context.Context) ([]target.VM, error) {
+	call := call{method: http.MethodGet, path: PathVMs}
+	status, body, err := v.caller.do(ctx, call)
+	if err != nil {
+		return nil, err
+	}
+	if status != http.StatusOK {
+		return nil, errors.Mark(errors.Newf("%s: status %d", call, status), ErrUnavailable)
+	}
+	vms, err := decodeVMs(body)
+	return vms, errors.Wrapf(err, "%s", call)
+}
+
+// decodeVMs decodes the VM list. An entry without an ID or of an unknown state
+// refuses the list whole.
+func decodeVMs(body []byte) ([]target.VM, error) {
+	var vms VMs
+	if err := json.Unmarshal(body, &vms); err != nil {
+		return nil, errors.Mark(errors.Wrap(err, "decoding the VM list"), ErrUnavailable)
+	}
+	if vms.VMs == nil {
+		return nil, errors.Mark(errors.New("answer holds no VM list"), ErrUnavailable)
+	}
+	for i, vm := range vms.VMs {
+		if err := checkVM(vm); err != nil {
+			return nil, errors.Mark(errors.Wrapf(err, "entry %d of the VM list", i), ErrUnavailable)
+		}
+	}
+	return vms.VMs, nil
+}
+
+func checkVM(vm target.VM) error {
+	if vm.ID == "" {
+		return errors.New("VM has no ID")
+	}
+	switch vm.State {
+	case target.StateJoining, target.StateLive, target.StateLeaving:
+		return nil
+	default:
+		return errors.Newf("VM %q has unknown state %q", vm.ID, vm.State)
+	}
+}
