--- /dev/null
+++ b/internal/fleet/member.go
@@ -0,0 +1,115 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"github.com/mastichollow/mastichollow/internal/wire"
+)
+
+// runReports sends this process's reports to its relays.
+func (n *Node) runReports(ctx context.Context) {
+	for pause(ctx, n.periods.Report) {
+		n.report(time.Now())
+	}
+}
+
+// report sends a report to each relay that lacks something, and adds it to
+// this process's own tally when it relays.
+func (n *Node) report(now time.Time) {
+	sums := newPoolSums()
+	if n.cfg.Report != nil {
+		sums.set(n.cfg.Report())
+	}
+	confirmed := n.version()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	own := n.tallies[n.cfg.Self.Domain]
+	if own == nil && !n.upstream(toRelay) {
+		return // the first report counts in full, so it must have a reader
+	}
+	n.reports++
+	for l := range n.links {
+		if l.kind == toRelay && l.incarnation != 0 {
+			n.reportTo(l, sums, confirmed, now)
+		}
+	}
+	if own != nil {
+		own.add(n.newReport(confirmed, diff(nil, sums)), now)
+	}
+}
+
+// reportTo sends l what changed since the last report, all of it now and then,
+// or nothing. n.mu is held.
+func (n *Node) reportTo(l *link, sums *poolSums, confirmed uint64, now time.Time) {
+	last := &l.reported
+	var before *poolSums
+	if now.Sub(last.full) < n.periods.FullReport {
+		before = last.sums
+	}
+	pools := diff(before, sums)
+	if before != nil && len(pools) == 0 && confirmed == last.confirmed {
+		return
+	}
+	if before == nil {
+		last.full = now
+	}
+	last.sums, last.confirmed = sums, confirmed
+	l.send(n.newReport(confirmed, pools))
+}
+
+// newReport returns a report of this process. n.mu is held.
+func (n *Node) newReport(confirmed uint64, pools []wire.PoolSums) *wire.Report {
+	return &wire.Report{
+		Member:      n.cfg.Self.ID,
+		Incarnation: n.cfg.Incarnation,
+		Sequence:    n.reports,
+		Confirmed:   confirmed,
+		Pools:       pools,
+	}
+}
+
+// handleDigest records the sums of a failure domain.
+func (n *Node) handleDigest(l *link, d *wire.Digest) error {
+	domain := d.Domain
+	if domain == "" {
+		domain = l.peer.Domain
+	}
+	n.mu.Lock()
+	u := l.unpackers[domain]
+	if u == nil {
+		u = newUnpacker()
+		l.unpackers[domain] = u
+	}
+	pools, err := u.unpack(d.Packed)
+	incarnation := l.incarnation
+	n.mu.Unlock()
+	if err != nil {
+		return err
+	}
+	n.cfg.Store.ApplyDigest(&wire.Digest{
+		Domain:      domain,
+		Relay:       l.peer.ID,
+		Incarnation: incarnation,
+		Pools:       pools,
+	})
+	return nil
+}
+
+// handleConfig puts the configuration in force that a relay sent.
+func (n *Node) handleConfig(l *link, c *wire.Config) {
+	now := time.Now()
+	if c.Table != nil {
+		n.cfg.Store.ApplyTable(c.Table)
+	}
+	if c.VMs != nil {
+		n.cfg.Store.ApplyVMsAt(c.VMs, now.Add(-c.VMsAge))
+	}
+	if c.Suspects != nil {
+		n.cfg.Store.ApplySuspects(c.Suspects.Suspects, now.Add(-c.Suspects.Age))
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	l.stale = c.Stale
+	n.wake()
+}
--- /dev/null
+++ b/internal/fleet/node_test.go
@@ -0,0 +1,102 @@
+package fleet
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/target"
+	"github.com/mastichollow/mastichollow/internal/wire"
+)
+
+// Bounds of the propagation, from the targets of the project.
+const (
+	inForceBound = 5 * time.Second
+	leavingBound = 3 * time.Second
+)
+
+// threeRegions starts three regions of two routers and two agents with a table
+// in force.
+func threeRegions(t *testing.T) *network {
+	n := newNetwork(t)
+	for _, region := range []string{"north", "south", "west"} {
+		n.region(region, 2, 2)
+	}
+	version := n.commit("first")
+	n.startAll()
+	eventually(t, inForceBound, "first table in force", inForce(n.without(), version))
+	return n
+}
+
+func TestChangeIsInForceEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := threeRegions(t)
+		time.Sleep(time.Minute)
+		version := n.commit("second")
+		took := eventually(t, inForceBound, "second table in force", inForce(n.without(), version))
+		t.Logf("in force everywhere after %s", took)
+	})
+}
+
+func TestLeavingVMIsKnownEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := threeRegions(t)
+		time.Sleep(time.Minute)
+		const id = "south-agent-0"
+		n.setState(id, target.StateLeaving)
+		took := eventually(t, leavingBound, "leaving everywhere", func() bool {
+			for _, node := range n.without() {
+				s := node.store.Snapshot()
+				if s.State(s.VMs[id]) != target.StateLeaving {
+					return false
+				}
+			}
+			return true
+		})
+		t.Logf("known everywhere after %s", took)
+	})
+}
+
+func TestSumsReachEveryNode(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := threeRegions(t)
+		time.Sleep(10 * time.Second)
+		before := make(map[string]uint64)
+		for id, node := range n.without() {
+			before[id] = service(node, "south-d1", 7)
+		}
+		n.nodes["south-agent-0"].setSums("letter-writer", wire.Sum{Workspace: 7, Service: 1000, Running: 2})
+		n.nodes["south-agent-1"].setSums("letter-writer", wire.Sum{Workspace: 7, Service: 500, Running: 1})
+		eventually(t, 4*time.Second, "sums everywhere", func() bool {
+			for id, node := range n.without() {
+				if service(node, "south-d1", 7) != before[id]+1500 {
+					return false
+				}
+			}
+			return true
+		})
+		time.Sleep(time.Minute)
+		for id, node := range n.without() {
+			require.Equal(t, before[id]+1500, service(node, "south-d1", 7), id)
+		}
+	})
+}
+
+// service is the merged service of a workspace in a failure domain at node.
+func service(node *testNode, domain string, ws uint32) uint64 {
+	for key, row := range node.store.sums()[domain].orEmpty().rows {
+		if uint32(key.ws) == ws {
+			return row.Service
+		}
+	}
+	return 0
+}
+
+func (s *poolSums) orEmpty() *poolSums {
+	if s == nil {
+		return newPoolSums()
+	}
+	return s
+}
--- /dev/null
+++ b/internal/fleet/rendezvous.go
@@ -0,0 +1,72 @@
+package fleet
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mastichollow/mastichollow/internal/target"
+)
+
+// relaysPerDomain is the number of relays of a failure domain.
+const relaysPerDomain = 2
+
+// Rank orders vms by the rendezvous hash of key and VM ID, the first choice
+// first. Every process that knows the same VMs gets the same order.
+func Rank(key string, vms []target.VM) []target.VM {
+	ranked := slices.Clone(vms)
+	slices.SortFunc(ranked, func(a, b target.VM) int {
+		if c := cmp.Compare(score(key, b.ID), score(key, a.ID)); c != 0 {
+			return c
+		}
+		return cmp.Compare(a.ID, b.ID)
+	})
+	return ranked
+}
+
+// score is the rendezvous score of id under key.
+func score(key, id string) uint64 {
+	d := xxhash.New()
+	_, _ = d.WriteString(key)
+	_, _ = d.Write([]byte{0})
+	_, _ = d.WriteString(id)
+	return d.Sum64()
+}
+
+// RelayOrder returns the live routers that may relay for domain, the first
+// choice first: the routers of the domain, or those of its region when the
+// domain has none.
+func (s *Snapshot) RelayOrder(domain, region string) []target.VM {
+	var near, far []target.VM
+	for _, vm := range s.VMs {
+		if vm.Role != target.RoleRouter || s.State(vm) != target.StateLive {
+			continue
+		}
+		switch {
+		case vm.Domain == domain:
+			near = append(near, vm)
+		case vm.Region == region:
+			far = append(far, vm)
+		}
+	}
+	if len(near) > 0 {
+		return Rank(domain, near)
+	}
+	return Rank(domain, far)
+}
+
+// Relays returns the relays of domain.
+func (s *Snapshot) Relays(domain, region string) []target.VM {
+	order := s.RelayOrder(domain, region)
+	return order[:min(len(order), relaysPerDomain)]
+}
+
+// Domains returns the region of each failure domain that has a VM.
+func (s *Snapshot) Domains() map[string]string {
+	domains := make(map[string]string)
+	for _, vm := range s.VMs {
+		domains[vm.Domain] = vm.Region
+	}
+	return domains
+}
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -9,8 +9,12 @@
 package fleet
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/wire"
@@ -21,6 +25,13 @@
 type Snapshot struct {
 	Table *workspace.Table // nil: no table is known and the process is not ready
 	VMs   map[string]target.VM
+	// Suspects are the requests under suspicion, by fingerprint.
+	Suspects map[string]wire.Suspect
+
+	vmsRead       time.Time // when the VM list was read from the platform
+	vmsEpoch      uint64    // grows with each change of VMs
+	suspectsRead  time.Time
+	suspectsEpoch uint64
 }
 
 // Load is the latest load of a pool in one failure domain.
@@ -30,23 +41,22 @@
 }
 
 // Store holds the newest snapshot and the newest digests. It is safe for
-// concurrent use.
+// concurrent use. The two mutexes are never held together.
 type Store struct {
 	mu       sync.Mutex // serialises writers
 	snapshot atomic.Pointer[Snapshot]
 	watchers []chan<- struct{}
+	left     map[string]bool // IDs of VMs that were ever seen leaving
 
 	digestMu sync.Mutex
-	loads    map[loadKey]Load
+	domains  map[string]*domainSums
 	sinks    []func(*wire.Digest)
 }
 
-type loadKey struct{ domain, pool string }
-
 // NewStore returns a store without a table.
 func NewStore() *Store {
-	s := &Store{loads: make(map[loadKey]Load)}
-	s.snapshot.Store(&Snapshot{VMs: map[string]target.VM{}})
+	s := &Store{left: make(map[string]bool), domains: make(map[string]*domainSums)}
+	s.snapshot.Store(&Snapshot{VMs: map[string]target.VM{}, Suspects: map[string]wire.Suspect{}})
 	return s
 }
 
@@ -72,25 +82,86 @@
 	if old.Table != nil && t.Version <= old.Table.Version {
 		return false
 	}
-	s.publish(&Snapshot{Table: t, VMs: old.VMs})
+	next := *old
+	next.Table = t
+	s.publish(&next)
 	return true
 }
 
-// ApplyVMs replaces the VM list. A VM that was leaving stays leaving.
-func (s *Store) ApplyVMs(list []target.VM) {
+// ApplyVMs replaces the VM list by one read now. A VM that was ever leaving
+// stays leaving.
+func (s *Store) ApplyVMs(list []target.VM) { s.ApplyVMsAt(list, time.Now()) }
+
+// ApplyVMsAt replaces the VM list by one read at the given time and reports
+// whether it was newer than the list held so far. A VM that was ever leaving,
+// here or in an older list, stays leaving, also after it was missing from the
+// list for a while.
+func (s *Store) ApplyVMsAt(list []target.VM, read time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	old := s.snapshot.Load()
-	vms := make(map[string]target.VM, len(list))
 	for _, vm := range list {
-		if old.VMs[vm.ID].State == target.StateLeaving {
+		if vm.State == target.StateLeaving {
+			s.left[vm.ID] = true
+		}
+	}
+	old := s.snapshot.Load()
+	next := *old
+	newer := old.vmsEpoch == 0 || read.After(old.vmsRead)
+	if newer {
+		next.vmsRead = read
+		next.VMs = make(map[string]target.VM, len(list))
+		for _, vm := range list {
+			next.VMs[vm.ID] = vm
+		}
+	}
+	next.VMs = s.withLeft(next.VMs)
+	if old.vmsEpoch > 0 && maps.Equal(old.VMs, next.VMs) {
+		s.snapshot.Store(&next)
+		return newer
+	}
+	next.vmsEpoch++
+	s.publish(&next)
+	return newer
+}
+
+// withLeft returns vms with every VM leaving that ever was. s.mu is held.
+func (s *Store) withLeft(vms map[string]target.VM) map[string]target.VM {
+	out := make(map[string]target.VM, len(vms))
+	for id, vm := range vms {
+		if s.left[id] {
 			vm.State = target.StateLeaving
 		}
-		vms[vm.ID] = vm
+		out[id] = vm
+	}
+	return out
+}
+
+// ApplySuspects replaces the suspects by those read at the given time, unless
+// newer ones are held.
+func (s *Store) ApplySuspects(list []wire.Suspect, read time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	old := s.snapshot.Load()
+	if old.suspectsEpoch > 0 && !read.After(old.suspectsRead) {
+		return false
+	}
+	next := *old
+	next.suspectsRead = read
+	next.Suspects = make(map[string]wire.Suspect, len(list))
+	for _, suspect := range list {
+		next.Suspects[string(suspect.Fingerprint)] = suspect
 	}
-	s.publish(&Snapshot{Table: old.Table, VMs: vms})
+	if old.suspectsEpoch > 0 && maps.EqualFunc(old.Suspects, next.Suspects, sameSuspect) {
+		s.snapshot.Store(&next)
+		return true
+	}
+	next.suspectsEpoch++
+	s.publish(&next)
+	return true
 }
 
+func sameSuspect(a, b wire.Suspect) bool { return a.Quarantined == b.Quarantined }
+
 // publish replaces the snapshot and tells the watchers. s.mu is held.
 func (s *Store) publish(next *Snapshot) {
 	s.snapshot.Store(next)
@@ -102,22 +173,28 @@
 	}
 }
 
-// OnDigest adds a function that gets each digest. It must not block.
+// OnDigest adds a function that gets each digest that is applied. It must not
+// block. The sums in it are those of the failure domain and only grow, whichever
+// relay they come from; Relay and Incarnation are empty. The digest of a
+// process's own failure domain contains what the process itself reported.
 func (s *Store) OnDigest(f func(*wire.Digest)) {
 	s.digestMu.Lock()
 	defer s.digestMu.Unlock()
 	s.sinks = append(s.sinks, f)
 }
 
-// ApplyDigest records the loads in d and hands it on.
+// ApplyDigest merges the sums and loads in d and hands the merged rows on.
 func (s *Store) ApplyDigest(d *wire.Digest) {
 	s.digestMu.Lock()
 	defer s.digestMu.Unlock()
-	for _, p := range d.Pools {
-		s.loads[loadKey{d.Domain, p.Pool}] = Load{Free: int(p.Free), Queued: int(p.Queued)}
+	domain := s.domains[d.Domain]
+	if domain == nil {
+		domain = newDomainSums()
+		s.domains[d.Domain] = domain
 	}
+	merged := &wire.Digest{Domain: d.Domain, Pools: domain.merge(d)}
 	for _, f := range s.sinks {
-		f(d)
+		f(merged)
 	}
 }
 
@@ -126,10 +203,39 @@
 func (s *Store) Load(domain, pool string) (l Load, ok bool) {
 	s.digestMu.Lock()
 	defer s.digestMu.Unlock()
-	l, ok = s.loads[loadKey{domain, pool}]
+	if sums := s.domains[domain]; sums != nil {
+		l, ok = sums.merged.loads[pool]
+	}
 	return l, ok
 }
 
+// sums returns a copy of the sums of each failure domain.
+func (s *Store) sums() map[string]*poolSums {
+	s.digestMu.Lock()
+	defer s.digestMu.Unlock()
+	all := make(map[string]*poolSums, len(s.domains))
+	for domain, sums := range s.domains {
+		all[domain] = sums.merged.clone()
+	}
+	return all
+}
+
+// list returns the VMs by ID.
+func (s *Snapshot) list() []target.VM {
+	return slices.SortedFunc(maps.Values(s.VMs), func(a, b target.VM) int {
+		return cmp.Compare(a.ID, b.ID)
+	})
+}
+
+// suspectList returns the suspects as a message.
+func (s *Snapshot) suspectList(now time.Time) *wire.SuspectList {
+	list := &wire.SuspectList{Age: now.Sub(s.suspectsRead)}
+	for _, key := range slices.Sorted(maps.Keys(s.Suspects)) {
+		list.Suspects = append(list.Suspects, s.Suspects[key])
+	}
+	return list
+}
+
 // State returns the state of vm under the marks of the table: a mark of
 // leaving and a listed state of leaving both count.
 func (s *Snapshot) State(vm target.VM) target.State {
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -1,6 +1,8 @@
 package wire
 
 import (
+	"time"
+
 	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/workspace"
 )
@@ -45,7 +47,12 @@
 	Incarnation uint64 `cbor:"3,keyasint"` // differs for each start of the process
 	Domain      string `cbor:"4,keyasint"`
 	// Relay is set when the sender is a relay of another failure domain.
-	Relay bool `cbor:"5,keyasint"`
+	Relay bool `cbor:"5,keyasint,omitempty"`
+	// Version is the table version in force at the sender, 0: none.
+	Version uint64 `cbor:"6,keyasint,omitempty"`
+	// Standby asks the relay to send no digests; a later Hello on the same
+	// stream may ask for them.
+	Standby bool `cbor:"7,keyasint,omitempty"`
 }
 
 // Sum is what one workspace has got at one source. Service and Started only
@@ -76,13 +83,17 @@
 }
 
 // Digest carries the sums of one failure domain, from the relay that added
-// them up to other relays and to members.
+// them up to other relays and to members. On a stream only Domain, Version and
+// Packed are sent: the sender's Hello names the relay.
 type Digest struct {
-	Domain      string     `cbor:"1,keyasint"`
-	Relay       string     `cbor:"2,keyasint"` // VM ID of the relay
-	Incarnation uint64     `cbor:"3,keyasint"`
-	Sequence    uint64     `cbor:"4,keyasint"`
+	Domain      string     `cbor:"1,keyasint,omitempty"`
+	Relay       string     `cbor:"2,keyasint,omitempty"` // VM ID of the relay
+	Incarnation uint64     `cbor:"3,keyasint,omitempty"`
+	Sequence    uint64     `cbor:"4,keyasint,omitempty"`
 	Pools       []PoolSums `cbor:"5,keyasint,omitempty"`
+	// Packed holds Pools as differences to the digests before it on the same
+	// stream, in the encoding of package fleet.
+	Packed []byte `cbor:"6,keyasint,omitempty"`
 }
 
 // Config carries the table and the VM list to members. An absent part has not
@@ -90,16 +101,20 @@
 type Config struct {
 	Table *workspace.Table `cbor:"1,keyasint,omitempty"`
 	VMs   []target.VM      `cbor:"2,keyasint,omitempty"`
-	// VMsRead is the time at which a relay read VMs, in Unix milliseconds.
-	VMsRead int64 `cbor:"3,keyasint,omitempty"`
+	// VMsAge is the time since a relay read VMs from the platform.
+	VMsAge time.Duration `cbor:"3,keyasint,omitempty"`
 	// Suspects are all fingerprints under suspicion; absent when unchanged.
 	Suspects *SuspectList `cbor:"4,keyasint,omitempty"`
+	// Stale says that the sender cannot read the platform.
+	Stale bool `cbor:"5,keyasint,omitempty"`
 }
 
 // SuspectList holds the fingerprints of requests that ran at the crash of a
 // target.
 type SuspectList struct {
 	Suspects []Suspect `cbor:"1,keyasint"`
+	// Age is the time since a relay read the list from the platform.
+	Age time.Duration `cbor:"2,keyasint,omitempty"`
 }
 
 // Suspect is the fingerprint of a request that ran at the crash of a target.
