--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -103,6 +103,14 @@
 	ReasonConnectionLost   Reason = "connection_lost"
 	ReasonUnknownAttempt   Reason = "attempt_unknown"
 	ReasonRetryBudget      Reason = "retry_budget"
+	ReasonHeaderTooLarge   Reason = "header_too_large"
+	ReasonPromptTooLarge   Reason = "prompt_too_large"
+	ReasonPriorityInvalid  Reason = "priority_invalid"
+	ReasonTimeoutInvalid   Reason = "timeout_invalid"
+	ReasonNotFound         Reason = "not_found"
+	ReasonMethodNotAllowed Reason = "method_not_allowed"
+	ReasonAnswerInvalid    Reason = "answer_invalid"
+	ReasonCallerGone       Reason = "caller_gone"
 )
 
 // RefusedError is the error of a request that was given up. Its outcome says
