--- /dev/null
+++ b/internal/router/binding.go
@@ -0,0 +1,367 @@
+package router
+
+import (
+	"context"
+	"time"
+
+	"github.com/mastichollow/mastichollow/internal/placement"
+	"github.com/mastichollow/mastichollow/internal/request"
+	"github.com/mastichollow/mastichollow/internal/target"
+	"github.com/mastichollow/mastichollow/internal/transport"
+	"github.com/mastichollow/mastichollow/internal/wire"
+
+	"github.com/cockroachdb/errors"
+)
+
+// binding is one round of offers of a call: it ends with the first grant, or
+// when no agent is left that might give one.
+//
+// The home agent is asked first. When its answer is not quick, or it has no
+// free slot, further agents are asked step by step, so that a slot that comes
+// free anywhere finds the request. A duplicate of a running request waits at
+// the home agent alone.
+type binding struct {
+	x         *execution
+	asked     map[string]*leg // by VM ID
+	open      int             // legs that may still grant
+	home      *leg
+	duplicate bool
+	ticket    *ticket
+	last      *request.RefusedError
+}
+
+func newBinding(x *execution) *binding {
+	return &binding{x: x, asked: make(map[string]*leg)}
+}
+
+// bind returns the leg that got the first grant.
+func (b *binding) bind(ctx context.Context) (*leg, *request.RefusedError) {
+	ticket, refused := b.x.r.waiting.enter(b.x.c.row, b.x.c.pool)
+	if refused != nil {
+		return nil, refused
+	}
+	b.ticket = ticket
+	defer ticket.leave()
+	b.askHome(ctx)
+	timer := time.NewTimer(b.x.r.cfg.Timing.HomePatience)
+	defer timer.Stop()
+	for {
+		if b.open == 0 && b.widen(ctx) == 0 {
+			return nil, b.exhausted()
+		}
+		select {
+		case <-ctx.Done():
+			return nil, b.x.ended(ctx, request.OutcomeNotRun)
+		case <-timer.C:
+			b.step(ctx)
+			timer.Reset(b.x.r.cfg.Timing.Widen)
+		case e := <-b.x.legs.events:
+			winner, refused := b.handle(ctx, e)
+			if refused != nil {
+				return nil, refused
+			}
+			if winner != nil {
+				ticket.granted()
+				b.dismiss(winner)
+				return winner, nil
+			}
+		}
+	}
+}
+
+// handle takes one event and returns the winner or the refusal that ends the
+// round.
+func (b *binding) handle(ctx context.Context, e event) (*leg, *request.RefusedError) {
+	if e.leg.round != b.x.round || b.asked[e.leg.agent.ID] != e.leg || e.leg.closed {
+		return nil, nil
+	}
+	if e.err != nil {
+		b.lost(e.leg, e.err)
+		return nil, nil
+	}
+	if e.msg == nil {
+		e.leg.isOpen = true
+		return nil, nil
+	}
+	if attemptOf(e.msg) != e.leg.attempt {
+		b.x.r.metrics.crossed.Inc()
+		b.lost(e.leg, errBroken)
+		return nil, nil
+	}
+	switch m := e.msg.(type) {
+	case *wire.Grant:
+		b.x.r.metrics.offer(e.leg, "granted")
+		return e.leg, nil
+	case *wire.Queued:
+		return nil, b.queued(ctx, e.leg, m)
+	case *wire.Refuse:
+		return nil, b.refused(e.leg, m)
+	default:
+		b.lost(e.leg, errBroken)
+		return nil, nil
+	}
+}
+
+// queued notes that an offer waits at its agent.
+func (b *binding) queued(ctx context.Context, l *leg, m *wire.Queued) *request.RefusedError {
+	l.queued = true
+	if refused := b.ticket.queued(); refused != nil {
+		return refused
+	}
+	if !l.home {
+		return nil
+	}
+	b.duplicate = m.Duplicate
+	if b.duplicate {
+		b.x.r.metrics.duplicates.Inc()
+		b.dismissOthers(l)
+		return nil
+	}
+	b.widen(ctx)
+	return nil
+}
+
+// refused notes an agent's refusal. Those of an overload, and those that hold
+// for every agent, end the round.
+func (b *binding) refused(l *leg, m *wire.Refuse) *request.RefusedError {
+	b.x.r.metrics.offer(l, "refused")
+	b.x.r.metrics.offerRefusals.WithLabelValues(string(m.Reason)).Inc()
+	b.close(l)
+	refused := refusalOf(m)
+	if m.Final {
+		return refused
+	}
+	if elsewhere[m.Reason] {
+		b.last = refused
+		return nil
+	}
+	if overload[m.Reason] && b.open > 0 {
+		b.last = refused
+		return nil
+	}
+	return refused
+}
+
+// overload holds the reasons that speak of the load of the agent or workspace.
+var overload = map[request.Reason]bool{
+	request.ReasonQueueFull:   true,
+	request.ReasonRateLimit:   true,
+	request.ReasonConcurrency: true,
+}
+
+// lost notes that a leg ended before its grant was answered: its attempt has
+// not run, since its body never left the router.
+func (b *binding) lost(l *leg, err error) {
+	result := "lost"
+	if errors.Is(err, transport.ErrUnreachable) {
+		result = "unreachable"
+	}
+	b.x.r.metrics.offer(l, result)
+	b.close(l)
+	b.last = &request.RefusedError{
+		Reason:  request.ReasonConnectionLost,
+		Outcome: request.OutcomeNotRun,
+		Detail:  "agent " + l.agent.ID + " was not reached",
+	}
+}
+
+// close counts l out.
+func (b *binding) close(l *leg) {
+	l.abandon()
+	l.closed = true
+	b.open--
+	if l.home {
+		b.duplicate = false
+	}
+}
+
+// askHome offers the call to its home agent.
+func (b *binding) askHome(ctx context.Context) {
+	if plan := b.plan(); plan.Home != nil {
+		b.home = b.ask(ctx, *plan.Home, true)
+	}
+}
+
+// step asks further agents unless the call waits as a duplicate.
+func (b *binding) step(ctx context.Context) {
+	if !b.duplicate {
+		b.widen(ctx)
+	}
+}
+
+// widen offers the call to the next agents and returns their number.
+func (b *binding) widen(ctx context.Context) int {
+	plan := b.plan()
+	room := min(b.x.r.cfg.Timing.OffersPerStep, b.x.r.cfg.Timing.OffersPerRound-len(b.asked))
+	added := b.askAll(ctx, plan.Near, room)
+	if added > 0 && !b.spills() {
+		return added
+	}
+	return added + b.askAll(ctx, b.far(plan), room-added)
+}
+
+// askAll offers the call to the first room agents that were not asked yet.
+// Agents at which it failed before come last.
+func (b *binding) askAll(ctx context.Context, agents []target.VM, room int) int {
+	added := 0
+	for _, again := range []bool{false, true} {
+		for _, vm := range agents {
+			if added >= room {
+				return added
+			}
+			if b.asked[vm.ID] != nil || b.x.failed[vm.ID] != again {
+				continue
+			}
+			b.ask(ctx, vm, false)
+			added++
+		}
+	}
+	return added
+}
+
+// far returns the agents of other regions that may be asked now: all when the
+// call has waited for long or nothing else is left, otherwise those of domains
+// with free slots.
+func (b *binding) far(plan placement.Plan) []target.VM {
+	if b.spills() || b.open == 0 {
+		return plan.Far
+	}
+	n := 0
+	for n < len(plan.Far) && b.hasFree(plan.Far[n].Domain) {
+		n++
+	}
+	return plan.Far[:n]
+}
+
+// spills reports whether the call has waited beyond the threshold for other
+// regions.
+func (b *binding) spills() bool {
+	return time.Since(b.x.began) >= b.x.r.cfg.Timing.SpillAfter
+}
+
+// hasFree reports whether the failure domain was last seen with free slots and
+// nothing waiting.
+func (b *binding) hasFree(domain string) bool {
+	load, ok := b.x.r.cfg.Store.Load(domain, b.x.c.pool)
+	return ok && load.Free > 0 && load.Queued == 0
+}
+
+// plan orders the agents that are live now.
+func (b *binding) plan() placement.Plan {
+	p := b.x.r.index.get().pools[b.x.c.pool]
+	if p == nil {
+		return placement.Plan{}
+	}
+	return placement.Make(p.agents, b.x.r.cfg.Site, b.x.c.content, b.hasFree)
+}
+
+// ask opens a stream with an offer to vm.
+func (b *binding) ask(ctx context.Context, vm target.VM, home bool) *leg {
+	c := b.x.c
+	l := &leg{
+		attempt: request.NewAttemptID(),
+		agent:   vm,
+		link:    b.x.r.cfg.Site.LinkTo(vm),
+		home:    home,
+		round:   b.x.round,
+	}
+	l.first = &wire.Offer{
+		Request:     c.id,
+		Attempt:     l.attempt,
+		Workspace:   c.row.ID,
+		Pool:        c.pool,
+		Class:       c.class,
+		CostHint:    c.costHint,
+		Deadline:    time.Until(c.deadline),
+		Claim:       c.claim,
+		Fingerprint: c.content.Fingerprint,
+		Version:     c.version,
+		Region:      b.x.r.cfg.Site.Region,
+		Suspect:     b.x.suspect,
+		Home:        home,
+	}
+	b.asked[vm.ID] = l
+	b.open++
+	b.x.r.metrics.offered(l)
+	b.x.legs.start(ctx, l)
+	return l
+}
+
+// dismiss withdraws the offers that were not granted. The home agent is told,
+// but its stream stays open: it counts the request as running until the stream
+// ends.
+func (b *binding) dismiss(winner *leg) {
+	for _, l := range b.asked {
+		switch {
+		case l == winner:
+		case l.home:
+			b.withdrawHome(l)
+		default:
+			l.cancel()
+		}
+	}
+}
+
+// dismissOthers withdraws all offers but l.
+func (b *binding) dismissOthers(l *leg) {
+	for id, other := range b.asked {
+		if other == l {
+			continue
+		}
+		other.cancel()
+		delete(b.asked, id)
+	}
+	b.open = 1
+}
+
+// withdrawHome takes the offer to the home agent back, as soon as its stream is
+// open.
+func (b *binding) withdrawHome(l *leg) {
+	if !l.isOpen || l.withdrawn {
+		return
+	}
+	l.withdrawn = true
+	l.withdraw()
+}
+
+// exhausted returns the refusal of a round in which no agent is left to ask.
+func (b *binding) exhausted() *request.RefusedError {
+	if b.last != nil {
+		return b.last
+	}
+	return refuse(request.ReasonNoTarget, "pool %q has no live target", b.x.c.pool)
+}
+
+// refusalOf translates an agent's refusal.
+func refusalOf(m *wire.Refuse) *request.RefusedError {
+	return &request.RefusedError{
+		Reason:     m.Reason,
+		Outcome:    request.OutcomeNotRun,
+		RetryAfter: m.RetryAfter,
+		Detail:     m.Detail,
+	}
+}
+
+// attemptOf returns the attempt that an agent's message belongs to.
+func attemptOf(m wire.Message) request.AttemptID {
+	switch m := m.(type) {
+	case *wire.Grant:
+		return m.Attempt
+	case *wire.Refuse:
+		return m.Attempt
+	case *wire.Head:
+		return m.Attempt
+	case *wire.Chunk:
+		return m.Attempt
+	case *wire.End:
+		return m.Attempt
+	case *wire.Fail:
+		return m.Attempt
+	case *wire.Accepted:
+		return m.Attempt
+	case *wire.Queued:
+		return m.Attempt
+	default:
+		return ""
+	}
+}
--- /dev/null
+++ b/internal/router/index.go
@@ -0,0 +1,105 @@
+package router
+
+import (
+	"crypto/sha256"
+	"encoding/hex"
+	"slices"
+	"strings"
+	"sync/atomic"
+
+	"github.com/mastichollow/mastichollow/internal/fleet"
+	"github.com/mastichollow/mastichollow/internal/target"
+	"github.com/mastichollow/mastichollow/internal/workspace"
+)
+
+// index holds what the router looks up per request in one snapshot. It is
+// immutable.
+type index struct {
+	snapshot *fleet.Snapshot
+	rows     map[string]*workspace.Row // by hex SHA-256 of an API key
+	pools    map[string]*pool
+}
+
+// pool is a model or service.
+type pool struct {
+	name   string
+	kind   target.Kind // empty: no VM of the pool is listed
+	agents []target.VM // live ones, by ID
+}
+
+// indexCache keeps the index of the newest snapshot.
+type indexCache struct {
+	store   *fleet.Store
+	current atomic.Pointer[index]
+}
+
+// get returns the index of the newest snapshot.
+func (c *indexCache) get() *index {
+	snapshot := c.store.Snapshot()
+	if idx := c.current.Load(); idx != nil && idx.snapshot == snapshot {
+		return idx
+	}
+	idx := newIndex(snapshot)
+	c.current.Store(idx)
+	return idx
+}
+
+func newIndex(snapshot *fleet.Snapshot) *index {
+	idx := &index{
+		snapshot: snapshot,
+		rows:     make(map[string]*workspace.Row),
+		pools:    make(map[string]*pool),
+	}
+	idx.addPools()
+	if snapshot.Table != nil {
+		idx.addRows(snapshot.Table)
+	}
+	return idx
+}
+
+// addPools enters the pools that VMs serve, with their live agents.
+func (x *index) addPools() {
+	for _, vm := range x.snapshot.VMs {
+		if vm.Role != target.RoleAgent {
+			continue
+		}
+		p := x.pool(vm.Pool)
+		p.kind = vm.Kind
+		if x.snapshot.State(vm) == target.StateLive {
+			p.agents = append(p.agents, vm)
+		}
+	}
+	for _, p := range x.pools {
+		slices.SortFunc(p.agents, func(a, b target.VM) int { return strings.Compare(a.ID, b.ID) })
+	}
+}
+
+// addRows enters the keys of the table and the pools that its rows name.
+func (x *index) addRows(table *workspace.Table) {
+	for i := range table.Rows {
+		row := &table.Rows[i]
+		for _, hash := range row.KeyHashes {
+			x.rows[strings.ToLower(hash)] = row
+		}
+		for _, name := range row.Pools {
+			if name != "*" {
+				x.pool(name)
+			}
+		}
+	}
+}
+
+func (x *index) pool(name string) *pool {
+	p := x.pools[name]
+	if p == nil {
+		p = &pool{name: name}
+		x.pools[name] = p
+	}
+	return p
+}
+
+// row returns the workspace of an API key, or nil.
+func (x *index) row(key string) *workspace.Row {
+	sum := sha256.Sum256([]byte(key))
+	return x.rows[hex.EncodeToString(sum[:])]
+}
