--- a/internal/router/leg.go
+++ b/internal/router/leg.go
@@ -62,8 +62,8 @@
 	_ = l.send(ctx, &wire.Withdraw{Attempt: l.attempt})
 }
 
-// endSending ends the sending side, so that what was sent still arrives after
-// the stream is closed.
+// endSending ends the sending side: the agent learns that the router has all it
+// needs, and what was sent still arrives after the stream is closed.
 func (l *leg) endSending() {
 	l.sendMu.Lock()
 	defer l.sendMu.Unlock()
@@ -111,10 +111,13 @@
 	if s.tell(ctx, event{leg: l}) {
 		over = s.receive(ctx, l)
 	}
-	if !over && !l.quiet.Load() {
+	if l.quiet.Load() {
+		return
+	}
+	if !over {
 		l.withdraw()
-		l.endSending()
 	}
+	l.endSending()
 }
 
 // receive hands on what arrives until the stream ends or the leg is given up.
