--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -133,19 +133,28 @@
 	}
 	listed := make([]Listed, 0, len(items))
 	for _, item := range items {
-		f, err := hex.DecodeString(strings.TrimPrefix(item.Key, platform.PrefixSuspect))
-		if err != nil {
-			return nil, errors.Wrapf(err, "suspect %q", item.Key)
-		}
-		found, err := decode(item)
+		found, err := FromItem(item, r.now())
 		if err != nil {
 			return nil, err
 		}
-		listed = append(listed, Listed{Fingerprint: f, Quarantined: found.quarantined(r.now())})
+		listed = append(listed, found)
 	}
 	return listed, nil
 }
 
+// FromItem decodes an item under platform.PrefixSuspect that was read at now.
+func FromItem(item platform.Item, now time.Time) (Listed, error) {
+	f, err := hex.DecodeString(strings.TrimPrefix(item.Key, platform.PrefixSuspect))
+	if err != nil {
+		return Listed{}, errors.Wrapf(err, "suspect %q", item.Key)
+	}
+	found, err := decode(item)
+	if err != nil {
+		return Listed{}, err
+	}
+	return Listed{Fingerprint: f, Quarantined: found.quarantined(now)}, nil
+}
+
 // errNothing ends a change without a write.
 var errNothing = errors.New("nothing to change")
 
