--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -33,7 +33,6 @@
 	errWithdrawn = errors.New("router withdrew the attempt")
 	errDeadline  = errors.New("deadline of the request passed")
 	errOrphaned  = errors.New("no router asks for the answer")
-	errStalled   = errors.New("target was silent for too long")
 )
 
 // attempt is one offer and what becomes of it.
--- a/internal/agent/claims.go
+++ b/internal/agent/claims.go
@@ -31,7 +31,6 @@
 	case errors.Is(err, claim.ErrStarted):
 		return nil, unknown(request.ReasonInProgress, err), false
 	default:
-		at.claimed = true // it may still appear
 		return nil, notRun(request.ReasonClaimUnavailable, err), false
 	}
 }
@@ -53,18 +52,25 @@
 	key, id := at.offer.Claim, at.offer.Attempt
 	switch {
 	case end.outcome == request.OutcomeNotRun:
-		a.persist("claim_release", func(ctx context.Context) error {
+		a.claimCall("release", func(ctx context.Context) error {
 			return a.cfg.Claims.Release(ctx, key, id)
 		})
 	case end.outcome == request.OutcomeCompleted && at.stored != nil:
 		answer := at.stored
 		at.stored = nil
-		a.persist("claim_finish", func(ctx context.Context) error {
+		a.claimCall("finish", func(ctx context.Context) error {
 			return a.cfg.Claims.Finish(ctx, key, id, answer)
 		})
 	}
 }
 
+// claimCall settles a claim. The claimer itself repeats a call that failed.
+func (a *Agent) claimCall(operation string, f func(context.Context) error) {
+	if err := a.tryPlatform(f); err != nil {
+		a.log.Warn("claim is settled later", "operation", operation, "error", err)
+	}
+}
+
 // persist calls f until it succeeds. It returns after the first try; the
 // others go on in the background.
 func (a *Agent) persist(operation string, f func(context.Context) error) {
--- a/internal/agent/config.go
+++ b/internal/agent/config.go
@@ -43,14 +43,13 @@
 // default.
 type Limits struct {
 	Hold           time.Duration // a grant waits this long for Run
-	Progress       time.Duration // longest silence of the target
+	Heartbeat      time.Duration // longest silence towards the router of a running request
 	Platform       time.Duration // longest call to the platform
 	ProbeInterval  time.Duration // between checks of the target
 	ChargeInterval time.Duration // between charges of running plain services
 	Orphan         time.Duration // a repeatable request runs this long without a stream
 	Keep           time.Duration // a finished answer is kept this long for Resume
 	Linger         time.Duration // wait for the router to close a finished stream
-	DigestTimeout  time.Duration // silence after which a domain's next relay is taken
 
 	WindowBytes int // of one running answer kept for Resume
 	KeepBytes   int // of all finished answers kept for Resume
@@ -60,14 +59,13 @@
 // Default limits.
 const (
 	defaultHold           = 2 * time.Second
-	defaultProgress       = 30 * time.Second
+	defaultHeartbeat      = time.Second
 	defaultPlatform       = 2 * time.Second
 	defaultProbeInterval  = time.Second
 	defaultChargeInterval = 100 * time.Millisecond
 	defaultOrphan         = 15 * time.Second
 	defaultKeep           = 15 * time.Second
 	defaultLinger         = 5 * time.Second
-	defaultDigestTimeout  = 5 * time.Second
 	defaultWindowBytes    = 256 << 10
 	defaultKeepBytes      = 4 << 20
 	defaultClaimBytes     = 256 << 10
@@ -75,14 +73,13 @@
 
 func (l Limits) withDefaults() Limits {
 	setDefault(&l.Hold, defaultHold)
-	setDefault(&l.Progress, defaultProgress)
+	setDefault(&l.Heartbeat, defaultHeartbeat)
 	setDefault(&l.Platform, defaultPlatform)
 	setDefault(&l.ProbeInterval, defaultProbeInterval)
 	setDefault(&l.ChargeInterval, defaultChargeInterval)
 	setDefault(&l.Orphan, defaultOrphan)
 	setDefault(&l.Keep, defaultKeep)
 	setDefault(&l.Linger, defaultLinger)
-	setDefault(&l.DigestTimeout, defaultDigestTimeout)
 	setDefault(&l.WindowBytes, defaultWindowBytes)
 	setDefault(&l.KeepBytes, defaultKeepBytes)
 	setDefault(&l.ClaimBytes, defaultClaimBytes)
--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -17,7 +17,8 @@
 // health is what the probes of the target say.
 type health struct {
 	mu       sync.Mutex
-	marker   string // of the target's start, empty before the first probe
+	known    bool   // a probe was answered
+	marker   string // of the target's start, empty if the target tells none
 	failures int    // probes that failed in a row
 	down     bool
 }
@@ -29,7 +30,7 @@
 	switch {
 	case h.down:
 		return "target is down"
-	case h.marker == "":
+	case !h.known:
 		return "target has not answered a probe"
 	default:
 		return ""
@@ -49,7 +50,7 @@
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if err == nil {
-		h.marker, h.failures, h.down = marker, 0, false
+		h.known, h.marker, h.failures, h.down = true, marker, 0, false
 		return false
 	}
 	h.failures++
@@ -119,16 +120,27 @@
 // accuse makes what ran at a crash suspects of the fleet.
 func (a *Agent) accuse(c *crash, prints []suspect.Fingerprint) {
 	for _, p := range prints {
-		a.suspects.put(p, false)
+		a.suspects.put(p, false) // before any slot falls free
 	}
 	a.background.Go(func() {
 		defer close(c.accused)
-		if a.cfg.Suspects == nil || len(prints) == 0 {
+		if a.cfg.Suspects == nil {
 			return
 		}
-		a.persist("accuse", func(ctx context.Context) error {
-			return a.cfg.Suspects.Accuse(ctx, prints)
-		})
+		var calls sync.WaitGroup
+		for _, p := range prints {
+			calls.Go(func() { a.accuseOne(p) })
+		}
+		calls.Wait()
+	})
+}
+
+// accuseOne accuses one fingerprint. Each has a call of its own, since an
+// accusation that is repeated counts as a second crash.
+func (a *Agent) accuseOne(p suspect.Fingerprint) {
+	a.persist("accuse", func(ctx context.Context) error {
+		a.suspects.put(p, false)
+		return a.cfg.Suspects.Accuse(ctx, []suspect.Fingerprint{p})
 	})
 }
 
--- a/internal/agent/offer.go
+++ b/internal/agent/offer.go
@@ -35,6 +35,7 @@
 			select {
 			case in.messages <- m:
 			case <-ctx.Done():
+				in.err = ctx.Err()
 				return
 			}
 		}
@@ -89,7 +90,7 @@
 		return
 	}
 	if o.Home {
-		of.inbox.drain(ctx)
+		a.keepHome(ctx, of.inbox)
 	}
 }
 
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -74,10 +74,13 @@
 			return
 		}
 		if m == nil {
-			if !a.awaitOutput(ctx, r, wait) {
+			m, err = a.awaitOutput(ctx, r, wait)
+			if err != nil {
 				a.detach(r.at, r.reader)
 				return
 			}
+		}
+		if m == nil {
 			continue
 		}
 		if err := r.stream.Send(ctx, m); err != nil {
@@ -91,19 +94,27 @@
 	}
 }
 
-// awaitOutput waits for more of the answer and reports false when the stream
-// has ended.
-func (a *Agent) awaitOutput(ctx context.Context, r *relay, wait <-chan struct{}) bool {
+// awaitOutput waits for more of the answer. After a time without any it returns
+// Accepted, so that the router can tell a slow target from a silent connection.
+// The error says that the stream has ended.
+func (a *Agent) awaitOutput(ctx context.Context, r *relay, wait <-chan struct{}) (wire.Message, error) {
+	timer := time.NewTimer(a.cfg.Limits.Heartbeat)
+	defer timer.Stop()
 	select {
 	case <-wait:
-		return true
+		return nil, nil
+	case <-timer.C:
+		return &wire.Accepted{Attempt: r.at.offer.Attempt}, nil
 	case m, ok := <-r.inbox.messages:
-		if ok && m.Type() == wire.TypeWithdraw {
+		if !ok {
+			return nil, r.inbox.err
+		}
+		if m.Type() == wire.TypeWithdraw {
 			a.sched.withdraw(r.at)
 		}
-		return ok
+		return nil, nil
 	case <-ctx.Done():
-		return false
+		return nil, ctx.Err()
 	}
 }
 
@@ -111,19 +122,30 @@
 // answer. A home offer keeps its fingerprint until the router closes it.
 func (a *Agent) linger(ctx context.Context, r *relay) {
 	_ = r.stream.CloseSend()
-	lingerCtx := ctx
-	if !r.at.offer.Home {
-		var cancel context.CancelFunc
-		lingerCtx, cancel = context.WithTimeout(ctx, a.cfg.Limits.Linger)
+	delivered := false
+	if r.at.offer.Home {
+		delivered = a.keepHome(ctx, r.inbox)
+	} else {
+		ctx, cancel := context.WithTimeout(ctx, a.cfg.Limits.Linger)
 		defer cancel()
+		delivered = r.inbox.drain(ctx)
 	}
-	delivered := r.inbox.drain(lingerCtx)
 	a.detach(r.at, r.reader)
 	if delivered {
 		a.attempts.forget(r.at)
 	}
 }
 
+// keepHome waits until the router closes the stream of a home offer, or the
+// agent stops, and reports whether the router closed it in order.
+func (a *Agent) keepHome(ctx context.Context, in *inbox) bool {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	stop := context.AfterFunc(a.base, cancel)
+	defer stop()
+	return in.drain(ctx)
+}
+
 // detach ends the reading of r. A repeatable request is cancelled unless
 // another stream asks for its answer in time.
 func (a *Agent) detach(at *attempt, reader uint64) {
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"context"
 	"io"
 	"net/http"
 	"time"
@@ -104,14 +103,12 @@
 	}
 	stop := a.cancelAtDeadline(at)
 	defer stop()
-	watch := newWatchdog(at, a.cfg.Limits.Progress)
-	defer watch.stop()
 	answer, err := a.cfg.Target.Do(at.ctx, at.call)
 	if err != nil {
 		return a.callFailed(at, err)
 	}
 	defer func() { _ = answer.Close() }()
-	return a.copyAnswer(at, answer, watch)
+	return a.copyAnswer(at, answer)
 }
 
 // cancelAtDeadline cancels a repeatable request at its deadline. One that may
@@ -151,14 +148,14 @@
 		end.crashed = true
 		return end
 	}
-	if errors.Is(err, engine.ErrStalled) || errors.Is(context.Cause(at.ctx), errStalled) {
+	if errors.Is(err, engine.ErrStalled) {
 		return unknown(request.ReasonTargetStalled, err)
 	}
 	return unknown(request.ReasonTargetFailed, err)
 }
 
 // copyAnswer copies the answer to the output, charging what it costs.
-func (a *Agent) copyAnswer(at *attempt, answer engine.Answer, watch *watchdog) ending {
+func (a *Agent) copyAnswer(at *attempt, answer engine.Answer) ending {
 	at.out.setHead(&wire.Head{
 		Attempt: at.offer.Attempt,
 		Status:  answer.Status(),
@@ -167,9 +164,7 @@
 	rec := a.newRecorder(at, answer)
 	end := ending{outcome: request.OutcomeCompleted}
 	for {
-		watch.reset()
 		frame, err := answer.Next(at.ctx)
-		watch.stop()
 		a.charge(at.offer.Workspace, frame.Units)
 		end.service += frame.Units
 		if errors.Is(err, io.EOF) {
@@ -211,17 +206,3 @@
 	}
 	return fields
 }
-
-// watchdog cancels an attempt whose target is silent.
-type watchdog struct {
-	limit time.Duration
-	timer *time.Timer
-}
-
-func newWatchdog(at *attempt, limit time.Duration) *watchdog {
-	return &watchdog{limit: limit, timer: time.AfterFunc(limit, func() { at.cancel(errStalled) })}
-}
-
-func (w *watchdog) reset() { w.timer.Reset(w.limit) }
-
-func (w *watchdog) stop() { w.timer.Stop() }
