--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -15,12 +15,16 @@
 // asked for.
 const notReadyRetry = time.Second
 
+// suspectRetry is the time after which all agents know of a new suspect: that
+// of its way into the fleet's list and from there to the agents.
+const suspectRetry = 3 * time.Second
+
 // check returns the refusal of an offer that cannot be taken, or nil.
 func (a *Agent) check(o *wire.Offer) *wire.Refuse {
 	if reason := malformed(o, a.cfg.Pool); reason != "" {
 		return &wire.Refuse{Reason: reason, Final: true}
 	}
-	if refusal := a.checkState(o); refusal != nil {
+	if refusal := a.checkState(); refusal != nil {
 		return refusal
 	}
 	if refusal := a.checkRow(o); refusal != nil {
@@ -43,6 +47,8 @@
 	switch {
 	case o.Attempt == "" || o.Request == "" || o.Class > request.ClassBatch:
 		return request.ReasonMalformed
+	case o.Suspect && len(o.Fingerprint) == 0:
+		return request.ReasonMalformed
 	case o.Deadline < 0:
 		return request.ReasonDeadline
 	case o.Pool != pool:
@@ -53,13 +59,13 @@
 }
 
 // checkState refuses offers while the agent takes no work.
-func (a *Agent) checkState(*wire.Offer) *wire.Refuse {
+func (a *Agent) checkState() *wire.Refuse {
 	if closed := a.sched.closedBy(); closed != nil {
 		return closed
 	}
 	if err := a.Ready(); err != nil {
 		reason := request.ReasonNotReady
-		if a.health.fault() != "" {
+		if a.health.isDown() {
 			reason = request.ReasonTargetDown
 		}
 		if a.fence.isRefused() {
@@ -122,13 +128,25 @@
 	return row.QueueLimit
 }
 
-// refuse sends a refusal of attempt id. Its reason is counted whether or not
-// it arrives.
-func (a *Agent) refuse(ctx context.Context, s transport.Stream, id request.AttemptID, refusal *wire.Refuse) {
+// refuse sends a refusal of o. Its reason is counted whether or not it arrives.
+func (a *Agent) refuse(ctx context.Context, s transport.Stream, o *wire.Offer, refusal *wire.Refuse) {
 	m := *refusal
-	m.Attempt = id
+	m.Attempt = o.Attempt
+	if !o.Suspect && sendsElsewhere[m.Reason] && a.suspects.unlisted(o.Fingerprint) {
+		// Agents elsewhere may not know the suspect yet.
+		m.Reason = request.ReasonSuspect
+		m.RetryAfter = suspectRetry
+	}
 	a.metrics.refusals.WithLabelValues(string(m.Reason)).Inc()
 	if err := s.Send(ctx, &m); err != nil && !errors.Is(err, transport.ErrLost) {
-		a.log.Debug("refusal was not sent", "attempt", id, "error", err)
+		a.log.Debug("refusal was not sent", "attempt", o.Attempt, "error", err)
 	}
 }
+
+// sendsElsewhere holds the reasons for which a router turns to other agents.
+var sendsElsewhere = map[request.Reason]bool{
+	request.ReasonDraining:   true,
+	request.ReasonNotReady:   true,
+	request.ReasonTargetDown: true,
+	request.ReasonFenced:     true,
+}
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -88,6 +88,14 @@
 	return at
 }
 
+// goneReason returns why at was dropped. It is called after gone is closed.
+func (at *attempt) goneReason() request.Reason {
+	if at.refusal != nil {
+		return at.refusal.Reason
+	}
+	return request.ReasonWithdrawn
+}
+
 // repeatable reports whether the request may run more than once.
 func (at *attempt) repeatable() bool { return len(at.offer.Claim) == 0 }
 
--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -37,6 +37,13 @@
 	}
 }
 
+// isDown reports whether the target is known to be down.
+func (h *health) isDown() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.down
+}
+
 // currentMarker returns the latest start marker of the target.
 func (h *health) currentMarker() string {
 	h.mu.Lock()
@@ -96,6 +103,9 @@
 	}
 	if a.health.note(marker, err, broken) {
 		a.log.Warn("target is down", "error", err)
+		for _, p := range a.sched.handedOver() {
+			a.suspects.put(p, false)
+		}
 		a.sched.handBack(&wire.Refuse{Reason: request.ReasonTargetDown, RetryAfter: notReadyRetry})
 	}
 	return marker, err
@@ -176,6 +186,19 @@
 	return c, prints
 }
 
+// handedOver returns the fingerprints of what runs on the target.
+func (s *scheduler) handedOver() []suspect.Fingerprint {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var prints []suspect.Fingerprint
+	for at := range s.running {
+		if at.handed {
+			prints = append(prints, at.offer.Fingerprint)
+		}
+	}
+	return prints
+}
+
 // crashOf returns the crash at which at ran, or nil.
 func (s *scheduler) crashOf(at *attempt) *crash {
 	s.mu.Lock()
--- /dev/null
+++ b/internal/agent/crash_test.go
@@ -0,0 +1,234 @@
+package agent
+
+import (
+	"bytes"
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/engine"
+	"github.com/mastichollow/mastichollow/internal/request"
+	"github.com/mastichollow/mastichollow/internal/wire"
+)
+
+// poison is the body that crashes each target that runs it.
+var poison = []byte("poison")
+
+// crashOn makes r's target crash a second after it was given poison.
+func crashOn(r *rig) {
+	r.target.script = func(call engine.Call) ([]step, error) {
+		if !bytes.Equal(call.Body, poison) {
+			return []step{{data: "hello "}, {after: 10 * time.Second, data: "world"}}, nil
+		}
+		go func() {
+			time.Sleep(time.Second)
+			r.target.mu.Lock()
+			defer r.target.mu.Unlock()
+			r.target.crash()
+		}()
+		return []step{{after: time.Hour}}, nil
+	}
+}
+
+// elsewhere are the reasons for which a router turns to the next agent.
+var elsewhere = map[request.Reason]bool{
+	request.ReasonTargetDown: true,
+	request.ReasonNotReady:   true,
+	request.ReasonDraining:   true,
+}
+
+// deliver sends a request as a router does: first to its home agent, whose
+// stream it keeps open, then to the others; again when the target crashed.
+func deliver(agents []*rig, home int, body []byte) (answer string, last wire.Message) {
+	suspected := false
+	for range 4 {
+		answer, last = deliverOnce(agents, home, body, suspected)
+		fail, failed := last.(*wire.Fail)
+		if !failed {
+			return answer, last
+		}
+		suspected = suspected || fail.Suspect
+	}
+	return answer, last
+}
+
+func deliverOnce(agents []*rig, home int, body []byte, suspected bool) (answer string, last wire.Message) {
+	var homeConn *conn
+	id := request.NewID()
+	defer func() {
+		if fail, failed := last.(*wire.Fail); failed && fail.Suspect {
+			_ = homeConn.s.Send(context.Background(), &wire.Withdraw{Attempt: homeConn.id, Suspect: true})
+		}
+		_ = homeConn.s.CloseSend()
+	}()
+	for i := range agents {
+		c := agents[(home+i)%len(agents)].offer(func(o *wire.Offer) {
+			o.Request, o.Fingerprint, o.Home, o.Suspect = id, body, i == 0, suspected
+		})
+		if i == 0 {
+			homeConn = c
+		}
+		if answer, last = c.deliver(body); !elsewhere[reasonOf(last)] {
+			return answer, last
+		}
+	}
+	return answer, last
+}
+
+// deliver runs the request once its offer is granted.
+func (c *conn) deliver(body []byte) (answer string, last wire.Message) {
+	for {
+		switch m := c.recv().(type) {
+		case *wire.Queued:
+		case *wire.Grant:
+			c.send(&wire.Run{Attempt: c.id, Body: body})
+			return c.read()
+		default:
+			return "", m
+		}
+	}
+}
+
+// TestCrashingRequestIsBounded sends a request that crashes each target that
+// runs it through many routers at once, beside innocent ones.
+func TestCrashingRequestIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		registry := newFakeSuspects()
+		var agents []*rig
+		for range 6 {
+			r := newRig(t, func(c *Config) { c.Suspects = registry })
+			defer r.stop()
+			crashOn(r)
+			agents = append(agents, r)
+		}
+		const resends = 20
+		poisoned := make(chan wire.Message, resends)
+		innocent := make(chan string, resends)
+		for i := range resends {
+			go func() {
+				answer, _ := deliver(agents, 0, []byte{byte(i)})
+				innocent <- answer
+			}()
+			go func() {
+				_, last := deliver(agents, 0, poison)
+				poisoned <- last
+			}()
+		}
+		for range resends {
+			require.Equal(t, "hello world", <-innocent)
+			require.NotEmpty(t, reasonOf(<-poisoned))
+		}
+		synctest.Wait()
+		crashes := 0
+		for _, r := range agents {
+			crashes += r.target.crashes
+		}
+		require.Equal(t, 2, crashes)
+		quarantined, _, _ := registry.state(string(poison))
+		require.True(t, quarantined)
+		require.Equal(t, 1, registry.count(), "the innocent ones are acquitted")
+	})
+}
+
+func TestSuspectRunsAlone(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		defer r.stop()
+		before := r.offer(nil).run()
+		suspected := r.offer(func(o *wire.Offer) { o.Fingerprint, o.Suspect = []byte("f"), true })
+		expect[*wire.Queued](suspected)
+		after := r.offer(nil)
+		expect[*wire.Queued](after)
+		require.Equal(t, "hello world", before.whole())
+		suspected.run()
+		synctest.Wait()
+		require.Equal(t, 1, r.target.busy())
+		_, _, trial := r.registry.state("f")
+		require.Equal(t, suspected.id, trial)
+		require.Equal(t, "hello world", suspected.whole())
+		_, known, trial := r.registry.state("f")
+		require.False(t, known)
+		require.Empty(t, trial)
+		require.Equal(t, "hello world", after.run().whole())
+	})
+}
+
+func TestTrialOutcomes(t *testing.T) {
+	tests := []struct {
+		name        string
+		setup       func(*rig)
+		want        request.Reason
+		known       bool // the fingerprint stays a suspect
+		quarantined bool
+		ran         int
+	}{
+		{"whole answer", func(*rig) {}, "", false, false, 1},
+		{"not sent", answers(engine.ErrNotSent), request.ReasonTargetDown, true, false, 1},
+		{"cut without a crash", answers(nil, step{err: engine.ErrTruncated}), request.ReasonTargetFailed, true, false, 1},
+		{"crash", func(r *rig) {
+			answers(nil, step{after: time.Second, err: engine.ErrTruncated})(r)
+			time.AfterFunc(500*time.Millisecond, func() { r.target.set("start-2", false) })
+		}, request.ReasonTargetCrashed, true, true, 1},
+		{"on trial elsewhere", func(r *rig) { r.registry.trials["f"] = "other" }, request.ReasonSuspect, true, false, 0},
+		{"quarantined elsewhere", func(r *rig) { r.registry.known["f"] = true }, request.ReasonQuarantined, true, true, 0},
+		{"registry is unavailable", func(r *rig) { r.registry.unavailable = true }, request.ReasonSuspect, true, false, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, nil)
+				defer r.stop()
+				r.registry.known["f"] = false
+				tt.setup(r)
+				c := r.offer(func(o *wire.Offer) { o.Fingerprint, o.Suspect = []byte("f"), true }).run()
+				_, last := c.answer()
+				require.Equal(t, tt.want, reasonOf(last))
+				require.Equal(t, tt.ran, r.target.ran(c.id))
+				quarantined, known, trial := r.registry.state("f")
+				require.Equal(t, tt.known, known)
+				require.Equal(t, tt.quarantined, quarantined)
+				require.NotEqual(t, c.id, trial, "the trial has ended")
+			})
+		})
+	}
+}
+
+// TestCrashAccusesAllThatRan tells the fleet of all fingerprints before any
+// router learns of the crash.
+func TestCrashAccusesAllThatRan(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		defer r.stop()
+		answers(nil, step{after: time.Hour, data: "x"})(r)
+		var conns []*conn
+		for _, print := range []string{"a", "b"} {
+			conns = append(conns, r.offer(func(o *wire.Offer) { o.Fingerprint = []byte(print) }).run())
+		}
+		waiting := r.offer(nil).run()
+		queued := r.offer(nil)
+		expect[*wire.Queued](queued)
+		time.Sleep(time.Minute)
+		r.target.mu.Lock()
+		r.target.crash()
+		r.target.mu.Unlock()
+		answers(engine.ErrNotSent)(r)
+		for _, c := range conns {
+			_, last := c.answer()
+			fail, ok := last.(*wire.Fail)
+			require.True(t, ok)
+			require.True(t, fail.Suspect)
+			require.Equal(t, request.OutcomeUnknown, fail.Outcome)
+			require.Equal(t, 2, r.registry.count())
+		}
+		require.Equal(t, request.ReasonTargetDown, expect[*wire.Refuse](queued).Reason)
+		_, last := waiting.answer()
+		require.Equal(t, request.ReasonTargetDown, reasonOf(last), "it had no slot: it did not run")
+		require.Equal(t, 1, crashesOf(r))
+		r.target.set("start-2", false)
+		time.Sleep(2 * time.Second)
+		require.NoError(t, r.Ready())
+	})
+}
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -24,7 +24,10 @@
 	"github.com/mastichollow/mastichollow/internal/workspace"
 )
 
-const testPool = "letters"
+const (
+	testPool   = "letters"
+	settleTime = 10 * time.Millisecond // of a call that settles a claim
+)
 
 // step is one piece of a fake target's answer.
 type step struct {
@@ -42,10 +45,12 @@
 	calls   []engine.Call
 	running int
 	peak    int
+	crashed chan struct{} // closed at the next crash
+	crashes int
 }
 
 func newFakeTarget() *fakeTarget {
-	return &fakeTarget{marker: "start-1", script: func(engine.Call) ([]step, error) {
+	return &fakeTarget{marker: "start-1", crashed: make(chan struct{}), script: func(engine.Call) ([]step, error) {
 		return []step{{data: "hello "}, {after: time.Second, data: "world"}}, nil
 	}}
 }
@@ -69,7 +74,15 @@
 	}
 	f.running++
 	f.peak = max(f.peak, f.running)
-	return &fakeAnswer{target: f, steps: steps}, nil
+	return &fakeAnswer{target: f, steps: steps, crashed: f.crashed}, nil
+}
+
+// crash cuts all answers and leaves the target down. f.mu is held.
+func (f *fakeTarget) crash() {
+	close(f.crashed)
+	f.crashed = make(chan struct{})
+	f.down = true
+	f.crashes++
 }
 
 func (f *fakeTarget) set(marker string, down bool) {
@@ -105,9 +118,10 @@
 }
 
 type fakeAnswer struct {
-	target *fakeTarget
-	steps  []step
-	once   sync.Once
+	target  *fakeTarget
+	steps   []step
+	crashed <-chan struct{}
+	once    sync.Once
 }
 
 func (*fakeAnswer) Status() int         { return http.StatusOK }
@@ -119,9 +133,12 @@
 	}
 	next := a.steps[0]
 	a.steps = a.steps[1:]
-	sleep(ctx, next.after)
-	if ctx.Err() != nil {
+	select {
+	case <-time.After(next.after):
+	case <-ctx.Done():
 		return engine.Frame{}, errors.Mark(ctx.Err(), engine.ErrTruncated)
+	case <-a.crashed:
+		return engine.Frame{}, errors.Mark(errors.New("connection reset"), engine.ErrTruncated)
 	}
 	return engine.Frame{Data: []byte(next.data), Units: int64(len(next.data))}, next.err
 }
@@ -167,6 +184,7 @@
 }
 
 func (f *fakeClaims) Finish(_ context.Context, key claim.Key, _ request.AttemptID, answer *claim.Answer) error {
+	time.Sleep(settleTime)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.answers[string(key)] = answer
@@ -174,6 +192,7 @@
 }
 
 func (f *fakeClaims) Release(_ context.Context, key claim.Key, id request.AttemptID) error {
+	time.Sleep(settleTime)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.released = append(f.released, id)
@@ -183,6 +202,13 @@
 	return nil
 }
 
+// state returns the owner of key's claim and the stored answer.
+func (f *fakeClaims) state(key string) (request.AttemptID, *claim.Answer) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.owner[key], f.answers[key]
+}
+
 // fakeSuspects is a registry shared by the agents of a test.
 type fakeSuspects struct {
 	mu          sync.Mutex
@@ -202,7 +228,8 @@
 		return suspect.ErrUnavailable
 	}
 	for _, p := range prints {
-		f.known[string(p)] = f.known[string(p)]
+		_, again := f.known[string(p)]
+		f.known[string(p)] = again
 	}
 	return nil
 }
@@ -245,6 +272,21 @@
 	return nil
 }
 
+// state returns what is known of fingerprint and the attempt on trial.
+func (f *fakeSuspects) state(fingerprint string) (quarantined, known bool, trial request.AttemptID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	quarantined, known = f.known[fingerprint]
+	return quarantined, known, f.trials[fingerprint]
+}
+
+// count returns the number of suspects.
+func (f *fakeSuspects) count() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.known)
+}
+
 // rig is an agent with fakes at its interfaces. It lives in a synctest bubble.
 type rig struct {
 	*Agent
@@ -256,7 +298,9 @@
 	reg      *prometheus.Registry
 	cancel   context.CancelFunc
 	ended    chan struct{}
-	conns    []*conn
+
+	connMu sync.Mutex
+	conns  []*conn
 }
 
 func testTable(version uint64) *workspace.Table {
@@ -308,8 +352,12 @@
 
 // counter returns the value of one counter.
 func (r *rig) counter(vec *prometheus.CounterVec, labels ...string) int {
+	return counterValue(r.t, vec.WithLabelValues(labels...))
+}
+
+func counterValue(t *testing.T, c prometheus.Counter) int {
 	var m dto.Metric
-	require.NoError(r.t, vec.WithLabelValues(labels...).Write(&m))
+	require.NoError(t, c.Write(&m))
 	return int(m.GetCounter().GetValue())
 }
 
@@ -324,7 +372,9 @@
 func (r *rig) open(first wire.Message, id request.AttemptID) *conn {
 	here, there := transport.Pipe()
 	c := &conn{t: r.t, s: here, id: id, done: make(chan struct{})}
+	r.connMu.Lock()
 	r.conns = append(r.conns, c)
+	r.connMu.Unlock()
 	go func() {
 		defer close(c.done)
 		defer there.Close()
@@ -385,9 +435,16 @@
 	return c
 }
 
-// answer reads to the end of the stream, closes it, and returns the body and
-// the message that closed the answer.
+// answer is read and closes the stream.
 func (c *conn) answer() (string, wire.Message) {
+	c.t.Helper()
+	defer func() { _ = c.s.CloseSend() }()
+	return c.read()
+}
+
+// read reads to the end of the answer and returns the body and the message that
+// closed it.
+func (c *conn) read() (string, wire.Message) {
 	c.t.Helper()
 	var body []byte
 	for {
@@ -395,7 +452,6 @@
 		case *wire.Chunk:
 			body = append(body, m.Data...)
 		case *wire.End, *wire.Fail, *wire.Refuse, nil:
-			_ = c.s.CloseSend()
 			return string(body), m
 		}
 	}
--- a/internal/agent/fence_test.go
+++ b/internal/agent/fence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"strconv"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -10,6 +11,9 @@
 	"github.com/mastichollow/mastichollow/internal/standin"
 )
 
+// newTable returns a table service without faults.
+func newTable() *standin.Table { return standin.NewTable() }
+
 // downTable returns a table service that is down.
 func downTable() *standin.Table {
 	table := standin.NewTable()
@@ -39,5 +43,7 @@
 	other, err := TableFence(table, "vm-2")(context.Background())
 	require.NoError(t, err)
 	require.EqualValues(t, 1, other)
-	require.NotEmpty(t, platform.PrefixFence)
+	item, err := table.Get(context.Background(), platform.PrefixFence+"vm-1")
+	require.NoError(t, err)
+	require.Equal(t, strconv.FormatUint(second, 10), string(item.Value))
 }
--- a/internal/agent/offer.go
+++ b/internal/agent/offer.go
@@ -44,14 +44,15 @@
 }
 
 // drain waits until the stream ends, or ctx, and reports whether the peer
-// closed its side in order.
-func (in *inbox) drain(ctx context.Context) bool {
+// closed its side in order. see gets each message.
+func (in *inbox) drain(ctx context.Context, see func(wire.Message)) bool {
 	for {
 		select {
-		case _, ok := <-in.messages:
+		case m, ok := <-in.messages:
 			if !ok {
 				return errors.Is(in.err, io.EOF)
 			}
+			see(m)
 		case <-ctx.Done():
 			return false
 		}
@@ -69,12 +70,15 @@
 // serveOffer serves an offer until its stream ends.
 func (a *Agent) serveOffer(ctx context.Context, o *wire.Offer, s transport.Stream) {
 	if refusal := a.check(o); refusal != nil {
-		a.refuse(ctx, s, o.Attempt, refusal)
+		a.refuse(ctx, s, o, refusal)
 		return
 	}
+	if o.Suspect {
+		a.suspects.put(o.Fingerprint, false)
+	}
 	at := newAttempt(a.base, o, a.cfg.Limits.WindowBytes, time.Now())
 	if !a.attempts.add(at) {
-		a.refuse(ctx, s, o.Attempt, &wire.Refuse{Reason: request.ReasonMalformed, Detail: "attempt is known"})
+		a.refuse(ctx, s, o, &wire.Refuse{Reason: request.ReasonMalformed, Detail: "attempt is known"})
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -89,8 +93,9 @@
 		of.accepted(ctx)
 		return
 	}
+	of.end()
 	if o.Home {
-		a.keepHome(ctx, of.inbox)
+		a.keepHome(ctx, at, of.inbox)
 	}
 }
 
@@ -129,7 +134,7 @@
 		refusal = of.queueFull(at.offer)
 	}
 	if refusal != nil {
-		of.refuse(ctx, of.stream, at.offer.Attempt, refusal)
+		of.refuse(ctx, of.stream, at.offer, refusal)
 		return false
 	}
 	select {
@@ -227,7 +232,7 @@
 // drop takes the offer back and refuses it.
 func (of *offering) drop(ctx context.Context, reason request.Reason) {
 	if of.sched.drop(of.at) {
-		of.refuse(ctx, of.stream, of.at.offer.Attempt, &wire.Refuse{Reason: reason})
+		of.refuse(ctx, of.stream, of.at.offer, &wire.Refuse{Reason: reason})
 	}
 }
 
@@ -235,7 +240,7 @@
 // offer that another stream asked for with Resume gets none here.
 func (of *offering) refuseGone(ctx context.Context) {
 	if refusal := of.at.refusal; refusal != nil {
-		of.refuse(ctx, of.stream, of.at.offer.Attempt, refusal)
+		of.refuse(ctx, of.stream, of.at.offer, refusal)
 	}
 }
 
--- a/internal/agent/output.go
+++ b/internal/agent/output.go
@@ -116,13 +116,6 @@
 	o.notify()
 }
 
-// finished reports whether the answer is closed.
-func (o *output) finished() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.final != nil
-}
-
 // size returns the number of bytes held.
 func (o *output) size() int {
 	o.mu.Lock()
@@ -159,11 +152,12 @@
 	return true
 }
 
-// isAttached reports whether a stream reads the answer.
-func (o *output) isAttached() bool {
+// abandoned reports whether the answer goes on and no stream has read it since
+// stream number reader.
+func (o *output) abandoned(reader uint64) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.attached
+	return o.final == nil && !o.attached && o.reader == reader
 }
 
 // next returns the next message for stream number reader. Without one it
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -119,45 +119,48 @@
 }
 
 // linger waits until the router has closed its side: then it has the whole
-// answer. A home offer keeps its fingerprint until the router closes it.
+// answer.
 func (a *Agent) linger(ctx context.Context, r *relay) {
 	_ = r.stream.CloseSend()
-	delivered := false
-	if r.at.offer.Home {
-		delivered = a.keepHome(ctx, r.inbox)
-	} else {
-		ctx, cancel := context.WithTimeout(ctx, a.cfg.Limits.Linger)
-		defer cancel()
-		delivered = r.inbox.drain(ctx)
-	}
+	ctx, cancel := context.WithTimeout(ctx, a.cfg.Limits.Linger)
+	defer cancel()
+	delivered := r.inbox.drain(ctx, func(wire.Message) {})
 	a.detach(r.at, r.reader)
 	if delivered {
 		a.attempts.forget(r.at)
 	}
 }
 
-// keepHome waits until the router closes the stream of a home offer, or the
-// agent stops, and reports whether the router closed it in order.
-func (a *Agent) keepHome(ctx context.Context, in *inbox) bool {
+// keepHome keeps the fingerprint of a home offer that does not run here until
+// its router closes the stream, or the agent stops. When the stream is lost,
+// what became of the request elsewhere is not known, and the fingerprint is
+// kept until a suspect would be in the fleet's list.
+func (a *Agent) keepHome(ctx context.Context, at *attempt, in *inbox) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	stop := context.AfterFunc(a.base, cancel)
 	defer stop()
-	return in.drain(ctx)
+	closed := in.drain(ctx, func(m wire.Message) {
+		if w, ok := m.(*wire.Withdraw); ok && w.Suspect {
+			a.suspects.put(at.offer.Fingerprint, false)
+		}
+	})
+	if !closed {
+		sleep(a.base, suspectRetry)
+	}
 }
 
 // detach ends the reading of r. A repeatable request is cancelled unless
 // another stream asks for its answer in time.
 func (a *Agent) detach(at *attempt, reader uint64) {
-	if !at.out.detach(reader) || at.out.finished() || !at.repeatable() {
+	if !at.out.detach(reader) || !at.repeatable() {
 		return
 	}
 	time.AfterFunc(a.cfg.Limits.Orphan, func() {
-		if at.out.isAttached() || at.out.finished() {
-			return
+		if at.out.abandoned(reader) {
+			a.metrics.orphans.Inc()
+			at.cancel(errOrphaned)
 		}
-		a.metrics.orphans.Inc()
-		at.cancel(errOrphaned)
 	})
 }
 
--- a/internal/agent/resume_test.go
+++ b/internal/agent/resume_test.go
@@ -90,7 +90,7 @@
 				synctest.Wait()
 				fail := expect[*wire.Fail](r.resume(id, 0))
 				require.Equal(t, tt.want, fail.Outcome)
-				time.Sleep(time.Hour)
+				time.Sleep(10 * time.Minute)
 				if tt.want == request.OutcomeNotRun {
 					require.Zero(t, r.target.ran(id))
 				}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -45,7 +45,7 @@
 	case <-at.started:
 		return ending{}, true
 	case <-at.gone:
-		return notRun(request.ReasonWithdrawn, nil), false
+		return notRun(at.goneReason(), nil), false
 	case <-timer.C:
 		reason = request.ReasonDeadline
 	case <-at.ctx.Done():
--- a/internal/agent/scheduler.go
+++ b/internal/agent/scheduler.go
@@ -167,7 +167,8 @@
 	close(at.granted)
 }
 
-// stage takes at's Run and reports whether at was still granted.
+// stage takes at's Run and reports whether at was still granted. A closed
+// scheduler drops it unless it gets a slot at once.
 func (s *scheduler) stage(at *attempt, run *wire.Run, fence uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -179,6 +180,9 @@
 	s.granted--
 	s.staged = append(s.staged, at)
 	s.dispatch()
+	if s.closed != nil && at.phase == phaseStaged {
+		s.dropLocked(at, s.closed)
+	}
 	return true
 }
 
@@ -345,7 +349,9 @@
 	s.slotTime += (busy - s.slotTime) / share
 }
 
-// close hands back what waits and grants nothing more.
+// close hands back what waits and grants nothing more. What has no slot yet
+// counts as waiting, so that a target that is leaving gets nothing new; a grant
+// under way is honoured if there is a free slot.
 func (s *scheduler) close(refusal *wire.Refuse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -353,6 +359,9 @@
 		s.closed = refusal
 	}
 	s.handBackLocked(refusal)
+	for _, at := range slices.Clone(s.staged) {
+		s.dropLocked(at, refusal)
+	}
 }
 
 // handBack hands back what waits.
--- a/internal/agent/trial.go
+++ b/internal/agent/trial.go
@@ -56,6 +56,16 @@
 	return known.quarantined
 }
 
+// unlisted reports whether this agent knows a suspect that the fleet's list
+// does not name.
+func (s *suspects) unlisted(fingerprint []byte) bool {
+	if _, listed := s.store.Snapshot().Suspects[string(fingerprint)]; listed {
+		return false
+	}
+	_, known := s.find(fingerprint)
+	return known
+}
+
 func (s *suspects) find(fingerprint []byte) (localSuspect, bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -135,6 +145,9 @@
 // settleTrial ends the trial of at. Only a whole answer acquits.
 func (a *Agent) settleTrial(at *attempt, end ending) {
 	if !at.onTrial {
+		if end.outcome == request.OutcomeCompleted {
+			a.suspects.remove(at.offer.Fingerprint)
+		}
 		return
 	}
 	fingerprint, id := at.offer.Fingerprint, at.offer.Attempt
--- a/internal/transport/pipe.go
+++ b/internal/transport/pipe.go
@@ -62,7 +62,13 @@
 	case m, ok := <-p.in:
 		return received(m, ok)
 	case <-p.state.lost:
-		return nil, errors.Wrap(ErrLost, "receiving")
+		// A message may have arrived just before.
+		select {
+		case m, ok := <-p.in:
+			return received(m, ok)
+		default:
+			return nil, errors.Wrap(ErrLost, "receiving")
+		}
 	case <-ctx.Done():
 		return nil, ctx.Err()
 	}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -112,6 +112,9 @@
 // cancelled at the target, and one that may not goes on.
 type Withdraw struct {
 	Attempt request.AttemptID `cbor:"1,keyasint"`
+	// Suspect tells the home agent that the request ran at the crash of a
+	// target elsewhere. It may be sent after an earlier Withdraw.
+	Suspect bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Field is a header field of HTTP.
