--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -13,14 +13,12 @@
 // cuts nothing; ctx ends only the waiting.
 func (a *Agent) Drain(ctx context.Context) error {
 	a.stopGrants("process is stopping")
-	for _, done := range []<-chan struct{}{a.sched.whenIdle(), a.attempts.whenEmpty()} {
-		select {
-		case <-done:
-		case <-ctx.Done():
-			return ctx.Err()
-		}
+	select {
+	case <-a.attempts.whenEmpty():
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
 	}
-	return nil
 }
 
 // stopGrants refuses what waits and all that comes.
--- a/internal/agent/holds_test.go
+++ b/internal/agent/holds_test.go
@@ -67,6 +67,41 @@
 	}
 }
 
+// TestDuplicateWaitsAfterLostHome keeps the fingerprint for a time when nobody
+// can tell how the first request ended.
+func TestDuplicateWaitsAfterLostHome(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		defer r.stop()
+		home := func(o *wire.Offer) { o.Home, o.Fingerprint = true, []byte("f") }
+		first := r.offer(home)
+		expect[*wire.Grant](first)
+		first.send(&wire.Withdraw{Attempt: first.id})
+		expect[*wire.Refuse](first)
+		second := r.offer(home)
+		expect[*wire.Queued](second)
+		begun := time.Now()
+		_ = first.s.Close()
+		second.run().whole()
+		require.GreaterOrEqual(t, time.Since(begun), suspectRetry)
+	})
+}
+
+func TestCancelledTicketHandsOn(t *testing.T) {
+	h := newHolds()
+	print := []byte("f")
+	require.Nil(t, h.acquire(print, "a", 1))
+	second := h.acquire(print, "b", 1)
+	third := h.acquire(print, "c", 1)
+	h.release(print)
+	<-second.ready
+	h.cancel(print, second) // it gave up just as it was its turn
+	<-third.ready
+	h.release(print)
+	require.Empty(t, h.byPrint)
+	require.Empty(t, h.waiting)
+}
+
 func TestSameRequestIsNoDuplicate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, nil)
--- a/internal/agent/scheduler.go
+++ b/internal/agent/scheduler.go
@@ -42,7 +42,6 @@
 	homes    map[workspace.RowID]int        // waiting offers whose home is here
 	alone    *attempt                       // suspect that waits for or has the target for itself
 	closed   *wire.Refuse                   // set: nothing more is granted
-	idle     chan struct{}                  // not nil: closed once nothing is held
 	slotTime time.Duration                  // smoothed time that a request keeps a slot
 }
 
@@ -66,6 +65,9 @@
 func (s *scheduler) admit(at *attempt, limit int) (ahead int, refusal *wire.Refuse, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if at.phase == phaseDropped {
+		return 0, at.refusal, nil // handed back while it was parked
+	}
 	delete(s.parked, at)
 	if s.closed != nil {
 		at.phase = phaseDropped
@@ -285,10 +287,6 @@
 	if at.offer.Class == request.ClassBatch {
 		s.batch--
 	}
-	if s.idle != nil && s.occupied() == 0 {
-		close(s.idle)
-		s.idle = nil
-	}
 }
 
 // withdraw takes at back for its router. It reports whether at was dropped. An
@@ -387,18 +385,3 @@
 	defer s.mu.Unlock()
 	return s.closed
 }
-
-// whenIdle returns a channel that is closed once nothing is held.
-func (s *scheduler) whenIdle() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.occupied() == 0 {
-		done := make(chan struct{})
-		close(done)
-		return done
-	}
-	if s.idle == nil {
-		s.idle = make(chan struct{})
-	}
-	return s.idle
-}
