--- /dev/null
+++ b/internal/platform/platformtest/mutants_test.go
@@ -0,0 +1,255 @@
+package platformtest_test
+
+import (
+	"context"
+	"strings"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/platform"
+	"github.com/mastichollow/mastichollow/internal/platform/platformtest"
+	"github.com/mastichollow/mastichollow/internal/standin"
+	"github.com/mastichollow/mastichollow/internal/target"
+)
+
+// broken is a table service with one method replaced.
+type broken struct {
+	platform.TableService
+	get    func(ctx context.Context, key string) (platform.Item, error)
+	list   func(ctx context.Context, prefix string) ([]platform.Item, error)
+	commit func(ctx context.Context, writes []platform.Write) (uint64, error)
+}
+
+func (b broken) Get(ctx context.Context, key string) (platform.Item, error) {
+	if b.get != nil {
+		return b.get(ctx, key)
+	}
+	return b.TableService.Get(ctx, key)
+}
+
+func (b broken) List(ctx context.Context, prefix string) ([]platform.Item, error) {
+	if b.list != nil {
+		return b.list(ctx, prefix)
+	}
+	return b.TableService.List(ctx, prefix)
+}
+
+func (b broken) Commit(ctx context.Context, writes ...platform.Write) (uint64, error) {
+	if b.commit != nil {
+		return b.commit(ctx, writes)
+	}
+	return b.TableService.Commit(ctx, writes...)
+}
+
+// ignoreConditions gives each write the condition that holds.
+func ignoreConditions(t *standin.Table) platform.TableService {
+	return broken{TableService: t, commit: func(ctx context.Context, writes []platform.Write) (uint64, error) {
+		for i := range writes {
+			item, _ := t.Get(ctx, writes[i].Key)
+			writes[i].If = item.Version
+		}
+		return t.Commit(ctx, writes...)
+	}}
+}
+
+// commitOneByOne applies the writes before one that conflicts.
+func commitOneByOne(t *standin.Table) platform.TableService {
+	return broken{TableService: t, commit: func(ctx context.Context, writes []platform.Write) (version uint64, err error) {
+		for _, w := range writes {
+			if version, err = t.Commit(ctx, w); err != nil {
+				return 0, err
+			}
+		}
+		return version, nil
+	}}
+}
+
+// translate replaces the errors of commits.
+func translate(from, to error) func(*standin.Table) platform.TableService {
+	return func(t *standin.Table) platform.TableService {
+		return broken{TableService: t, commit: func(ctx context.Context, writes []platform.Write) (uint64, error) {
+			version, err := t.Commit(ctx, writes...)
+			if errors.Is(err, from) {
+				return 0, to
+			}
+			return version, err
+		}}
+	}
+}
+
+func nameAllKeys(t *standin.Table) platform.TableService {
+	return broken{TableService: t, commit: func(ctx context.Context, writes []platform.Write) (uint64, error) {
+		version, err := t.Commit(ctx, writes...)
+		if !errors.Is(err, platform.ErrConflict) {
+			return version, err
+		}
+		all := &platform.ConflictError{}
+		for _, w := range writes {
+			all.Keys = append(all.Keys, w.Key)
+		}
+		return 0, all
+	}}
+}
+
+func missingAsEmpty(t *standin.Table) platform.TableService {
+	return broken{TableService: t, get: func(ctx context.Context, key string) (platform.Item, error) {
+		item, err := t.Get(ctx, key)
+		if errors.Is(err, platform.ErrNotFound) {
+			err = nil
+		}
+		return item, err
+	}}
+}
+
+func downAsMissing(t *standin.Table) platform.TableService {
+	return broken{TableService: t, get: func(ctx context.Context, key string) (platform.Item, error) {
+		item, err := t.Get(ctx, key)
+		if errors.Is(err, platform.ErrUnavailable) {
+			err = platform.ErrNotFound
+		}
+		return item, err
+	}}
+}
+
+func downAsEmptyList(t *standin.Table) platform.TableService {
+	return broken{TableService: t, list: func(ctx context.Context, prefix string) ([]platform.Item, error) {
+		items, _ := t.List(ctx, prefix)
+		return items, nil
+	}}
+}
+
+func wordPrefix(t *standin.Table) platform.TableService {
+	return broken{TableService: t, list: func(ctx context.Context, prefix string) ([]platform.Item, error) {
+		return t.List(ctx, strings.TrimSuffix(prefix, "/"))
+	}}
+}
+
+// versionsByKey counts the versions of each key from 1.
+func versionsByKey(*standin.Table) platform.TableService {
+	tables := make(map[string]*standin.Table)
+	table := func(key string) *standin.Table {
+		if tables[key] == nil {
+			tables[key] = standin.NewTable()
+		}
+		return tables[key]
+	}
+	return broken{
+		get: func(ctx context.Context, key string) (platform.Item, error) { return table(key).Get(ctx, key) },
+		commit: func(ctx context.Context, writes []platform.Write) (uint64, error) {
+			return table(writes[0].Key).Commit(ctx, writes...)
+		},
+	}
+}
+
+// forgetVersions starts a new table at each delete.
+func forgetVersions(t *standin.Table) platform.TableService {
+	return broken{TableService: t, commit: func(ctx context.Context, writes []platform.Write) (uint64, error) {
+		if writes[0].Delete {
+			t = standin.NewTable()
+			return 1, nil
+		}
+		return t.Commit(ctx, writes...)
+	}}
+}
+
+// retryUncertain repeats a commit whose answer was lost.
+func retryUncertain(t *standin.Table) platform.TableService {
+	return broken{TableService: t, commit: func(ctx context.Context, writes []platform.Write) (uint64, error) {
+		_, err := t.Commit(ctx, writes...)
+		if errors.Is(err, platform.ErrUncertain) {
+			t.SetFault(nil)
+			return t.Commit(ctx, writes...)
+		}
+		return 1, err
+	}}
+}
+
+func TestTableContractFindsMutants(t *testing.T) {
+	for name, mutant := range map[string]struct {
+		make  func(*standin.Table) platform.TableService
+		fails string
+	}{
+		"conditions ignored":        {ignoreConditions, "condition that does not hold is a conflict"},
+		"creates overwrite":         {ignoreConditions, "one of many creators wins"},
+		"writes applied one by one": {commitOneByOne, "conflicting transaction applies nothing"},
+		"conflict names all keys":   {nameAllKeys, "conflict names exactly the failed conditions"},
+		"conflict without keys":     {translate(platform.ErrConflict, platform.ErrConflict), "conflict names exactly the failed conditions"},
+		"conflict as unavailable":   {translate(platform.ErrConflict, platform.ErrUnavailable), "create of an existing key is a conflict"},
+		"uncertain as unavailable":  {translate(platform.ErrUncertain, platform.ErrUnavailable), "answer lost: commit is uncertain and took effect"},
+		"uncertain as conflict":     {translate(platform.ErrUncertain, platform.ErrConflict), "request lost: commit is uncertain and has no effect"},
+		"unavailable as uncertain":  {translate(platform.ErrUnavailable, platform.ErrUncertain), "down: calls are unavailable and have no effect"},
+		"uncertain commit repeated": {retryUncertain, "answer lost: commit is uncertain and took effect"},
+		"missing key as empty item": {missingAsEmpty, "missing key is not found"},
+		"down as missing key":       {downAsMissing, "down: calls are unavailable and have no effect"},
+		"down as empty list":        {downAsEmptyList, "down: calls are unavailable and have no effect"},
+		"list by word":              {wordPrefix, "listing has the prefix's items by key"},
+		"versions by key":           {versionsByKey, "versions grow over all keys"},
+		"version used again":        {forgetVersions, "key created again has a new version"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			table := standin.NewTable()
+			subject := platformtest.Table{TableService: mutant.make(table), SetFault: setFault(table.SetFault)}
+			require.Error(t, check(t, platformtest.TableCases(), mutant.fails, subject))
+		})
+	}
+}
+
+// check runs the case called name on subject.
+func check[S any](t *testing.T, cases []platformtest.Case[S], name string, subject S) error {
+	for _, c := range cases {
+		if c.Name == name {
+			return c.Check(t.Context(), subject)
+		}
+	}
+	t.Fatalf("contract has no case %q", name)
+	return nil
+}
+
+// setFault lets every call of a stand-in meet the same fault.
+func setFault(set func(func(op, key string) standin.Fault)) func(platformtest.Fault) {
+	faults := map[platformtest.Fault]standin.Fault{
+		platformtest.Down:        standin.FaultDown,
+		platformtest.AnswerLost:  standin.FaultAnswerLost,
+		platformtest.RequestLost: standin.FaultRequestLost,
+	}
+	return func(f platformtest.Fault) {
+		set(func(string, string) standin.Fault { return faults[f] })
+	}
+}
+
+// emptyWhenDown is a VM list that shows no VMs while it is down.
+type emptyWhenDown struct{ *standin.VMs }
+
+func (e emptyWhenDown) List(ctx context.Context) ([]target.VM, error) {
+	vms, _ := e.VMs.List(ctx)
+	return vms, nil
+}
+
+func TestVMContractFindsMutants(t *testing.T) {
+	vms := standin.NewVMs()
+	subject := platformtest.VMs{
+		VMList:  emptyWhenDown{vms},
+		Set:     vms.Set,
+		SetDown: func(down bool) { vms.SetFaults(0, false, down) },
+	}
+	require.Error(t, check(t, platformtest.VMCases(), "down: list is unavailable, not empty", subject))
+}
+
+// forgetful is an object store that keeps nothing.
+type forgetful struct{ *standin.Objects }
+
+func (forgetful) Put(context.Context, string, []byte) error { return nil }
+
+func TestObjectContractFindsMutants(t *testing.T) {
+	objects := standin.NewObjects()
+	subject := platformtest.Objects{ObjectStore: forgetful{objects}, SetFault: setFault(objects.SetFault)}
+	for _, name := range []string{
+		"any object is kept",
+		"down: calls are unavailable and have no effect",
+		"answer lost: put is uncertain and took effect",
+	} {
+		require.Error(t, check(t, platformtest.ObjectCases(), name, subject), name)
+	}
+}
--- /dev/null
+++ b/internal/standin/contract_test.go
@@ -0,0 +1,125 @@
+package standin_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/platform"
+	"github.com/mastichollow/mastichollow/internal/platform/platformtest"
+	"github.com/mastichollow/mastichollow/internal/standin"
+	"github.com/mastichollow/mastichollow/internal/target"
+)
+
+// setFault lets every call of a stand-in meet the same fault.
+func setFault(set func(func(op, key string) standin.Fault)) func(platformtest.Fault) {
+	faults := map[platformtest.Fault]standin.Fault{
+		platformtest.Down:        standin.FaultDown,
+		platformtest.AnswerLost:  standin.FaultAnswerLost,
+		platformtest.RequestLost: standin.FaultRequestLost,
+	}
+	return func(f platformtest.Fault) {
+		set(func(string, string) standin.Fault { return faults[f] })
+	}
+}
+
+func TestTableContract(t *testing.T) {
+	platformtest.RunTable(t, func(*testing.T) platformtest.Table {
+		table := standin.NewTable()
+		return platformtest.Table{TableService: table, SetFault: setFault(table.SetFault)}
+	})
+}
+
+func TestObjectContract(t *testing.T) {
+	platformtest.RunObjects(t, func(*testing.T) platformtest.Objects {
+		objects := standin.NewObjects()
+		return platformtest.Objects{ObjectStore: objects, SetFault: setFault(objects.SetFault)}
+	})
+}
+
+func TestVMContract(t *testing.T) {
+	platformtest.RunVMs(t, func(*testing.T) platformtest.VMs {
+		vms := standin.NewVMs()
+		return platformtest.VMs{
+			VMList:    vms,
+			Set:       vms.Set,
+			SetDown:   func(down bool) { vms.SetFaults(0, false, down) },
+			SetFrozen: func(frozen bool) { vms.SetFaults(0, frozen, false) },
+		}
+	})
+}
+
+// start serves host until the test ends.
+func start(t *testing.T, host *standin.Host) string {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan error, 1)
+	go func() { ended <- host.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		require.NoError(t, <-ended)
+	})
+	return host.URL()
+}
+
+// startPlatform serves a platform until the test ends.
+func startPlatform(t *testing.T) (*standin.Platform, string) {
+	p, err := standin.NewPlatform("127.0.0.1:0")
+	require.NoError(t, err)
+	return p, start(t, p.Host())
+}
+
+// httpFault puts a lasting fault into force at p.
+func httpFault(p *standin.Platform) func(platformtest.Fault) {
+	faults := map[platformtest.Fault]standin.Faults{
+		platformtest.Working:     {},
+		platformtest.Down:        {Down: true},
+		platformtest.AnswerLost:  {AnswerLost: standin.AllCalls},
+		platformtest.RequestLost: {RequestLost: standin.AllCalls},
+	}
+	return func(f platformtest.Fault) { p.SetFaults(faults[f]) }
+}
+
+// patient keeps the verdicts from depending on the machine's speed.
+var patient = platform.Options{Timeout: time.Minute}
+
+func TestTableContractOverHTTP(t *testing.T) {
+	platformtest.RunTable(t, func(t *testing.T) platformtest.Table {
+		p, url := startPlatform(t)
+		return platformtest.Table{TableService: platform.NewTableClient(url, patient), SetFault: httpFault(p)}
+	})
+}
+
+func TestObjectContractOverHTTP(t *testing.T) {
+	platformtest.RunObjects(t, func(t *testing.T) platformtest.Objects {
+		p, url := startPlatform(t)
+		return platformtest.Objects{ObjectStore: platform.NewObjectClient(url, patient), SetFault: httpFault(p)}
+	})
+}
+
+func TestVMContractOverHTTP(t *testing.T) {
+	platformtest.RunVMs(t, func(t *testing.T) platformtest.VMs {
+		p, url := startPlatform(t)
+		return platformtest.VMs{
+			VMList:    platform.NewVMClient(url, patient),
+			Set:       p.VMs.Set,
+			SetDown:   func(down bool) { p.SetFaults(standin.Faults{Down: down}) },
+			SetFrozen: func(frozen bool) { p.SetFaults(standin.Faults{VMFreeze: frozen}) },
+		}
+	})
+}
+
+func TestVMListLags(t *testing.T) {
+	p, _ := startPlatform(t)
+	p.VMs.Set([]target.VM{{ID: "a", State: target.StateLive}})
+	p.SetFaults(standin.Faults{VMLagMS: time.Hour.Milliseconds()})
+	require.True(t, p.VMs.SetState("a", target.StateLeaving))
+	vms, err := p.VMs.List(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, target.StateLive, vms[0].State)
+	p.SetFaults(standin.Faults{})
+	vms, err = p.VMs.List(t.Context())
+	require.NoError(t, err)
+	require.Equal(t, target.StateLeaving, vms[0].State)
+}
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -68,6 +68,7 @@
 	if !ok {
 		return platform.Item{}, errors.Wrapf(platform.ErrNotFound, "reading %q", key)
 	}
+	item.Value = slices.Clone(item.Value)
 	return item, nil
 }
 
@@ -82,6 +83,7 @@
 	var found []platform.Item
 	for key, item := range t.items {
 		if strings.HasPrefix(key, prefix) {
+			item.Value = slices.Clone(item.Value)
 			found = append(found, item)
 		}
 	}
