--- /dev/null
+++ b/cmd/mastichollowctl/main.go
@@ -0,0 +1,113 @@
+// Command mastichollowctl is the operators' command: it plans and applies the
+// workspace table, marks VMs, shows what is in force where, and makes keys.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/url"
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/mastichollow/mastichollow/internal/operator"
+	"github.com/mastichollow/mastichollow/internal/platform"
+	"github.com/mastichollow/mastichollow/internal/process"
+)
+
+const (
+	program     = "mastichollowctl"
+	description = `Plans and applies the workspace table, marks VMs, shows what is in force where, and makes keys.
+
+Exit codes: 0 done; 1 error; 2 wrong usage; 3 conflict: the table was changed by someone else and nothing was written;
+4 bad table file, refused whole; 5 committed and not yet in force in every live process; 6 platform unavailable, or
+effect of the write not known.`
+)
+
+// commandLine is the command line of the program.
+type commandLine struct {
+	Table    tableCommand     `cmd:"" help:"Plan, apply, export the workspace table or show where it is in force."`
+	VM       vmCommand        `cmd:"" name:"vm" help:"Mark VMs as joining or leaving, or list them."`
+	Key      keyCommand       `cmd:"" help:"Make API keys."`
+	FleetKey fleetKeyCommand  `cmd:"" help:"Make keys of the fleet."`
+	Version  kong.VersionFlag `help:"Print the version and exit."`
+}
+
+// platformSettings say where the platform is.
+type platformSettings struct {
+	TableURL string        `name:"table-url" help:"URL of the table service." required:"" env:"MASTICHOLLOW_TABLE_URL" placeholder:"URL"`
+	VMsURL   string        `name:"vms-url" help:"URL of the VM list." required:"" env:"MASTICHOLLOW_VMS_URL" placeholder:"URL"`
+	Timeout  time.Duration `help:"Timeout of one call of the platform." default:"5s" env:"MASTICHOLLOW_PLATFORM_TIMEOUT"`
+}
+
+// Validate names every fault of the settings.
+func (s platformSettings) Validate() error {
+	var faults []error
+	for flag, value := range map[string]string{"--table-url": s.TableURL, "--vms-url": s.VMsURL} {
+		if u, err := url.Parse(value); err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
+			faults = append(faults, fmt.Errorf("%s: %q is not an http or https URL", flag, value))
+		}
+	}
+	if s.Timeout <= 0 {
+		faults = append(faults, fmt.Errorf("--timeout: %s is not above 0", s.Timeout))
+	}
+	return errors.Join(faults...)
+}
+
+func (s platformSettings) operator() *operator.Operator {
+	options := platform.Options{Timeout: s.Timeout}
+	return &operator.Operator{
+		Table: platform.NewTableClient(s.TableURL, options),
+		VMs:   platform.NewVMClient(s.VMsURL, options),
+	}
+}
+
+// env is what commands need besides their flags.
+type env struct {
+	ctx context.Context
+	out io.Writer
+}
+
+func (e *env) printf(format string, args ...any) {
+	_, _ = fmt.Fprintf(e.out, format, args...)
+}
+
+func main() {
+	ctx, stop := process.SignalContext()
+	code := run(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+// run runs the command that args name and returns the exit code.
+func run(ctx context.Context, args []string, out, errOut io.Writer) int {
+	exit := -1
+	parser, err := kong.New(
+		&commandLine{},
+		kong.Name(program),
+		kong.Description(description),
+		kong.Vars{"version": process.VersionString(program)},
+		kong.Writers(out, errOut),
+		kong.Exit(func(code int) { exit = code }),
+	)
+	if err != nil {
+		_, _ = fmt.Fprintf(errOut, "%s: %v\n", program, err)
+		return operator.ExitError
+	}
+	parsed, err := parser.Parse(args)
+	if exit >= 0 { // --help or --version
+		return exit
+	}
+	if err != nil {
+		_, _ = fmt.Fprintf(errOut, "%s: %v\n", program, err)
+		return operator.ExitUsage
+	}
+	if err := parsed.Run(&env{ctx: ctx, out: out}); err != nil {
+		printError(errOut, err)
+		return operator.ExitCode(err)
+	}
+	return operator.ExitOK
+}
--- /dev/null
+++ b/internal/operator/operator_test.go
@@ -0,0 +1,194 @@
+package operator
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/fleet"
+	"github.com/mastichollow/mastichollow/internal/platform"
+	"github.com/mastichollow/mastichollow/internal/target"
+	"github.com/mastichollow/mastichollow/internal/workspace"
+)
+
+func TestRaceIsAConflictThatNamesBothVersions(t *testing.T) {
+	ctx := context.Background()
+	table := newFaultyTable()
+	one, two := testOperator(table), testOperator(table)
+	first, err := one.Apply(ctx, []workspace.Row{testRow("shop", 1)}, 0)
+	require.NoError(t, err)
+
+	rows := []workspace.Row{testRow("shop", 1), testRow("letters", 2)}
+	planOne, err := one.Plan(ctx, rows)
+	require.NoError(t, err)
+	planTwo, err := two.Plan(ctx, []workspace.Row{testRow("shop", 5)})
+	require.NoError(t, err)
+	second, err := one.Apply(ctx, rows, planOne.Against)
+	require.NoError(t, err)
+	_, err = two.Apply(ctx, []workspace.Row{testRow("shop", 5)}, planTwo.Against)
+
+	var conflict *ConflictError
+	require.ErrorAs(t, err, &conflict)
+	require.Equal(t, first.Version, conflict.Against)
+	require.Equal(t, second.Version, conflict.Current)
+	require.Equal(t, ExitConflict, ExitCode(err))
+	current, err := one.Current(ctx)
+	require.NoError(t, err)
+	require.Empty(t, workspace.Diff(current, table.history[1]), "the loser changed something")
+}
+
+func TestRaceDuringTheWriteIsAConflict(t *testing.T) {
+	ctx := context.Background()
+	table := newFaultyTable()
+	op := testOperator(table)
+	_, err := op.Apply(ctx, []workspace.Row{testRow("shop", 1)}, 0)
+	require.NoError(t, err)
+	plan, err := op.Plan(ctx, []workspace.Row{testRow("shop", 2)})
+	require.NoError(t, err)
+	table.before = func() {
+		table.before = func() {}
+		_, err := testOperator(table).Apply(ctx, []workspace.Row{testRow("shop", 3)}, plan.Against)
+		require.NoError(t, err)
+	}
+	_, err = op.Apply(ctx, []workspace.Row{testRow("shop", 2)}, plan.Against)
+	require.ErrorIs(t, err, ErrConflict)
+	current, err := op.Current(ctx)
+	require.NoError(t, err)
+	require.InDelta(t, 3.0, current.Rows[0].Weight, 0)
+}
+
+func TestFateOfTheWrite(t *testing.T) {
+	always := func(f fate) func() fate { return func() fate { return f } }
+	once := func(f fate) func() fate {
+		next := f
+		return func() fate {
+			now := next
+			next = fateDone
+			return now
+		}
+	}
+	for _, tc := range []struct {
+		name    string
+		choose  func() fate
+		code    int
+		commits int
+	}{
+		{"answer lost", once(fateAnswerLost), ExitOK, 1},
+		{"request lost", once(fateRequestLost), ExitOK, 1},
+		{"lands late", once(fateLate), ExitOK, 1},
+		{"down once", once(fateDown), ExitOK, 1},
+		{"answers always lost", always(fateAnswerLost), ExitOK, 1},
+		{"requests always lost", always(fateRequestLost), ExitPlatform, 0},
+		{"always down", always(fateDown), ExitPlatform, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			table := newFaultyTable()
+			table.choose = tc.choose
+			result, err := testOperator(table).Apply(context.Background(), []workspace.Row{testRow("shop", 1)}, 0)
+			require.Equal(t, tc.code, ExitCode(err), "%v", err)
+			require.Len(t, table.history, tc.commits)
+			if err == nil {
+				require.Equal(t, table.history[0].Version, result.Version)
+			}
+		})
+	}
+}
+
+func TestLostAnswerIsRecognisedUnderALaterChange(t *testing.T) {
+	ctx := context.Background()
+	table := newFaultyTable()
+	op := testOperator(table)
+	choices := []fate{fateAnswerLost, fateDone}
+	table.choose = func() fate {
+		next := choices[0]
+		choices = choices[1:]
+		return next
+	}
+	table.after = func() { // before the answer's loss is noticed
+		table.after = func() {}
+		_, err := testOperator(table).Mark(ctx, "vm-1", workspace.MarkLeaving, true)
+		require.NoError(t, err)
+	}
+	_, err := op.Apply(ctx, []workspace.Row{testRow("shop", 1)}, 0)
+	require.NoError(t, err)
+	require.Len(t, table.history, 2)
+}
+
+func TestMarkKeepsRowsAndSurvivesRaces(t *testing.T) {
+	ctx := context.Background()
+	table := newFaultyTable()
+	vm := target.VM{ID: "vm-1", State: target.StateLive}
+	op := testOperator(table, vm)
+	_, err := op.Apply(ctx, []workspace.Row{testRow("shop", 1)}, 0)
+	require.NoError(t, err)
+	table.before = func() {
+		table.before = func() {}
+		_, err := testOperator(table).Apply(ctx, []workspace.Row{testRow("shop", 4)}, 1)
+		require.NoError(t, err)
+	}
+	_, err = op.Mark(ctx, vm.ID, workspace.MarkLeaving, false)
+	require.NoError(t, err)
+	current, err := op.Current(ctx)
+	require.NoError(t, err)
+	require.InDelta(t, 4.0, current.Rows[0].Weight, 0)
+	require.Equal(t, workspace.MarkLeaving, current.Marks[vm.ID])
+
+	_, err = op.Mark(ctx, vm.ID, workspace.MarkJoining, false)
+	require.ErrorIs(t, err, workspace.ErrMark)
+	_, err = op.Mark(ctx, "vm-2", workspace.MarkLeaving, false)
+	require.ErrorIs(t, err, ErrUnlisted)
+}
+
+func TestStatusIsPendingUntilEveryLiveProcessConfirms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		table := newFaultyTable()
+		vms := []target.VM{
+			{ID: "r1", Domain: "d1", State: target.StateLive},
+			{ID: "a1", Domain: "d1", State: target.StateLive},
+			{ID: "a2", Domain: "d2", State: target.StateLeaving},
+		}
+		op := testOperator(table, vms...)
+		op.Poll = time.Second
+		result, err := op.Apply(ctx, []workspace.Row{testRow("shop", 1)}, 0)
+		require.NoError(t, err)
+		confirm(t, table, "d1", map[string]uint64{"r1": result.Version})
+
+		status, err := op.Status(ctx)
+		require.NoError(t, err)
+		var pending *PendingError
+		require.ErrorAs(t, status.Err(), &pending)
+		require.Equal(t, []string{"a1"}, pending.VMs)
+
+		err = op.WaitInForce(ctx, result.Version, 5*time.Second, func([]string) {})
+		require.Equal(t, ExitPending, ExitCode(err))
+
+		time.AfterFunc(3*time.Second, func() {
+			confirm(t, table, "d1", map[string]uint64{"r1": result.Version, "a1": result.Version})
+		})
+		var seen [][]string
+		err = op.WaitInForce(ctx, result.Version, 10*time.Second, func(p []string) { seen = append(seen, p) })
+		require.NoError(t, err)
+		require.Equal(t, [][]string{{"a1"}, nil}, seen)
+	})
+}
+
+// confirm writes a status row.
+func confirm(t *testing.T, table *faultyTable, domain string, versions map[string]uint64) {
+	t.Helper()
+	row := &fleet.Status{Domain: domain, Members: make(map[string]fleet.Confirmed)}
+	for id, version := range versions {
+		row.Members[id] = fleet.Confirmed{Incarnation: 1, Version: version}
+	}
+	data, err := row.Encode()
+	require.NoError(t, err)
+	key := platform.PrefixStatus + domain
+	item, err := table.Get(context.Background(), key)
+	require.True(t, err == nil || errors.Is(err, platform.ErrNotFound))
+	_, err = table.Commit(context.Background(), platform.Write{Key: key, Value: data, If: item.Version})
+	require.NoError(t, err)
+}
--- a/internal/workspace/change.go
+++ b/internal/workspace/change.go
@@ -51,6 +51,9 @@
 	if next.Marks == nil {
 		next.Marks = make(map[string]Mark)
 	}
+	if t.ChangeID != "" {
+		next.Recent = append([]string{t.ChangeID}, t.Recent[:min(len(t.Recent), MaxRecent-1)]...)
+	}
 	if change.HasRows {
 		next.replaceRows(change.Rows)
 	}
@@ -82,14 +85,14 @@
 	}
 }
 
-// mark marks a VM. A VM that was marked leaving never joins again under its ID.
+// mark marks a VM. A VM that was marked leaving stays so under its ID.
 func (t *Table) mark(id string, mark Mark) error {
 	old := t.Marks[id]
 	switch {
 	case id == "":
 		return errors.Wrap(ErrMark, "VM without an ID")
-	case mark == MarkJoining && old == MarkLeaving:
-		return errors.Wrapf(ErrMark, "VM %q was marked leaving and cannot join again under its ID", id)
+	case mark != MarkLeaving && old == MarkLeaving:
+		return errors.Wrapf(ErrMark, "VM %q was marked leaving and stays so under its ID", id)
 	case mark == "":
 		delete(t.Marks, id)
 	default:
--- a/internal/workspace/encode.go
+++ b/internal/workspace/encode.go
@@ -14,7 +14,7 @@
 	mode, err := cbor.DecOptions{
 		MaxNestedLevels:  6,
 		MaxArrayElements: MaxRows,
-		MaxMapPairs:      MaxRows,
+		MaxMapPairs:      MaxMarks,
 		DupMapKey:        cbor.DupMapKeyEnforcedAPF,
 		IndefLength:      cbor.IndefLengthForbidden,
 	}.DecMode()
@@ -65,6 +65,10 @@
 			return errors.Newf("workspace %q: column %q: %s", row.Name, faults[0].Column, faults[0].Reason)
 		}
 	}
+	if len(t.Marks) > MaxMarks || len(t.Recent) > MaxRecent {
+		return errors.Newf("%d marks of VMs (at most %d), %d change IDs (at most %d)",
+			len(t.Marks), MaxMarks, len(t.Recent), MaxRecent)
+	}
 	for id, mark := range t.Marks {
 		if id == "" || (mark != MarkJoining && mark != MarkLeaving) {
 			return errors.Newf("VM %q has the unknown mark %q", id, mark)
--- a/internal/workspace/rules.go
+++ b/internal/workspace/rules.go
@@ -12,6 +12,8 @@
 // Limits of the table.
 const (
 	MaxRows        = 1 << 12
+	MaxMarks       = 1 << 12
+	MaxRecent      = 64      // change IDs that a table remembers
 	MaxKeys        = 64      // API keys of one workspace
 	MaxPools       = 256     // pools of one workspace
 	MaxWeight      = 1e6     // largest weight
--- a/internal/workspace/workspace.go
+++ b/internal/workspace/workspace.go
@@ -6,6 +6,8 @@
 // higher version.
 package workspace
 
+import "slices"
+
 // RowID is the small number that stands for a workspace in reports between
 // processes. It is given when the row is first applied and never used again.
 type RowID uint32
@@ -49,4 +51,13 @@
 	NextID   RowID           `cbor:"3,keyasint" json:"next_id"`
 	Rows     []Row           `cbor:"4,keyasint" json:"rows"`
 	Marks    map[string]Mark `cbor:"5,keyasint" json:"marks"` // by VM ID
+	// Recent are the IDs of the changes before ChangeID, the newest first. By
+	// them a change is recognised after others were committed on top of it.
+	Recent []string `cbor:"6,keyasint,omitempty" json:"recent,omitempty"`
+}
+
+// Includes reports whether the change with the given ID led to t, as far back
+// as t remembers.
+func (t *Table) Includes(changeID string) bool {
+	return changeID != "" && (t.ChangeID == changeID || slices.Contains(t.Recent, changeID))
 }
