--- a/Makefile
+++ b/Makefile
@@ -7,11 +7,20 @@
 
 export CGO_ENABLED = 1
 
-.PHONY: build test lint format
+.PHONY: build demo up down test lint format
 
 build: ## Build the programs into bin/.
 	$(GO) build -ldflags "$(LDFLAGS)" -o bin/ ./cmd/...
 
+demo: build ## Run a fleet on loopback, send requests through it and check them.
+	scripts/demo.sh
+
+up: build ## Leave a fleet running on loopback.
+	scripts/up.sh
+
+down: ## Stop the fleet that `make up` started.
+	scripts/fleet.sh down $${TMPDIR:-/tmp}/mastichollow-fleet
+
 lint: ## Check the format and run the linter.
 	$(LINT) fmt --diff ./...
 	$(LINT) run ./...
--- /dev/null
+++ b/cmd/mastichollow-demo/main.go
@@ -0,0 +1,59 @@
+// Command mastichollow-demo sends requests of two workspaces through a running
+// fleet, prints a table of what was expected and seen, and exits with 0 only if
+// all of it held. scripts/demo.sh starts the fleet for it.
+package main
+
+import (
+	"os"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/mastichollow/mastichollow/internal/demo"
+	"github.com/mastichollow/mastichollow/internal/operator"
+	"github.com/mastichollow/mastichollow/internal/platform"
+	"github.com/mastichollow/mastichollow/internal/process"
+)
+
+const (
+	program         = "mastichollow-demo"
+	platformTimeout = 5 * time.Second
+)
+
+// commandLine holds the settings, which scripts/fleet.sh writes as environment
+// variables.
+type commandLine struct {
+	Routers    []string         `help:"Base URLs of three routers." required:"" env:"MASTICHOLLOW_DEMO_ROUTERS"`
+	Engines    []string         `help:"Base URLs of the engines' admin interfaces." required:"" env:"MASTICHOLLOW_DEMO_ENGINES"`
+	Service    string           `help:"Base URL of the plain service's admin interface." required:"" env:"MASTICHOLLOW_DEMO_SERVICE"`
+	TableURL   string           `name:"table-url" help:"Base URL of the table service." required:"" env:"MASTICHOLLOW_TABLE_URL"`
+	VMsURL     string           `name:"vms-url" help:"Base URL of the VM list." required:"" env:"MASTICHOLLOW_VMS_URL"`
+	LettersKey string           `help:"API key of the workspace that writes letters." default:"demo-letters"`
+	ShopKey    string           `help:"API key of the workspace of the shop." default:"demo-shop"`
+	Drain      string           `help:"VM ID of the agent beside the first engine." default:"letters-1"`
+	Version    kong.VersionFlag `help:"Print the version and exit."`
+}
+
+func main() {
+	var cl commandLine
+	kong.Parse(&cl, kong.Name(program), kong.Vars{"version": process.VersionString(program)})
+	options := platform.Options{Timeout: platformTimeout}
+	d := demo.New(demo.Config{
+		Routers:    cl.Routers,
+		Engines:    cl.Engines,
+		Service:    cl.Service,
+		LettersKey: cl.LettersKey,
+		ShopKey:    cl.ShopKey,
+		Drain:      cl.Drain,
+		Operator: &operator.Operator{
+			Table: platform.NewTableClient(cl.TableURL, options),
+			VMs:   platform.NewVMClient(cl.VMsURL, options),
+		},
+	})
+	ctx, stop := process.SignalContext()
+	checks := d.Run(ctx)
+	stop()
+	if !demo.Print(os.Stdout, checks) {
+		os.Exit(1)
+	}
+}
