--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -49,7 +49,10 @@
 }
 
 // Sum is what one workspace has got at one source. Service and Started only
-// grow within an incarnation of the source; Running is the latest figure.
+// grow within an incarnation of the source; Running and Queued are the latest
+// figures. Agents report Service and Running, routers Started (admitted
+// requests) and Queued (waiting requests), so that each request counts once
+// wherever sums are added up.
 type Sum struct {
 	Workspace workspace.RowID `cbor:"1,keyasint"`
 	Service   uint64          `cbor:"2,keyasint"` // service units
@@ -73,6 +76,8 @@
 	Sequence    uint64     `cbor:"3,keyasint"`
 	Confirmed   uint64     `cbor:"4,keyasint"` // table version in force at the member
 	Pools       []PoolSums `cbor:"5,keyasint,omitempty"`
+	// Full says that Pools has all sums: those that it lacks are zero.
+	Full bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Digest carries the sums of one failure domain, from the relay that added
@@ -83,6 +88,8 @@
 	Incarnation uint64     `cbor:"3,keyasint"`
 	Sequence    uint64     `cbor:"4,keyasint"`
 	Pools       []PoolSums `cbor:"5,keyasint,omitempty"`
+	// Full says that Pools has all sums: those that it lacks are zero.
+	Full bool `cbor:"6,keyasint,omitempty"`
 }
 
 // Config carries the table and the VM list to members. An absent part has not
