--- a/internal/fairness/ledger.go
+++ b/internal/fairness/ledger.go
@@ -1,54 +1,77 @@
 package fairness
 
 import (
+	"container/heap"
 	"sync"
+	"time"
 
+	"github.com/mastichollow/mastichollow/internal/fairness/source"
 	"github.com/mastichollow/mastichollow/internal/workspace"
 )
 
-// Source is one origin of grow-only sums: an incarnation of an agent, or of a
-// relay that adds up a failure domain.
-type Source struct {
-	Name        string
-	Incarnation uint64
-}
-
-// Total is the grow-only service of one workspace at one source, in service
-// units.
-type Total struct {
-	Workspace workspace.RowID
-	Service   uint64
-}
-
 // Ledger keeps the weighted service of each workspace of one pool: what this
 // agent produced and what others reported. It is safe for concurrent use.
 //
-// Reports carry sums since the start of their source, so a lost, late or
-// repeated report does no harm: only the growth since the highest sum seen is
-// added. The first report of a source sets where its growth is counted from.
+// Its memory is bounded by the rows of the table, once SetWeights has named
+// them, and by the sources heard within source.Retention.
 type Ledger struct {
-	mu      sync.Mutex
-	weights map[workspace.RowID]float64
-	level   map[workspace.RowID]float64 // weighted service
-	own     map[workspace.RowID]uint64
-	seen    map[Source]map[workspace.RowID]uint64
+	mu       sync.Mutex
+	settings Settings
+	rows     map[workspace.RowID]*entry
+	weights  map[workspace.RowID]float64 // nil: no table yet
+	caps     map[workspace.RowID]int
+	sources  source.Set
+	active   activeHeap
+	floor    float64   // least level of the backlogged, never falls
+	now      time.Time // time of the newest update
+	turned   time.Time // when uncredited service was aged last
+	lowered  uint64    // counts falls of a key, see Queue
 }
 
-// NewLedger returns an empty ledger.
-func NewLedger() *Ledger {
+// Settings of a Ledger.
+type Settings struct {
+	// Own is the name of the source that contains this agent's own service,
+	// such as its failure domain. Empty: no source does.
+	Own string
+	// Estimate says how the cost of a running request is foreseen.
+	Estimate Estimate
+}
+
+// NewLedger returns an empty ledger with default settings.
+func NewLedger() *Ledger { return NewLedgerWith(Settings{}) }
+
+// NewLedgerWith returns an empty ledger.
+func NewLedgerWith(s Settings) *Ledger {
 	return &Ledger{
-		weights: make(map[workspace.RowID]float64),
-		level:   make(map[workspace.RowID]float64),
-		own:     make(map[workspace.RowID]uint64),
-		seen:    make(map[Source]map[workspace.RowID]uint64),
+		settings: s,
+		rows:     make(map[workspace.RowID]*entry),
+		sources:  make(source.Set),
 	}
 }
 
-// SetWeights replaces the weights. A workspace without one has weight 1.
+// SetWeights replaces the weights. A workspace without one has weight 1, and
+// its memory is given up once it has nothing waiting or running.
 func (l *Ledger) SetWeights(weights map[workspace.RowID]float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.weights = weights
+	for _, e := range l.rows {
+		e.weight = l.weightOf(e.ws)
+	}
+	l.lowered++
+	l.prune()
+}
+
+// SetCaps replaces the limits of running requests over the fleet. A workspace
+// without one, or with 0, has none.
+func (l *Ledger) SetCaps(caps map[workspace.RowID]int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.caps = caps
+	for _, e := range l.rows {
+		e.limit = caps[e.ws]
+		l.refresh(e)
+	}
 }
 
 // Charge adds service that this agent produced.
@@ -58,62 +81,148 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.own[ws] += uint64(units)
-	l.add(ws, uint64(units))
+	l.charge(l.entry(ws), uint64(units))
 }
 
-// Merge adds the growth in totals reported by source.
-func (l *Ledger) Merge(source Source, totals []Total) {
+// Own returns the service that this agent produced, by workspace, and the
+// requests that it runs. Waiting requests are for the routers to report, since
+// one request may wait at several agents.
+func (l *Ledger) Own() []Total {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	seen, known := l.seen[source]
-	if !known {
-		seen = make(map[workspace.RowID]uint64, len(totals))
-		l.seen[source] = seen
-	}
-	for _, t := range totals {
-		before := seen[t.Workspace]
-		if t.Service <= before {
-			continue
-		}
-		seen[t.Workspace] = t.Service
-		if known {
-			l.add(t.Workspace, t.Service-before)
+	totals := make([]Total, 0, len(l.rows))
+	for ws, e := range l.rows {
+		if e.own > 0 || e.running > 0 {
+			totals = append(totals, Total{Workspace: ws, Service: e.own, Running: e.running})
 		}
 	}
+	return totals
 }
 
-// Own returns the service that this agent produced, by workspace.
-func (l *Ledger) Own() []Total {
+// Level returns the weighted service of ws, with what its running requests here
+// are expected to cost.
+func (l *Ledger) Level(ws workspace.RowID) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	totals := make([]Total, 0, len(l.own))
-	for ws, service := range l.own {
-		totals = append(totals, Total{Workspace: ws, Service: service})
+	if e := l.rows[ws]; e != nil {
+		return e.key()
 	}
-	return totals
+	return 0
 }
 
-// Level returns the weighted service of ws.
-func (l *Ledger) Level(ws workspace.RowID) float64 {
+// Floor returns the least level among the workspaces backlogged in the fleet.
+func (l *Ledger) Floor() float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return l.level[ws]
+	l.raiseFloor()
+	return l.floor
 }
 
-// Lift raises the level of ws to floor, so that a workspace brings no savings
-// from the time in which it asked for nothing.
+// Backlogged reports whether ws waits for slots anywhere in the fleet.
+func (l *Ledger) Backlogged(ws workspace.RowID) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.rows[ws]
+	return e != nil && e.index >= 0
+}
+
+// Lift raises the level of ws to floor.
 func (l *Ledger) Lift(ws workspace.RowID, floor float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.level[ws] = max(l.level[ws], floor)
+	l.lift(l.entry(ws), floor)
+}
+
+// setQueued records that n offers of ws wait here.
+func (l *Ledger) setQueued(ws workspace.RowID, n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	e := l.entry(ws)
+	e.queued = uint32(n)
+	l.refresh(e)
 }
 
-// add adds units to the level of ws. l.mu is held.
-func (l *Ledger) add(ws workspace.RowID, units uint64) {
-	weight := l.weights[ws]
-	if weight <= 0 {
-		weight = 1
+// charge adds own service. l.mu is held.
+func (l *Ledger) charge(e *entry, units uint64) {
+	e.own += units
+	if l.settings.Own != "" {
+		e.uncredited += units
+	}
+	l.grow(e, units)
+}
+
+// grow adds units to the level of e. l.mu is held.
+func (l *Ledger) grow(e *entry, units uint64) {
+	e.level += float64(units) / e.weight
+	l.reorder(e)
+}
+
+// lift raises the level of e to floor. l.mu is held.
+func (l *Ledger) lift(e *entry, floor float64) {
+	if e.level >= floor {
+		return
+	}
+	e.level = floor
+	l.reorder(e)
+}
+
+// reorder restores the order of the backlogged after a change of e's level.
+// l.mu is held.
+func (l *Ledger) reorder(e *entry) {
+	if e.index >= 0 {
+		heap.Fix(&l.active, e.index)
+	}
+}
+
+// refresh notes whether e is backlogged and lifts it when it has become so.
+// l.mu is held.
+func (l *Ledger) refresh(e *entry) {
+	backlogged := e.backlogged()
+	if backlogged == (e.index >= 0) {
+		return
+	}
+	l.raiseFloor()
+	if !backlogged {
+		heap.Remove(&l.active, e.index)
+		return
+	}
+	l.lift(e, l.floor)
+	heap.Push(&l.active, e)
+}
+
+// raiseFloor brings the floor up to date. l.mu is held.
+func (l *Ledger) raiseFloor() {
+	if len(l.active) > 0 {
+		l.floor = max(l.floor, l.active[0].level)
+	}
+}
+
+// entry returns the entry of ws and makes it if needed. l.mu is held.
+func (l *Ledger) entry(ws workspace.RowID) *entry {
+	e := l.rows[ws]
+	if e == nil {
+		e = &entry{ws: ws, weight: l.weightOf(ws), limit: l.caps[ws], index: -1}
+		l.rows[ws] = e
+	}
+	return e
+}
+
+// weightOf returns the weight of ws. l.mu is held.
+func (l *Ledger) weightOf(ws workspace.RowID) float64 {
+	if w := l.weights[ws]; w > 0 {
+		return w
+	}
+	return 1
+}
+
+// prune forgets the workspaces that are not in the table and have nothing
+// waiting or running. l.mu is held.
+func (l *Ledger) prune() {
+	for ws, e := range l.rows {
+		if _, listed := l.weights[ws]; listed || e.index >= 0 || e.running > 0 || e.queued > 0 {
+			continue
+		}
+		delete(l.rows, ws)
+		l.sources.ForgetRow(ws)
 	}
-	l.level[ws] += float64(units) / weight
 }
--- a/internal/fairness/queue.go
+++ b/internal/fairness/queue.go
@@ -1,7 +1,7 @@
 package fairness
 
 import (
-	"math"
+	"container/heap"
 	"slices"
 
 	"github.com/cockroachdb/errors"
@@ -24,16 +24,20 @@
 // Queue holds the waiting offers of one pool at one agent and picks the one of
 // the workspace with the least weighted service. Interactive offers go before
 // batch offers of the same workspace; offers of one class go in the order of
-// their arrival. It is not safe for concurrent use.
+// their arrival. It is not safe for concurrent use, and a ledger serves one
+// queue.
+//
+// The lines stand in a heap by keys that may lag behind the ledger. Keys grow,
+// so that the first line is the least once its own key is up to date; when the
+// ledger counts a fall of a key, the heap is built anew.
 type Queue struct {
 	ledger  *Ledger
 	waiting map[workspace.RowID]*line
+	heap    lineHeap
+	lowered uint64
 	size    int
 }
 
-// line is the queue of one workspace, one list per class.
-type line [2][]Entry
-
 // NewQueue returns an empty queue over ledger.
 func NewQueue(ledger *Ledger) *Queue {
 	return &Queue{ledger: ledger, waiting: make(map[workspace.RowID]*line)}
@@ -41,59 +45,44 @@
 
 // Push adds e. limit is the workspace's queue limit at this agent.
 func (q *Queue) Push(e Entry, limit int) error {
+	n := q.LenOf(e.Workspace)
+	if n >= limit {
+		return errors.Wrapf(ErrQueueFull, "workspace %d has %d offers waiting", e.Workspace, n)
+	}
+	q.ledger.setQueued(e.Workspace, n+1)
 	l := q.waiting[e.Workspace]
 	if l == nil {
-		q.ledger.Lift(e.Workspace, q.floor())
-		l = new(line)
+		l = &line{ws: e.Workspace, key: q.ledger.Level(e.Workspace)}
 		q.waiting[e.Workspace] = l
+		heap.Push(&q.heap, l)
 	}
-	if l.len() >= limit {
-		if l.len() == 0 {
-			delete(q.waiting, e.Workspace)
-		}
-		return errors.Wrapf(ErrQueueFull, "workspace %d has %d offers waiting", e.Workspace, l.len())
-	}
-	l[e.Class] = append(l[e.Class], e)
+	l.offers[e.Class] = append(l.offers[e.Class], e)
 	q.size++
 	return nil
 }
 
 // Pop removes and returns the next offer for which eligible holds. A nil
-// eligible takes any.
+// eligible takes any; eligible must not change the queue.
 func (q *Queue) Pop(eligible func(Entry) bool) (Entry, bool) {
-	best, found := Entry{}, false
-	bestLevel := math.Inf(1)
-	for ws, l := range q.waiting {
-		e, ok := l.first(eligible)
-		if !ok {
-			continue
-		}
-		level := q.ledger.Level(ws)
-		if level < bestLevel || (level == bestLevel && ws < best.Workspace) {
-			best, bestLevel, found = e, level, true
-		}
-	}
-	if found {
-		q.Remove(best)
+	e, ok := q.next(eligible)
+	if ok {
+		q.Remove(e)
 	}
-	return best, found
+	return e, ok
 }
 
 // Remove takes e out of the queue and reports whether it was there.
 func (q *Queue) Remove(e Entry) bool {
 	l := q.waiting[e.Workspace]
-	if l == nil {
-		return false
-	}
-	i := slices.IndexFunc(l[e.Class], func(x Entry) bool { return x.Attempt == e.Attempt })
-	if i < 0 {
+	if l == nil || !l.remove(e) {
 		return false
 	}
-	l[e.Class] = slices.Delete(l[e.Class], i, i+1)
 	q.size--
 	if l.len() == 0 {
+		heap.Remove(&q.heap, l.index)
 		delete(q.waiting, e.Workspace)
 	}
+	q.ledger.setQueued(e.Workspace, l.len())
 	return true
 }
 
@@ -108,23 +97,85 @@
 	return 0
 }
 
-// floor returns the least level among the workspaces that wait, or 0.
-func (q *Queue) floor() float64 {
-	least := math.Inf(1)
-	for ws := range q.waiting {
-		least = min(least, q.ledger.Level(ws))
+// next returns the offer that Pop takes.
+func (q *Queue) next(eligible func(Entry) bool) (Entry, bool) {
+	if q.size == 0 {
+		return Entry{}, false
+	}
+	q.settle()
+	if e, ok := q.heap[0].first(eligible); ok {
+		return e, true
+	}
+	return q.scan(eligible)
+}
+
+// settle brings the least line to the front.
+func (q *Queue) settle() {
+	q.ledger.mu.Lock()
+	defer q.ledger.mu.Unlock()
+	if q.lowered != q.ledger.lowered {
+		q.rebuild()
+		return
+	}
+	for {
+		l := q.heap[0]
+		key := q.ledger.rows[l.ws].key()
+		if key == l.key {
+			return
+		}
+		l.key = key
+		heap.Fix(&q.heap, 0)
+	}
+}
+
+// rebuild brings all keys up to date. q.ledger.mu is held.
+func (q *Queue) rebuild() {
+	q.lowered = q.ledger.lowered
+	for _, l := range q.heap {
+		l.key = q.ledger.rows[l.ws].key()
 	}
-	if math.IsInf(least, 1) {
-		return 0
+	heap.Init(&q.heap)
+}
+
+// scan looks through all lines.
+func (q *Queue) scan(eligible func(Entry) bool) (Entry, bool) {
+	q.ledger.mu.Lock()
+	q.rebuild()
+	q.ledger.mu.Unlock()
+	var best *line
+	var found Entry
+	for _, l := range q.heap {
+		if best != nil && !l.before(best) {
+			continue
+		}
+		if e, ok := l.first(eligible); ok {
+			best, found = l, e
+		}
 	}
-	return least
+	return found, best != nil
+}
+
+// line is the queue of one workspace, one list per class.
+type line struct {
+	ws     workspace.RowID
+	offers [2][]Entry
+	key    float64 // level when last looked at
+	index  int     // in the heap
 }
 
-func (l *line) len() int { return len(l[request.ClassInteractive]) + len(l[request.ClassBatch]) }
+func (l *line) len() int { return len(l.offers[0]) + len(l.offers[1]) }
+
+// before orders lines by level, and by row where levels are equal.
+func (l *line) before(other *line) bool {
+	if l.key != other.key {
+		return l.key < other.key
+	}
+	return l.ws < other.ws
+}
 
 // first returns the first offer for which eligible holds.
 func (l *line) first(eligible func(Entry) bool) (Entry, bool) {
-	for _, list := range l {
+	for _, list := range l.offers {
 		for _, e := range list {
 			if eligible == nil || eligible(e) {
 				return e, true
@@ -133,3 +184,42 @@
 	}
 	return Entry{}, false
 }
+
+func (l *line) remove(e Entry) bool {
+	list := l.offers[e.Class]
+	i := slices.IndexFunc(list, func(x Entry) bool { return x.Attempt == e.Attempt })
+	if i < 0 {
+		return false
+	}
+	l.offers[e.Class] = slices.Delete(list, i, i+1)
+	return true
+}
+
+// lineHeap is a heap of lines by key.
+type lineHeap []*line
+
+func (h lineHeap) Len() int { return len(h) }
+
+func (h lineHeap) Less(i, j int) bool { return h[i].before(h[j]) }
+
+func (h lineHeap) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].index = i
+	h[j].index = j
+}
+
+// Push implements heap.Interface.
+func (h *lineHeap) Push(x any) {
+	l := x.(*line)
+	l.index = len(*h)
+	*h = append(*h, l)
+}
+
+// Pop implements heap.Interface.
+func (h *lineHeap) Pop() any {
+	last := len(*h) - 1
+	l := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	return l
+}
