--- a/internal/operator/machine_test.go
+++ b/internal/operator/machine_test.go
@@ -27,6 +27,7 @@
 		ctx := context.Background()
 		table := newFaultyTable()
 		table.choose = func() fate { return fate(rapid.IntRange(0, int(fates)-1).Draw(t, "fate")) }
+		table.deaf = func() bool { return rapid.IntRange(0, 3).Draw(t, "deaf") == 0 }
 		racing := false
 		changes := 0
 		var told []claimed
@@ -52,6 +53,7 @@
 			"apply": func(*rapid.T) { apply(planned) },
 		})
 		table.before, table.after = func() {}, func() {}
+		table.deaf = func() bool { return false }
 		for len(table.late) > 0 {
 			table.landLate(ctx)
 		}
--- a/internal/operator/table_test.go
+++ b/internal/operator/table_test.go
@@ -29,8 +29,9 @@
 type faultyTable struct {
 	*standin.Table
 	choose  func() fate
-	before  func() // runs before each write
-	after   func() // runs after each write
+	deaf    func() bool // whether a read fails
+	before  func()      // runs before each write
+	after   func()      // runs after each write
 	late    [][]platform.Write
 	history []*workspace.Table
 }
@@ -39,6 +40,7 @@
 	return &faultyTable{
 		Table:  standin.NewTable(),
 		choose: func() fate { return fateDone },
+		deaf:   func() bool { return false },
 		before: func() {},
 		after:  func() {},
 	}
@@ -46,6 +48,9 @@
 
 func (f *faultyTable) Get(ctx context.Context, key string) (platform.Item, error) {
 	f.landLate(ctx)
+	if f.deaf() {
+		return platform.Item{}, errors.Wrap(platform.ErrUnavailable, "table service is down")
+	}
 	return f.Table.Get(ctx, key)
 }
 
--- a/internal/workspace/rules.go
+++ b/internal/workspace/rules.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/hex"
 	"fmt"
-	"math"
 	"regexp"
 	"slices"
 	"strings"
@@ -76,7 +75,7 @@
 	if !(r.Weight >= MinWeight && r.Weight <= MaxWeight) {
 		add(columnWeight, "%v is not between %v and %v", r.Weight, MinWeight, MaxWeight)
 	}
-	if !(r.RateLimit >= 0 && r.RateLimit <= MaxRate) || math.IsNaN(r.RateLimit) {
+	if !(r.RateLimit >= 0 && r.RateLimit <= MaxRate) {
 		add(columnRate, "%v is not between 0 (none) and %v requests/s", r.RateLimit, MaxRate)
 	}
 	if r.Concurrency < 0 || r.Concurrency > MaxConcurrency {
