--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -110,6 +110,21 @@
 				sends(accepted, chunk(3, "def"), end(6)),
 			},
 		},
+		{
+			name: "slow, but alive", runs: 1, resumes: 2, body: "abcdef",
+			streams: []script{
+				grantThen(accepted),
+				sends(accepted),
+				sends(append([]maker{accepted}, whole[1:]...)...),
+			},
+		},
+		{
+			name: "never fits", runs: 1, resumes: 4, once: true, reason: request.ReasonAnswerInvalid,
+			streams: []script{
+				grantThen(accepted, head("text/plain"), end(6)),
+				sends(accepted, end(6)),
+			},
+		},
 		{
 			name: "killed after Run, repeatable", runs: 2, resumes: 1, body: "abcdef",
 			streams: []script{
@@ -192,6 +207,8 @@
 				default:
 					require.Equal(t, http.StatusOK, rec.Code)
 					require.Equal(t, tt.body, rec.Body.String())
+					require.Empty(t, f.fleet.seen().withdrawn, "a resumed attempt was withdrawn")
+					require.Empty(t, f.fleet.seen().forgotten, "a connection that answers was dropped")
 				}
 			})
 		})
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -17,7 +17,8 @@
 	x       *execution
 	binding *binding
 	leg     *leg
-	resumes int // since the last message of the attempt
+	resumes int // since the last message that fitted
+	misfits int // messages that did not fit since the answer last grew
 }
 
 func newRelay(x *execution, b *binding, winner *leg) *relay {
@@ -38,8 +39,7 @@
 		case <-ctx.Done():
 			return y.x.ended(ctx, request.OutcomeUnknown)
 		case <-progress.C:
-			y.x.r.forget.forget(y.leg.agent.Addr, y.leg.opened)
-			refused = y.resume(ctx, "silent")
+			refused = y.silent(ctx)
 		case e := <-y.x.legs.events:
 			done, refused = y.handle(ctx, e)
 		}
@@ -84,18 +84,18 @@
 	}
 	if attemptOf(e.msg) != y.leg.attempt {
 		y.x.r.metrics.crossed.Inc()
-		return false, y.resume(ctx, "crossed")
+		return false, y.misfit(ctx, "crossed")
 	}
 	done, refused, err := y.accept(e.msg)
 	switch {
 	case err == nil:
-		y.resumes = 0
+		y.progressed(e.msg)
 		return done, refused
 	case errors.Is(err, errCallerGone):
 		return false, &request.RefusedError{Reason: request.ReasonCallerGone, Outcome: request.OutcomeUnknown}
 	default:
 		y.x.r.log.Warn("answer does not fit", "request", y.x.c.id, "agent", y.leg.agent.ID, "error", err)
-		return false, y.resume(ctx, "invalid")
+		return false, y.misfit(ctx, "invalid")
 	}
 }
 
--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -10,6 +10,41 @@
 	"github.com/mastichollow/mastichollow/internal/wire"
 )
 
+// progressed notes a message that fitted.
+func (y *relay) progressed(m wire.Message) {
+	y.resumes = 0
+	switch m.(type) {
+	case *wire.Head, *wire.Chunk:
+		y.misfits = 0
+	}
+}
+
+// misfit resumes after a message that did not fit. An agent that keeps sending
+// such is given up.
+func (y *relay) misfit(ctx context.Context, cause string) *request.RefusedError {
+	y.misfits++
+	if y.misfits <= y.x.r.cfg.Timing.MaxResumes {
+		return y.resume(ctx, cause)
+	}
+	y.leg.abandon()
+	y.x.markFailed(y.leg.agent.ID)
+	return &request.RefusedError{
+		Reason:  request.ReasonAnswerInvalid,
+		Outcome: request.OutcomeUnknown,
+		Detail:  "agent " + y.leg.agent.ID + " sent what does not fit the answer",
+	}
+}
+
+// silent resumes an attempt that has sent nothing for long. A target that is
+// slow looks alike, so the connection is kept at first: the agent answers
+// Resume at once. If it does not, the connection is not trusted any more.
+func (y *relay) silent(ctx context.Context) *request.RefusedError {
+	if y.resumes > 0 {
+		y.x.r.forget.forget(y.leg.agent.Addr, y.leg.opened)
+	}
+	return y.resume(ctx, "silent")
+}
+
 // resume replaces the stream of the running attempt by a new one that goes on
 // at the offset received. It gives up after a bounded number of tries without
 // a message between them.
--- a/internal/router/retry_test.go
+++ b/internal/router/retry_test.go
@@ -236,6 +236,7 @@
 		resumes := DefaultTiming().MaxResumes
 		require.Len(t, f.fleet.seen().resumed, requests*resumes)
 		require.Equal(t, requests, f.fleet.runCount())
+		require.NotEmpty(t, f.fleet.seen().forgotten)
 		require.LessOrEqual(t, len(f.fleet.seen().forgotten), resumes+1)
 	})
 }
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -171,7 +171,9 @@
 }
 
 // Resume asks, on a new stream, for the rest of an attempt's answer: the body
-// from Offset on, and the Head before it when Head is set.
+// from Offset on, and the Head before it when Head is set. The agent answers at
+// once with Accepted, which tells a slow target from a silent stream, or with
+// Fail.
 type Resume struct {
 	Attempt request.AttemptID `cbor:"1,keyasint"`
 	Offset  uint64            `cbor:"2,keyasint"`
