--- /dev/null
+++ b/internal/e2e/faults_test.go
@@ -0,0 +1,260 @@
+package e2e
+
+import (
+	"fmt"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/platform"
+	"github.com/mastichollow/mastichollow/internal/standin"
+	"github.com/mastichollow/mastichollow/internal/workspace"
+)
+
+const longLetter = 400 // tokens
+
+func runsOf(name string, services ...*standin.Service) int {
+	n := 0
+	for _, s := range services {
+		n += s.Count(name)
+	}
+	return n
+}
+
+func TestRequestsOfEachKindPassThroughSeparateProcesses(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, options{})
+	d := f.domains[0]
+	write(t.Context(), d.routerURL, "whole path", 20).requireWhole(t)
+	placed := order(t.Context(), d.routerURL, "k", "o")
+	require.Equal(t, http.StatusCreated, placed.status, placed)
+	status := send(t.Context(), http.MethodGet, d.routerURL+"/services/"+shop+"/orders/o", "", "")
+	require.Equal(t, http.StatusOK, status.status, status)
+}
+
+func TestStoppedAgentCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, options{domains: 2})
+	agent := f.domains[0].letters
+	var running []*letter
+	for i := range 4 {
+		running = append(running, write(t.Context(), f.domains[0].routerURL, fmt.Sprint("stop ", i), longLetter))
+	}
+	for _, l := range running {
+		<-l.first
+	}
+	agent.stop()
+	agent.stop() // a second stop during the first cuts nothing either
+	write(t.Context(), f.domains[0].routerURL, "after the stop", 5).requireWhole(t)
+	for _, l := range running {
+		l.requireWhole(t)
+	}
+	agent.waitStopped()
+}
+
+func TestStoppedRouterCutsNoRequest(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, options{})
+	d := f.domains[0]
+	l := write(t.Context(), d.routerURL, "long", longLetter)
+	<-l.first
+	f.platform.SetFaults(standin.Faults{Down: true}) // the store may be down meanwhile
+	d.router.stop()
+	eventually(t, "router says that it is not ready", func() bool { return readyStatus(d.routerAdmin) != http.StatusOK })
+	d.router.stop()
+	l.requireWhole(t)
+	d.router.waitStopped()
+}
+
+func TestKilledAgentShowsNoShortAnswer(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, options{domains: 2})
+	l := write(t.Context(), f.domains[0].routerURL, "killed", longLetter)
+	<-l.first
+	for _, d := range f.domains {
+		if len(d.engine.Runs()) > 0 {
+			d.letters.kill()
+		}
+	}
+	r := <-l.reply
+	require.False(t, r.whole, r)
+	require.NotEqual(t, l.want, r.text)
+	write(t.Context(), f.domains[0].routerURL, "after the kill", 5).requireWhole(t)
+}
+
+func TestKilledRouterShowsNoShortAnswer(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, options{})
+	l := write(t.Context(), f.domains[0].routerURL, "killed", longLetter)
+	<-l.first
+	f.domains[0].router.kill()
+	r := <-l.reply
+	require.False(t, r.whole, r)
+}
+
+func TestOrderResentThroughManyRoutersAtOnceRunsOnce(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, options{domains: 3})
+	var wg sync.WaitGroup
+	for i := range 12 {
+		wg.Go(func() { order(t.Context(), f.domains[i%3].routerURL, "same-key", "many") })
+	}
+	wg.Wait()
+	require.Equal(t, 1, runsOf("many", f.domains[0].service, f.domains[1].service, f.domains[2].service))
+	last := order(t.Context(), f.domains[1].routerURL, "same-key", "many")
+	require.Equal(t, http.StatusCreated, last.status, last)
+}
+
+// TestFrozenAgentNeverRunsAnOrderTwice freezes the agent while its order is at
+// the target, has the caller resend it elsewhere, and wakes the agent.
+func TestFrozenAgentNeverRunsAnOrderTwice(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, options{domains: 2, service: standin.ServiceConfig{Slots: 4, Time: 500 * time.Millisecond}})
+	first := make(chan reply, 1)
+	go func() { first <- order(t.Context(), f.domains[0].routerURL, "frozen", "frozen") }()
+	var holder *domain
+	eventually(t, "order is at a target", func() bool {
+		for _, d := range f.domains {
+			if len(d.service.Runs()) > 0 {
+				holder = d
+			}
+		}
+		return holder != nil
+	})
+	holder.shop.freeze()
+	var resent []reply
+	for i := range 3 {
+		resent = append(resent, order(t.Context(), f.domains[i%2].routerURL, "frozen", "frozen"))
+	}
+	holder.shop.thaw()
+	for _, r := range append(resent, <-first) {
+		require.False(t, r.notRun(), "told that an order did not run which did: %s", r)
+	}
+	require.Equal(t, 1, runsOf("frozen", f.domains[0].service, f.domains[1].service))
+}
+
+func TestKilledAgentsOrderIsNeverRunAgain(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, options{domains: 2, service: standin.ServiceConfig{Slots: 4, Time: 300 * time.Millisecond}})
+	first := make(chan reply, 1)
+	go func() { first <- order(t.Context(), f.domains[0].routerURL, "killed", "killed") }()
+	var holder *domain
+	eventually(t, "order is at a target", func() bool {
+		for _, d := range f.domains {
+			if len(d.service.Runs()) > 0 {
+				holder = d
+			}
+		}
+		return holder != nil
+	})
+	holder.shop.kill()
+	require.False(t, (<-first).notRun())
+	again := order(t.Context(), f.domains[1].routerURL, "killed", "killed")
+	require.False(t, again.notRun(), "%s", again)
+	require.Equal(t, 1, runsOf("killed", f.domains[0].service, f.domains[1].service))
+}
+
+// TestStoreOutage checks that work that needs no claim goes on while the store
+// is down, and that an order is refused at once and truthfully.
+func TestStoreOutage(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, options{})
+	d := f.domains[0]
+	f.platform.SetFaults(standin.Faults{Down: true})
+	refused := order(t.Context(), d.routerURL, "down", "down")
+	require.Equal(t, http.StatusServiceUnavailable, refused.status, refused)
+	require.True(t, refused.notRun(), "%s", refused)
+	require.NotEmpty(t, refused.header.Get("Retry-After"))
+	require.Zero(t, d.service.Count("down"))
+	write(t.Context(), d.routerURL, "store down", 5).requireWhole(t)
+	f.platform.SetFaults(standin.Faults{})
+	eventually(t, "orders run again", func() bool {
+		return order(t.Context(), d.routerURL, "up", "up").status == http.StatusCreated
+	})
+	require.Equal(t, 1, d.service.Count("up"))
+}
+
+// TestLostClaimAnswer loses the answer of the claim's write, after which the
+// order still runs once.
+func TestLostClaimAnswer(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, options{})
+	d := f.domains[0]
+	f.platform.SetFaults(standin.Faults{AnswerLost: 1, KeyPrefix: platform.PrefixClaim})
+	placed := order(t.Context(), d.routerURL, "lost", "lost")
+	again := order(t.Context(), d.routerURL, "lost", "lost")
+	require.Equal(t, http.StatusCreated, again.status, "%s; %s", placed, again)
+	require.Equal(t, 1, d.service.Count("lost"))
+}
+
+func TestLeavingTargetGetsNoNewWork(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, options{domains: 2})
+	f.platform.SetFaults(standin.Faults{VMFreeze: true}) // the VM list lags for good
+	l := write(t.Context(), f.domains[0].routerURL, "running", longLetter)
+	<-l.first
+	_, err := f.operator.Mark(t.Context(), "letters-d1", workspace.MarkLeaving, false)
+	require.NoError(t, err)
+	f.waitInForce()
+	before := len(f.domains[0].engine.Runs())
+	for i := range 10 {
+		write(t.Context(), f.domains[i%2].routerURL, fmt.Sprint("after the mark ", i), 5).requireWhole(t)
+	}
+	require.Len(t, f.domains[0].engine.Runs(), before)
+	l.requireWhole(t)
+}
+
+func TestRestartedRouterServesAfterEmptyStart(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, options{})
+	d := f.domains[0]
+	d.router.kill()
+	f.vms = f.vms[:len(f.vms)-1]
+	f.addRouter(d)
+	f.platform.VMs.Set(f.vms)
+	waitReady(t, d.routerAdmin)
+	write(t.Context(), d.routerURL, "after the restart", 5).requireWhole(t)
+}
+
+// TestCrashingRequestTakesDownTwoTargetsAtMost sends one request that crashes
+// each target that runs it through all routers of a region at once and again.
+func TestCrashingRequestTakesDownTwoTargetsAtMost(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, options{domains: 3})
+	for _, d := range f.domains {
+		d.engine.SetFaults(standin.Faults{CrashMarker: "poison", RestartMS: 100})
+	}
+	for range 3 {
+		var wg sync.WaitGroup
+		for range 4 {
+			wg.Go(func() { <-write(t.Context(), f.domains[0].routerURL, "poison", 50).reply })
+		}
+		wg.Wait()
+	}
+	poison, err := standin.CompletionText([]byte(letterBody("poison", 50)))
+	require.NoError(t, err)
+	require.NotEmpty(t, poison)
+	crashes := 0
+	for _, d := range f.domains {
+		crashes += len(d.engine.Runs())
+	}
+	require.GreaterOrEqual(t, crashes, 1)
+	require.LessOrEqual(t, crashes, 2)
+	write(t.Context(), f.domains[0].routerURL, "innocent", 5).requireWhole(t)
+}
+
+func TestSecondSignalDoesNotEndTheAgent(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, options{})
+	d := f.domains[0]
+	l := write(t.Context(), d.routerURL, "signals", longLetter)
+	<-l.first
+	d.letters.signal(syscall.SIGTERM)
+	d.letters.signal(syscall.SIGINT)
+	l.requireWhole(t)
+	d.letters.waitStopped()
+}
