--- a/internal/router/binding.go
+++ b/internal/router/binding.go
@@ -26,7 +26,6 @@
 	open      int             // legs that may still grant
 	home      *leg
 	duplicate bool
-	ticket    *ticket
 	last      *request.RefusedError
 }
 
@@ -36,12 +35,6 @@
 
 // bind returns the leg that got the first grant.
 func (b *binding) bind(ctx context.Context) (*leg, *request.RefusedError) {
-	ticket, refused := b.x.r.waiting.enter(b.x.c.row, b.x.c.pool)
-	if refused != nil {
-		return nil, refused
-	}
-	b.ticket = ticket
-	defer ticket.leave()
 	b.askHome(ctx)
 	timer := time.NewTimer(b.x.r.cfg.Timing.HomePatience)
 	defer timer.Stop()
@@ -61,7 +54,7 @@
 				return nil, refused
 			}
 			if winner != nil {
-				ticket.granted()
+				b.x.admitted.done()
 				b.dismiss(winner)
 				return winner, nil
 			}
@@ -93,7 +86,8 @@
 		b.x.r.metrics.offer(e.leg, "granted")
 		return e.leg, nil
 	case *wire.Queued:
-		return nil, b.queued(ctx, e.leg, m)
+		b.queued(ctx, e.leg, m)
+		return nil, nil
 	case *wire.Refuse:
 		return nil, b.refused(e.leg, m)
 	default:
@@ -103,22 +97,17 @@
 }
 
 // queued notes that an offer waits at its agent.
-func (b *binding) queued(ctx context.Context, l *leg, m *wire.Queued) *request.RefusedError {
-	l.queued = true
-	if refused := b.ticket.queued(); refused != nil {
-		return refused
-	}
+func (b *binding) queued(ctx context.Context, l *leg, m *wire.Queued) {
 	if !l.home {
-		return nil
+		return
 	}
 	b.duplicate = m.Duplicate
 	if b.duplicate {
 		b.x.r.metrics.duplicates.Inc()
 		b.dismissOthers(l)
-		return nil
+		return
 	}
 	b.widen(ctx)
-	return nil
 }
 
 // refused notes an agent's refusal. Those of an overload, and those that hold
@@ -277,7 +266,7 @@
 		Fingerprint: c.content.Fingerprint,
 		Version:     c.version,
 		Region:      b.x.r.cfg.Site.Region,
-		Suspect:     b.x.suspect,
+		Suspect:     b.x.suspect || b.x.c.suspect,
 		Home:        home,
 	}
 	b.asked[vm.ID] = l
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -40,6 +40,7 @@
 	keyed      bool   // the caller gave the key
 	claim      []byte // empty: may be repeated
 	content    placement.Content
+	suspect    bool // a request like it ran at a crash of a target
 	costHint   int64
 	deadline   time.Time
 	run        wire.Run // without an attempt
@@ -110,6 +111,7 @@
 	}
 	c.run = wire.Run{Method: req.Method, Path: path, Header: forwarded(req.Header, e.id), Body: body}
 	c.content.Fingerprint = hash(e.row.ID, req.Method, path, string(body))
+	c.suspect = e.idx.suspect(c.content.Fingerprint)
 	e.addClaim(c, safe(req.Method))
 	return c
 }
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -9,10 +9,8 @@
 
 	"github.com/mastichollow/mastichollow/internal/fleet"
 	"github.com/mastichollow/mastichollow/internal/placement"
-	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/transport"
 	"github.com/mastichollow/mastichollow/internal/wire"
-	"github.com/mastichollow/mastichollow/internal/workspace"
 )
 
 // frameReserve is the part of a frame that is not the request's body: fields
@@ -21,15 +19,14 @@
 
 // Limits bound what a caller may send.
 type Limits struct {
-	Body    int64 // bytes of a request body
-	Header  int   // bytes of all header names and values
-	Prompt  int   // bytes of all message contents of a chat completion
-	Offered int   // requests of one workspace and pool that wait for a first answer
+	Body   int64 // bytes of a request body
+	Header int   // bytes of all header names and values
+	Prompt int   // bytes of all message contents of a chat completion
 }
 
 // DefaultLimits returns the limits used unless settings say otherwise.
 func DefaultLimits() Limits {
-	return Limits{Body: 4 << 20, Header: 32 << 10, Prompt: 2 << 20, Offered: 256}
+	return Limits{Body: 4 << 20, Header: 32 << 10, Prompt: 2 << 20}
 }
 
 // Timing holds the router's timeouts.
@@ -76,13 +73,6 @@
 	}
 }
 
-// Limiter holds the rate and concurrency limits of workspaces over the fleet.
-type Limiter interface {
-	// Admit takes a request of the workspace in, or says why not. The
-	// request is over when release is called.
-	Admit(row *workspace.Row) (release func(), refused *request.RefusedError)
-}
-
 // Config holds the settings of a Router and what it works with.
 type Config struct {
 	Store      *fleet.Store
@@ -91,7 +81,6 @@
 	Limits     Limits  // zero value: DefaultLimits
 	Timing     Timing  // zero value: DefaultTiming
 	Routes     []Route // exceptions to what RFC 9110 says about methods
-	Limiter    Limiter // nil: no limits at the router
 	Logger     hclog.Logger
 	Registerer prometheus.Registerer
 }
@@ -104,9 +93,6 @@
 	if c.Timing == (Timing{}) {
 		c.Timing = DefaultTiming()
 	}
-	if c.Limiter == nil {
-		c.Limiter = unlimited{}
-	}
 	if c.Logger == nil {
 		c.Logger = hclog.NewNullLogger()
 	}
@@ -124,17 +110,28 @@
 			faults = append(faults, errors.Newf(format, args...))
 		}
 	}
-	t, l := c.Timing, c.Limits
 	check(c.Store != nil, "store is missing")
 	check(c.Opener != nil, "opener of streams is missing")
 	check(c.Site.Region != "", "region is missing")
 	check(c.Site.Domain != "", "failure domain is missing")
+	faults = append(faults, c.CheckLimits())
+	return errors.Join(faults...)
+}
+
+// CheckLimits names every fault of the limits and timeouts at once.
+func (c Config) CheckLimits() error {
+	var faults []error
+	check := func(ok bool, format string, args ...any) {
+		if !ok {
+			faults = append(faults, errors.Newf(format, args...))
+		}
+	}
+	t, l := c.Timing, c.Limits
 	check(l.Body > 0 && l.Body <= wire.MaxFrame-frameReserve,
 		"body limit of %d bytes is not within 1 to %d", l.Body, wire.MaxFrame-frameReserve)
 	check(l.Header > 0 && l.Header <= frameReserve/2,
 		"header limit of %d bytes is not within 1 to %d", l.Header, frameReserve/2)
 	check(l.Prompt > 0, "prompt limit of %d bytes is not positive", l.Prompt)
-	check(l.Offered > 0, "limit of %d offered requests is not positive", l.Offered)
 	check(t.Deadline > 0 && t.Deadline <= t.MaxDeadline,
 		"deadline %s is not within the greatest deadline %s", t.Deadline, t.MaxDeadline)
 	check(t.Open > 0 && t.HomePatience > 0 && t.Widen > 0 && t.SpillAfter > 0 && t.Progress > 0,
@@ -147,8 +144,3 @@
 	check(t.OffersPerStep > 0 && t.OffersPerRound > 0, "numbers of offers must be positive")
 	return errors.Join(faults...)
 }
-
-// unlimited is a Limiter without limits.
-type unlimited struct{}
-
-func (unlimited) Admit(*workspace.Row) (func(), *request.RefusedError) { return func() {}, nil }
--- a/internal/router/index.go
+++ b/internal/router/index.go
@@ -30,6 +30,7 @@
 // indexCache keeps the index of the newest snapshot.
 type indexCache struct {
 	store   *fleet.Store
+	changed func(*fleet.Snapshot) // gets each new snapshot
 	current atomic.Pointer[index]
 }
 
@@ -41,6 +42,7 @@
 	}
 	idx := newIndex(snapshot)
 	c.current.Store(idx)
+	c.changed(snapshot)
 	return idx
 }
 
@@ -103,3 +105,15 @@
 	sum := sha256.Sum256([]byte(key))
 	return x.rows[hex.EncodeToString(sum[:])]
 }
+
+// suspect reports whether a request with this fingerprint ran at a crash of a
+// target.
+func (x *index) suspect(fingerprint []byte) bool {
+	_, ok := x.snapshot.Suspects[string(fingerprint)]
+	return ok
+}
+
+// quarantined reports whether requests with this fingerprint may not run.
+func (x *index) quarantined(fingerprint []byte) bool {
+	return x.snapshot.Suspects[string(fingerprint)].Quarantined
+}
--- a/internal/router/leg.go
+++ b/internal/router/leg.go
@@ -41,7 +41,6 @@
 	round     int
 	isOpen    bool
 	closed    bool // its attempt is settled; later events mean nothing
-	queued    bool
 	withdrawn bool
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -12,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/mastichollow/mastichollow/internal/request"
+	"github.com/mastichollow/mastichollow/internal/wire"
 )
 
 // ErrSettings marks settings that a router cannot work with.
@@ -23,10 +23,11 @@
 	log     hclog.Logger
 	metrics *metrics
 	index   indexCache
-	waiting *waitingRoom
 	budget  *retryBudget
 	forget  *forgetter
 	stopped atomic.Bool
+
+	admission *admission
 }
 
 // New returns a router. Its error names every fault of cfg and is marked
@@ -40,14 +41,35 @@
 		cfg:     cfg,
 		log:     cfg.Logger,
 		metrics: newMetrics(cfg.Registerer),
-		index:   indexCache{store: cfg.Store},
-		waiting: newWaitingRoom(cfg.Limits.Offered),
 		budget:  newRetryBudget(cfg.Timing.RetryRatio, cfg.Timing.RetryBurst),
 		forget:  newForgetter(cfg.Opener),
 	}
+	r.admission = newAdmission(cfg.Site.Domain)
+	r.index = indexCache{store: cfg.Store, changed: r.admission.apply}
+	r.index.get()
+	cfg.Store.OnDigest(r.admission.merge)
 	return r, nil
 }
 
+// Run keeps the limits of the workspaces up to date until ctx ends.
+func (r *Router) Run(ctx context.Context) error {
+	tick := time.NewTicker(admissionPeriod)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+			r.index.get()
+			r.admission.expire()
+		case <-ctx.Done():
+			return nil
+		}
+	}
+}
+
+// Report returns what this router admitted and what waits here, for the reports
+// to the fleet.
+func (r *Router) Report() []wire.PoolSums { return r.admission.report() }
+
 // Ready returns nil when the router can take requests, or the reason why not.
 func (r *Router) Ready() error {
 	if r.stopped.Load() {
@@ -67,6 +89,9 @@
 func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	id := request.NewID()
 	w.Header().Set(headerRequestID, string(id))
+	if r.stopped.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	e, refused := r.checkEnvelope(id, req)
 	if refused != nil {
 		r.refuse(w, e, nil, refused)
@@ -99,27 +124,31 @@
 
 // serve admits a request, reads its body and runs it.
 func (r *Router) serve(w http.ResponseWriter, req *http.Request, e envelope, check checker) {
-	release, refused := r.cfg.Limiter.Admit(e.row)
+	body, refused := r.readBody(w, req)
 	if refused != nil {
 		r.refuse(w, e, nil, refused)
 		return
 	}
-	defer release()
-	body, refused := r.readBody(w, req)
+	c, refused := check(e, req, body)
 	if refused != nil {
 		r.refuse(w, e, nil, refused)
 		return
 	}
-	c, refused := check(e, req, body)
+	if e.idx.quarantined(c.content.Fingerprint) {
+		r.refuse(w, e, c, refuse(request.ReasonQuarantined, "requests like it crashed targets"))
+		return
+	}
+	admitted, refused := r.admission.admit(c.row.ID, c.pool)
 	if refused != nil {
-		r.refuse(w, e, nil, refused)
+		r.refuse(w, e, c, refused)
 		return
 	}
-	r.run(w, req, e, c)
+	defer admitted.done()
+	r.run(w, req, e, c, admitted)
 }
 
 // run runs c and finishes the caller's answer.
-func (r *Router) run(w http.ResponseWriter, req *http.Request, e envelope, c *call) {
+func (r *Router) run(w http.ResponseWriter, req *http.Request, e envelope, c *call, admitted *admitted) {
 	if c.key != "" {
 		w.Header().Set(headerIdempotencyKey, c.key)
 	}
@@ -129,7 +158,7 @@
 	r.metrics.running.Inc()
 	defer r.metrics.running.Dec()
 	ans := newAnswer(w, r.cfg.Timing.Write)
-	refused := newExecution(r, c, ans).run(ctx)
+	refused := newExecution(r, c, ans, admitted).run(ctx)
 	r.metrics.observe(c, ans, refused, began)
 	switch {
 	case refused == nil:
@@ -178,8 +207,3 @@
 	}
 	r.log.Info(message, args...)
 }
-
-// String names the router's place in logs.
-func (r *Router) String() string {
-	return fmt.Sprintf("router in %s/%s", r.cfg.Site.Region, r.cfg.Site.Domain)
-}
