--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -105,9 +105,9 @@
 // validate names every fault of the settings at once.
 func (c Config) validate() error {
 	var faults []error
-	check := func(ok bool, format string, args ...any) {
+	check := func(ok bool, fault string) {
 		if !ok {
-			faults = append(faults, errors.Newf(format, args...))
+			faults = append(faults, errors.New(fault))
 		}
 	}
 	check(c.Store != nil, "store is missing")
