--- a/internal/platform/batcher.go
+++ b/internal/platform/batcher.go
@@ -135,7 +135,8 @@
 	return c.sent
 }
 
-// Run sends transactions until ctx ends, then waits for those under way.
+// Run sends transactions until ctx ends, then sends what it has gathered and
+// waits for the transactions under way.
 func (b *Batcher) Run(ctx context.Context) error {
 	var sending sync.WaitGroup
 	defer close(b.ended)
@@ -168,7 +169,7 @@
 	case <-ctx.Done():
 		return nil, nil, ctx.Err()
 	}
-	commits, next := b.gather(first, tick.C)
+	commits, next := b.gather(ctx, first, tick.C)
 	return commits, next, nil
 }
 
@@ -185,11 +186,11 @@
 }
 
 // gather adds commits to first until the tick, or until maxWrites writes are
-// gathered. Commits that came before the tick are all taken.
-func (b *Batcher) gather(first *commit, tick <-chan time.Time) ([]*commit, *commit) {
+// gathered or ctx ends. Commits that came before the tick are all taken.
+func (b *Batcher) gather(ctx context.Context, first *commit, tick <-chan time.Time) ([]*commit, *commit) {
 	commits, size := []*commit{first}, len(first.writes)
 	for size < b.maxWrites {
-		c := b.nextCommit(tick)
+		c := b.nextCommit(ctx, tick)
 		if c == nil {
 			return commits, nil
 		}
@@ -201,8 +202,9 @@
 	return commits, nil
 }
 
-// nextCommit returns the next commit, or nil if none came before the tick.
-func (b *Batcher) nextCommit(tick <-chan time.Time) *commit {
+// nextCommit returns the next commit, or nil if none came before the tick or
+// the end of ctx.
+func (b *Batcher) nextCommit(ctx context.Context, tick <-chan time.Time) *commit {
 	select {
 	case c := <-b.queue:
 		return c
@@ -213,6 +215,8 @@
 		return c
 	case <-tick:
 		return nil
+	case <-ctx.Done():
+		return nil
 	}
 }
 
--- /dev/null
+++ b/internal/platform/batcher_test.go
@@ -0,0 +1,293 @@
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/platform"
+	"github.com/mastichollow/mastichollow/internal/standin"
+)
+
+// result is the result of one caller's commit.
+type result struct {
+	version uint64
+	err     error
+}
+
+// commitAll lets a caller commit each of commits at once.
+func commitAll(ctx context.Context, b *platform.Batcher, commits ...[]platform.Write) []result {
+	results := make([]result, len(commits))
+	var callers sync.WaitGroup
+	for i, writes := range commits {
+		callers.Go(func() { results[i].version, results[i].err = b.Commit(ctx, writes...) })
+	}
+	callers.Wait()
+	return results
+}
+
+func create(key string) []platform.Write { return []platform.Write{{Key: key}} }
+
+// withBatcher runs check on a batcher for a stand-in table.
+func withBatcher(t *testing.T, maxWrites int, check func(*testing.T, *standin.Table, *platform.Batcher)) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.NewTable()
+		b := platform.NewBatcher(table, tick, maxWrites)
+		go func() { _ = b.Run(t.Context()) }()
+		check(t, table, b)
+	})
+}
+
+func wantWrites(t *testing.T, table *standin.Table, want uint64) {
+	t.Helper()
+	_, writes := table.Calls()
+	require.Equal(t, want, writes, "transactions")
+}
+
+func TestBatcherSendsOneTransactionPerTick(t *testing.T) {
+	withBatcher(t, 1000, func(t *testing.T, table *standin.Table, b *platform.Batcher) {
+		var commits [][]platform.Write
+		for i := range 100 {
+			commits = append(commits, create(fmt.Sprint(i)))
+		}
+		began := time.Now()
+		for _, r := range commitAll(t.Context(), b, commits...) {
+			require.NoError(t, r.err)
+			require.Equal(t, uint64(1), r.version)
+		}
+		require.Equal(t, tick, time.Since(began))
+		wantWrites(t, table, 1)
+	})
+}
+
+func TestBatcherBoundsTheWritesOfATransaction(t *testing.T) {
+	withBatcher(t, 10, func(t *testing.T, table *standin.Table, b *platform.Batcher) {
+		var commits [][]platform.Write
+		for i := range 20 {
+			writes := []platform.Write{{Key: fmt.Sprint("a", i)}, {Key: fmt.Sprint("b", i)}, {Key: fmt.Sprint("c", i)}}
+			commits = append(commits, writes)
+		}
+		for _, r := range commitAll(t.Context(), b, commits...) {
+			require.NoError(t, r.err)
+		}
+		wantWrites(t, table, 7)
+	})
+}
+
+func TestBatcherTellsOnlyTheConflictingCallers(t *testing.T) {
+	withBatcher(t, 1000, func(t *testing.T, table *standin.Table, b *platform.Batcher) {
+		_, err := table.Commit(t.Context(), create("taken")...)
+		require.NoError(t, err)
+		results := commitAll(t.Context(), b,
+			create("a"), append(create("b"), create("taken")...), create("c"))
+		require.NoError(t, results[0].err)
+		require.NoError(t, results[2].err)
+		var conflict *platform.ConflictError
+		require.ErrorAs(t, results[1].err, &conflict)
+		require.Equal(t, []string{"taken"}, conflict.Keys)
+		_, err = table.Get(t.Context(), "b")
+		require.ErrorIs(t, err, platform.ErrNotFound)
+		wantWrites(t, table, 3)
+	})
+}
+
+func TestBatcherDecidesAFloodOfOneKeyInFewTransactions(t *testing.T) {
+	for name, taken := range map[string]bool{"new key": false, "taken key": true} {
+		t.Run(name, func(t *testing.T) {
+			withBatcher(t, 1000, func(t *testing.T, table *standin.Table, b *platform.Batcher) {
+				if taken {
+					_, err := table.Commit(t.Context(), create("key")...)
+					require.NoError(t, err)
+				}
+				commits := make([][]platform.Write, 100)
+				for i := range commits {
+					commits[i] = create("key")
+				}
+				won := 0
+				for _, r := range commitAll(t.Context(), b, commits...) {
+					if r.err == nil {
+						won++
+						continue
+					}
+					require.ErrorIs(t, r.err, platform.ErrConflict)
+				}
+				if taken {
+					require.Zero(t, won)
+					wantWrites(t, table, 2)
+					return
+				}
+				require.Equal(t, 1, won)
+				wantWrites(t, table, 1)
+			})
+		})
+	}
+}
+
+// commitInTurn lets callers commit within one tick in the order of commits.
+func commitInTurn(ctx context.Context, b *platform.Batcher, commits ...[]platform.Write) []result {
+	results := make([]result, len(commits))
+	var callers sync.WaitGroup
+	for i, writes := range commits {
+		callers.Go(func() { results[i].version, results[i].err = b.Commit(ctx, writes...) })
+		synctest.Wait()
+	}
+	callers.Wait()
+	return results
+}
+
+func TestBatcherRunsCommitsOfOneKeyInTurn(t *testing.T) {
+	const version = 1 // of the key before the commits
+	update := []platform.Write{{Key: "key", If: version}}
+	remove := []platform.Write{{Key: "key", Delete: true, If: version}}
+	for name, c := range map[string]struct {
+		first, second       []platform.Write
+		firstErr, secondErr error
+	}{
+		"update after update":        {update, update, nil, platform.ErrConflict},
+		"create after delete":        {remove, create("key"), nil, nil},
+		"delete after delete":        {remove, remove, nil, platform.ErrConflict},
+		"update after failed create": {create("key"), update, platform.ErrConflict, nil},
+		"create after failed create": {create("key"), create("key"), platform.ErrConflict, platform.ErrConflict},
+	} {
+		t.Run(name, func(t *testing.T) {
+			withBatcher(t, 1000, func(t *testing.T, table *standin.Table, b *platform.Batcher) {
+				_, err := table.Commit(t.Context(), create("key")...)
+				require.NoError(t, err)
+				results := commitInTurn(t.Context(), b, c.first, c.second)
+				require.ErrorIs(t, results[0].err, c.firstErr)
+				require.ErrorIs(t, results[1].err, c.secondErr)
+			})
+		})
+	}
+}
+
+func TestBatcherDoesNotSendACommitBehindAFailedOne(t *testing.T) {
+	withBatcher(t, 1000, func(t *testing.T, table *standin.Table, b *platform.Batcher) {
+		countdown(table, 1, standin.FaultAnswerLost)
+		results := commitInTurn(t.Context(), b, create("key"), create("key"))
+		require.ErrorIs(t, results[0].err, platform.ErrUncertain)
+		require.ErrorIs(t, results[1].err, platform.ErrUnavailable)
+		wantWrites(t, table, 1)
+	})
+}
+
+// unnamed is a table service whose conflicts name no keys.
+type unnamed struct{ *standin.Table }
+
+func (u unnamed) Commit(ctx context.Context, writes ...platform.Write) (uint64, error) {
+	version, err := u.Table.Commit(ctx, writes...)
+	if err != nil {
+		return 0, platform.ErrConflict
+	}
+	return version, nil
+}
+
+func TestBatcherTellsApartAConflictWithoutKeys(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := standin.NewTable()
+		_, err := table.Commit(t.Context(), create("taken")...)
+		require.NoError(t, err)
+		b := platform.NewBatcher(unnamed{table}, tick, 10)
+		go func() { _ = b.Run(t.Context()) }()
+		results := commitAll(t.Context(), b, create("a"), create("taken"), create("b"))
+		require.NoError(t, results[0].err)
+		require.ErrorIs(t, results[1].err, platform.ErrConflict)
+		require.NoError(t, results[2].err)
+	})
+}
+
+func TestBatcherTellsEachCallerOfAFailedTransaction(t *testing.T) {
+	for fault, want := range map[standin.Fault]error{
+		standin.FaultAnswerLost:  platform.ErrUncertain,
+		standin.FaultRequestLost: platform.ErrUncertain,
+		standin.FaultDown:        platform.ErrUnavailable,
+	} {
+		withBatcher(t, 1000, func(t *testing.T, table *standin.Table, b *platform.Batcher) {
+			countdown(table, 1, fault)
+			for _, r := range commitAll(t.Context(), b, create("a"), create("b"), create("c")) {
+				require.ErrorIs(t, r.err, want)
+			}
+			wantWrites(t, table, 1)
+		})
+	}
+}
+
+func TestBatcherNeverSendsAWithdrawnCommit(t *testing.T) {
+	withBatcher(t, 1000, func(t *testing.T, table *standin.Table, b *platform.Batcher) {
+		ctx, cancel := context.WithTimeout(t.Context(), tick/2)
+		defer cancel()
+		_, err := b.Commit(ctx, create("a")...)
+		require.ErrorIs(t, err, platform.ErrUnavailable)
+		time.Sleep(10 * tick)
+		wantWrites(t, table, 0)
+	})
+}
+
+// slowTable is a table service whose commits last a second.
+type slowTable struct{ *standin.Table }
+
+func (s slowTable) Commit(ctx context.Context, writes ...platform.Write) (uint64, error) {
+	time.Sleep(time.Second)
+	return s.Table.Commit(ctx, writes...)
+}
+
+func TestBatcherSaysUncertainOfASentCommit(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		table := slowTable{standin.NewTable()}
+		b := platform.NewBatcher(table, tick, 10)
+		go func() { _ = b.Run(t.Context()) }()
+		ctx, cancel := context.WithTimeout(t.Context(), 2*tick)
+		defer cancel()
+		_, err := b.Commit(ctx, create("a")...)
+		require.ErrorIs(t, err, platform.ErrUncertain)
+		time.Sleep(2 * time.Second)
+		_, err = table.Get(t.Context(), "a")
+		require.NoError(t, err)
+	})
+}
+
+func TestBatcherStopFinishesWhatWasGathered(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := platform.NewBatcher(slowTable{standin.NewTable()}, tick, 10)
+		running, stop := context.WithCancel(t.Context())
+		go func() { _ = b.Run(running) }()
+		var sent, late result
+		var callers sync.WaitGroup
+		callers.Go(func() { sent.version, sent.err = b.Commit(t.Context(), create("a")...) })
+		time.Sleep(2 * tick)
+		callers.Go(func() { late.version, late.err = b.Commit(t.Context(), create("b")...) })
+		time.Sleep(tick / 2)
+		stop()
+		callers.Wait()
+		require.NoError(t, sent.err)
+		require.NoError(t, late.err)
+		_, err := b.Commit(t.Context(), create("c")...)
+		require.ErrorIs(t, err, platform.ErrUnavailable)
+	})
+}
+
+func BenchmarkBatcher(b *testing.B) {
+	for _, callers := range []int{10, 100, 1000} {
+		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
+			table := standin.NewTable()
+			batcher := platform.NewBatcher(table, time.Millisecond, 4096)
+			go func() { _ = batcher.Run(b.Context()) }()
+			b.ResetTimer()
+			for round := range b.N {
+				commits := make([][]platform.Write, callers)
+				for i := range commits {
+					commits[i] = create(fmt.Sprint(round, "/", i))
+				}
+				commitAll(b.Context(), batcher, commits...)
+			}
+			_, transactions := table.Calls()
+			b.ReportMetric(float64(callers*b.N)/float64(transactions), "writes/transaction")
+			b.ReportMetric(float64(callers*b.N)/b.Elapsed().Seconds(), "claims/s")
+		})
+	}
+}
--- /dev/null
+++ b/internal/platform/client_test.go
@@ -0,0 +1,146 @@
+package platform_test
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/platform"
+)
+
+// patient keeps the verdicts from depending on the machine's speed.
+var patient = platform.Options{Timeout: time.Minute, MaxAnswer: 1 << 10}
+
+// canned answers each request on a connection of its own with the same bytes.
+type canned struct {
+	net.Listener
+	calls    atomic.Int64
+	received func() // called when a request has come
+}
+
+func newCanned(t *testing.T, answer string) *canned {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	c := &canned{Listener: l, received: func() {}}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			c.answer(conn, answer)
+		}
+	}()
+	return c
+}
+
+func (c *canned) answer(conn net.Conn, answer string) {
+	defer conn.Close()
+	req, err := http.ReadRequest(bufio.NewReader(conn))
+	if err != nil {
+		return
+	}
+	_, _ = io.Copy(io.Discard, req.Body)
+	c.calls.Add(1)
+	c.received()
+	_, _ = io.WriteString(conn, answer)
+}
+
+func (c *canned) url() string { return "http://" + c.Addr().String() }
+
+func TestTableClientTranslatesAnswers(t *testing.T) {
+	const (
+		ok       = "HTTP/1.1 200 OK\r\nContent-Length: "
+		conflict = "HTTP/1.1 409 Conflict\r\nContent-Length: "
+	)
+	for name, c := range map[string]struct {
+		answer    string
+		get, list error
+		commit    error
+	}{
+		"connection closed":     {"", platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUncertain},
+		"no HTTP":               {"hello\r\n\r\n", platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUncertain},
+		"body cut":              {ok + "100\r\n\r\n{\"version\":3}", platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUncertain},
+		"body without an end":   {"HTTP/1.1 200 OK\r\n\r\n{\"version\":3}", platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUncertain},
+		"body too large":        {ok + "2013\r\n\r\n{\"version\":3" + strings.Repeat(" ", 2000) + "}", platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUncertain},
+		"no JSON":               {ok + "3\r\n\r\nabc", platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUncertain},
+		"no version":            {ok + "2\r\n\r\n{}", platform.ErrUnavailable, nil, platform.ErrUncertain},
+		"other key":             {ok + "23\r\n\r\n{\"key\":\"b\",\"version\":3}", platform.ErrUnavailable, nil, nil},
+		"service unavailable":   {"HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\n\r\n", platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUnavailable},
+		"internal error":        {"HTTP/1.1 500 Internal Server Error\r\nContent-Length: 0\r\n\r\n", platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUncertain},
+		"gateway timeout":       {"HTTP/1.1 504 Gateway Timeout\r\nContent-Length: 0\r\n\r\n", platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUncertain},
+		"bad request":           {"HTTP/1.1 400 Bad Request\r\nContent-Length: 0\r\n\r\n", platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUnavailable},
+		"redirect":              {"HTTP/1.1 307 Temporary Redirect\r\nLocation: /\r\nContent-Length: 0\r\n\r\n", platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUnavailable},
+		"not found":             {"HTTP/1.1 404 Not Found\r\nContent-Length: 0\r\n\r\n", platform.ErrNotFound, platform.ErrUnavailable, platform.ErrUnavailable},
+		"conflict":              {conflict + "14\r\n\r\n{\"keys\":[\"a\"]}", platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrConflict},
+		"conflict without keys": {conflict + "2\r\n\r\n{}", platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUncertain},
+		"conflict of other key": {conflict + "14\r\n\r\n{\"keys\":[\"b\"]}", platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUncertain},
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := newCanned(t, c.answer)
+			// A client for each call, since the server closes its connections.
+			client := func() *platform.TableClient { return platform.NewTableClient(server.url(), patient) }
+			_, err := client().Get(t.Context(), "a")
+			requireMark(t, err, c.get)
+			_, err = client().List(t.Context(), "a")
+			requireMark(t, err, c.list)
+			before := server.calls.Load()
+			_, err = client().Commit(t.Context(), platform.Write{Key: "a"})
+			requireMark(t, err, c.commit)
+			require.Equal(t, int64(1), server.calls.Load()-before, "commits sent")
+		})
+	}
+}
+
+// requireMark fails the test unless err is marked want and no other.
+func requireMark(t *testing.T, err, want error) {
+	t.Helper()
+	if want == nil {
+		require.NoError(t, err)
+		return
+	}
+	for _, mark := range []error{
+		platform.ErrNotFound, platform.ErrConflict, platform.ErrUnavailable, platform.ErrUncertain,
+	} {
+		require.Equal(t, errors.Is(want, mark), errors.Is(err, mark), "error %v, want mark %q", err, want)
+	}
+}
+
+func TestClientsCallARefusedConnectionUnavailable(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	url := "http://" + l.Addr().String()
+	require.NoError(t, l.Close())
+	_, err = platform.NewTableClient(url, patient).Commit(t.Context(), platform.Write{Key: "a"})
+	requireMark(t, err, platform.ErrUnavailable)
+	err = platform.NewObjectClient(url, patient).Put(t.Context(), "a", nil)
+	requireMark(t, err, platform.ErrUnavailable)
+	_, err = platform.NewVMClient(url, patient).List(t.Context())
+	requireMark(t, err, platform.ErrUnavailable)
+}
+
+func TestTableClientCallsACommitGivenUpAfterSendingUncertain(t *testing.T) {
+	ctx, cancel := context.WithCancel(t.Context())
+	server := newCanned(t, "")
+	server.received = func() { cancel(); <-t.Context().Done() }
+	_, err := platform.NewTableClient(server.url(), patient).Commit(ctx, platform.Write{Key: "a"})
+	requireMark(t, err, platform.ErrUncertain)
+}
+
+func TestTableClientBoundsTheTimeOfACall(t *testing.T) {
+	server := newCanned(t, "")
+	server.received = func() { <-t.Context().Done() }
+	table := platform.NewTableClient(server.url(), platform.Options{Timeout: 20 * time.Millisecond})
+	_, err := table.Get(t.Context(), "a")
+	requireMark(t, err, platform.ErrUnavailable)
+}
