--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -72,7 +72,7 @@
 		"no HTTP":               {"hello\r\n\r\n", platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUncertain},
 		"body cut":              {ok + "100\r\n\r\n{\"version\":3}", platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUncertain},
 		"body without an end":   {"HTTP/1.1 200 OK\r\n\r\n{\"version\":3}", platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUncertain},
-		"body too large":        {ok + "2013\r\n\r\n{\"version\":3" + strings.Repeat(" ", 2000) + "}", platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUncertain},
+		"body too large":        {ok + "2013\r\n\r\n{\"version\":3}" + strings.Repeat(" ", 2000), platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUncertain},
 		"no JSON":               {ok + "3\r\n\r\nabc", platform.ErrUnavailable, platform.ErrUnavailable, platform.ErrUncertain},
 		"no version":            {ok + "2\r\n\r\n{}", platform.ErrUnavailable, nil, platform.ErrUncertain},
 		"other key":             {ok + "23\r\n\r\n{\"key\":\"b\",\"version\":3}", platform.ErrUnavailable, nil, nil},
