--- a/internal/fairness/ledger.go
+++ b/internal/fairness/ledger.go
@@ -85,8 +85,8 @@
 }
 
 // Own returns the service that this agent produced, by workspace, and the
-// requests that it runs. Waiting requests are for the routers to report, since
-// one request may wait at several agents.
+// requests that it runs. Waiting requests are the caller's to add, since one
+// request may wait at several agents and has to be reported by one of them.
 func (l *Ledger) Own() []Total {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/fairness/source/source.go
+++ b/internal/fairness/source/source.go
@@ -14,6 +14,8 @@
 package source
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/mastichollow/mastichollow/internal/workspace"
@@ -119,7 +121,8 @@
 // Expire gives up the gauges of the sources not heard for GaugeAge and forgets
 // those not heard for Retention.
 func (s Set) Expire(now time.Time, visit func(Change)) {
-	for name, o := range s {
+	for _, name := range slices.Sorted(maps.Keys(s)) {
+		o := s[name]
 		o.stamp(now)
 		age := now.Sub(o.heard)
 		if age > GaugeAge && !o.silent {
@@ -207,7 +210,8 @@
 
 // clear sets the gauges to zero.
 func (o *origin) clear(name string, visit func(Change)) {
-	for ws, r := range o.rows {
+	for _, ws := range slices.Sorted(maps.Keys(o.rows)) {
+		r := o.rows[ws]
 		if r.Gauges == (Gauges{}) {
 			continue
 		}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -6,8 +6,9 @@
 // sees all requests at the moment at which it has to admit one.
 //
 // Admission keeps the rate and the queue at the routers, Concurrency the running
-// requests at the agents. In the sums of a pool, Started (admitted requests) and
-// Queued (waiting requests) come from routers, Service and Running from agents.
+// requests at the agents. Routers report the requests that they admitted
+// (Started) and that wait (Queued) under a pool of their own, Pool, so that
+// nothing is counted twice where sums are added up.
 //
 // Invariants, for n members that decide, reports of age T up to window, and a
 // limit of which F is free as far as is known:
@@ -58,6 +59,9 @@
 	maxRetryAfter = time.Minute
 )
 
+// Pool is the name under which routers report their sums.
+const Pool = "routers"
+
 // Limits of one workspace over the fleet. 0 means no limit.
 type Limits struct {
 	Rate        float64 // requests/s
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -57,9 +57,8 @@
 
 // Sum is what one workspace has got at one source. Service and Started only
 // grow within an incarnation of the source; Running and Queued are the latest
-// figures. Agents report Service and Running, routers Started (admitted
-// requests) and Queued (waiting requests), so that each request counts once
-// wherever sums are added up.
+// figures. In the pool of a target agents report, and Queued counts a request
+// at its home agent only, so that each counts once wherever sums are added up.
 type Sum struct {
 	Workspace workspace.RowID `cbor:"1,keyasint"`
 	Service   uint64          `cbor:"2,keyasint"` // service units
