--- a/Makefile
+++ b/Makefile
@@ -7,11 +7,20 @@
 
 export CGO_ENABLED = 1
 
-.PHONY: build test lint format
+.PHONY: build demo up down test guarantees lint format
 
 build: ## Build the programs into bin/.
 	$(GO) build -ldflags "$(LDFLAGS)" -o bin/ ./cmd/...
 
+demo: build ## Run a fleet on loopback, send requests through it and check them.
+	scripts/demo.sh
+
+up: build ## Leave a fleet running on loopback.
+	scripts/up.sh
+
+down: ## Stop the fleet that `make up` started.
+	scripts/fleet.sh down $${TMPDIR:-/tmp}/mastichollow-fleet
+
 lint: ## Check the format and run the linter.
 	$(LINT) fmt --diff ./...
 	$(LINT) run ./...
@@ -21,4 +30,7 @@
 
 test: lint ## Check the format, run the linter and every test with the race detector.
 	$(GO) vet ./...
-	$(GO) test -race -count=1 ./...
+	GO=$(GO) scripts/test.sh
+
+guarantees: ## Run the tests behind docs/GUARANTEES.md, a line for each promise.
+	GO=$(GO) scripts/guarantees.sh
