--- a/internal/agent/offer.go
+++ b/internal/agent/offer.go
@@ -65,6 +65,7 @@
 	at     *attempt
 	stream transport.Stream
 	inbox  *inbox
+	reader uint64 // the stream's number at the output, once Run has come
 }
 
 // serveOffer serves an offer until its stream ends.
@@ -212,6 +213,7 @@
 		of.refuseGone(ctx)
 		return false
 	}
+	of.reader = at.out.attachFirst() // before anything is written
 	of.background.Go(func() { of.run(at) })
 	return true
 }
@@ -247,13 +249,9 @@
 // accepted relays the answer.
 func (of *offering) accepted(ctx context.Context) {
 	id := of.at.offer.Attempt
-	reader, err := of.at.out.attach(0, true)
-	if err != nil {
-		return
-	}
 	if of.stream.Send(ctx, &wire.Accepted{Attempt: id}) != nil {
-		of.detach(of.at, reader)
+		of.detach(of.at, of.reader)
 		return
 	}
-	of.relay(ctx, &relay{at: of.at, stream: of.stream, inbox: of.inbox, reader: reader})
+	of.relay(ctx, &relay{at: of.at, stream: of.stream, inbox: of.inbox, reader: of.reader})
 }
--- a/internal/agent/output.go
+++ b/internal/agent/output.go
@@ -131,12 +131,24 @@
 	if offset < o.base || offset > o.end() {
 		return 0, errors.Wrapf(errGap, "offset %d is not between %d and %d", offset, o.base, o.end())
 	}
+	return o.attachLocked(offset, head), nil
+}
+
+// attachFirst makes the offer's own stream the reader of a new output.
+func (o *output) attachFirst() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.attachLocked(0, true)
+}
+
+// attachLocked makes a stream the only reader. o.mu is held.
+func (o *output) attachLocked(offset uint64, head bool) uint64 {
 	o.reader++
 	o.attached = true
 	o.sent = offset
 	o.headSent = !head
 	o.notify()
-	return o.reader, nil
+	return o.reader
 }
 
 // detach ends the reading by stream number reader and reports whether it was
