--- a/cmd/mastichollow-standin/roles.go
+++ b/cmd/mastichollow-standin/roles.go
@@ -15,7 +15,7 @@
 // platformCommand runs the platform.
 type platformCommand struct {
 	listenSettings
-	VMs string `help:"JSON file with the VM list at start." type:"existingfile" placeholder:"FILE"`
+	VMs string `name:"vms" help:"JSON file with the VM list at start." type:"existingfile" placeholder:"FILE"`
 }
 
 // Run runs the platform until ctx ends.
--- a/internal/demo/orders.go
+++ b/internal/demo/orders.go
@@ -82,7 +82,7 @@
 	cases := []struct{ name, key, path, want string }{
 		{"unknown API key", "nobody", pathOrders, "401"},
 		{"service not allowed", d.cfg.LettersKey, pathOrders, "403"},
-		{"unknown service", d.cfg.ShopKey, "/services/none/orders", "403"},
+		{"unknown service", d.cfg.ShopKey, "/services/none/orders", "404"},
 	}
 	for _, c := range cases {
 		resp, err := d.post(ctx, d.cfg.Routers[0]+c.path, c.key, `{"order":"never"}`, nil)
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -107,27 +107,41 @@
 EOF
 }
 
-# down stops the processes in the reverse order of their start, so that the
-# routers finish while their agents and targets still run.
-down() {
+# stop_group PATTERN: stops the processes whose names match and waits for them.
+stop_group() {
   local pid name i
-  [[ -f $dir/pids ]] || return 0
-  tac "$dir/pids" | while read -r pid name; do
-    kill -TERM "$pid" 2>/dev/null || continue
+  local -A group=()
+  while read -r pid name; do
+    if [[ $name =~ $1 ]] && kill -TERM "$pid" 2>/dev/null; then group[$pid]=$name; fi
+  done <"$dir/pids"
+  for pid in "${!group[@]}"; do
     for ((i = 0; i < stop_tries; i++)); do
       kill -0 "$pid" 2>/dev/null || break
       sleep 0.1
     done
     if kill -0 "$pid" 2>/dev/null; then
-      echo "$name ($pid) did not stop and is killed" >&2
+      echo "${group[$pid]} ($pid) did not stop and is killed" >&2
       kill -KILL "$pid"
     fi
   done
+}
+
+# down stops the routers first, so that they finish while the agents and targets
+# still run, then the agents, then the stand-ins.
+down() {
+  [[ -f $dir/pids ]] || return 0
+  stop_group '^router-'
+  stop_group '^(letters|shop)-'
+  stop_group .
   rm -f "$dir/pids"
 }
 
 case $action in
-up) up || { down; exit 1; } ;;
+up)
+  trap 'down' ERR
+  set -E
+  up
+  ;;
 down) down ;;
 *) echo "unknown action $action" >&2 && exit 2 ;;
 esac
