--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -247,7 +247,7 @@
 
 // fixture is a router with a fake fleet.
 type fixture struct {
-	t      *testing.T
+	t      testing.TB
 	fleet  *fakeFleet
 	store  *fleet.Store
 	router *Router
@@ -255,7 +255,7 @@
 }
 
 // newFixture returns a router with the given agents in its store.
-func newFixture(t *testing.T, change func(*Config), vms ...target.VM) *fixture {
+func newFixture(t testing.TB, change func(*Config), vms ...target.VM) *fixture {
 	t.Helper()
 	f := &fixture{t: t, fleet: newFakeFleet(), store: fleet.NewStore(), reg: prometheus.NewRegistry()}
 	f.store.ApplyTable(testTable(1))
--- /dev/null
+++ b/internal/router/fleet_test.go
@@ -0,0 +1,223 @@
+package router
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/request"
+	"github.com/mastichollow/mastichollow/internal/target"
+	"github.com/mastichollow/mastichollow/internal/transport"
+	"github.com/mastichollow/mastichollow/internal/wire"
+	"github.com/mastichollow/mastichollow/internal/workspace"
+)
+
+// claimingAgent returns a script that runs a request once per claim, as agents
+// with one table of claims do, and counts the runs. fault, if not nil, ends the
+// first run's stream in place of its answer.
+func claimingAgent(runs *int, fault maker) script {
+	var mu sync.Mutex
+	started := make(map[string]bool)
+	return func(ctx context.Context, s transport.Stream, first wire.Message) {
+		offer, ok := first.(*wire.Offer)
+		if !ok {
+			sendAll(ctx, s, firstAttempt(first), fail(request.OutcomeUnknown, request.ReasonUnknownAttempt))
+			return
+		}
+		_ = s.Send(ctx, &wire.Grant{Attempt: offer.Attempt})
+		if awaitRun(ctx, s) == nil {
+			return
+		}
+		mu.Lock()
+		again := started[string(offer.Claim)]
+		started[string(offer.Claim)] = true
+		if !again {
+			*runs++
+		}
+		mu.Unlock()
+		switch {
+		case again:
+			sendAll(ctx, s, offer.Attempt, accepted, fail(request.OutcomeUnknown, request.ReasonInProgress))
+		case fault != nil:
+			sendAll(ctx, s, offer.Attempt, accepted, fault)
+		default:
+			sendAll(ctx, s, offer.Attempt, answers("text/plain", "ordered")...)
+		}
+		drain(ctx, s)
+	}
+}
+
+// TestOneKeyThroughThreeRoutersRunsOnce sends one order through three routers
+// at once: the claim is the same at each, no router hands it over again, and
+// none says of it that it did not run.
+func TestOneKeyThroughThreeRoutersRunsOnce(t *testing.T) {
+	for name, fault := range map[string]maker{"answered": nil, "agent lost": lost, "target crashed": fail(request.OutcomeUnknown, request.ReasonTargetCrashed)} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runs := 0
+				shared := claimingAgent(&runs, fault)
+				codes := make(chan int, 3)
+				for range 3 {
+					f := newFixture(t, nil, shop("s1"), shop("s2"))
+					f.fleet.set("s1", shared)
+					f.fleet.set("s2", shared)
+					go func() {
+						rec, _ := f.serve(post(order, "{}", "Idempotency-Key: order-7"))
+						if rec.Code != http.StatusOK {
+							assert.NotContains(t, rec.Body.String(), "not_run")
+						}
+						codes <- rec.Code
+					}()
+				}
+				ok := 0
+				for range 3 {
+					if <-codes == http.StatusOK {
+						ok++
+					}
+				}
+				require.Equal(t, 1, runs)
+				require.Equal(t, fault == nil, ok == 1)
+				require.LessOrEqual(t, ok, 1)
+			})
+		})
+	}
+}
+
+// TestSpill checks when agents of another region are asked, and that their
+// offers and bytes are counted by the class of the link.
+func TestSpill(t *testing.T) {
+	tests := []struct {
+		name  string
+		far   *wire.PoolSums // load of the other region, nil: unknown
+		home  script
+		after time.Duration // until the far agent answers; < 0: never
+	}{
+		{"free slots elsewhere", &wire.PoolSums{Free: 1}, sends(queued(false)), 0},
+		{"load unknown", nil, sends(queued(false)), time.Second},
+		{"others wait there", &wire.PoolSums{Free: 1, Queued: 1}, sends(queued(false)), time.Second},
+		{"no slots elsewhere", &wire.PoolSums{}, sends(queued(false)), time.Second},
+		{"nobody left here", nil, sends(refusal(request.ReasonDraining)), 0},
+		{"home has a slot", &wire.PoolSums{Free: 1}, grantThen(answers("text/plain", "ok")...), -1},
+		{"duplicate waits at home", &wire.PoolSums{Free: 1}, sends(queued(true)), -1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				f := newFixture(t, nil, agent("a1", "north", "north-b"), agent("far", "south", "south-a"))
+				if tt.far != nil {
+					tt.far.Pool = testModel
+					f.store.ApplyDigest(&wire.Digest{Domain: "south-a", Pools: []wire.PoolSums{*tt.far}})
+				}
+				f.fleet.set("a1", tt.home)
+				f.fleet.set("far", grantThen(answers("text/plain", "from afar")...))
+				began := time.Now()
+				rec, _ := f.serve(post(pathCompletions, chatBody, "X-Request-Timeout: 5"))
+				require.InDelta(t, 1, f.count("offers_total", "link", "region"), 0)
+				if tt.after < 0 {
+					require.Zero(t, f.count("offers_total", "link", "cross_region"))
+					return
+				}
+				require.Equal(t, "from afar", rec.Body.String())
+				require.GreaterOrEqual(t, time.Since(began), tt.after)
+				require.LessOrEqual(t, time.Since(began), tt.after+DefaultTiming().Widen)
+				require.InDelta(t, 1, f.count("offers_total", "link", "cross_region"), 0)
+				require.InDelta(t, len("from afar"), f.count("relayed_bytes_total", "link", "cross_region", "direction", "received"), 0)
+				require.InDelta(t, len(chatBody), f.count("relayed_bytes_total", "link", "cross_region", "direction", "sent"), 0)
+			})
+		})
+	}
+}
+
+// TestWaitingRequestReachesEverySlot checks that a request that waits is offered
+// to each agent that may run it, so that no slot idles while it waits, and also
+// to one that joins meanwhile.
+func TestWaitingRequestReachesEverySlot(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var vms []target.VM
+		for _, id := range []string{"a1", "a2", "a3", "a4", "a5", "a6", "a7", "a8", "a9"} {
+			vms = append(vms, agent(id, "north", "north-a"))
+		}
+		f := newFixture(t, nil, vms...)
+		for _, vm := range vms {
+			f.fleet.set(vm.Addr, sends(queued(false)))
+		}
+		f.fleet.set("late", grantThen(answers("text/plain", "late")...))
+		done := make(chan string)
+		go func() {
+			rec, _ := f.serve(post(pathCompletions, chatBody))
+			done <- rec.Body.String()
+		}()
+		time.Sleep(DefaultTiming().SpillAfter)
+		require.Len(t, f.fleet.seen().offers, len(vms))
+		f.store.ApplyVMs(append(vms, agent("late", "north", "north-a")))
+		require.Equal(t, "late", <-done)
+	})
+}
+
+// TestLimitsOfTheFleetHoldAtTheRouter checks that limits are taken from the
+// table in force, that what other routers admitted counts, and that a refusal
+// asks no agent.
+func TestLimitsOfTheFleetHoldAtTheRouter(t *testing.T) {
+	limited := func(version uint64, rate float64) *workspace.Table {
+		table := testTable(version)
+		table.Rows[0].RateLimit = rate
+		return table
+	}
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, nil, agent("a1", "north", "north-a"))
+		f.fleet.set("a1", grantThen(answers("text/plain", "ok")...))
+		f.store.ApplyTable(limited(2, 1))
+		rec, _ := f.serve(post(pathCompletions, chatBody))
+		require.Equal(t, http.StatusOK, rec.Code)
+		rec, _ = f.serve(post(pathCompletions, chatBody))
+		require.Equal(t, http.StatusTooManyRequests, rec.Code)
+		require.Equal(t, "1", rec.Header().Get("Retry-After"))
+		p := decodeProblem(t, rec)
+		require.Equal(t, problemPrefix+string(request.ReasonRateLimit), p.Type)
+		require.True(t, p.NotRun)
+		require.Equal(t, 1, f.fleet.offerCount())
+		require.Equal(t, uint64(1), f.router.Report()[0].Sums[0].Started)
+		f.store.ApplyTable(limited(3, 0))
+		rec, _ = f.serve(post(pathCompletions, chatBody))
+		require.Equal(t, http.StatusOK, rec.Code)
+	})
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, nil, agent("a1", "north", "north-a"))
+		f.fleet.set("a1", grantThen(answers("text/plain", "ok")...))
+		f.store.ApplyTable(limited(2, 10))
+		for _, started := range []uint64{100, 1000} {
+			f.store.ApplyDigest(&wire.Digest{Domain: "south-a", Pools: []wire.PoolSums{{
+				Pool: testModel, Sums: []wire.Sum{{Workspace: 1, Started: started}},
+			}}})
+		}
+		rec, _ := f.serve(post(pathCompletions, chatBody))
+		require.Equal(t, http.StatusTooManyRequests, rec.Code)
+		require.Zero(t, f.fleet.offerCount())
+	})
+}
+
+// TestQuarantinedRequestIsRefusedAtTheRouter checks that a request known to
+// crash targets asks no agent, and that a suspect is offered as such.
+func TestQuarantinedRequestIsRefusedAtTheRouter(t *testing.T) {
+	for _, quarantined := range []bool{true, false} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, nil, agent("a1", "north", "north-a"))
+			f.fleet.set("a1", grantThen(answers("text/plain", "ok")...))
+			print := hash(1, http.MethodPost, pathCompletions, chatBody)
+			f.store.ApplySuspects([]wire.Suspect{{Fingerprint: print, Quarantined: quarantined}}, time.Now())
+			rec, _ := f.serve(post(pathCompletions, chatBody))
+			if quarantined {
+				require.Equal(t, http.StatusUnprocessableEntity, rec.Code)
+				require.Zero(t, f.fleet.offerCount())
+				return
+			}
+			require.True(t, f.fleet.seen().offers["a1"][0].Suspect)
+		})
+	}
+}
