--- a/cmd/mastichollow-router/settings.go
+++ b/cmd/mastichollow-router/settings.go
@@ -106,9 +106,11 @@
 	timing.SpillAfter = s.SpillAfter
 	timing.MaxRetries = s.MaxRetries
 	timing.RetryRatio = s.RetryRatio
+	limits := router.DefaultLimits()
+	limits.Body, limits.Header, limits.Prompt = s.BodyLimit, s.HeaderLimit, s.PromptLimit
 	return router.Config{
 		Site:   placement.Site{Region: s.Region, Domain: s.Domain},
-		Limits: router.Limits{Body: s.BodyLimit, Header: s.HeaderLimit, Prompt: s.PromptLimit},
+		Limits: limits,
 		Timing: timing,
 		Routes: s.routes,
 	}
--- a/internal/router/binding.go
+++ b/internal/router/binding.go
@@ -26,6 +26,7 @@
 	open      int             // legs that may still grant
 	home      *leg
 	duplicate bool
+	ticket    *ticket
 	last      *request.RefusedError
 }
 
@@ -35,6 +36,12 @@
 
 // bind returns the leg that got the first grant.
 func (b *binding) bind(ctx context.Context) (*leg, *request.RefusedError) {
+	ticket, refused := b.x.r.waiting.enter(b.x.c.row, b.x.c.pool)
+	if refused != nil {
+		return nil, refused
+	}
+	b.ticket = ticket
+	defer ticket.leave()
 	b.askHome(ctx)
 	timer := time.NewTimer(b.x.r.cfg.Timing.HomePatience)
 	defer timer.Stop()
@@ -54,7 +61,7 @@
 				return nil, refused
 			}
 			if winner != nil {
-				b.x.admitted.done()
+				ticket.granted()
 				b.dismiss(winner)
 				return winner, nil
 			}
@@ -86,8 +93,7 @@
 		b.x.r.metrics.offer(e.leg, "granted")
 		return e.leg, nil
 	case *wire.Queued:
-		b.queued(ctx, e.leg, m)
-		return nil, nil
+		return nil, b.queued(ctx, e.leg, m)
 	case *wire.Refuse:
 		return nil, b.refused(e.leg, m)
 	default:
@@ -97,17 +103,21 @@
 }
 
 // queued notes that an offer waits at its agent.
-func (b *binding) queued(ctx context.Context, l *leg, m *wire.Queued) {
+func (b *binding) queued(ctx context.Context, l *leg, m *wire.Queued) *request.RefusedError {
+	if refused := b.ticket.queued(); refused != nil {
+		return refused
+	}
 	if !l.home {
-		return
+		return nil
 	}
 	b.duplicate = m.Duplicate
 	if b.duplicate {
 		b.x.r.metrics.duplicates.Inc()
 		b.dismissOthers(l)
-		return
+		return nil
 	}
 	b.widen(ctx)
+	return nil
 }
 
 // refused notes an agent's refusal. Those of an overload, and those that hold
--- a/internal/router/execution.go
+++ b/internal/router/execution.go
@@ -17,30 +17,28 @@
 // execution runs one call: rounds of offers, each of which ends in a whole
 // answer or a refusal.
 type execution struct {
-	r        *Router
-	c        *call
-	ans      *answer
-	admitted *admitted
-	legs     *legs
-	pauses   *backoff.ExponentialBackOff
-	began    time.Time
-	round    int
-	suspect  bool            // an attempt ran at the crash of its target
-	unknown  bool            // an attempt may have run
-	failed   map[string]bool // VM IDs of agents at which an attempt failed
+	r       *Router
+	c       *call
+	ans     *answer
+	legs    *legs
+	pauses  *backoff.ExponentialBackOff
+	began   time.Time
+	round   int
+	suspect bool            // an attempt ran at the crash of its target
+	unknown bool            // an attempt may have run
+	failed  map[string]bool // VM IDs of agents at which an attempt failed
 }
 
-func newExecution(r *Router, c *call, ans *answer, admitted *admitted) *execution {
+func newExecution(r *Router, c *call, ans *answer) *execution {
 	pauses := backoff.NewExponentialBackOff()
 	pauses.InitialInterval = r.cfg.Timing.RetryBackoff
 	pauses.MaxInterval = r.cfg.Timing.RetryMaxPause
 	return &execution{
-		r:        r,
-		c:        c,
-		ans:      ans,
-		admitted: admitted,
-		pauses:   pauses,
-		began:    time.Now(),
+		r:      r,
+		c:      c,
+		ans:    ans,
+		pauses: pauses,
+		began:  time.Now(),
 		legs: &legs{
 			opener:  r.cfg.Opener,
 			timeout: r.cfg.Timing.Open,
--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -297,6 +297,6 @@
 	require.Nil(f.t, refused)
 	c, refused := f.router.completionCall(e, req, []byte(body))
 	require.Nil(f.t, refused)
-	plan := newBinding(newExecution(f.router, c, nil, nil)).plan()
+	plan := newBinding(newExecution(f.router, c, nil)).plan()
 	return plan.Home.ID, plan.Near[0].ID
 }
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/mastichollow/mastichollow/internal/limit"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/transport"
@@ -193,7 +194,7 @@
 		f.store.ApplyTable(limited(2, 10))
 		for _, started := range []uint64{100, 1000} {
 			f.store.ApplyDigest(&wire.Digest{Domain: "south-a", Pools: []wire.PoolSums{{
-				Pool: testModel, Sums: []wire.Sum{{Workspace: 1, Started: started}},
+				Pool: limit.Pool, Sums: []wire.Sum{{Workspace: 1, Started: started}},
 			}}})
 		}
 		rec, _ := f.serve(post(pathCompletions, chatBody))
@@ -221,3 +222,31 @@
 		})
 	}
 }
+
+// TestWaitingRoomBoundsTheQueue floods a router whose agents are all busy: no
+// more requests wait than the workspace's queue limit, and the others learn at
+// once when to come back.
+func TestWaitingRoomBoundsTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, nil, agent("a1", "north", "north-a"))
+		f.fleet.set("a1", sends(queued(false)))
+		const requests = 50 // of a workspace that may have 2 waiting
+		refusals := make(chan http.Header, requests)
+		for range requests {
+			go func() {
+				req := post(pathCompletions, chatBody, "Authorization: Bearer "+otherKey, "X-Request-Timeout: 100")
+				if rec, _ := f.serve(req); rec.Code == http.StatusTooManyRequests {
+					refusals <- rec.Header()
+				}
+			}()
+		}
+		synctest.Wait()
+		require.Len(t, refusals, requests-2)
+		require.Equal(t, "5", (<-refusals).Get("Retry-After"))
+		rec, _ := f.serve(post(pathCompletions, chatBody, "X-Request-Timeout: 1"))
+		require.Equal(t, http.StatusGatewayTimeout, rec.Code, "another workspace was refused")
+		time.Sleep(100 * time.Second)
+		synctest.Wait()
+		require.Empty(t, f.router.waiting.lines)
+	})
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -23,6 +23,7 @@
 	log     hclog.Logger
 	metrics *metrics
 	index   indexCache
+	waiting *waitingRoom
 	budget  *retryBudget
 	forget  *forgetter
 	stopped atomic.Bool
@@ -41,6 +42,7 @@
 		cfg:     cfg,
 		log:     cfg.Logger,
 		metrics: newMetrics(cfg.Registerer),
+		waiting: newWaitingRoom(cfg.Limits.Offered),
 		budget:  newRetryBudget(cfg.Timing.RetryRatio, cfg.Timing.RetryBurst),
 		forget:  newForgetter(cfg.Opener),
 	}
@@ -53,21 +55,11 @@
 
 // Run keeps the limits of the workspaces up to date until ctx ends.
 func (r *Router) Run(ctx context.Context) error {
-	tick := time.NewTicker(admissionPeriod)
-	defer tick.Stop()
-	for {
-		select {
-		case <-tick.C:
-			r.index.get()
-			r.admission.expire()
-		case <-ctx.Done():
-			return nil
-		}
-	}
+	r.admission.run(ctx, func() { r.index.get() })
+	return nil
 }
 
-// Report returns what this router admitted and what waits here, for the reports
-// to the fleet.
+// Report returns what this router admitted, for the reports to the fleet.
 func (r *Router) Report() []wire.PoolSums { return r.admission.report() }
 
 // Ready returns nil when the router can take requests, or the reason why not.
@@ -124,6 +116,12 @@
 
 // serve admits a request, reads its body and runs it.
 func (r *Router) serve(w http.ResponseWriter, req *http.Request, e envelope, check checker) {
+	release, refused := r.admission.gate.Admit(e.row)
+	if refused != nil {
+		r.refuse(w, e, nil, refused)
+		return
+	}
+	defer release()
 	body, refused := r.readBody(w, req)
 	if refused != nil {
 		r.refuse(w, e, nil, refused)
@@ -138,17 +136,11 @@
 		r.refuse(w, e, c, refuse(request.ReasonQuarantined, "requests like it crashed targets"))
 		return
 	}
-	admitted, refused := r.admission.admit(c.row.ID, c.pool)
-	if refused != nil {
-		r.refuse(w, e, c, refused)
-		return
-	}
-	defer admitted.done()
-	r.run(w, req, e, c, admitted)
+	r.run(w, req, e, c)
 }
 
 // run runs c and finishes the caller's answer.
-func (r *Router) run(w http.ResponseWriter, req *http.Request, e envelope, c *call, admitted *admitted) {
+func (r *Router) run(w http.ResponseWriter, req *http.Request, e envelope, c *call) {
 	if c.key != "" {
 		w.Header().Set(headerIdempotencyKey, c.key)
 	}
@@ -158,7 +150,7 @@
 	r.metrics.running.Inc()
 	defer r.metrics.running.Dec()
 	ans := newAnswer(w, r.cfg.Timing.Write)
-	refused := newExecution(r, c, ans, admitted).run(ctx)
+	refused := newExecution(r, c, ans).run(ctx)
 	r.metrics.observe(c, ans, refused, began)
 	switch {
 	case refused == nil:
