--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -44,6 +44,7 @@
 		IdleTimeout: idleTimeout,
 		MaxIdle:     maxIdleConns,
 		Fresh:       fresh,
+		Dial:        options.Dial,
 	})
 	return &http.Client{Transport: transport, CheckRedirect: keepRedirect}
 }
@@ -52,12 +53,11 @@
 // call twice.
 func keepRedirect(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }
 
-// begin sends call once and returns the head of its answer. cancel ends the
-// answer; it stays in force after begin returns.
+// begin sends call once and returns the head of its answer. The guard ends the
+// answer; the end of ctx does so only until begin returns.
 func (c *client) begin(ctx context.Context, call Call) (*http.Response, *guard, error) {
 	g := newGuard(c.options.Progress)
-	stop := context.AfterFunc(ctx, func() { g.cancel(context.Cause(ctx)) })
-	defer stop()
+	defer g.watch(ctx)()
 	limit := time.AfterFunc(c.options.BeginTimeout, func() { g.cancel(ErrStalled) })
 	defer limit.Stop()
 	tracked, tracker := httpsend.Track(g.ctx)
@@ -72,6 +72,7 @@
 		g.cancel(err)
 		return nil, nil, errors.Wrapf(err, "%s %s", call.Method, call.Path)
 	}
+	resp.Body = guardedBody{resp.Body, g}
 	return resp, g, nil
 }
 
@@ -161,9 +162,7 @@
 // refused returns an error marked ErrFenced, and ends the answer, if resp
 // refuses the fencing number.
 func (c *client) refused(resp *http.Response, g *guard) error {
-	stop := g.watch(g.ctx)
 	err := checkFenced(resp)
-	stop()
 	if err != nil {
 		resp.Body.Close()
 		g.cancel(err)
--- /dev/null
+++ b/internal/engine/contract_test.go
@@ -0,0 +1,97 @@
+package engine_test
+
+import (
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/engine"
+	"github.com/mastichollow/mastichollow/internal/engine/enginetest"
+)
+
+// kind is a kind of answer of a client.
+type kind struct {
+	newClient   func(string, engine.Options) engine.Client
+	contentType string
+	pieces      []string
+	units       int64
+}
+
+func newModel(url string, o engine.Options) engine.Client { return engine.NewModelClient(url, o) }
+
+func newService(url string, o engine.Options) engine.Client { return engine.NewServiceClient(url, o) }
+
+func delta(content string) string {
+	return `data: {"choices":[{"index":0,"delta":{"content":"` + content + `"}}]}` + "\n\n"
+}
+
+// kinds returns the kinds of answers by name.
+func kinds() map[string]kind {
+	const usage = `"usage":{"prompt_tokens":5,"completion_tokens":4}`
+	return map[string]kind{
+		"stream": {
+			newModel, "text/event-stream; charset=utf-8",
+			[]string{
+				delta("a"), ": comment\n\n", delta("b"),
+				`data: {"choices":[],` + usage + "}\n\n", "data: [DONE]\n\n",
+			},
+			9,
+		},
+		"whole": {
+			newModel, "application/json",
+			[]string{`{"choices":[{"message":{"content":"a"}}],`, usage, "}"},
+			9,
+		},
+		"service": {newService, "text/plain", []string{"one ", "two ", "three"}, 0},
+	}
+}
+
+// call returns the call of the contract's cases.
+func call() engine.Call {
+	return engine.Call{
+		Attempt: "attempt-1", Method: http.MethodPost, Path: "/v1/things?x=%2F",
+		Header: http.Header{"Idempotency-Key": {"key-1"}, "Proxy-Authorization": {"secret"}},
+		Body:   []byte(`{"stream":true}`), Fence: 7,
+	}
+}
+
+// newSubject returns a client of a scripted target.
+func (k kind) newSubject(t *testing.T, behaviour enginetest.Behaviour) enginetest.Subject {
+	target := &scripted{
+		behaviour: behaviour, contentType: k.contentType, pieces: k.pieces,
+		taken: make(chan struct{}), cancelled: make(chan struct{}),
+	}
+	options := serve(t, target)
+	if behaviour == enginetest.Unreachable {
+		options.Dial = refuse
+	}
+	return enginetest.Subject{
+		Client:    k.newClient("http://target", options),
+		Call:      call,
+		Received:  target.calls,
+		Taken:     target.taken,
+		Cancelled: target.cancelled,
+		Start:     "marker-1",
+		Want: enginetest.Answer{
+			Status: http.StatusCreated,
+			Header: map[string]string{"X-Request-Id": "7"},
+			Body:   strings.Join(k.pieces, ""),
+			Units:  k.units,
+		},
+	}
+}
+
+func TestClientContract(t *testing.T) {
+	for name, k := range kinds() {
+		for _, c := range enginetest.Cases() {
+			t.Run(name+"/"+c.Name, func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					require.NoError(t, c.Check(t.Context(), k.newSubject(t, c.Target)))
+				})
+			})
+		}
+	}
+}
--- a/internal/engine/guard.go
+++ b/internal/engine/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 )
 
@@ -10,6 +11,7 @@
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	limit  time.Duration
+	timer  *time.Timer // runs during a read
 }
 
 func newGuard(limit time.Duration) *guard {
@@ -17,13 +19,30 @@
 	return &guard{ctx: ctx, cancel: cancel, limit: limit}
 }
 
-// watch bounds one read: it cancels the answer when ctx ends or no byte comes
-// within the limit. The caller calls stop after the read.
-func (g *guard) watch(ctx context.Context) (stop func()) {
-	timer := time.AfterFunc(g.limit, func() { g.cancel(ErrStalled) })
-	release := context.AfterFunc(ctx, func() { g.cancel(context.Cause(ctx)) })
-	return func() {
-		timer.Stop()
-		release()
+// guardedBody is a body of which each read is bounded in time.
+type guardedBody struct {
+	io.ReadCloser
+	guard *guard
+}
+
+// Read implements io.Reader.
+func (b guardedBody) Read(p []byte) (int, error) {
+	b.guard.start()
+	defer b.guard.timer.Stop()
+	return b.ReadCloser.Read(p)
+}
+
+// start starts the timer of a read.
+func (g *guard) start() {
+	if g.timer == nil {
+		g.timer = time.AfterFunc(g.limit, func() { g.cancel(ErrStalled) })
+		return
 	}
+	g.timer.Reset(g.limit)
+}
+
+// watch cancels the answer when ctx ends. The caller calls stop once it no
+// longer waits on behalf of ctx.
+func (g *guard) watch(ctx context.Context) (stop func() bool) {
+	return context.AfterFunc(ctx, func() { g.cancel(context.Cause(ctx)) })
 }
--- a/internal/engine/model.go
+++ b/internal/engine/model.go
@@ -54,7 +54,7 @@
 			}
 			frame.Data = append(frame.Data, ev.raw...)
 			done = string(ev.data) == doneEvent
-			if !done && ev.data != nil {
+			if !done && ev.hasData {
 				frame.Units += count.add(ev.data)
 			}
 			if done || len(frame.Data) >= maxFrame || !reader.eventBuffered() {
--- a/internal/engine/options.go
+++ b/internal/engine/options.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"time"
+
+	"github.com/mastichollow/mastichollow/internal/httpsend"
 )
 
 // Headers that a client adds to the calls of a target.
@@ -35,6 +37,7 @@
 	ProbeTimeout time.Duration // default 2 s
 	MaxWhole     int           // bytes of a model's answer that is not streamed; default 32 MiB
 	MaxEvent     int           // bytes of one server-sent event; default 1 MiB
+	Dial         httpsend.Dial // opens connections to the target; default: TCP
 }
 
 func (o Options) withDefaults() Options {
--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -16,24 +16,28 @@
 // event is one server-sent event: its raw bytes with the empty line that ends
 // it, and the value of its data field.
 type event struct {
-	raw  []byte
-	data []byte
+	raw     []byte
+	data    []byte
+	hasData bool
 }
 
 // eventReader reads server-sent events.
 type eventReader struct {
-	r   *bufio.Reader
-	max int // bytes of one event
+	r    *bufio.Reader
+	max  int   // bytes of one event
+	last event // whose buffers are used again
 }
 
 func newEventReader(r io.Reader, maxEvent int) *eventReader {
 	return &eventReader{r: bufio.NewReaderSize(r, sseBufferSize), max: maxEvent}
 }
 
-// next returns the next event. It returns io.EOF at the end of the input and
-// io.ErrUnexpectedEOF if the input ends inside an event.
+// next returns the next event, which is valid until the next call. It returns
+// io.EOF at the end of the input and io.ErrUnexpectedEOF if the input ends
+// inside an event.
 func (e *eventReader) next() (event, error) {
-	var ev event
+	ev := event{raw: e.last.raw[:0], data: e.last.data[:0]}
+	defer func() { e.last = ev }()
 	for {
 		line, err := e.line(e.max - len(ev.raw))
 		ev.raw = append(ev.raw, line...)
@@ -44,7 +48,7 @@
 		if len(content) == 0 {
 			return ev, nil
 		}
-		ev.data = appendData(ev.data, content)
+		ev.addField(content)
 	}
 }
 
@@ -73,17 +77,17 @@
 	return err
 }
 
-// appendData adds the value of a data line to data.
-func appendData(data, line []byte) []byte {
+// addField adds a line of the event if it is a data field.
+func (ev *event) addField(line []byte) {
 	value, ok := bytes.CutPrefix(line, []byte("data:"))
 	if !ok {
-		return data
+		return
 	}
-	value = bytes.TrimPrefix(value, []byte(" "))
-	if data != nil {
-		data = append(data, '\n')
+	if ev.hasData {
+		ev.data = append(ev.data, '\n')
 	}
-	return append(data, value...)
+	ev.hasData = true
+	ev.data = append(ev.data, bytes.TrimPrefix(value, []byte(" "))...)
 }
 
 // eventBuffered reports whether a whole event can be read without waiting.
--- a/internal/engine/usage.go
+++ b/internal/engine/usage.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"encoding/json"
+
+	"github.com/cockroachdb/errors"
 )
 
 // maxUnits bounds the tokens that one answer may claim.
@@ -21,7 +23,7 @@
 }
 
 type choice struct {
-	Delta json.RawMessage `json:"delta"`
+	Delta delta `json:"delta"`
 }
 
 // delta is the part of a message that a piece adds.
@@ -42,8 +44,14 @@
 
 // add counts a piece of an answer and returns the units that it adds.
 func (m *meter) add(data []byte) int64 {
+	if isPlainToken(data) {
+		m.events++
+		return m.report()
+	}
 	var piece completion
-	if err := json.Unmarshal(data, &piece); err != nil {
+	var wrongType *json.UnmarshalTypeError
+	err := json.Unmarshal(data, &piece)
+	if err != nil && !errors.As(err, &wrongType) {
 		return 0
 	}
 	if piece.hasContent() {
@@ -69,16 +77,28 @@
 
 func (c *completion) hasContent() bool {
 	for _, choice := range c.Choices {
-		if len(choice.Delta) == 0 || bytes.Equal(choice.Delta, []byte("null")) {
-			continue
-		}
-		var d delta
-		if err := json.Unmarshal(choice.Delta, &d); err != nil {
-			continue
-		}
+		d := choice.Delta
 		if d.Content != "" || d.Reasoning != "" || len(d.ToolCalls) > 0 {
 			return true
 		}
 	}
 	return false
 }
+
+// Parts of a piece as engines usually write it. Quotes inside of JSON strings
+// are escaped, so that no part can stand in the text of an answer.
+var (
+	contentPart = []byte(`"delta":{"content":"`)
+	usagePart   = []byte(`"usage"`)
+	noUsagePart = []byte(`"usage":null`)
+)
+
+// isPlainToken reports whether data is a piece in the usual form with content
+// and without usage, which needs no decoding.
+func isPlainToken(data []byte) bool {
+	_, content, ok := bytes.Cut(data, contentPart)
+	if !ok || len(content) == 0 || content[0] == '"' {
+		return false
+	}
+	return !bytes.Contains(data, usagePart) || bytes.Contains(data, noUsagePart)
+}
--- a/internal/httpsend/httpsend.go
+++ b/internal/httpsend/httpsend.go
@@ -29,15 +29,22 @@
 	IdleTimeout time.Duration
 	MaxIdle     int  // idle connections kept
 	Fresh       bool // use a new connection for each call
+	Dial        Dial // default: TCP
 }
 
+// Dial opens a connection.
+type Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+
 // NewTransport returns an HTTP/1.1 transport whose calls can be tracked. It
 // neither uses proxies nor changes the encoding of bodies.
 func NewTransport(cfg TransportConfig) *http.Transport {
-	dialer := &net.Dialer{Timeout: cfg.DialTimeout}
+	dial := cfg.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: cfg.DialTimeout}).DialContext
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
-			c, err := dialer.DialContext(ctx, network, addr)
+			c, err := dial(ctx, network, addr)
 			if err != nil {
 				return nil, err
 			}
