--- a/cmd/mastichollow-standin/main.go
+++ b/cmd/mastichollow-standin/main.go
@@ -19,6 +19,7 @@
 	Platform platformCommand  `cmd:"" help:"Run the table service, the object store and the VM list."`
 	Engine   engineCommand    `cmd:"" help:"Run a model engine."`
 	Service  serviceCommand   `cmd:"" help:"Run a plain service."`
+	Load     loadCommand      `cmd:"" help:"Send a load to a router or an engine on a loopback address and print a report as JSON."`
 	Version  kong.VersionFlag `help:"Print the version and exit."`
 
 	process.LogSettings `embed:"" prefix:"log-"`
--- a/internal/engine/decode_test.go
+++ b/internal/engine/decode_test.go
@@ -36,6 +36,7 @@
 		"no usage":                   {[]string{`{"choices":[{"delta":{"content":"a"}}],"usage":null}`}, 1},
 		"negative usage":             {[]string{token, `{"usage":{"prompt_tokens":-7,"completion_tokens":-7}}`}, 1},
 		"usage beyond any answer":    {[]string{`{"usage":{"completion_tokens":9000000000000000000}}`}, maxUnits},
+		"prompt beyond any answer":   {[]string{`{"usage":{"prompt_tokens":9000000000000000000}}`}, maxUnits},
 		"whole answer with its sums": {[]string{`{"choices":[{"message":{"content":"a b"}}],"usage":{"prompt_tokens":3,"completion_tokens":2}}`}, 5},
 	} {
 		t.Run(name, func(t *testing.T) {
