--- a/cmd/mastichollow-standin/roles.go
+++ b/cmd/mastichollow-standin/roles.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/mastichollow/mastichollow/internal/platform"
 	"github.com/mastichollow/mastichollow/internal/standin"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
@@ -15,7 +16,7 @@
 // platformCommand runs the platform.
 type platformCommand struct {
 	listenSettings
-	VMs string `help:"JSON file with the VM list at start." type:"existingfile" placeholder:"FILE"`
+	VMs string `name:"vms" help:"JSON file with the VM list at start." type:"existingfile" placeholder:"FILE"`
 }
 
 // Run runs the platform until ctx ends.
@@ -43,7 +44,7 @@
 	if err := json.Unmarshal(data, &vms); err != nil {
 		return nil, errors.Wrapf(err, "decoding the VM list %q", path)
 	}
-	return vms, nil
+	return vms, errors.Wrapf(platform.CheckVMs(vms), "VM list %q", path)
 }
 
 // engineCommand runs a model engine.
@@ -57,6 +58,18 @@
 	CacheBlocks   int           `help:"Prefix cache in blocks of 16 tokens; 0: no cache." default:"4096"`
 }
 
+// Validate returns an error that names each setting out of its range.
+func (c *engineCommand) Validate() error {
+	return errors.Join(
+		atLeast("slots", c.Slots, 1),
+		atLeast("first-token", c.FirstToken, 0),
+		atLeast("prefill-token", c.PrefillToken, 0),
+		atLeast("token-interval", c.TokenInterval, 0),
+		atLeast("batch-slowdown", c.BatchSlowdown, 0),
+		atLeast("cache-blocks", c.CacheBlocks, 0),
+	)
+}
+
 // Run runs the engine until ctx ends.
 func (c *engineCommand) Run(ctx runContext, logger hclog.Logger) error {
 	e, err := standin.NewEngine(c.Listen, standin.ModelConfig{
@@ -80,6 +93,11 @@
 	Time  time.Duration `help:"Time of one call in its slot." default:"5ms"`
 }
 
+// Validate returns an error that names each setting out of its range.
+func (c *serviceCommand) Validate() error {
+	return errors.Join(atLeast("slots", c.Slots, 1), atLeast("time", c.Time, 0))
+}
+
 // Run runs the service until ctx ends.
 func (c *serviceCommand) Run(ctx runContext, logger hclog.Logger) error {
 	s, err := standin.NewService(c.Listen, standin.ServiceConfig{Slots: c.Slots, Time: c.Time})
@@ -88,3 +106,11 @@
 	}
 	return c.run(ctx, logger, "service", s)
 }
+
+// atLeast returns an error if a setting is below its least value.
+func atLeast[T int | float64 | time.Duration](setting string, value, least T) error {
+	if value >= least {
+		return nil
+	}
+	return errors.Newf("%s is %v, below %v", setting, value, least)
+}
--- a/internal/platform/vmclient.go
+++ b/internal/platform/vmclient.go
@@ -49,12 +49,20 @@
 	if vms.VMs == nil {
 		return nil, errors.Mark(errors.New("answer holds no VM list"), ErrUnavailable)
 	}
-	for i, vm := range vms.VMs {
+	if err := CheckVMs(vms.VMs); err != nil {
+		return nil, errors.Mark(err, ErrUnavailable)
+	}
+	return vms.VMs, nil
+}
+
+// CheckVMs returns an error if a VM has no ID or an unknown state.
+func CheckVMs(vms []target.VM) error {
+	for i, vm := range vms {
 		if err := checkVM(vm); err != nil {
-			return nil, errors.Mark(errors.Wrapf(err, "entry %d of the VM list", i), ErrUnavailable)
+			return errors.Wrapf(err, "entry %d of the VM list", i)
 		}
 	}
-	return vms.VMs, nil
+	return nil
 }
 
 func checkVM(vm target.VM) error {
--- a/internal/standin/admin.go
+++ b/internal/standin/admin.go
@@ -7,6 +7,7 @@
 	"github.com/kataras/iris/v12"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/mastichollow/mastichollow/internal/platform"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
@@ -95,12 +96,21 @@
 	if !readStrict(ctx, &vms) {
 		return
 	}
+	if err := platform.CheckVMs(vms); err != nil {
+		refuse(ctx, http.StatusBadRequest, err.Error())
+		return
+	}
 	p.VMs.Set(vms)
 	ctx.StatusCode(http.StatusNoContent)
 }
 
 func (p *Platform) setState(ctx iris.Context) {
-	if !p.VMs.SetState(ctx.Params().Get("id"), target.State(ctx.Params().Get("state"))) {
+	vm := target.VM{ID: ctx.Params().Get("id"), State: target.State(ctx.Params().Get("state"))}
+	if err := platform.CheckVMs([]target.VM{vm}); err != nil {
+		refuse(ctx, http.StatusBadRequest, err.Error())
+		return
+	}
+	if !p.VMs.SetState(vm.ID, vm.State) {
 		ctx.StopWithStatus(http.StatusNotFound)
 		return
 	}
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -96,6 +96,7 @@
 		err := server.Close()
 		return down, closed(err, <-served)
 	case <-ctx.Done():
+		h.listener.closeUnused()
 		err := shutdown(server)
 		return 0, closed(err, <-served)
 	}
--- a/internal/standin/silent.go
+++ b/internal/standin/silent.go
@@ -41,6 +41,18 @@
 	return len(l.conns)
 }
 
+// closeUnused closes the connections on which nothing was received. A server
+// that shuts down would wait for them.
+func (l *silentListener) closeUnused() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if !c.used.Load() {
+			_ = c.Conn.Close()
+		}
+	}
+}
+
 func (l *silentListener) forget(c *silentConn) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -52,12 +64,14 @@
 	net.Conn
 	listener *silentListener
 	silent   atomic.Bool
+	used     atomic.Bool // bytes were read
 }
 
 // Read implements net.Conn.
 func (c *silentConn) Read(p []byte) (int, error) {
 	for {
 		n, err := c.Conn.Read(p)
+		c.used.Store(true)
 		if err != nil || !c.silent.Load() {
 			return n, err
 		}
