--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -4,6 +4,8 @@
 	"strings"
 	"sync"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 // AllCalls makes a counted fault meet every call.
@@ -28,6 +30,11 @@
 	// KeyPrefix limits Down, AnswerLost and RequestLost of the table service
 	// and the object store to keys with this prefix.
 	KeyPrefix string `json:"key_prefix,omitempty"`
+	// ReadsPerS and WritesPerS are the most calls of the table service and
+	// the object store that are served in a second; those beyond are refused
+	// as by Down. 0: no limit.
+	ReadsPerS  int `json:"reads_per_s,omitempty"`
+	WritesPerS int `json:"writes_per_s,omitempty"`
 	// VMLagMS delays changes of the VM list, in milliseconds.
 	VMLagMS int64 `json:"vm_lag_ms,omitempty"`
 	// VMFreeze keeps the VM list as it is seen now.
@@ -58,6 +65,8 @@
 type FaultBox struct {
 	mu     sync.Mutex
 	faults Faults
+	reads  *rate.Limiter
+	writes *rate.Limiter
 }
 
 // Set replaces the faults.
@@ -65,6 +74,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.faults = f
+	b.reads, b.writes = newLimiter(f.ReadsPerS), newLimiter(f.WritesPerS)
+}
+
+// newLimiter returns a limiter of calls per second, nil for no limit.
+func newLimiter(perSecond int) *rate.Limiter {
+	if perSecond <= 0 {
+		return nil
+	}
+	return rate.NewLimiter(rate.Limit(perSecond), perSecond)
 }
 
 // Get returns the faults in force.
@@ -81,7 +99,7 @@
 	switch {
 	case !strings.HasPrefix(key, b.faults.KeyPrefix):
 		return FaultNone
-	case b.faults.Down:
+	case b.faults.Down || b.exhausted(write):
 		return FaultDown
 	case write && take(&b.faults.RequestLost):
 		return FaultRequestLost
@@ -92,6 +110,15 @@
 	}
 }
 
+// exhausted reports whether the calls of this second are used up. b.mu is held.
+func (b *FaultBox) exhausted(write bool) bool {
+	limiter := b.reads
+	if write {
+		limiter = b.writes
+	}
+	return limiter != nil && !limiter.Allow()
+}
+
 // take reports whether a counted fault meets this call.
 func take(n *int) bool {
 	if *n > 0 {
--- a/internal/standin/table.go
+++ b/internal/standin/table.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -26,19 +27,38 @@
 	FaultRequestLost
 )
 
-// Table is an in-memory table service. It is safe for concurrent use.
+// Table is an in-memory table service, which deletes rows as soon as they
+// expire. It is safe for concurrent use.
 type Table struct {
 	mu      sync.Mutex
 	version uint64
-	items   map[string]platform.Item
+	items   map[string]row
 	fault   func(op, key string) Fault
 	reads   uint64
 	writes  uint64
 }
 
+// row is an item and when it expires; the zero time means never.
+type row struct {
+	platform.Item
+	expires time.Time
+}
+
+// live reports whether the row exists and has not expired.
+func (r row) live() bool {
+	return r.Version > 0 && (r.expires.IsZero() || time.Now().Before(r.expires))
+}
+
+// copy returns the row's item, which shares nothing with the table.
+func (r row) copy() platform.Item {
+	item := r.Item
+	item.Value = slices.Clone(item.Value)
+	return item
+}
+
 // NewTable returns an empty table without faults.
 func NewTable() *Table {
-	return &Table{items: make(map[string]platform.Item)}
+	return &Table{items: make(map[string]row)}
 }
 
 // SetFault sets the function that chooses the fault of each call; nil means
@@ -64,12 +84,11 @@
 	if t.faultOf("get", key) != FaultNone {
 		return platform.Item{}, errors.Wrapf(platform.ErrUnavailable, "reading %q", key)
 	}
-	item, ok := t.items[key]
-	if !ok {
+	found := t.items[key]
+	if !found.live() {
 		return platform.Item{}, errors.Wrapf(platform.ErrNotFound, "reading %q", key)
 	}
-	item.Value = slices.Clone(item.Value)
-	return item, nil
+	return found.copy(), nil
 }
 
 // List implements platform.TableService.
@@ -81,10 +100,9 @@
 		return nil, errors.Wrapf(platform.ErrUnavailable, "listing %q", prefix)
 	}
 	var found []platform.Item
-	for key, item := range t.items {
-		if strings.HasPrefix(key, prefix) {
-			item.Value = slices.Clone(item.Value)
-			found = append(found, item)
+	for key, r := range t.items {
+		if strings.HasPrefix(key, prefix) && r.live() {
+			found = append(found, r.copy())
 		}
 	}
 	slices.SortFunc(found, func(a, b platform.Item) int { return strings.Compare(a.Key, b.Key) })
@@ -117,7 +135,7 @@
 func (t *Table) apply(writes []platform.Write) (uint64, error) {
 	var conflicts []string
 	for _, w := range writes {
-		if t.items[w.Key].Version != w.If {
+		if t.versionOf(w.Key) != w.If {
 			conflicts = append(conflicts, w.Key)
 		}
 	}
@@ -130,11 +148,20 @@
 			delete(t.items, w.Key)
 			continue
 		}
-		t.items[w.Key] = platform.Item{Key: w.Key, Value: slices.Clone(w.Value), Version: t.version}
+		item := platform.Item{Key: w.Key, Value: slices.Clone(w.Value), Version: t.version}
+		t.items[w.Key] = row{Item: item, expires: w.Expires}
 	}
 	return t.version, nil
 }
 
+// versionOf returns the version of key, 0 if it does not exist. t.mu is held.
+func (t *Table) versionOf(key string) uint64 {
+	if r := t.items[key]; r.live() {
+		return r.Version
+	}
+	return 0
+}
+
 // faultOf returns the fault of a call. t.mu is held.
 func (t *Table) faultOf(op, key string) Fault {
 	if t.fault == nil {
