--- /dev/null
+++ b/cmd/mastichollow-bench/main.go
@@ -0,0 +1,58 @@
+// Command mastichollow-bench measures the policies on a model of both users'
+// fleets. It prints one line a measure, the same on each run.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"slices"
+
+	"github.com/alecthomas/kong"
+
+	"github.com/mastichollow/mastichollow/internal/experiment"
+)
+
+type settings struct {
+	Scenario []string `help:"Scenarios to play; none: all."`
+	Policy   []string `help:"Policies to compare; none: all."`
+	Size     []string `help:"Deployments to measure; none: all."`
+}
+
+func main() {
+	var s settings
+	kong.Parse(&s, kong.Name("mastichollow-bench"), kong.DefaultEnvars("MASTICHOLLOW"))
+	s.run(os.Stdout)
+}
+
+// run measures each combination that was asked for.
+func (s *settings) run(out io.Writer) {
+	for _, size := range []experiment.Deployment{experiment.Muistopurkki(), experiment.Lens()} {
+		for _, policy := range experiment.Policies() {
+			for _, scenario := range experiment.Scenarios() {
+				if wanted(s.Size, size.Name) && wanted(s.Policy, policy.Name) && wanted(s.Scenario, scenario.Name) {
+					print(out, size, policy, scenario)
+				}
+			}
+		}
+	}
+}
+
+func wanted(names []string, name string) bool {
+	return len(names) == 0 || slices.Contains(names, name)
+}
+
+func print(out io.Writer, size experiment.Deployment, policy experiment.Policy, scenario experiment.Scenario) {
+	r := experiment.Run(size, scenario, policy)
+	line := func(measure, format string, value float64) {
+		_, _ = fmt.Fprintf(out, "%s size=%s policy=%s scenario=%s value="+format+"\n",
+			measure, size.Name, policy.Name, scenario.Name, value)
+	}
+	line("fairness_gap", "%.2f", r.Gap)
+	line("fairness_bound", "%.2f", r.Bound)
+	line("utilisation", "%.4f", r.Utilisation)
+	line("first_token_p95_s", "%.3f", r.FirstToken)
+	line("control_bytes_per_s_process", "%.0f", r.ProcessRate)
+	line("control_bytes_per_s_region_pair", "%.0f", r.RegionRate)
+	line("config_in_force_s", "%.2f", r.Config)
+}
--- /dev/null
+++ b/internal/experiment/meter.go
@@ -0,0 +1,191 @@
+package experiment
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"github.com/mastichollow/mastichollow/internal/request"
+	"github.com/mastichollow/mastichollow/internal/wire"
+)
+
+const (
+	// settling is the time from which a pair of backlogged workspaces is
+	// measured.
+	settling = 10 * time.Second
+	// sampling is the period of the samples of service.
+	sampling = 500 * time.Millisecond
+	// packetOverhead is what a message takes beside its frame: headers of
+	// IPv4, UDP and QUIC, tag, and its part of an acknowledgement, in bytes.
+	packetOverhead = 28 + 27 + 28
+)
+
+// Result is what a run measured.
+type Result struct {
+	Gap         float64 // seconds of capacity per unit weight
+	Bound       float64 // seconds of capacity per unit weight
+	Utilisation float64
+	FirstToken  float64 // seconds, 95th percentile of interactive requests
+	ProcessRate float64 // bytes/s sent and received by the busiest process
+	RegionRate  float64 // bytes/s between two regions, both ways
+	Config      float64 // seconds until a new table is in force everywhere
+	Requests    uint64
+}
+
+// meter measures a run.
+type meter struct {
+	w        *world
+	service  []float64 // by workspace, weighted
+	lowest   [][]float64
+	highest  [][]float64
+	units    float64
+	possible float64
+	firsts   []float64
+	near     []int // bytes at each relay within its region
+	far      int   // bytes between all regions
+}
+
+func newMeter(w *world) *meter {
+	n := len(w.deployment.Workspaces)
+	m := &meter{w: w, service: make([]float64, n), near: make([]int, w.deployment.Regions)}
+	for range n {
+		m.lowest = append(m.lowest, slices.Repeat([]float64{math.Inf(1)}, n))
+		m.highest = append(m.highest, slices.Repeat([]float64{math.Inf(-1)}, n))
+	}
+	return m
+}
+
+func (m *meter) start() { m.w.every(sampling, sampling, m.sample) }
+
+// served notes units that c produced.
+func (m *meter) served(c *call, units float64) {
+	m.service[c.ws-1] += units / m.w.deployment.Workspaces[c.ws-1].Weight
+	if m.w.now >= settling {
+		m.units += units
+	}
+}
+
+// first notes the first token of c.
+func (m *meter) first(c *call, a *agent) {
+	if c.class != request.ClassInteractive || m.w.now < settling {
+		return
+	}
+	back := m.w.net.delay(a.region, c.router.region)
+	m.firsts = append(m.firsts, (m.w.now - c.arrived + prefill + back).Seconds())
+}
+
+// sample compares the service of each pair of workspaces and notes what could
+// have been produced.
+func (m *meter) sample() {
+	if m.w.now < settling {
+		return
+	}
+	for _, a := range m.w.agents {
+		if !a.leaving {
+			m.possible += float64(m.w.deployment.Slots) * m.w.deployment.Speed * sampling.Seconds()
+		}
+	}
+	for i := range m.service {
+		for j := range i {
+			if m.w.now < m.since(i)+settling || m.w.now < m.since(j)+settling {
+				continue
+			}
+			diff := m.service[i] - m.service[j]
+			m.lowest[i][j] = min(m.lowest[i][j], diff)
+			m.highest[i][j] = max(m.highest[i][j], diff)
+		}
+	}
+}
+
+// since is the time from which workspace i is backlogged.
+func (m *meter) since(i int) time.Duration {
+	if m.w.scenario.Late > 0 && i == len(m.service)-1 {
+		return m.w.scenario.Late
+	}
+	return 0
+}
+
+// sent counts a message between regions a and b, or within one.
+func (m *meter) sent(message wire.Message, a, b int) {
+	n := size(message)
+	if a == b {
+		m.near[a] += n
+		return
+	}
+	m.far += n
+	m.near[a] += n
+	m.near[b] += n
+}
+
+// sentToMembers counts a digest that the relay of region sends to each member.
+func (m *meter) sentToMembers(message wire.Message, region int) {
+	m.near[region] += size(message) * m.w.members(region)
+}
+
+func size(message wire.Message) int {
+	frame, err := wire.Append(nil, message)
+	if err != nil {
+		panic(err)
+	}
+	return len(frame) + packetOverhead
+}
+
+// result returns the measures of the run.
+func (m *meter) result() Result {
+	d := &m.w.deployment
+	length := m.w.scenario.Length.Seconds()
+	pairs := float64(d.Regions * (d.Regions - 1) / 2)
+	return Result{
+		Gap:         m.gap() / d.Capacity(),
+		Bound:       m.bound(),
+		Utilisation: m.units / m.possible,
+		FirstToken:  percentile(m.firsts, 0.95),
+		ProcessRate: float64(slices.Max(m.near)) / length,
+		RegionRate:  float64(m.far) / pairs / length,
+		Config:      m.w.configInForce(),
+		Requests:    m.w.requests,
+	}
+}
+
+// gap is the widest range of the difference in service of a pair, in units.
+func (m *meter) gap() float64 {
+	widest := 0.0
+	for i := range m.lowest {
+		for j := range i {
+			widest = max(widest, m.highest[i][j]-m.lowest[i][j])
+		}
+	}
+	return widest
+}
+
+// bound is the written bound of the gap, in seconds of capacity.
+func (m *meter) bound() float64 {
+	d, p := &m.w.deployment, &m.w.policy
+	inFlight := float64(d.Agents*d.Slots) * maxCost / d.Capacity()
+	age := p.Report + p.FarDigest + d.Far
+	return inFlight + age.Seconds()
+}
+
+func percentile(values []float64, p float64) float64 {
+	if len(values) == 0 {
+		return 0
+	}
+	sorted := slices.Sorted(slices.Values(values))
+	return sorted[min(len(sorted)-1, int(p*float64(len(sorted))))]
+}
+
+// members is the number of processes in region, without its relay.
+func (w *world) members(region int) int {
+	n := w.deployment.OtherMembers/w.deployment.Regions - 1
+	for _, a := range w.agents {
+		if a.region == region && !a.leaving {
+			n++
+		}
+	}
+	for _, r := range w.routers {
+		if r.region == region {
+			n++
+		}
+	}
+	return n
+}
