--- a/cmd/mastichollow-bench/main.go
+++ b/cmd/mastichollow-bench/main.go
@@ -9,6 +9,7 @@
 	"slices"
 
 	"github.com/alecthomas/kong"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/mastichollow/mastichollow/internal/experiment"
 )
@@ -17,6 +18,7 @@
 	Scenario []string `help:"Scenarios to play; none: all."`
 	Policy   []string `help:"Policies to compare; none: all."`
 	Size     []string `help:"Deployments to measure; none: all."`
+	Parallel int      `help:"Runs made at once." default:"4"`
 }
 
 func main() {
@@ -25,30 +27,60 @@
 	s.run(os.Stdout)
 }
 
+// job is one run to make.
+type job struct {
+	size     experiment.Deployment
+	policy   experiment.Policy
+	scenario experiment.Scenario
+	result   experiment.Result
+}
+
 // run measures each combination that was asked for.
 func (s *settings) run(out io.Writer) {
+	jobs := s.jobs()
+	var g errgroup.Group
+	g.SetLimit(s.Parallel)
+	for i := range jobs {
+		g.Go(func() error {
+			j := &jobs[i]
+			j.result = experiment.Run(j.size, j.scenario, j.policy)
+			return nil
+		})
+	}
+	_ = g.Wait()
+	for i := range jobs {
+		jobs[i].print(out)
+	}
+}
+
+// jobs lists the combinations that were asked for.
+func (s *settings) jobs() []job {
+	var jobs []job
 	for _, size := range []experiment.Deployment{experiment.Muistopurkki(), experiment.Lens()} {
 		for _, policy := range experiment.Policies() {
 			for _, scenario := range experiment.Scenarios() {
 				if wanted(s.Size, size.Name) && wanted(s.Policy, policy.Name) && wanted(s.Scenario, scenario.Name) {
-					print(out, size, policy, scenario)
+					jobs = append(jobs, job{size: size, policy: policy, scenario: scenario})
 				}
 			}
 		}
 	}
+	return jobs
 }
 
 func wanted(names []string, name string) bool {
 	return len(names) == 0 || slices.Contains(names, name)
 }
 
-func print(out io.Writer, size experiment.Deployment, policy experiment.Policy, scenario experiment.Scenario) {
-	r := experiment.Run(size, scenario, policy)
+// print writes one line a measure.
+func (j *job) print(out io.Writer) {
+	r := &j.result
 	line := func(measure, format string, value float64) {
 		_, _ = fmt.Fprintf(out, "%s size=%s policy=%s scenario=%s value="+format+"\n",
-			measure, size.Name, policy.Name, scenario.Name, value)
+			measure, j.size.Name, j.policy.Name, j.scenario.Name, value)
 	}
 	line("fairness_gap", "%.2f", r.Gap)
+	line("fairness_gap_mean", "%.2f", r.GapMean)
 	line("fairness_bound", "%.2f", r.Bound)
 	line("utilisation", "%.4f", r.Utilisation)
 	line("first_token_p95_s", "%.3f", r.FirstToken)
--- a/internal/experiment/agent.go
+++ b/internal/experiment/agent.go
@@ -134,7 +134,7 @@
 func (a *agent) grant(c *call) {
 	a.granted++
 	a.countBatch(c, 1)
-	account := a.ledger.Start(c.ws, c.class, c.hint)
+	account := a.ledger.Start(c.ws, c.hint)
 	ok := a.w.net.send(a.region, c.router.region, func() {
 		won := c.router.take(c, a)
 		a.w.after(a.w.net.delay(a.region, c.router.region), func() { a.settle(c, account, won) })
@@ -203,12 +203,13 @@
 	units := d.Speed * share * tick.Seconds()
 	kept := a.running[:0]
 	for _, c := range a.running {
-		c.left -= units
-		c.produced += units
+		produced := min(units, c.left)
+		c.left -= produced
+		c.produced += produced
 		due := int64(c.produced) - c.charged
 		c.charged += due
 		c.account.Charge(due)
-		a.w.meter.served(c, min(units, units+c.left))
+		a.w.meter.served(c, produced)
 		if c.left > 0 {
 			kept = append(kept, c)
 			continue
@@ -229,6 +230,7 @@
 // leave lets the running requests end and takes no more.
 func (a *agent) leave() {
 	a.leaving = true
+	a.w.changed = a.w.now
 	for _, o := range a.sortedOffers() {
 		a.queue.Remove(o.entry)
 		a.forget(o)
--- a/internal/experiment/meter.go
+++ b/internal/experiment/meter.go
@@ -22,8 +22,9 @@
 
 // Result is what a run measured.
 type Result struct {
-	Gap         float64 // seconds of capacity per unit weight
-	Bound       float64 // seconds of capacity per unit weight
+	Gap         float64 // widest over the run, seconds of capacity per unit weight
+	GapMean     float64 // mean over time of the widest at each moment, likewise
+	Bound       float64 // of Gap, likewise
 	Utilisation float64
 	FirstToken  float64 // seconds, 95th percentile of interactive requests
 	ProcessRate float64 // bytes/s sent and received by the busiest process
@@ -38,6 +39,9 @@
 	service  []float64 // by workspace, weighted
 	lowest   [][]float64
 	highest  [][]float64
+	base     []float64 // service when its workspace began to be measured
+	spread   float64   // sum over the samples
+	samples  int
 	units    float64
 	possible float64
 	firsts   []float64
@@ -48,6 +52,7 @@
 func newMeter(w *world) *meter {
 	n := len(w.deployment.Workspaces)
 	m := &meter{w: w, service: make([]float64, n), near: make([]int, w.deployment.Regions)}
+	m.base = slices.Repeat([]float64{math.NaN()}, n)
 	for range n {
 		m.lowest = append(m.lowest, slices.Repeat([]float64{math.Inf(1)}, n))
 		m.highest = append(m.highest, slices.Repeat([]float64{math.Inf(-1)}, n))
@@ -85,6 +90,7 @@
 			m.possible += float64(m.w.deployment.Slots) * m.w.deployment.Speed * sampling.Seconds()
 		}
 	}
+	m.sampleSpread()
 	for i := range m.service {
 		for j := range i {
 			if m.w.now < m.since(i)+settling || m.w.now < m.since(j)+settling {
@@ -97,6 +103,35 @@
 	}
 }
 
+// sampleSpread adds the widest gap of this moment.
+func (m *meter) sampleSpread() {
+	least, most := math.Inf(1), math.Inf(-1)
+	for i, service := range m.service {
+		if m.w.now < m.since(i)+settling {
+			continue
+		}
+		if math.IsNaN(m.base[i]) {
+			m.base[i] = service - m.reference()
+		}
+		least = min(least, service-m.base[i])
+		most = max(most, service-m.base[i])
+	}
+	m.spread += most - least
+	m.samples++
+}
+
+// reference is the mean service of those measured so far, or 0.
+func (m *meter) reference() float64 {
+	sum, n := 0.0, 0
+	for i, base := range m.base {
+		if !math.IsNaN(base) {
+			sum += m.service[i] - base
+			n++
+		}
+	}
+	return sum / float64(max(n, 1))
+}
+
 // since is the time from which workspace i is backlogged.
 func (m *meter) since(i int) time.Duration {
 	if m.w.scenario.Late > 0 && i == len(m.service)-1 {
@@ -137,6 +172,7 @@
 	pairs := float64(d.Regions * (d.Regions - 1) / 2)
 	return Result{
 		Gap:         m.gap() / d.Capacity(),
+		GapMean:     m.spread / float64(m.samples) / d.Capacity(),
 		Bound:       m.bound(),
 		Utilisation: m.units / m.possible,
 		FirstToken:  percentile(m.firsts, 0.95),
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -45,5 +45,15 @@
 	push.Name = "round-robin"
 	push.Push = true
 	push.Sharing = ShareNone
-	return []Policy{push, region, chosen}
+	none := chosen
+	none.Name = "fleet-no-estimate"
+	none.Estimate = fairness.EstimateNone
+	hint := chosen
+	hint.Name = "fleet-hint"
+	hint.Estimate = fairness.EstimateHint
+	reserve := chosen
+	reserve.Name = "fleet-reserve"
+	reserve.Extra = 0
+	reserve.Reserved = 1
+	return []Policy{push, region, chosen, none, hint, reserve}
 }
--- a/internal/experiment/router.go
+++ b/internal/experiment/router.go
@@ -36,6 +36,8 @@
 	bound    bool // granted, or given up
 	lost     bool // its router restarted
 	asked    map[int]bool
+	order    placement.Plan
+	planned  time.Duration // when order was made
 	done     func()
 	retry    func()
 }
@@ -86,6 +88,10 @@
 	if c.bound || c.lost {
 		return
 	}
+	if len(c.asked) >= len(r.w.agents) {
+		r.w.after(time.Second, func() { r.step(c) })
+		return
+	}
 	plan := r.plan(c)
 	room := offersPerStep - r.askAll(c, plan.Near, offersPerStep)
 	r.askAll(c, r.far(c, plan.Far), room)
@@ -125,8 +131,17 @@
 	r.w.net.send(r.region, a.region, func() { a.push(c, home) })
 }
 
-// plan orders the agents for c.
+// plan orders the agents for c, anew when the VMs have changed or the order is
+// old.
 func (r *router) plan(c *call) placement.Plan {
+	if c.order.Home == nil || c.planned < r.w.changed || c.planned+spillAfter <= r.w.now {
+		c.planned = r.w.now
+		c.order = r.make(c)
+	}
+	return c.order
+}
+
+func (r *router) make(c *call) placement.Plan {
 	site := placement.Site{Region: regionName(r.region), Domain: regionName(r.region)}
 	content := placement.Content{Fingerprint: binary.BigEndian.AppendUint64(nil, c.id)}
 	return placement.Make(r.w.live(), site, content, r.hasFree)
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -25,17 +25,23 @@
 	relays     []*relay // by region
 	meter      *meter
 	requests   uint64
+	changed    time.Duration // when the VMs changed last
 }
 
 // Run plays scenario on deployment under policy and returns the measures.
 func Run(d Deployment, s Scenario, p Policy) Result {
+	w := newWorld(d, s, p)
+	w.run(s.Length)
+	return w.meter.result()
+}
+
+func newWorld(d Deployment, s Scenario, p Policy) *world {
 	w := &world{deployment: d, scenario: s, policy: p, rng: rand.New(rand.NewPCG(1, 2))}
 	w.net.w = w
 	w.meter = newMeter(w)
 	w.build()
 	w.plan()
-	w.run(s.Length)
-	return w.meter.result()
+	return w
 }
 
 // build makes the processes.
@@ -63,6 +69,7 @@
 func (w *world) addAgent(region int) {
 	a := newAgent(w, region, len(w.agents))
 	w.agents = append(w.agents, a)
+	w.changed = w.now
 	a.start()
 }
 
--- a/internal/fairness/entry.go
+++ b/internal/fairness/entry.go
@@ -14,8 +14,9 @@
 
 	own      uint64 // service units produced here
 	running  uint32 // requests running here
+	reported uint32 // requests running here at the last report
 	queued   uint32 // offers waiting here
-	expected int64  // service units that the requests running here still need
+	expected int64  // service units hinted and not yet charged
 
 	// uncredited is own service that has not come back yet in the sums of
 	// the source that contains it; aging is the part from before the last
@@ -23,18 +24,14 @@
 	uncredited, aging uint64
 
 	elsewhere source.Gauges // sums over the sources without this agent
-	around    source.Gauges // latest of the source that contains this agent
+	around    source.Gauges // of the source that contains this agent, others' running
 
-	costs estimator
 	index int // in the heap of the backlogged, -1: not backlogged
 }
 
-// key orders the waiting workspaces.
-func (e *entry) key() float64 { return e.level + float64(e.expected)/e.weight }
-
 // fleetRunning returns the requests known to run in the fleet.
 func (e *entry) fleetRunning() uint32 {
-	return e.elsewhere.Running + max(e.running, e.around.Running)
+	return e.elsewhere.Running + e.around.Running + e.running
 }
 
 // backlogged reports whether offers wait anywhere that may be granted.
--- a/internal/fairness/estimate.go
+++ b/internal/fairness/estimate.go
@@ -1,64 +1,47 @@
 package fairness
 
-import "github.com/mastichollow/mastichollow/internal/request"
-
-// Estimate says how the cost of a running request is foreseen.
+// Estimate says how the cost of running requests is foreseen. What is foreseen
+// counts in the order of the queue, not in the sums: a workspace that is behind
+// would otherwise get every slot that falls free until its first requests have
+// produced, and then be ahead for as long as they run.
 type Estimate uint8
 
 // Ways to foresee a cost.
 const (
-	// EstimateLearned corrects the hint by the ratio of cost to hint, or
-	// takes the mean cost when there is no hint, both of the workspace's
-	// latest requests of the class.
-	EstimateLearned Estimate = iota
-	// EstimateHint takes the hint as it is.
+	// EstimateCount takes for each request known to run in the fleet the mean
+	// cost of the pool's running requests, whatever it has produced and
+	// whatever its hint.
+	EstimateCount Estimate = iota
+	// EstimateHint takes what is left of the hints of the requests that run
+	// here.
 	EstimateHint
 	// EstimateNone foresees nothing.
 	EstimateNone
 )
 
 // learnRate is the weight of the latest request in the running means.
-const learnRate = 0.2
-
-// estimator holds the running means of one workspace, by class.
-type estimator [2]means
+const learnRate = 0.02
 
-type means struct {
-	cost, ratio   float32
-	costs, ratios bool // a first figure is known
+// costMean tracks what a running request costs in the mean. A request that
+// costs more runs longer, so that it counts by its cost.
+type costMean struct {
+	cost, square float64 // running means of cost and of cost squared
 }
 
-// expect returns the cost foreseen for a request, in service units.
-func (s *estimator) expect(by Estimate, class request.Class, hint int64) int64 {
-	m := &s[class]
-	switch {
-	case by == EstimateNone:
-		return 0
-	case by == EstimateHint:
-		return max(hint, 0)
-	case hint > 0 && m.ratios:
-		return int64(float64(hint) * float64(m.ratio))
-	case m.costs:
-		return int64(m.cost)
-	default:
-		return max(hint, 0)
+// learn takes in the cost of a request that has ended, in service units.
+func (m *costMean) learn(cost float64) {
+	if m.cost == 0 {
+		m.cost, m.square = cost, cost*cost
+		return
 	}
+	m.cost += learnRate * (cost - m.cost)
+	m.square += learnRate * (cost*cost - m.square)
 }
 
-// learn takes in the cost of a request that has ended.
-func (s *estimator) learn(class request.Class, hint, cost int64) {
-	m := &s[class]
-	m.cost = mix(m.cost, float32(cost), m.costs)
-	m.costs = true
-	if hint > 0 {
-		m.ratio = mix(m.ratio, float32(float64(cost)/float64(hint)), m.ratios)
-		m.ratios = true
-	}
-}
-
-func mix(mean, next float32, known bool) float32 {
-	if !known {
-		return next
+// value returns the mean in service units, 0 when none is known.
+func (m *costMean) value() float64 {
+	if m.cost == 0 {
+		return 0
 	}
-	return mean + learnRate*(next-mean)
+	return m.square / m.cost
 }
--- a/internal/fairness/ledger.go
+++ b/internal/fairness/ledger.go
@@ -25,6 +25,7 @@
 	floor    float64   // least level of the backlogged, never falls
 	now      time.Time // time of the newest update
 	turned   time.Time // when uncredited service was aged last
+	costs    costMean  // of the requests that ended here
 	lowered  uint64    // counts falls of a key, see Queue
 }
 
@@ -33,7 +34,7 @@
 	// Own is the name of the source that contains this agent's own service,
 	// such as its failure domain. Empty: no source does.
 	Own string
-	// Estimate says how the cost of a running request is foreseen.
+	// Estimate says how the cost of running requests is foreseen.
 	Estimate Estimate
 }
 
@@ -84,7 +85,7 @@
 	l.charge(l.entry(ws), uint64(units))
 }
 
-// Own returns the service that this agent produced, by workspace, and the
+// Own returns what this agent reports: the service that this agent produced, by workspace, and the
 // requests that it runs. Waiting requests are the caller's to add, since one
 // request may wait at several agents and has to be reported by one of them.
 func (l *Ledger) Own() []Total {
@@ -92,6 +93,7 @@
 	defer l.mu.Unlock()
 	totals := make([]Total, 0, len(l.rows))
 	for ws, e := range l.rows {
+		e.reported = e.running
 		if e.own > 0 || e.running > 0 {
 			totals = append(totals, Total{Workspace: ws, Service: e.own, Running: e.running})
 		}
@@ -99,13 +101,13 @@
 	return totals
 }
 
-// Level returns the weighted service of ws, with what its running requests here
-// are expected to cost.
+// Level returns the weighted service of ws, with what its running requests are
+// foreseen to cost.
 func (l *Ledger) Level(ws workspace.RowID) float64 {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if e := l.rows[ws]; e != nil {
-		return e.key()
+		return l.key(e)
 	}
 	return 0
 }
@@ -133,13 +135,27 @@
 	l.lift(l.entry(ws), floor)
 }
 
-// setQueued records that n offers of ws wait here.
-func (l *Ledger) setQueued(ws workspace.RowID, n int) {
+// key orders the waiting workspaces. l.mu is held.
+func (l *Ledger) key(e *entry) float64 {
+	switch l.settings.Estimate {
+	case EstimateCount:
+		return e.level + l.costs.value()*float64(e.fleetRunning())/e.weight
+	case EstimateHint:
+		return e.level + float64(e.expected)/e.weight
+	default:
+		return e.level
+	}
+}
+
+// setQueued records that n offers of ws wait here and returns the entry with
+// its key.
+func (l *Ledger) setQueued(ws workspace.RowID, n int) (*entry, float64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entry(ws)
 	e.queued = uint32(n)
 	l.refresh(e)
+	return e, l.key(e)
 }
 
 // charge adds own service. l.mu is held.
--- a/internal/fairness/merge.go
+++ b/internal/fairness/merge.go
@@ -88,10 +88,14 @@
 	if c.Name == l.settings.Own {
 		growth = e.credit(growth)
 		e.around = c.After
+		e.around.Running -= min(e.around.Running, e.reported)
 	} else {
 		e.elsewhere.Running += c.After.Running - c.Before.Running
 		e.elsewhere.Queued += c.After.Queued - c.Before.Queued
 	}
+	if c.After.Running < c.Before.Running {
+		l.lowered++
+	}
 	if growth > 0 {
 		l.grow(e, growth)
 	}
--- a/internal/fairness/queue.go
+++ b/internal/fairness/queue.go
@@ -49,10 +49,10 @@
 	if n >= limit {
 		return errors.Wrapf(ErrQueueFull, "workspace %d has %d offers waiting", e.Workspace, n)
 	}
-	q.ledger.setQueued(e.Workspace, n+1)
+	entry, key := q.ledger.setQueued(e.Workspace, n+1)
 	l := q.waiting[e.Workspace]
 	if l == nil {
-		l = &line{ws: e.Workspace, key: q.ledger.Level(e.Workspace)}
+		l = &line{ws: e.Workspace, entry: entry, key: key}
 		q.waiting[e.Workspace] = l
 		heap.Push(&q.heap, l)
 	}
@@ -119,7 +119,7 @@
 	}
 	for {
 		l := q.heap[0]
-		key := q.ledger.rows[l.ws].key()
+		key := q.ledger.key(l.entry)
 		if key == l.key {
 			return
 		}
@@ -132,7 +132,7 @@
 func (q *Queue) rebuild() {
 	q.lowered = q.ledger.lowered
 	for _, l := range q.heap {
-		l.key = q.ledger.rows[l.ws].key()
+		l.key = q.ledger.key(l.entry)
 	}
 	heap.Init(&q.heap)
 }
@@ -158,6 +158,7 @@
 // line is the queue of one workspace, one list per class.
 type line struct {
 	ws     workspace.RowID
+	entry  *entry // of the ledger, which keeps it while offers wait
 	offers [2][]Entry
 	key    float64 // level when last looked at
 	index  int     // in the heap
--- a/internal/fairness/queue_test.go
+++ b/internal/fairness/queue_test.go
@@ -86,7 +86,7 @@
 			case 2:
 				l.Charge(ws, rapid.Int64Range(1, 50).Draw(t, "units"))
 			case 3:
-				running = append(running, l.Start(ws, request.ClassBatch, rapid.Int64Range(0, 90).Draw(t, "hint")))
+				running = append(running, l.Start(ws, rapid.Int64Range(0, 90).Draw(t, "hint")))
 			case 4:
 				if len(running) > 0 {
 					running[0].Charge(rapid.Int64Range(1, 90).Draw(t, "cost"))
--- a/internal/fairness/running.go
+++ b/internal/fairness/running.go
@@ -1,30 +1,24 @@
 package fairness
 
-import (
-	"github.com/mastichollow/mastichollow/internal/request"
-	"github.com/mastichollow/mastichollow/internal/workspace"
-)
+import "github.com/mastichollow/mastichollow/internal/workspace"
 
 // Running is the account of one granted request.
 type Running struct {
 	ledger   *Ledger
 	ws       workspace.RowID
-	class    request.Class
-	hint     int64
-	expected int64 // service units foreseen and not yet charged
+	expected int64 // service units hinted and not yet charged
 	charged  int64
 	closed   bool
 }
 
 // Start opens the account of a request that was granted: until it ends, what
-// it is expected to cost counts in the order of the queue. hint is in service
+// it is foreseen to cost counts in the order of the queue. hint is in service
 // units, 0: none.
-func (l *Ledger) Start(ws workspace.RowID, class request.Class, hint int64) *Running {
+func (l *Ledger) Start(ws workspace.RowID, hint int64) *Running {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	e := l.entry(ws)
-	r := &Running{ledger: l, ws: ws, class: class, hint: hint}
-	r.expected = e.costs.expect(l.settings.Estimate, class, hint)
+	r := &Running{ledger: l, ws: ws, expected: max(hint, 0)}
 	e.expected += r.expected
 	e.running++
 	l.refresh(e)
@@ -46,7 +40,7 @@
 	r.ledger.charge(e, uint64(units))
 }
 
-// Finish closes the account of a request that ran.
+// Finish closes the account of a request that ran to its end.
 func (r *Running) Finish() { r.close(true) }
 
 // Cancel closes the account of a request that did not run, or not to its end.
@@ -62,12 +56,10 @@
 	r.closed = true
 	e := l.entry(r.ws)
 	e.running--
-	if whole {
-		e.costs.learn(r.class, r.hint, r.charged)
-	}
-	if r.expected > 0 {
-		e.expected -= r.expected
-		l.lowered++
+	e.expected -= r.expected
+	if whole && r.charged > 0 {
+		l.costs.learn(float64(r.charged))
 	}
+	l.lowered++
 	l.refresh(e)
 }
