--- a/internal/fleet/dial.go
+++ b/internal/fleet/dial.go
@@ -95,8 +95,9 @@
 	return n.firstUsable(toRelay, order, count, now)
 }
 
-// wantedPeers returns the links to one relay of each other failure domain, if
-// this process relays for its own. n.mu is held.
+// wantedPeers returns the links to one relay of each failure domain of a later
+// name, if this process adds up the reports of its own. Digests go both ways on
+// a link, so that one is enough between two domains. n.mu is held.
 func (n *Node) wantedPeers(now time.Time) []wanted {
 	snapshot := n.cfg.Store.Snapshot()
 	if !n.sumsUp(snapshot) {
@@ -105,7 +106,7 @@
 	var list []wanted
 	seen := make(map[string]bool)
 	for domain, region := range snapshot.Domains() {
-		if domain == n.cfg.Self.Domain {
+		if domain <= n.cfg.Self.Domain {
 			continue
 		}
 		for _, w := range n.firstUsable(toPeer, snapshot.RelayOrder(domain, region), 1, now) {
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -32,9 +32,9 @@
 	toRelay linkKind = iota
 	// toMember: the peer is a member, this process its relay.
 	toMember
-	// toPeer: this process relays its domain to a relay of another domain.
+	// toPeer: both are relays, of different domains, and this process dialled.
 	toPeer
-	// fromPeer: the peer relays its domain to this process.
+	// fromPeer: both are relays, of different domains, and the peer dialled.
 	fromPeer
 )
 
@@ -58,8 +58,14 @@
 	hasConfirmed bool
 	sent         sentConfig
 	reported     reportState
-	packers      map[string]*packer   // by failure domain
-	unpackers    map[string]*unpacker // by failure domain
+	packers      map[originKey]*packer
+	unpackers    map[originKey]*unpacker
+}
+
+// originKey names the sums of one origin of a failure domain.
+type originKey struct {
+	domain string
+	origin
 }
 
 // sentConfig is what the peer knows of the configuration.
@@ -86,8 +92,8 @@
 		out:       make(chan wire.Message, linkDepth),
 		heard:     make(chan struct{}, 1),
 		cancel:    func(error) {},
-		packers:   make(map[string]*packer),
-		unpackers: make(map[string]*unpacker),
+		packers:   make(map[originKey]*packer),
+		unpackers: make(map[originKey]*unpacker),
 	}
 }
 
@@ -183,7 +189,7 @@
 			return nil
 		}
 	case *wire.Digest:
-		if l.kind == toRelay || l.kind == fromPeer {
+		if l.kind != toMember {
 			return n.handleDigest(l, m)
 		}
 	case *wire.Report:
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -55,7 +55,9 @@
 		last.full = now
 	}
 	last.sums, last.confirmed = sums, confirmed
-	l.send(n.newReport(confirmed, pools))
+	r := n.newReport(confirmed, pools)
+	r.Full = before == nil
+	l.send(r)
 }
 
 // newReport returns a report of this process. n.mu is held.
@@ -70,32 +72,36 @@
 }
 
 // handleDigest records the sums of a failure domain.
-func (n *Node) handleDigest(l *link, d *wire.Digest) error {
-	domain := d.Domain
-	if domain == "" {
-		domain = l.peer.Domain
-	}
+func (n *Node) handleDigest(l *link, m *wire.Digest) error {
 	n.mu.Lock()
-	u := l.unpackers[domain]
-	if u == nil {
-		u = newUnpacker()
-		l.unpackers[domain] = u
+	d := &wire.Digest{Domain: m.Domain, Relay: m.Relay, Incarnation: m.Incarnation, Sequence: m.Sequence}
+	if d.Domain == "" {
+		d.Domain = l.peer.Domain
 	}
-	pools, err := u.unpack(d.Packed)
-	incarnation := l.incarnation
+	if d.Relay == "" {
+		d.Relay, d.Incarnation = l.peer.ID, l.incarnation
+	}
+	var err error
+	d.Pools, err = l.unpacker(d).unpack(m.Packed)
 	n.mu.Unlock()
 	if err != nil {
 		return err
 	}
-	n.cfg.Store.ApplyDigest(&wire.Digest{
-		Domain:      domain,
-		Relay:       l.peer.ID,
-		Incarnation: incarnation,
-		Pools:       pools,
-	})
+	n.cfg.Store.ApplyDigest(d)
 	return nil
 }
 
+// unpacker returns the unpacker of the digests of d's origin.
+func (l *link) unpacker(d *wire.Digest) *unpacker {
+	key := originKey{d.Domain, origin{d.Relay, d.Incarnation}}
+	u := l.unpackers[key]
+	if u == nil {
+		u = newUnpacker()
+		l.unpackers[key] = u
+	}
+	return u
+}
+
 // handleConfig puts the configuration in force that a relay sent.
 func (n *Node) handleConfig(l *link, c *wire.Config) {
 	now := time.Now()
--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -33,6 +33,7 @@
 	nodes  map[string]*testNode
 	cut    func(from, to string) bool // whether nothing passes
 	apart  map[string]bool            // nodes that do not reach the platform
+	bytes  map[[2]string]int          // sent from one node to another
 }
 
 // testNode is one process.
@@ -56,6 +57,7 @@
 		nodes: make(map[string]*testNode),
 		cut:   func(string, string) bool { return false },
 		apart: make(map[string]bool),
+		bytes: make(map[[2]string]int),
 	}
 	t.Cleanup(func() {
 		cancel()
@@ -191,6 +193,13 @@
 	}
 }
 
+// setVMs replaces the VM list.
+func (n *network) setVMs(vms []target.VM) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.vms = vms
+}
+
 // commit puts a table with one row in the table service.
 func (n *network) commit(name string) uint64 {
 	old := workspace.New()
@@ -318,6 +327,9 @@
 	}
 	frame, err := wire.Append(nil, m)
 	require.NoError(l.n.t, err)
+	l.n.mu.Lock()
+	l.n.bytes[[2]string{l.from, l.to}] += len(frame)
+	l.n.mu.Unlock()
 	copied, err := wire.Decode(m.Type(), frame[5:])
 	require.NoError(l.n.t, err)
 	return l.Stream.Send(ctx, copied)
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -26,7 +26,7 @@
 	Direct     time.Duration // between reads by a member without a relay, ± half; 5 s
 	Call       time.Duration // timeout of one call of the platform; 2 s
 	Stale      time.Duration // without a read after which the platform counts as cut off; 3 s
-	Ping       time.Duration // without a message after which a peer is pinged; 1 s
+	Ping       time.Duration // without a message after which a peer is pinged; 1.5 s
 	Silent     time.Duration // without a message after which a link is dropped; 3 s
 	Dial       time.Duration // timeout of opening a control stream; 1 s
 	Redial     time.Duration // before a failed peer is tried again; 2 s
@@ -46,7 +46,7 @@
 	set(&p.Direct, 5*time.Second)
 	set(&p.Call, 2*time.Second)
 	set(&p.Stale, 3*time.Second)
-	set(&p.Ping, time.Second)
+	set(&p.Ping, 1500*time.Millisecond)
 	set(&p.Silent, 3*time.Second)
 	set(&p.Dial, time.Second)
 	set(&p.Redial, 2*time.Second)
@@ -98,6 +98,7 @@
 	tallies map[string]*tally    // by failure domain
 	applied map[string]*poolSums // own totals in the store, by failure domain
 	reports uint64               // sequence of the last report
+	digests uint64               // sequence of the last own digest
 }
 
 // NewNode returns a node or an error that names every fault of cfg.
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -9,6 +9,7 @@
 
 	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/wire"
+	"github.com/mastichollow/mastichollow/internal/workspace"
 )
 
 // Bounds of the propagation, from the targets of the project.
@@ -85,18 +86,11 @@
 }
 
 // service is the merged service of a workspace in a failure domain at node.
-func service(node *testNode, domain string, ws uint32) uint64 {
-	for key, row := range node.store.sums()[domain].orEmpty().rows {
-		if uint32(key.ws) == ws {
-			return row.Service
-		}
+func service(node *testNode, domain string, ws workspace.RowID) uint64 {
+	node.store.digestMu.Lock()
+	defer node.store.digestMu.Unlock()
+	if sums := node.store.domains[domain]; sums != nil {
+		return sums.merged.rows[rowKey{"letter-writer", ws}].Service
 	}
 	return 0
 }
-
-func (s *poolSums) orEmpty() *poolSums {
-	if s == nil {
-		return newPoolSums()
-	}
-	return s
-}
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -72,28 +72,30 @@
 	return domain != n.cfg.Self.Domain || n.active(n.cfg.Store.Snapshot())
 }
 
+// newDigest returns a digest of what this process added up. n.mu is held.
 func (n *Node) newDigest(domain string, pools []wire.PoolSums) *wire.Digest {
+	n.digests++
 	return &wire.Digest{
 		Domain:      domain,
 		Relay:       n.cfg.Self.ID,
 		Incarnation: n.cfg.Incarnation,
+		Sequence:    n.digests,
 		Pools:       pools,
 	}
 }
 
 // sendDigests sends members the sums of all failure domains, and relays of
-// other domains those that this process adds up.
+// other domains those of this process's own and of those that report to it.
 func (n *Node) sendDigests() {
-	all := n.cfg.Store.sums()
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	for l := range n.links {
-		for domain, sums := range all {
+	n.cfg.Store.eachOrigin(func(domain string, src *originSums) {
+		for l := range n.links {
 			if n.sends(l, domain) {
-				n.sendDigest(l, domain, sums)
+				n.sendDigest(l, domain, src)
 			}
 		}
-	}
+	})
 }
 
 // sends reports whether l gets the digests of domain. n.mu is held.
@@ -101,28 +103,32 @@
 	switch l.kind {
 	case toMember:
 		return !l.standby
-	case toPeer:
-		return n.tallies[domain] != nil && n.activeFor(domain)
+	case toPeer, fromPeer:
+		return domain == n.cfg.Self.Domain || n.tallies[domain] != nil
 	default:
 		return false
 	}
 }
 
-// sendDigest sends l what it lacks of domain. n.mu is held.
-func (n *Node) sendDigest(l *link, domain string, sums *poolSums) {
-	p := l.packers[domain]
+// sendDigest sends l what it lacks of an origin's sums. n.mu is held.
+func (n *Node) sendDigest(l *link, domain string, src *originSums) {
+	key := originKey{domain, src.origin}
+	p := l.packers[key]
 	if p == nil {
 		p = newPacker()
-		l.packers[domain] = p
+		l.packers[key] = p
 	}
-	packed := p.pack(sums)
+	packed := p.pack(src.sums)
 	if len(packed) == 0 {
 		return
 	}
-	d := &wire.Digest{Packed: packed}
+	d := &wire.Digest{Sequence: src.sequence, Packed: packed}
 	if domain != n.cfg.Self.Domain {
 		d.Domain = domain
 	}
+	if src.relay != n.cfg.Self.ID || src.incarnation != n.cfg.Incarnation {
+		d.Relay, d.Incarnation = src.relay, src.incarnation
+	}
 	l.send(d)
 }
 
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -41,7 +41,8 @@
 }
 
 // Store holds the newest snapshot and the newest digests. It is safe for
-// concurrent use. The two mutexes are never held together.
+// concurrent use. Its two mutexes are never held together; a node's mutex is
+// taken before them.
 type Store struct {
 	mu       sync.Mutex // serialises writers
 	snapshot atomic.Pointer[Snapshot]
@@ -183,7 +184,8 @@
 	s.sinks = append(s.sinks, f)
 }
 
-// ApplyDigest merges the sums and loads in d and hands the merged rows on.
+// ApplyDigest merges the sums and loads in d, which the relay named in it added
+// up, and hands the merged rows on.
 func (s *Store) ApplyDigest(d *wire.Digest) {
 	s.digestMu.Lock()
 	defer s.digestMu.Unlock()
@@ -193,6 +195,9 @@
 		s.domains[d.Domain] = domain
 	}
 	merged := &wire.Digest{Domain: d.Domain, Pools: domain.merge(d)}
+	if len(merged.Pools) == 0 {
+		return
+	}
 	for _, f := range s.sinks {
 		f(merged)
 	}
@@ -209,15 +214,16 @@
 	return l, ok
 }
 
-// sums returns a copy of the sums of each failure domain.
-func (s *Store) sums() map[string]*poolSums {
+// eachOrigin calls f with the sums of each origin of each failure domain, the
+// latest of a domain last. f must not keep them nor call the store.
+func (s *Store) eachOrigin(f func(domain string, src *originSums)) {
 	s.digestMu.Lock()
 	defer s.digestMu.Unlock()
-	all := make(map[string]*poolSums, len(s.domains))
-	for domain, sums := range s.domains {
-		all[domain] = sums.merged.clone()
+	for name, domain := range s.domains {
+		for _, src := range domain.origins {
+			f(name, src)
+		}
 	}
-	return all
 }
 
 // list returns the VMs by ID.
--- a/internal/fleet/tally.go
+++ b/internal/fleet/tally.go
@@ -8,7 +8,7 @@
 
 // tallyMemory is how long a relay keeps the last sums of a member that it no
 // longer hears from.
-const tallyMemory = time.Hour
+const tallyMemory = time.Minute
 
 // memberID names one start of a member's process.
 type memberID struct {
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -88,8 +88,8 @@
 }
 
 // Digest carries the sums of one failure domain, from the relay that added
-// them up to other relays and to members. On a stream only Domain, Version and
-// Packed are sent: the sender's Hello names the relay.
+// them up to other relays and to members. On a stream Pools goes as Packed, and
+// an absent Domain or Relay is that of the sender.
 type Digest struct {
 	Domain      string     `cbor:"1,keyasint,omitempty"`
 	Relay       string     `cbor:"2,keyasint,omitempty"` // VM ID of the relay
