--- a/internal/fleet/config_test.go
+++ b/internal/fleet/config_test.go
@@ -132,10 +132,7 @@
 		t.Logf("in force after %s", took)
 		const id = "west-agent-0"
 		n.setState(id, target.StateLeaving)
-		eventually(t, leavingBound, "west knows that its agent leaves", func() bool {
-			s := n.nodes[id].store.Snapshot()
-			return s.State(s.VMs[id]) == target.StateLeaving
-		})
+		eventually(t, leavingBound, "every region knows that the agent leaves", leaving(n.without(), id))
 	})
 }
 
--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -47,6 +49,36 @@
 	})
 }
 
+func TestLeavingVMIsKnownWhileARelayFreezes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := threeRegions(t)
+		time.Sleep(time.Minute)
+		frozen := make(map[string]bool)
+		for _, region := range []string{"north", "south", "west"} {
+			frozen[firstRelay(n, region)] = true
+		}
+		n.setCut(func(from, to string) bool { return frozen[from] || frozen[to] })
+		rest := n.without(slices.Collect(maps.Keys(frozen))...)
+		require.Len(t, rest, 9)
+		const id = "south-agent-0"
+		n.setState(id, target.StateLeaving)
+		eventually(t, leavingBound, "leaving at every process that is not frozen", leaving(rest, id))
+	})
+}
+
+// leaving reports whether each of nodes takes a VM as leaving.
+func leaving(nodes map[string]*testNode, id string) func() bool {
+	return func() bool {
+		for _, node := range nodes {
+			s := node.store.Snapshot()
+			if s.State(s.VMs[id]) != target.StateLeaving {
+				return false
+			}
+		}
+		return true
+	}
+}
+
 func TestAgentCutOffFromPlatformLearnsLeavingThroughRelay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := threeRegions(t)
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -47,15 +47,7 @@
 		time.Sleep(time.Minute)
 		const id = "south-agent-0"
 		n.setState(id, target.StateLeaving)
-		took := eventually(t, leavingBound, "leaving everywhere", func() bool {
-			for _, node := range n.without() {
-				s := node.store.Snapshot()
-				if s.State(s.VMs[id]) != target.StateLeaving {
-					return false
-				}
-			}
-			return true
-		})
+		took := eventually(t, leavingBound, "leaving everywhere", leaving(n.without(), id))
 		t.Logf("known everywhere after %s", took)
 	})
 }
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -91,11 +91,17 @@
 func (n *Node) writeStatus(ctx context.Context, domain string, row *statusRow, members map[string]Confirmed) {
 	ctx, cancel := context.WithTimeout(ctx, n.periods.Call)
 	defer cancel()
-	if row.known && row.holds(members) {
+	if !row.known {
+		if err := n.readStatus(ctx, domain, row); err != nil {
+			n.log.Debug("cannot read the status", "domain", domain, "error", err)
+			return
+		}
+	}
+	if row.holds(members) {
 		return
 	}
 	result := "ok"
-	if err := n.updateStatus(ctx, domain, row, members); err != nil {
+	if err := n.commitStatus(ctx, domain, row, members); err != nil {
 		row.known = false
 		result = writeResult(err)
 		n.log.Debug("cannot write the status", "domain", domain, "error", err)
@@ -103,15 +109,7 @@
 	n.metrics.writes.WithLabelValues(result).Inc()
 }
 
-func (n *Node) updateStatus(ctx context.Context, domain string, row *statusRow, members map[string]Confirmed) error {
-	if !row.known {
-		if err := n.readStatus(ctx, domain, row); err != nil {
-			return err
-		}
-	}
-	if row.holds(members) {
-		return nil
-	}
+func (n *Node) commitStatus(ctx context.Context, domain string, row *statusRow, members map[string]Confirmed) error {
 	merged := n.mergeStatus(row.members, members)
 	data, err := (&Status{Domain: domain, Members: merged}).Encode()
 	if err != nil {
--- a/internal/fleet/sums_test.go
+++ b/internal/fleet/sums_test.go
@@ -176,8 +176,11 @@
 	require.Zero(t, total(tl), "a relay that starts does not count what was before")
 	tl.add(report(1, 8, 600), now)
 	tl.add(report(1, 8, 600), now)
-	tl.add(report(1, 7, 500), now)
+	old := report(1, 7, 500)
+	old.Pools[0].Sums[0].Running = 9
+	tl.add(old, now)
 	require.Equal(t, uint64(100), total(tl))
+	require.Equal(t, uint32(3), tl.digest().rows[testKey].Running, "an old report does not count")
 	tl.add(report(2, 1, 40), now)
 	require.Equal(t, uint64(140), total(tl), "the first report of a start counts in full")
 	tl.add(report(1, 9, 610), now)
@@ -193,6 +196,39 @@
 	require.Empty(t, tl.members)
 }
 
+func TestRelaysOfOneDomainAreAligned(t *testing.T) {
+	digest := func(relay string, incarnation, sequence, service uint64) *wire.Digest {
+		return &wire.Digest{
+			Relay: relay, Incarnation: incarnation, Sequence: sequence,
+			Pools: []wire.PoolSums{{Pool: "pool", Sums: []wire.Sum{{Workspace: 1, Service: service}}}},
+		}
+	}
+	s := newDomainSums()
+	for i, step := range []struct {
+		digest *wire.Digest
+		merged uint64
+		why    string
+	}{
+		{digest("r1", 1, 1, 100), 100, "the first relay"},
+		{digest("r2", 1, 1, 30), 100, "a relay that counts from later"},
+		{digest("r1", 1, 2, 150), 150, "growth at the first relay"},
+		{digest("r2", 1, 2, 40), 150, "a relay that lags"},
+		{digest("r2", 1, 3, 80), 150, "growth that the first relay told before"},
+		{digest("r2", 1, 4, 90), 160, "growth at the second relay"},
+		{digest("r1", 2, 1, 0), 160, "a relay that has started again"},
+		{digest("r1", 2, 2, 15), 175, "its growth"},
+		{digest("r2", 1, 2, 40), 175, "an older copy"},
+	} {
+		s.merge(step.digest)
+		require.Equal(t, step.merged, s.merged.rows[testKey].Service, "step %d: %s", i, step.why)
+	}
+	for _, src := range s.origins {
+		if src.relay == "r2" {
+			require.Equal(t, uint64(90), src.sums.rows[testKey].Service, "an older copy is not passed on")
+		}
+	}
+}
+
 func drawSums(t *rapid.T) *poolSums {
 	sums := newPoolSums()
 	for _, pool := range rapid.SliceOfDistinct(rapid.SampledFrom([]string{"a", "b", "letter-writer"}), rapid.ID).Draw(t, "pools") {
