--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -105,3 +105,49 @@
 		eventually(t, inForceBound, "second table in force", inForce(n.without(), version))
 	})
 }
+
+func TestSumsFlowWhileTheFirstRelayIsUnreachable(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := usersFleet(t, 3, 2)
+		dead := firstRelay(n, "south")
+		n.setCut(func(from, to string) bool { return from == dead || to == dead })
+		time.Sleep(10 * time.Second)
+		spare := linksOf(n.nodes["south-agent-0"])
+		require.Len(t, spare, relaysPerDomain, "a spare relay has taken the place of the first")
+		before := service(n.nodes["north-agent-0"], "south-d1", 1)
+		const seconds = 30
+		serveBacklog(n, seconds*time.Second, 1)
+		time.Sleep(4 * time.Second)
+		agents := uint64(2)
+		require.Equal(t, before+agents*seconds*unitsPerSecond, service(n.nodes["north-agent-0"], "south-d1", 1))
+		require.Equal(t, spare, linksOf(n.nodes["south-agent-0"]), "the spare links stay up")
+	})
+}
+
+// linksOf returns the links of node to its relays.
+func linksOf(node *testNode) map[*link]string {
+	node.Node.mu.Lock()
+	defer node.Node.mu.Unlock()
+	links := make(map[*link]string)
+	for l := range node.links {
+		if l.kind == toRelay && l.incarnation != 0 {
+			links[l] = l.peer.ID
+		}
+	}
+	return links
+}
+
+func TestMemberGetsEachDigestOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := usersFleet(t, 2, 2)
+		serveBacklog(n, 5*time.Second, 1)
+		n.resetBytes()
+		serveBacklog(n, 10*time.Second, 1)
+		relays := n.nodes["south-agent-0"].store.Snapshot().Relays("south-d1", "south")
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		best := n.bytes[[2]string{relays[0].ID, "south-agent-0"}]
+		standby := n.bytes[[2]string{relays[1].ID, "south-agent-0"}]
+		require.Greater(t, best, 2*standby, "the second relay sends heartbeats alone")
+	})
+}
