--- a/internal/fleet/config_test.go
+++ b/internal/fleet/config_test.go
@@ -13,6 +13,7 @@
 	"github.com/mastichollow/mastichollow/internal/platform"
 	"github.com/mastichollow/mastichollow/internal/standin"
 	"github.com/mastichollow/mastichollow/internal/target"
+	"github.com/mastichollow/mastichollow/internal/wire"
 	"github.com/mastichollow/mastichollow/internal/workspace"
 )
 
@@ -188,6 +189,56 @@
 	})
 }
 
+func TestVMListIsTheSameEverywhereAndOnlyChangesAreSent(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := threeRegions(t)
+		time.Sleep(time.Minute)
+		n.resetBytes()
+		listed := slices.Clone(n.vms)
+		added := testVM(target.RoleAgent, "south", 9)
+		n.setVMs(append(slices.Delete(listed, 5, 6), added))
+		time.Sleep(leavingBound)
+		for id, node := range n.without() {
+			vms := node.store.Snapshot().VMs
+			require.Len(t, vms, len(n.vms), id)
+			require.Contains(t, vms, added.ID, id)
+			require.NotContains(t, vms, "south-router-1", id)
+		}
+		relays := n.nodes["west-agent-0"].store.Snapshot().Relays("west-d1", "west")
+		frame, err := wire.Append(nil, &wire.Config{VMs: n.vms})
+		require.NoError(t, err)
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		require.Less(t, n.bytes[[2]string{relays[0].ID, "west-agent-0"}], len(frame), "the whole list was sent")
+	})
+}
+
+func TestTableIsReadOnlyWhenItsVersionChanges(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := threeRegions(t)
+		var tables atomic.Int64
+		n.table.SetFault(func(op, key string) standin.Fault {
+			if op == "get" && key == platform.KeyTable {
+				tables.Add(1)
+			}
+			return standin.FaultNone
+		})
+		time.Sleep(time.Minute)
+		require.Zero(t, tables.Load())
+		version := n.commit("second")
+		eventually(t, inForceBound, "second table in force", inForce(n.without(), version))
+		require.LessOrEqual(t, tables.Load(), int64(1+3*relaysPerDomain), "the commit of the test and each relay")
+
+		item, err := n.table.Get(n.ctx, platform.KeyTableVersion)
+		require.NoError(t, err)
+		_, err = n.table.Commit(n.ctx, platform.Write{Key: platform.KeyTableVersion, If: item.Version, Delete: true})
+		require.NoError(t, err)
+		tables.Store(0)
+		time.Sleep(10 * time.Second)
+		require.Positive(t, tables.Load(), "a table without its version item is read")
+	})
+}
+
 func TestStatusIsWrittenOnlyWhenItChanges(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := threeRegions(t)
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -58,6 +58,7 @@
 	hasConfirmed bool
 	sent         sentConfig
 	reported     reportState
+	vms          map[string]target.VM // list that the peer sent
 	packers      map[originKey]*packer
 	unpackers    map[originKey]*unpacker
 }
@@ -72,6 +73,7 @@
 type sentConfig struct {
 	table    uint64
 	vms      uint64
+	list     map[string]target.VM
 	suspects uint64
 	stale    bool
 }
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"maps"
+	"slices"
 	"time"
 
+	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/wire"
 )
 
@@ -102,14 +105,29 @@
 	return u
 }
 
+// listVMs returns the whole VM list after the changes in c. It is called by the
+// link's reader alone.
+func (l *link) listVMs(c *wire.Config) []target.VM {
+	if l.vms == nil {
+		l.vms = make(map[string]target.VM)
+	}
+	for _, vm := range c.VMs {
+		l.vms[vm.ID] = vm
+	}
+	for _, id := range c.Gone {
+		delete(l.vms, id)
+	}
+	return slices.Collect(maps.Values(l.vms))
+}
+
 // handleConfig puts the configuration in force that a relay sent.
 func (n *Node) handleConfig(l *link, c *wire.Config) {
 	now := time.Now()
 	if c.Table != nil {
 		n.cfg.Store.ApplyTable(c.Table)
 	}
-	if c.VMs != nil {
-		n.cfg.Store.ApplyVMsAt(c.VMs, now.Add(-c.VMsAge))
+	if len(c.VMs)+len(c.Gone) > 0 {
+		n.cfg.Store.ApplyVMsAt(l.listVMs(c), now.Add(-c.VMsAge))
 	}
 	if c.Suspects != nil {
 		n.cfg.Store.ApplySuspects(c.Suspects.Suspects, now.Add(-c.Suspects.Age))
--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -213,7 +213,10 @@
 	require.NoError(n.t, err)
 	data, err := next.Encode()
 	require.NoError(n.t, err)
-	version, err := n.table.Commit(n.ctx, platform.Write{Key: platform.KeyTable, Value: data, If: item.Version})
+	version, err := n.table.Commit(n.ctx,
+		platform.Write{Key: platform.KeyTable, Value: data, If: item.Version},
+		platform.Write{Key: platform.KeyTableVersion, Value: []byte(name), If: item.Version},
+	)
 	require.NoError(n.t, err)
 	return version
 }
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -62,24 +62,52 @@
 	p.metrics.polls.WithLabelValues(what, result).Inc()
 }
 
+// pollTable reads the table if its version has changed.
 func (p *poller) pollTable(ctx context.Context) error {
 	started := time.Now()
-	item, err := p.cfg.Table.Get(ctx, platform.KeyTable)
-	switch {
-	case errors.Is(err, platform.ErrNotFound):
-	case err != nil:
+	newer, err := p.newerTable(ctx)
+	if err != nil {
 		return err
-	default:
-		table, err := workspace.Decode(item.Value, item.Version)
-		if err != nil {
+	}
+	if newer {
+		if err := p.readTable(ctx); err != nil {
 			return err
 		}
-		p.cfg.Store.ApplyTable(table)
 	}
 	p.tableRead.Store(started.UnixNano())
 	return nil
 }
 
+// newerTable reports whether the table service may hold a newer table than the
+// store. A table that was written without its version item is always read.
+func (p *poller) newerTable(ctx context.Context) (bool, error) {
+	item, err := p.cfg.Table.Get(ctx, platform.KeyTableVersion)
+	if errors.Is(err, platform.ErrNotFound) {
+		return true, nil
+	}
+	if err != nil {
+		return false, err
+	}
+	held := p.cfg.Store.Snapshot().Table
+	return held == nil || item.Version > held.Version, nil
+}
+
+func (p *poller) readTable(ctx context.Context) error {
+	item, err := p.cfg.Table.Get(ctx, platform.KeyTable)
+	if errors.Is(err, platform.ErrNotFound) {
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	table, err := workspace.Decode(item.Value, item.Version)
+	if err != nil {
+		return err
+	}
+	p.cfg.Store.ApplyTable(table)
+	return nil
+}
+
 func (p *poller) pollVMs(ctx context.Context) error {
 	started := time.Now()
 	list, err := p.cfg.VMs.List(ctx)
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"maps"
 	"slices"
 	"time"
 
+	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/wire"
 )
 
@@ -178,7 +180,8 @@
 		c.Table, sent.table, changed = s.Table, s.Table.Version, true
 	}
 	if s.vmsEpoch > sent.vms {
-		c.VMs, c.VMsAge, sent.vms, changed = s.list(), now.Sub(s.vmsRead), s.vmsEpoch, true
+		c.VMs, c.Gone = changedVMs(sent.list, s.VMs)
+		c.VMsAge, sent.list, sent.vms, changed = now.Sub(s.vmsRead), s.VMs, s.vmsEpoch, true
 	}
 	if s.suspectsEpoch > sent.suspects {
 		c.Suspects, sent.suspects, changed = s.suspectList(now), s.suspectsEpoch, true
@@ -186,6 +189,22 @@
 	return orNil(c, changed)
 }
 
+// changedVMs returns the VMs of next that differ from before, and the IDs of
+// those that it lacks, by ID.
+func changedVMs(before, next map[string]target.VM) (changed []target.VM, gone []string) {
+	for _, id := range slices.Sorted(maps.Keys(next)) {
+		if old, listed := before[id]; !listed || old != next[id] {
+			changed = append(changed, next[id])
+		}
+	}
+	for _, id := range slices.Sorted(maps.Keys(before)) {
+		if _, listed := next[id]; !listed {
+			gone = append(gone, id)
+		}
+	}
+	return changed, gone
+}
+
 // staleFor reports whether this process says to a peer that it cannot read the
 // platform. To members it says so only when no relay of another domain reads
 // it in its place. n.mu is held.
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -9,7 +9,6 @@
 package fleet
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -226,13 +225,6 @@
 	}
 }
 
-// list returns the VMs by ID.
-func (s *Snapshot) list() []target.VM {
-	return slices.SortedFunc(maps.Values(s.VMs), func(a, b target.VM) int {
-		return cmp.Compare(a.ID, b.ID)
-	})
-}
-
 // suspectList returns the suspects as a message.
 func (s *Snapshot) suspectList(now time.Time) *wire.SuspectList {
 	list := &wire.SuspectList{Age: now.Sub(s.suspectsRead)}
--- a/internal/operator/commit.go
+++ b/internal/operator/commit.go
@@ -16,14 +16,13 @@
 // the table service lets one through at most, and the change ID tells whether
 // it did.
 func (o *Operator) commit(ctx context.Context, next *workspace.Table, change workspace.Change) (uint64, error) {
-	data, err := next.Encode()
+	writes, err := o.writes(ctx, next, change)
 	if err != nil {
 		return 0, err
 	}
-	write := platform.Write{Key: platform.KeyTable, Value: data, If: change.Against}
 	uncertain := false
 	for attempt := 1; ; attempt++ {
-		version, err := o.Table.Commit(ctx, write)
+		version, err := o.Table.Commit(ctx, writes...)
 		switch {
 		case err == nil:
 			return version, nil
@@ -43,6 +42,23 @@
 	}
 }
 
+// writes returns the writes of one transaction that put next in the place of the
+// version of change.
+func (o *Operator) writes(ctx context.Context, next *workspace.Table, change workspace.Change) ([]platform.Write, error) {
+	data, err := next.Encode()
+	if err != nil {
+		return nil, err
+	}
+	item, err := o.Table.Get(ctx, platform.KeyTableVersion)
+	if err != nil && !errors.Is(err, platform.ErrNotFound) {
+		return nil, translate(errors.Wrap(err, "reading the version of the table"))
+	}
+	return []platform.Write{
+		{Key: platform.KeyTable, Value: data, If: change.Against},
+		{Key: platform.KeyTableVersion, Value: []byte(change.ID), If: item.Version},
+	}, nil
+}
+
 // settle finds out by reading whether the change is in the table although the
 // last write met another version than it was planned against.
 func (o *Operator) settle(ctx context.Context, change workspace.Change, uncertain bool) (uint64, error) {
--- a/internal/platform/platform.go
+++ b/internal/platform/platform.go
@@ -91,6 +91,9 @@
 const (
 	// KeyTable is the key of the workspace table.
 	KeyTable = "config/table"
+	// KeyTableVersion is the key of a small item that is written together
+	// with the workspace table, and so has its version.
+	KeyTableVersion = "config/version"
 	// PrefixStatus precedes the name of a failure domain in the keys of
 	// confirmed versions.
 	PrefixStatus = "status/"
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -103,7 +103,8 @@
 }
 
 // Config carries the table and the VM list to members. An absent part has not
-// changed.
+// changed. VMs holds the VMs that differ from those sent before on the same
+// stream.
 type Config struct {
 	Table *workspace.Table `cbor:"1,keyasint,omitempty"`
 	VMs   []target.VM      `cbor:"2,keyasint,omitempty"`
@@ -113,6 +114,8 @@
 	Suspects *SuspectList `cbor:"4,keyasint,omitempty"`
 	// Stale says that the sender cannot read the platform.
 	Stale bool `cbor:"5,keyasint,omitempty"`
+	// Gone are the IDs of the VMs that are no longer listed.
+	Gone []string `cbor:"6,keyasint,omitempty"`
 }
 
 // SuspectList holds the fingerprints of requests that ran at the crash of a
