--- a/internal/e2e/caller_test.go
+++ b/internal/e2e/caller_test.go
@@ -24,14 +24,25 @@
 	err    error  // the connection broke
 }
 
-// notRun reports whether the reply says that the request did not run.
-func (r reply) notRun() bool {
-	var p struct {
-		NotRun bool `json:"not_run"`
-	}
-	return json.Unmarshal([]byte(r.text), &p) == nil && p.NotRun
+// problem is what a refusal says of whether the request ran.
+type problem struct {
+	// NotRun: the request did not run.
+	NotRun bool `json:"not_run"`
+	// SubmissionNotRun: this submission did not run; another one under the
+	// same idempotency key may have.
+	SubmissionNotRun bool `json:"submission_not_run"`
+}
+
+// problem returns what the refusal says; nothing for an answer.
+func (r reply) problem() problem {
+	var p problem
+	_ = json.Unmarshal([]byte(r.text), &p)
+	return p
 }
 
+// notRun reports whether the reply says that the request did not run.
+func (r reply) notRun() bool { return r.problem().NotRun }
+
 func (r reply) String() string {
 	return fmt.Sprintf("status %d, whole %t, error %v, text %.200q", r.status, r.whole, r.err, r.text)
 }
@@ -146,16 +157,6 @@
 	require.Equal(t, l.want, r.text)
 }
 
-// requireNotShort checks that the caller either got the whole answer to its own
-// request or was shown that it did not.
-func (l *letter) requireNotShort(t *testing.T) {
-	t.Helper()
-	r := <-l.reply
-	if r.whole {
-		require.Equal(t, l.want, r.text)
-	}
-}
-
 // order places an order under an idempotency key.
 func order(ctx context.Context, router, key, name string) reply {
 	return send(ctx, http.MethodPost, router+"/services/"+shop+"/orders", key, `{"order":"`+name+`"}`)
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -167,7 +167,8 @@
 	f.platform.SetFaults(standin.Faults{Down: true})
 	refused := order(t.Context(), d.routerURL, "down", "down")
 	require.Equal(t, http.StatusServiceUnavailable, refused.status, refused)
-	require.True(t, refused.notRun(), "%s", refused)
+	require.Equal(t, problem{SubmissionNotRun: true}, refused.problem(),
+		"no one knows whether an earlier submission under the key ran: %s", refused)
 	require.NotEmpty(t, refused.header.Get("Retry-After"))
 	require.Zero(t, d.service.Count("down"))
 	write(t.Context(), d.routerURL, "store down", 5).requireWhole(t)
@@ -247,6 +248,39 @@
 	write(t.Context(), f.domains[0].routerURL, "innocent", 5).requireWhole(t)
 }
 
+// TestSilentConnectionsCutNoLetter lets the connections to an agent go silent
+// for good while new ones work.
+func TestSilentConnectionsCutNoLetter(t *testing.T) {
+	t.Parallel()
+	links := map[string]*standin.Forwarder{}
+	f := newFleet(t, options{advertise: func(id, addr string) string {
+		link, err := standin.NewForwarder(addr)
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = link.Close() })
+		links[id] = link
+		return link.Addr()
+	}})
+	l := write(t.Context(), f.domains[0].routerURL, "silent", longLetter)
+	<-l.first
+	links["letters-d1"].Silence()
+	l.requireWhole(t)
+}
+
+// TestSilentTargetConnection lets the agent's connection to its target go
+// silent: the caller is never shown a short answer as if it were whole, and
+// new requests are answered.
+func TestSilentTargetConnection(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, options{args: []string{"--progress", "2s"}})
+	d := f.domains[0]
+	l := write(t.Context(), d.routerURL, "silent", longLetter)
+	<-l.first
+	d.engine.SetFaults(standin.Faults{Silence: true})
+	r := <-l.reply
+	require.False(t, r.whole, r)
+	write(t.Context(), d.routerURL, "after the silence", 5).requireWhole(t)
+}
+
 func TestSecondSignalDoesNotEndTheAgent(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, options{})
