--- a/internal/placement/placement.go
+++ b/internal/placement/placement.go
@@ -93,30 +93,81 @@
 	Far []target.VM
 }
 
+// Home returns the first choice among agents for a request that entered at
+// site: by fingerprint among the agents of the region that rank highest by
+// affinity. A region without agents takes all others as one. It returns nil
+// when there is no agent.
+func Home(agents []target.VM, site Site, c Content) *target.VM {
+	local := func(vm *target.VM) bool { return vm.Region == site.Region }
+	if !slices.ContainsFunc(agents, func(vm target.VM) bool { return local(&vm) }) {
+		local = func(*target.VM) bool { return true }
+	}
+	var best bestByScore
+	key := c.affinity()
+	for i := range agents {
+		if vm := &agents[i]; local(vm) {
+			best.add(scored{vm: vm, score: rendezvous(key, vm.ID)})
+		}
+	}
+	return best.choose(c.Fingerprint)
+}
+
 // scored is an agent with its rank among agents of one link class.
 type scored struct {
-	vm    target.VM
+	vm    *target.VM
 	link  Link
 	free  bool
 	score uint64
 }
 
+// bestByScore holds the agents that rank highest, in order.
+type bestByScore struct {
+	list [affinityWidth]scored
+	n    int
+}
+
+// add takes s in if it ranks high enough.
+func (b *bestByScore) add(s scored) {
+	at := b.n
+	for at > 0 && compareScore(s, b.list[at-1]) < 0 {
+		at--
+	}
+	if at == affinityWidth {
+		return
+	}
+	b.n = min(b.n+1, affinityWidth)
+	copy(b.list[at+1:b.n], b.list[at:])
+	b.list[at] = s
+}
+
+// choose returns the agent that ranks highest under key, or nil.
+func (b *bestByScore) choose(key []byte) *target.VM {
+	var chosen *target.VM
+	var highest uint64
+	for _, s := range b.list[:b.n] {
+		if score := rendezvous(key, s.vm.ID); chosen == nil || score > highest {
+			chosen, highest = s.vm, score
+		}
+	}
+	return chosen
+}
+
 // Make returns the plan of a request that entered at site. free reports
 // whether a failure domain has free slots in the pool.
 func Make(agents []target.VM, site Site, c Content, free func(domain string) bool) Plan {
-	if len(agents) == 0 {
+	home := Home(agents, site, c)
+	if home == nil {
 		return Plan{}
 	}
-	ranked := rank(agents, site, c, free)
-	home := chooseHome(ranked, c)
-	plan := Plan{Home: &home}
-	for _, s := range ranked {
+	copied := *home
+	plan := Plan{Home: &copied}
+	for _, s := range rank(agents, site, c, free) {
 		switch {
-		case s.vm.ID == home.ID:
+		case s.vm == home:
 		case s.link == LinkCrossRegion:
-			plan.Far = append(plan.Far, s.vm)
+			plan.Far = append(plan.Far, *s.vm)
 		default:
-			plan.Near = append(plan.Near, s.vm)
+			plan.Near = append(plan.Near, *s.vm)
 		}
 	}
 	return plan
@@ -127,8 +178,9 @@
 func rank(agents []target.VM, site Site, c Content, free func(string) bool) []scored {
 	key := c.affinity()
 	ranked := make([]scored, 0, len(agents))
-	for _, vm := range agents {
-		s := scored{vm: vm, link: site.LinkTo(vm), score: rendezvous(key, vm.ID)}
+	for i := range agents {
+		vm := &agents[i]
+		s := scored{vm: vm, link: site.LinkTo(*vm), score: rendezvous(key, vm.ID)}
 		s.free = s.link == LinkCrossRegion && free != nil && free(vm.Domain)
 		ranked = append(ranked, s)
 	}
@@ -146,41 +198,17 @@
 		}
 		return 1
 	}
+	return compareScore(a, b)
+}
+
+// compareScore orders agents of one link class, the highest score first.
+func compareScore(a, b scored) int {
 	if c := cmp.Compare(b.score, a.score); c != 0 {
 		return c
 	}
 	return cmp.Compare(a.vm.ID, b.vm.ID)
 }
 
-// chooseHome picks by fingerprint among the agents of the region that rank
-// highest by affinity. A region without agents takes all others as one.
-func chooseHome(ranked []scored, c Content) target.VM {
-	region := localOrAll(ranked)
-	slices.SortFunc(region, func(a, b scored) int {
-		if c := cmp.Compare(b.score, a.score); c != 0 {
-			return c
-		}
-		return cmp.Compare(a.vm.ID, b.vm.ID)
-	})
-	width := min(affinityWidth, len(region))
-	return slices.MaxFunc(region[:width], func(a, b scored) int {
-		return cmp.Compare(rendezvous(c.Fingerprint, a.vm.ID), rendezvous(c.Fingerprint, b.vm.ID))
-	}).vm
-}
-
-// localOrAll returns a copy of the agents of the router's region, or of all
-// when it has none.
-func localOrAll(ranked []scored) []scored {
-	n := 0
-	for n < len(ranked) && ranked[n].link != LinkCrossRegion {
-		n++
-	}
-	if n == 0 {
-		n = len(ranked)
-	}
-	return slices.Clone(ranked[:n])
-}
-
 // affinity returns the key by which agents are ranked.
 func (c Content) affinity() []byte {
 	if len(c.Prefix) == 0 {
--- a/internal/placement/placement_test.go
+++ b/internal/placement/placement_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"testing"
@@ -116,18 +117,15 @@
 
 // bestByAffinity returns the agents over which a prefix spreads.
 func bestByAffinity(agents []target.VM, c Content) []string {
-	region := localOrAll(rank(agents, site, c, nil))
-	slices.SortFunc(region, func(a, b scored) int {
-		if a.score > b.score {
-			return -1
-		}
-		return 1
-	})
-	list := make([]string, 0, affinityWidth)
-	for _, s := range region[:min(affinityWidth, len(region))] {
-		list = append(list, s.vm.ID)
+	inRegion := func(vm target.VM) bool { return vm.Region == site.Region }
+	region := slices.Clone(agents)
+	if slices.ContainsFunc(agents, inRegion) {
+		region = slices.DeleteFunc(region, func(vm target.VM) bool { return !inRegion(vm) })
 	}
-	return list
+	slices.SortFunc(region, func(a, b target.VM) int {
+		return cmp.Compare(rendezvous(c.affinity(), b.ID), rendezvous(c.affinity(), a.ID))
+	})
+	return ids(region[:min(affinityWidth, len(region))])
 }
 
 // TestHomesSpreadOverThePool checks that no agent is home to more than twice
--- a/internal/router/binding.go
+++ b/internal/router/binding.go
@@ -13,6 +13,9 @@
 	"github.com/cockroachdb/errors"
 )
 
+// maxDoublings bounds the growth of steps.
+const maxDoublings = 8
+
 // binding is one round of offers of a call: it ends with the first grant, or
 // when no agent is left that might give one.
 //
@@ -26,6 +29,8 @@
 	open      int             // legs that may still grant
 	home      *leg
 	duplicate bool
+	steps     int
+	spilled   int // offers to other regions without known free slots
 	ticket    *ticket
 	last      *request.RefusedError
 }
@@ -54,7 +59,7 @@
 			return nil, b.x.ended(ctx, request.OutcomeNotRun)
 		case <-timer.C:
 			b.step(ctx)
-			timer.Reset(b.x.r.cfg.Timing.Widen)
+			timer.Reset(b.pause())
 		case e := <-b.x.legs.events:
 			winner, refused := b.handle(ctx, e)
 			if refused != nil {
@@ -176,8 +181,9 @@
 
 // askHome offers the call to its home agent.
 func (b *binding) askHome(ctx context.Context) {
-	if plan := b.plan(); plan.Home != nil {
-		b.home = b.ask(ctx, *plan.Home, true)
+	home := placement.Home(b.agents(), b.x.r.cfg.Site, b.x.c.content)
+	if home != nil {
+		b.home = b.ask(ctx, *home, true)
 	}
 }
 
@@ -186,17 +192,42 @@
 	if !b.duplicate {
 		b.widen(ctx)
 	}
+	b.steps++
+}
+
+// pause returns the time until the next step. It doubles with each step, as
+// does the number of agents asked, but no multiple of SpillAfter is missed.
+func (b *binding) pause() time.Duration {
+	timing := b.x.r.cfg.Timing
+	toSpill := timing.SpillAfter - time.Since(b.x.began)%timing.SpillAfter
+	return min(timing.Widen<<min(b.steps-1, maxDoublings), toSpill)
 }
 
 // widen offers the call to the next agents and returns their number.
 func (b *binding) widen(ctx context.Context) int {
+	timing := b.x.r.cfg.Timing
 	plan := b.plan()
-	room := min(b.x.r.cfg.Timing.OffersPerStep, b.x.r.cfg.Timing.OffersPerRound-len(b.asked))
+	room := min(timing.OffersPerStep<<min(b.steps, maxDoublings), timing.OffersPerRound-len(b.asked))
 	added := b.askAll(ctx, plan.Near, room)
-	if added > 0 && !b.spills() {
-		return added
+	return added + b.askFar(ctx, plan.Far, room-added)
+}
+
+// askFar offers the call to agents of other regions: to those of domains with
+// free slots, and to the others one for each SpillAfter that the call has
+// waited, or at once when nobody nearer is left.
+func (b *binding) askFar(ctx context.Context, agents []target.VM, room int) int {
+	n := 0
+	for n < len(agents) && b.hasFree(agents[n].Domain) {
+		n++
+	}
+	added := b.askAll(ctx, agents[:n], room)
+	if b.open > 0 {
+		waited := int(time.Since(b.x.began) / b.x.r.cfg.Timing.SpillAfter)
+		room = min(room, waited-b.spilled+added)
 	}
-	return added + b.askAll(ctx, b.far(plan), room-added)
+	spilled := b.askAll(ctx, agents[n:], room-added)
+	b.spilled += spilled
+	return added + spilled
 }
 
 // askAll offers the call to the first room agents that were not asked yet.
@@ -218,26 +249,6 @@
 	return added
 }
 
-// far returns the agents of other regions that may be asked now: all when the
-// call has waited for long or nothing else is left, otherwise those of domains
-// with free slots.
-func (b *binding) far(plan placement.Plan) []target.VM {
-	if b.spills() || b.open == 0 {
-		return plan.Far
-	}
-	n := 0
-	for n < len(plan.Far) && b.hasFree(plan.Far[n].Domain) {
-		n++
-	}
-	return plan.Far[:n]
-}
-
-// spills reports whether the call has waited beyond the threshold for other
-// regions.
-func (b *binding) spills() bool {
-	return time.Since(b.x.began) >= b.x.r.cfg.Timing.SpillAfter
-}
-
 // hasFree reports whether the failure domain was last seen with free slots and
 // nothing waiting.
 func (b *binding) hasFree(domain string) bool {
@@ -245,13 +256,17 @@
 	return ok && load.Free > 0 && load.Queued == 0
 }
 
+// agents returns the agents that are live now.
+func (b *binding) agents() []target.VM {
+	if p := b.x.r.index.get().pools[b.x.c.pool]; p != nil {
+		return p.agents
+	}
+	return nil
+}
+
 // plan orders the agents that are live now.
 func (b *binding) plan() placement.Plan {
-	p := b.x.r.index.get().pools[b.x.c.pool]
-	if p == nil {
-		return placement.Plan{}
-	}
-	return placement.Make(p.agents, b.x.r.cfg.Site, b.x.c.content, b.hasFree)
+	return placement.Make(b.agents(), b.x.r.cfg.Site, b.x.c.content, b.hasFree)
 }
 
 // ask opens a stream with an offer to vm.
--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/mastichollow/mastichollow/internal/placement"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/transport"
 	"github.com/mastichollow/mastichollow/internal/wire"
@@ -291,12 +292,17 @@
 // homeOf returns the home agent of a completion among two agents, and the other
 // one.
 func (f *fixture) homeOf(body string) (home, other string) {
+	plan := f.planOf(body)
+	return plan.Home.ID, plan.Near[0].ID
+}
+
+// planOf returns the order of agents for a completion.
+func (f *fixture) planOf(body string) placement.Plan {
 	f.t.Helper()
 	req := post(pathCompletions, body)
 	e, refused := f.router.checkEnvelope("id", req)
 	require.Nil(f.t, refused)
 	c, refused := f.router.completionCall(e, req, []byte(body))
 	require.Nil(f.t, refused)
-	plan := newBinding(newExecution(f.router, c, nil)).plan()
-	return plan.Home.ID, plan.Near[0].ID
+	return newBinding(newExecution(f.router, c, nil)).plan()
 }
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -250,3 +250,35 @@
 		require.Empty(t, f.router.waiting.lines)
 	})
 }
+
+// TestSpillToBusyRegionsIsSlow checks that a request which waits while no other
+// region is known to have free slots costs one offer across regions for each
+// SpillAfter, and that a free slot there is found at the next step.
+func TestSpillToBusyRegionsIsSlow(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		vms := []target.VM{agent("a1", "north", "north-a")}
+		for _, id := range []string{"f1", "f2", "f3", "f4", "f5", "f6"} {
+			vms = append(vms, agent(id, "south", "south-a"))
+		}
+		f := newFixture(t, nil, vms...)
+		for _, vm := range vms {
+			f.fleet.set(vm.Addr, sends(queued(false)))
+		}
+		busy := wire.PoolSums{Pool: testModel, Queued: 3}
+		f.store.ApplyDigest(&wire.Digest{Domain: "south-a", Pools: []wire.PoolSums{busy}})
+		done := make(chan struct{})
+		go func() {
+			defer close(done)
+			f.serve(post(pathCompletions, chatBody, "X-Request-Timeout: 5.5"))
+		}()
+		for second := range 4 {
+			time.Sleep(time.Second)
+			synctest.Wait()
+			require.InDelta(t, second+1, f.count("offers_total", "link", "cross_region"), 0)
+		}
+		free := wire.PoolSums{Pool: testModel, Free: 2}
+		f.store.ApplyDigest(&wire.Digest{Domain: "south-a", Pools: []wire.PoolSums{free}})
+		<-done
+		require.InDelta(t, 6, f.count("offers_total", "link", "cross_region"), 0)
+	})
+}
--- a/internal/router/retry_test.go
+++ b/internal/router/retry_test.go
@@ -240,3 +240,19 @@
 		require.LessOrEqual(t, len(f.fleet.seen().forgotten), resumes+1)
 	})
 }
+
+// TestRetryAvoidsTheAgentThatFailed checks that a retry asks the other agents
+// before the one at which the attempt failed.
+func TestRetryAvoidsTheAgentThatFailed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, withTiming(func(t *Timing) { t.OffersPerStep = 1 }),
+			agent("a1", "north", "north-a"), agent("a2", "north", "north-a"), agent("a3", "north", "north-a"))
+		plan := f.planOf(chatBody)
+		f.fleet.set(plan.Home.ID, sends(queued(false)))
+		f.fleet.set(plan.Near[0].ID, grantThen(fail(request.OutcomeNotRun, request.ReasonTargetFailed)))
+		f.fleet.set(plan.Near[1].ID, grantThen(answers("text/plain", "ok")...))
+		rec, _ := f.serve(post(pathCompletions, chatBody))
+		require.Equal(t, http.StatusOK, rec.Code)
+		require.Len(t, f.fleet.seen().offers[plan.Near[0].ID], 1)
+	})
+}
