--- a/internal/engine/decode_test.go
+++ b/internal/engine/decode_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
+	"net/http"
 	"strings"
 	"testing"
 	"testing/iotest"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
@@ -137,11 +140,19 @@
 	})
 }
 
-// BenchmarkEvents measures the cost of a token in a stream.
+const (
+	tokensPerStream = 1000
+	tokenEvent      = `data: {"id":"99f99b86-6446","object":"chat.completion.chunk","model":"m","choices":[{"index":0,"delta":{"content":"379338d6 "},"finish_reason":null}]}` + "\n\n"
+)
+
+// reportToken reports the cost of a token in a benchmark of streams.
+func reportToken(b *testing.B) {
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/tokensPerStream, "ns/token")
+}
+
+// BenchmarkEvents measures the cost of reading and counting a token.
 func BenchmarkEvents(b *testing.B) {
-	token := `data: {"id":"99f99b86-6446","object":"chat.completion.chunk","model":"m","choices":[{"index":0,"delta":{"content":"379338d6 "},"finish_reason":null}]}` + "\n\n"
-	stream := strings.Repeat(token, 1000)
-	b.ReportAllocs()
+	stream := strings.Repeat(tokenEvent, tokensPerStream)
 	for b.Loop() {
 		reader := newEventReader(strings.NewReader(stream), defaultMaxEvent)
 		var m meter
@@ -152,9 +163,47 @@
 			}
 			m.add(ev.data)
 		}
-		if m.events != 1000 {
+		if m.events != tokensPerStream {
 			b.Fatalf("counted %d tokens", m.events)
 		}
 	}
-	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N)/1000, "ns/token")
+	reportToken(b)
+}
+
+// eventBody is a stream that gives one event to each read.
+type eventBody struct{ left int }
+
+func (e *eventBody) Read(p []byte) (int, error) {
+	if e.left == 0 {
+		return copy(p, "data: [DONE]\n\n"), nil
+	}
+	e.left--
+	return copy(p, tokenEvent), nil
+}
+
+func (e *eventBody) Close() error { return nil }
+
+// BenchmarkNext measures the cost of a token that arrives alone, with the
+// limits on each read.
+func BenchmarkNext(b *testing.B) {
+	client := NewModelClient("http://target", Options{})
+	ctx, cancel := context.WithCancel(b.Context())
+	defer cancel()
+	for b.Loop() {
+		g := newGuard(time.Minute)
+		resp := &http.Response{Body: guardedBody{&eventBody{left: tokensPerStream}, g}}
+		answer := &body{resp: resp, guard: g, pull: client.pullEvents(resp)}
+		units := int64(0)
+		for {
+			frame, err := answer.Next(ctx)
+			if err != nil {
+				break
+			}
+			units += frame.Units
+		}
+		if units != tokensPerStream {
+			b.Fatalf("counted %d tokens", units)
+		}
+	}
+	reportToken(b)
 }
--- a/internal/standin/engine.go
+++ b/internal/standin/engine.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"encoding/json"
 	"fmt"
 	"io"
 	"net/http"
@@ -110,35 +109,13 @@
 
 // stream writes each token as an event. The head is sent with the first one.
 func (e *Engine) stream(running context.Context, ctx iris.Context, r chatRequest, started func()) {
-	id := uuid.NewString()
 	ctx.ContentType("text/event-stream")
 	ctx.Header("Cache-Control", "no-cache")
-	send := func(c chunk) error {
-		c.ID, c.Object, c.Model = id, "chat.completion.chunk", r.Model
-		return writeEvent(ctx, c)
-	}
-	err := e.model.generate(running, r, started, func(token string) error {
-		return send(chunk{Choices: []chunkChoice{{Delta: &message{Content: token}}}})
-	})
-	if err != nil {
+	s := newEventStream(ctx.ResponseWriter(), r.Model)
+	if err := e.model.generate(running, r, started, s.token); err != nil {
 		panic(http.ErrAbortHandler)
 	}
-	stop := "stop"
-	_ = send(chunk{Choices: []chunkChoice{{Delta: &message{}, FinishReason: &stop}}})
-	if r.StreamOptions.IncludeUsage {
-		_ = send(chunk{Choices: []chunkChoice{}, Usage: usageOf(r)})
-	}
-	_, _ = ctx.WriteString("data: [DONE]\n\n")
-}
-
-func writeEvent(ctx iris.Context, c chunk) error {
-	data, err := json.Marshal(c)
-	if err != nil {
-		return err
-	}
-	if _, err := fmt.Fprintf(ctx.ResponseWriter(), "data: %s\n\n", data); err != nil {
-		return err
+	if err := s.end(r); err != nil {
+		panic(http.ErrAbortHandler)
 	}
-	ctx.ResponseWriter().Flush()
-	return nil
 }
--- a/internal/standin/load/request.go
+++ b/internal/standin/load/request.go
@@ -22,7 +22,7 @@
 	failedWrong      = "wrong_answer"
 )
 
-const doneLine = "data: [DONE]"
+const doneData = "[DONE]"
 
 // request is one request of a load.
 type request struct {
@@ -103,7 +103,9 @@
 	var text string
 	var whole bool
 	if g.config.Stream {
-		text, whole = readStream(body, func() { o.firstToken = time.Since(r.due) })
+		s := streamReader{verify: g.config.Verify, first: func() { o.firstToken = time.Since(r.due) }}
+		whole = s.read(body)
+		text = s.text.String()
 	} else {
 		text, whole = readWhole(body)
 		o.firstToken = time.Since(r.due)
@@ -131,31 +133,43 @@
 	} `json:"choices"`
 }
 
-// readStream reads a stream to its end and calls first at the first token. It
-// reports whether the stream is whole.
-func readStream(body io.Reader, first func()) (string, bool) {
-	var text strings.Builder
+// streamReader reads a streamed answer.
+type streamReader struct {
+	text    strings.Builder
+	first   func() // called at the first token
+	started bool
+	done    bool // the last line was the mark of the end
+	verify  bool // collect the text
+}
+
+// read reads the stream to its end and reports whether it is whole.
+func (s *streamReader) read(body io.Reader) bool {
 	lines := bufio.NewScanner(body)
-	whole := false
 	for lines.Scan() {
-		data, ok := strings.CutPrefix(lines.Text(), "data: ")
-		if !ok {
-			continue
-		}
-		whole = lines.Text() == doneLine
-		if whole {
-			continue
-		}
-		var piece completion
-		if json.Unmarshal([]byte(data), &piece) != nil || len(piece.Choices) == 0 {
-			continue
-		}
-		if text.Len() == 0 && piece.Choices[0].Delta.Content != "" {
-			first()
+		if data, ok := bytes.CutPrefix(lines.Bytes(), []byte("data: ")); ok {
+			s.event(data)
 		}
-		text.WriteString(piece.Choices[0].Delta.Content)
 	}
-	return text.String(), whole && lines.Err() == nil
+	return s.done && lines.Err() == nil
+}
+
+// event takes the data of an event. After the first token only streams that
+// are verified are decoded, so that the load costs little beside its target.
+func (s *streamReader) event(data []byte) {
+	s.done = string(data) == doneData
+	if s.done || s.started && !s.verify {
+		return
+	}
+	var piece completion
+	if json.Unmarshal(data, &piece) != nil || len(piece.Choices) == 0 {
+		return
+	}
+	content := piece.Choices[0].Delta.Content
+	if content != "" && !s.started {
+		s.started = true
+		s.first()
+	}
+	s.text.WriteString(content)
 }
 
 // readWhole reads an answer that is not streamed.
