--- a/cmd/mastichollow-bench/main.go
+++ b/cmd/mastichollow-bench/main.go
@@ -57,12 +57,26 @@
 func (s *settings) jobs() []job {
 	var jobs []job
 	for _, size := range []experiment.Deployment{experiment.Muistopurkki(), experiment.Lens()} {
+		if !wanted(s.Size, size.Name) {
+			continue
+		}
 		for _, policy := range experiment.Policies() {
-			for _, scenario := range experiment.Scenarios() {
-				if wanted(s.Size, size.Name) && wanted(s.Policy, policy.Name) && wanted(s.Scenario, scenario.Name) {
-					jobs = append(jobs, job{size: size, policy: policy, scenario: scenario})
-				}
-			}
+			jobs = append(jobs, s.play(size, policy, nil)...)
+		}
+		for _, policy := range experiment.Variants() {
+			jobs = append(jobs, s.play(size, policy, experiment.VariantScenarios)...)
+		}
+	}
+	return jobs
+}
+
+// play lists the runs of one policy in the scenarios that were asked for among
+// those named; none: all.
+func (s *settings) play(size experiment.Deployment, policy experiment.Policy, names []string) []job {
+	var jobs []job
+	for _, scenario := range experiment.Scenarios() {
+		if wanted(s.Policy, policy.Name) && wanted(s.Scenario, scenario.Name) && wanted(names, scenario.Name) {
+			jobs = append(jobs, job{size: size, policy: policy, scenario: scenario})
 		}
 	}
 	return jobs
--- a/internal/experiment/agent.go
+++ b/internal/experiment/agent.go
@@ -209,7 +209,7 @@
 		due := int64(c.produced) - c.charged
 		c.charged += due
 		c.account.Charge(due)
-		a.w.meter.served(c, produced)
+		a.w.meter.served(c, a, produced)
 		if c.left > 0 {
 			kept = append(kept, c)
 			continue
--- a/internal/experiment/callers.go
+++ b/internal/experiment/callers.go
@@ -43,7 +43,8 @@
 
 func (c *callers) start() {
 	for range c.demand.Callers {
-		c.w.after(c.demand.From+c.w.jitter(time.Second), c.sendBatch)
+		region := c.region()
+		c.w.after(c.demand.From+c.w.jitter(time.Second), func() { c.sendBatch(region) })
 	}
 	if c.demand.Quick > 0 {
 		c.w.after(c.demand.From+c.pause(c.demand.Quick), c.sendQuick)
@@ -53,13 +54,15 @@
 	}
 }
 
-// sendBatch sends a request and the next one when it is answered.
-func (c *callers) sendBatch() {
-	c.send(request.ClassBatch, c.batchCost(), c.sendBatch, c.sendBatch)
+// sendBatch sends a request and the next one when it is answered, for a caller
+// near region.
+func (c *callers) sendBatch(region int) {
+	again := func() { c.sendBatch(region) }
+	c.send(request.ClassBatch, region, c.batchCost(), again, again)
 }
 
 func (c *callers) sendQuick() {
-	c.send(request.ClassInteractive, quickCost*(0.5+c.w.rng.Float64()), func() {}, func() {})
+	c.send(request.ClassInteractive, c.region(), quickCost*(0.5+c.w.rng.Float64()), func() {}, func() {})
 	c.w.after(c.pause(c.demand.Quick), c.sendQuick)
 }
 
@@ -68,18 +71,18 @@
 	if c.waiting < floodRoom {
 		c.waiting++
 		over := func() { c.waiting-- }
-		c.send(request.ClassBatch, c.batchCost(), over, over)
+		c.send(request.ClassBatch, c.region(), c.batchCost(), over, over)
 	}
 	c.w.after(c.pause(c.demand.Flood), c.sendFlood)
 }
 
-func (c *callers) send(class request.Class, cost float64, done, retry func()) {
+func (c *callers) send(class request.Class, region int, cost float64, done, retry func()) {
 	c.w.requests++
 	call := &call{
 		id: c.w.requests, ws: c.ws, class: class,
 		left: cost, hint: c.hint(cost), done: done, retry: retry,
 	}
-	c.router().accept(call)
+	c.router(region).accept(call)
 }
 
 // batchCost draws a cost between minCost and maxCost, evenly by its logarithm.
@@ -101,8 +104,8 @@
 	return max(1, int64(cost*factor))
 }
 
-// router picks a router by the workspace's regions.
-func (c *callers) router() *router {
+// region draws a region by the workspace's shares.
+func (c *callers) region() int {
 	total := 0.0
 	for _, share := range c.demand.Regions {
 		total += share
@@ -113,8 +116,14 @@
 		draw -= c.demand.Regions[region]
 		region++
 	}
-	count := (len(c.w.routers) - region + c.w.deployment.Regions - 1) / c.w.deployment.Regions
-	return c.w.routers[region+c.w.rng.IntN(count)*c.w.deployment.Regions]
+	return region
+}
+
+// router draws a router of region.
+func (c *callers) router(region int) *router {
+	regions := c.w.deployment.Regions
+	count := (len(c.w.routers) - region + regions - 1) / regions
+	return c.w.routers[region+c.w.rng.IntN(count)*regions]
 }
 
 // pause draws the time between two requests of a rate.
--- a/internal/experiment/config.go
+++ b/internal/experiment/config.go
@@ -21,7 +21,7 @@
 	for range changes {
 		for region := range w.deployment.Regions {
 			at := w.jitter(pollPeriod) + readTime
-			for range w.members(region) {
+			for range w.agentsIn(region) + w.routersIn(region) {
 				longest = max(longest, at+w.deployment.Near+w.resends())
 			}
 		}
--- a/internal/experiment/deployment.go
+++ b/internal/experiment/deployment.go
@@ -62,12 +62,12 @@
 func workspaces() []Workspace {
 	list := make([]Workspace, 15)
 	for i := range list {
-		list[i] = Workspace{Weight: 1, Callers: 20, Quick: 0.05, Regions: []float64{1, 1, 1}}
+		list[i] = Workspace{Weight: 1, Callers: 30, Quick: 0.05, Regions: []float64{1, 1, 1}}
 		list[i].Regions[i%3] += float64(i % 4)
 	}
 	for i := range 3 {
 		list[i].Weight = 4
-		list[i].Callers = 60
+		list[i].Callers = 120
 	}
 	list[13].Regions = []float64{0, 0, 1}
 	list[14].Regions = []float64{1, 0, 0}
--- a/internal/experiment/meter.go
+++ b/internal/experiment/meter.go
@@ -62,10 +62,11 @@
 
 func (m *meter) start() { m.w.every(sampling, sampling, m.sample) }
 
-// served notes units that c produced.
-func (m *meter) served(c *call, units float64) {
+// served notes units that c produced at a. Those of an agent that is leaving do
+// not count as use of the capacity, which has lost it.
+func (m *meter) served(c *call, a *agent, units float64) {
 	m.service[c.ws-1] += units / m.w.deployment.Workspaces[c.ws-1].Weight
-	if m.w.now >= settling {
+	if m.w.now >= settling && !a.leaving {
 		m.units += units
 	}
 }
@@ -152,17 +153,36 @@
 	m.near[b] += n
 }
 
-// sentToMembers counts a digest that the relay of region sends to each member.
-func (m *meter) sentToMembers(message wire.Message, region int) {
-	m.near[region] += size(message) * m.w.members(region)
+// sentToAgents counts messages that the relay of region sends to each agent, in
+// one packet.
+func (m *meter) sentToAgents(messages []wire.Message, region int) {
+	if len(messages) > 0 {
+		m.near[region] += size(messages...) * m.w.agentsIn(region)
+	}
+}
+
+// sentToRouters counts messages that the relay of region sends to each router.
+func (m *meter) sentToRouters(messages []wire.Message, region int) {
+	if len(messages) > 0 {
+		m.near[region] += size(messages...) * m.w.routersIn(region)
+	}
+}
+
+// beat counts a ping and its answer on the links to the routers of region.
+func (m *meter) beat(region int) {
+	m.near[region] += (size(&wire.Ping{}) + size(&wire.Pong{})) * m.w.routersIn(region)
 }
 
-func size(message wire.Message) int {
-	frame, err := wire.Append(nil, message)
-	if err != nil {
-		panic(err)
+// size is what messages take that are sent at once.
+func size(messages ...wire.Message) int {
+	var frames []byte
+	for _, m := range messages {
+		var err error
+		if frames, err = wire.Append(frames, m); err != nil {
+			panic(err)
+		}
 	}
-	return len(frame) + packetOverhead
+	return len(frames) + packetOverhead
 }
 
 // result returns the measures of the run.
@@ -210,14 +230,19 @@
 	return sorted[min(len(sorted)-1, int(p*float64(len(sorted))))]
 }
 
-// members is the number of processes in region, without its relay.
-func (w *world) members(region int) int {
+// agentsIn is the number of agents of all pools in region, without the relay.
+func (w *world) agentsIn(region int) int {
 	n := w.deployment.OtherMembers/w.deployment.Regions - 1
 	for _, a := range w.agents {
 		if a.region == region && !a.leaving {
 			n++
 		}
 	}
+	return n
+}
+
+func (w *world) routersIn(region int) int {
+	n := 0
 	for _, r := range w.routers {
 		if r.region == region {
 			n++
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -30,30 +30,49 @@
 	Report          time.Duration // period of reports
 	Digest          time.Duration // period of digests within a domain
 	FarDigest       time.Duration // period of digests between regions
+	// RouterSums sends routers the sums of all workspaces; otherwise they get
+	// only what they decide by: which regions have free slots, which wait.
+	RouterSums bool
+	Heartbeat  time.Duration // on links on which nothing else is sent
 }
 
-// Policies lists what is compared.
+// Policies lists what is compared in each scenario: the simplest baseline, shares
+// per region, and shares of the fleet.
 func Policies() []Policy {
-	chosen := Policy{
-		Name: "fleet", Sharing: ShareFleet, Extra: 1,
-		Report: 500 * time.Millisecond, Digest: 500 * time.Millisecond, FarDigest: 2 * time.Second,
-	}
-	region := chosen
-	region.Name = "region"
-	region.Sharing = ShareRegion
-	push := chosen
+	push := chosen()
 	push.Name = "round-robin"
 	push.Push = true
 	push.Sharing = ShareNone
-	none := chosen
-	none.Name = "fleet-no-estimate"
-	none.Estimate = fairness.EstimateNone
-	hint := chosen
-	hint.Name = "fleet-hint"
-	hint.Estimate = fairness.EstimateHint
-	reserve := chosen
-	reserve.Name = "fleet-reserve"
-	reserve.Extra = 0
-	reserve.Reserved = 1
-	return []Policy{push, region, chosen, none, hint, reserve}
+	region := chosen()
+	region.Name = "region"
+	region.Sharing = ShareRegion
+	return []Policy{push, region, chosen()}
+}
+
+// chosen is the policy that the fleet follows.
+func chosen() Policy {
+	return Policy{
+		Name: "fleet", Sharing: ShareFleet, Extra: 1,
+		Report: 500 * time.Millisecond, Digest: 500 * time.Millisecond, FarDigest: 2 * time.Second,
+		Heartbeat: 5 * time.Second,
+	}
+}
+
+// Variants lists the chosen policy with one thing changed each.
+func Variants() []Policy {
+	variant := func(name string, change func(*Policy)) Policy {
+		p := chosen()
+		p.Name = name
+		change(&p)
+		return p
+	}
+	return []Policy{
+		variant("fleet-no-estimate", func(p *Policy) { p.Estimate = fairness.EstimateNone }),
+		variant("fleet-hint", func(p *Policy) { p.Estimate = fairness.EstimateHint }),
+		variant("fleet-reserve", func(p *Policy) { p.Extra, p.Reserved = 0, 1 }),
+		variant("fleet-no-reserve", func(p *Policy) { p.Extra = 0 }),
+		variant("fleet-router-sums", func(p *Policy) { p.RouterSums = true }),
+		variant("fleet-far-1s", func(p *Policy) { p.FarDigest = time.Second }),
+		variant("fleet-1s-2s", func(p *Policy) { p.Report, p.Digest = time.Second, time.Second }),
+	}
 }
--- a/internal/experiment/relay.go
+++ b/internal/experiment/relay.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"time"
 
 	"github.com/mastichollow/mastichollow/internal/fleet"
 	"github.com/mastichollow/mastichollow/internal/wire"
@@ -13,15 +12,14 @@
 
 // relay is a fake relay of one region. Sums of members that have gone stay.
 type relay struct {
-	w        *world
-	region   int
-	members  map[string]*wire.Report // the latest
-	digests  uint64
-	known    []digest // latest of each region
-	sentFar  time.Duration
-	near     []*fleet.Encoder // to each member, by region of the sums
-	far      *fleet.Encoder
-	nearSent int // bytes of the latest digest to one member
+	w       *world
+	region  int
+	members map[string]*wire.Report // the latest
+	digests uint64
+	known   []digest         // latest of each region
+	near    []*fleet.Encoder // to each member, by region of the sums
+	far     *fleet.Encoder
+	loads   []*fleet.Encoder // to each router, by region of the loads
 }
 
 // digest is the sums of one region.
@@ -44,6 +42,7 @@
 			name = regionName(source)
 		}
 		r.near = append(r.near, fleet.NewEncoder(name))
+		r.loads = append(r.loads, fleet.NewEncoder(name))
 	}
 	return r
 }
@@ -52,6 +51,9 @@
 	p := &r.w.policy
 	r.w.every(r.w.jitter(p.Digest), p.Digest, r.send)
 	r.w.every(r.w.jitter(p.FarDigest), p.FarDigest, r.sendFar)
+	if !p.RouterSums {
+		r.w.every(p.Heartbeat, p.Heartbeat, func() { r.w.meter.beat(r.region) })
+	}
 }
 
 // take notes a member's report.
@@ -86,10 +88,13 @@
 // send gives the members what the relay knows of all regions.
 func (r *relay) send() {
 	r.sumUp()
-	r.nearSent = 0
+	var messages, loads []wire.Message
 	for source, d := range r.known {
+		if m := r.loads[source].Encode(d.load()); m != nil {
+			loads = append(loads, m)
+		}
 		if m := r.near[source].Encode(d.pools()); m != nil {
-			r.w.meter.sentToMembers(m, r.region)
+			messages = append(messages, m)
 		}
 		for _, a := range r.w.agents {
 			if a.region == r.region {
@@ -97,6 +102,11 @@
 			}
 		}
 	}
+	r.w.meter.sentToAgents(messages, r.region)
+	if r.w.policy.RouterSums {
+		loads = messages
+	}
+	r.w.meter.sentToRouters(loads, r.region)
 }
 
 // sendFar gives the relays of the other regions the sums of this one.
@@ -125,6 +135,11 @@
 	return []wire.PoolSums{{Pool: pool, Free: d.free, Queued: d.queued, Sums: d.sums}}
 }
 
+// load says whether slots are free and whether offers wait.
+func (d *digest) load() []wire.PoolSums {
+	return []wire.PoolSums{{Pool: pool, Free: min(d.free, 1), Queued: min(d.queued, 1)}}
+}
+
 // free reports whether a region was last heard of with free slots and nothing
 // waiting.
 func (r *relay) free(region int) bool {
--- a/internal/experiment/router.go
+++ b/internal/experiment/router.go
@@ -100,6 +100,9 @@
 
 // far returns the agents of other regions that c may be offered to.
 func (r *router) far(c *call, agents []target.VM) []target.VM {
+	if r.w.scenario.NoSpill {
+		return nil
+	}
 	if r.w.now-c.arrived >= spillAfter {
 		return agents
 	}
--- a/internal/experiment/scenario.go
+++ b/internal/experiment/scenario.go
@@ -27,11 +27,15 @@
 	CutFrom      time.Duration
 	CutTo        time.Duration // region 2 is cut off until then
 	Leave        time.Duration // at which two agents leave, and two join 30 s later
+	NoSpill      bool          // requests stay in their region
 	Late         time.Duration // at which the last workspace begins
 }
 
 const usualLength = 120 * time.Second
 
+// VariantScenarios names the scenarios in which variants are measured.
+var VariantScenarios = []string{"steady", "routers-300", "hints-mixed"}
+
 // Scenarios lists what is measured.
 func Scenarios() []Scenario {
 	return []Scenario{
@@ -40,6 +44,8 @@
 		{Name: "routers-3", Length: usualLength, Routers: 3},
 		{Name: "routers-300", Length: usualLength, Routers: 300},
 		{Name: "late", Length: usualLength, Late: 40 * time.Second},
+		{Name: "no-spill", Length: usualLength, NoSpill: true},
+		{Name: "no-spill-10n", Length: 10 * usualLength, NoSpill: true},
 		{Name: "flood", Length: usualLength, Flood: true},
 		{Name: "loss", Length: usualLength, Loss: 0.3, Repeat: 0.3},
 		{Name: "hints-x10", Length: usualLength, Hints: HintHigh},
