--- a/scripts/mutants.sh
+++ b/scripts/mutants.sh
@@ -20,7 +20,7 @@
     verdict="DOES NOT APPLY"
   elif ! "$go" vet "./$(dirname "$file")" >"$dir/out" 2>&1; then
     verdict="DOES NOT COMPILE"
-  elif "$go" test -count=1 -run "^$test\$" "$package" >"$dir/out" 2>&1; then
+  elif "$go" test -count=1 -timeout 120s -run "^$test\$" "$package" >"$dir/out" 2>&1; then
     verdict=SURVIVED
   else
     verdict=killed
