--- a/internal/standin/contract_test.go
+++ b/internal/standin/contract_test.go
@@ -5,7 +5,9 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/mastichollow/mastichollow/internal/platform"
 	"github.com/mastichollow/mastichollow/internal/platform/platformtest"
@@ -123,3 +125,35 @@
 	require.NoError(t, err)
 	require.Equal(t, target.StateLeaving, vms[0].State)
 }
+
+func TestWriteOfASlowPlatformMayTakeEffectLater(t *testing.T) {
+	p, url := startPlatform(t)
+	p.SetFaults(standin.Faults{SlowMS: 300})
+	table := platform.NewTableClient(url, platform.Options{Timeout: 100 * time.Millisecond})
+	_, err := table.Commit(t.Context(), platform.Write{Key: "a"})
+	for errors.Is(err, platform.ErrUnavailable) { // until the call is sent in time
+		_, err = table.Commit(t.Context(), platform.Write{Key: "a"})
+	}
+	require.True(t, errors.Is(err, platform.ErrUncertain), "error %v", err)
+	for err != nil {
+		_, err = p.Table.Get(t.Context(), "a")
+	}
+}
+
+func TestClientLeavesSilentConnections(t *testing.T) {
+	p, url := startPlatform(t)
+	table := platform.NewTableClient(url, patient)
+	p.SetFaults(standin.Faults{SlowMS: 50}) // lets the calls overlap
+	var callers errgroup.Group
+	for range 8 {
+		callers.Go(func() error { _, err := table.List(t.Context(), ""); return err })
+	}
+	require.NoError(t, callers.Wait())
+	p.SetFaults(standin.Faults{Silence: true})
+	short, cancel := context.WithTimeout(t.Context(), 50*time.Millisecond)
+	defer cancel()
+	_, err := table.List(short, "")
+	require.True(t, errors.Is(err, platform.ErrUnavailable), "error %v", err)
+	_, err = table.List(t.Context(), "")
+	require.NoError(t, err)
+}
