--- a/internal/engine/answer.go
+++ b/internal/engine/answer.go
@@ -26,8 +26,9 @@
 	resp  *http.Response
 	guard *guard
 	pull  func() (Frame, error) // reads the next frame
-	whole bool
-	err   error
+	// stalled is called when the answer makes no progress.
+	stalled func()
+	err     error
 }
 
 // Status implements Answer.
@@ -54,9 +55,9 @@
 func (b *body) translate(err error) error {
 	switch {
 	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
-		b.whole = true
 		return io.EOF
 	case errors.Is(context.Cause(b.guard.ctx), ErrStalled):
+		b.stalled()
 		return errors.Mark(errors.Wrap(err, "reading an answer"), ErrStalled)
 	default:
 		return errors.Mark(errors.Wrap(err, "reading an answer"), ErrTruncated)
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -106,9 +106,13 @@
 	return req, nil
 }
 
+// leaveIdle closes the idle connections. When one connection has gone silent,
+// others may have too.
+func (c *client) leaveIdle() { c.pooled.CloseIdleConnections() }
+
 // failed translates the error of a call whose answer did not begin.
 func (c *client) failed(g *guard, tracker *httpsend.Tracker, err error) error {
-	c.pooled.CloseIdleConnections()
+	c.leaveIdle()
 	switch {
 	case !tracker.Sent():
 		return errors.Mark(err, ErrNotSent)
--- a/internal/engine/decode_test.go
+++ b/internal/engine/decode_test.go
@@ -192,7 +192,7 @@
 	for b.Loop() {
 		g := newGuard(time.Minute)
 		resp := &http.Response{Body: guardedBody{&eventBody{left: tokensPerStream}, g}}
-		answer := &body{resp: resp, guard: g, pull: client.pullEvents(resp)}
+		answer := &body{resp: resp, guard: g, pull: client.pullEvents(resp), stalled: func() {}}
 		units := int64(0)
 		for {
 			frame, err := answer.Next(ctx)
--- a/internal/engine/model.go
+++ b/internal/engine/model.go
@@ -34,9 +34,9 @@
 		return nil, err
 	}
 	if mediaType(resp.Header) == typeEvents {
-		return &body{resp: resp, guard: g, pull: m.pullEvents(resp)}, nil
+		return &body{resp: resp, guard: g, pull: m.pullEvents(resp), stalled: m.leaveIdle}, nil
 	}
-	return &body{resp: resp, guard: g, pull: m.pullWhole(resp)}, nil
+	return &body{resp: resp, guard: g, pull: m.pullWhole(resp), stalled: m.leaveIdle}, nil
 }
 
 // pullEvents returns a pull function for a stream, which is whole after its
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -21,5 +21,5 @@
 	if err := s.refused(resp, g); err != nil {
 		return nil, err
 	}
-	return &body{resp: resp, guard: g, pull: pullBytes(resp)}, nil
+	return &body{resp: resp, guard: g, pull: pullBytes(resp), stalled: s.leaveIdle}, nil
 }
