--- a/internal/agent/output.go
+++ b/internal/agent/output.go
@@ -116,13 +116,6 @@
 	o.notify()
 }
 
-// finished reports whether the answer is closed.
-func (o *output) finished() bool {
-	o.mu.Lock()
-	defer o.mu.Unlock()
-	return o.final != nil
-}
-
 // size returns the number of bytes held.
 func (o *output) size() int {
 	o.mu.Lock()
@@ -138,12 +131,24 @@
 	if offset < o.base || offset > o.end() {
 		return 0, errors.Wrapf(errGap, "offset %d is not between %d and %d", offset, o.base, o.end())
 	}
+	return o.attachLocked(offset, head), nil
+}
+
+// attachFirst makes the offer's own stream the reader of a new output.
+func (o *output) attachFirst() uint64 {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.attachLocked(0, true)
+}
+
+// attachLocked makes a stream the only reader. o.mu is held.
+func (o *output) attachLocked(offset uint64, head bool) uint64 {
 	o.reader++
 	o.attached = true
 	o.sent = offset
 	o.headSent = !head
 	o.notify()
-	return o.reader, nil
+	return o.reader
 }
 
 // detach ends the reading by stream number reader and reports whether it was
@@ -159,11 +164,12 @@
 	return true
 }
 
-// isAttached reports whether a stream reads the answer.
-func (o *output) isAttached() bool {
+// abandoned reports whether the answer goes on and no stream has read it since
+// stream number reader.
+func (o *output) abandoned(reader uint64) bool {
 	o.mu.Lock()
 	defer o.mu.Unlock()
-	return o.attached
+	return o.final == nil && !o.attached && o.reader == reader
 }
 
 // next returns the next message for stream number reader. Without one it
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -87,8 +87,8 @@
 }
 
 // Digest carries the sums of one failure domain, from the relay that added
-// them up to other relays and to members. On a stream only Domain, Version and
-// Packed are sent: the sender's Hello names the relay.
+// them up to other relays and to members. On a stream Pools goes as Packed, and
+// an absent Domain or Relay is that of the sender.
 type Digest struct {
 	Domain      string     `cbor:"1,keyasint,omitempty"`
 	Relay       string     `cbor:"2,keyasint,omitempty"` // VM ID of the relay
@@ -103,7 +103,8 @@
 }
 
 // Config carries the table and the VM list to members. An absent part has not
-// changed.
+// changed. VMs holds the VMs that differ from those sent before on the same
+// stream.
 type Config struct {
 	Table *workspace.Table `cbor:"1,keyasint,omitempty"`
 	VMs   []target.VM      `cbor:"2,keyasint,omitempty"`
@@ -113,6 +114,8 @@
 	Suspects *SuspectList `cbor:"4,keyasint,omitempty"`
 	// Stale says that the sender cannot read the platform.
 	Stale bool `cbor:"5,keyasint,omitempty"`
+	// Gone are the IDs of the VMs that are no longer listed.
+	Gone []string `cbor:"6,keyasint,omitempty"`
 }
 
 // SuspectList holds the fingerprints of requests that ran at the crash of a
