--- a/internal/engine/contract_test.go
+++ b/internal/engine/contract_test.go
@@ -4,9 +4,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"testing/synctest"
-
-	"github.com/stretchr/testify/require"
 
 	"github.com/mastichollow/mastichollow/internal/engine"
 	"github.com/mastichollow/mastichollow/internal/engine/enginetest"
@@ -59,7 +56,9 @@
 }
 
 // newSubject returns a client of a scripted target.
-func (k kind) newSubject(t *testing.T, behaviour enginetest.Behaviour) enginetest.Subject {
+func (k kind) newSubject(
+	t *testing.T, behaviour enginetest.Behaviour, serve func(*testing.T, http.Handler) engine.Options,
+) enginetest.Subject {
 	target := &scripted{
 		behaviour: behaviour, contentType: k.contentType, pieces: k.pieces,
 		taken: make(chan struct{}), cancelled: make(chan struct{}),
@@ -86,12 +85,20 @@
 
 func TestClientContract(t *testing.T) {
 	for name, k := range kinds() {
-		for _, c := range enginetest.Cases() {
-			t.Run(name+"/"+c.Name, func(t *testing.T) {
-				synctest.Test(t, func(t *testing.T) {
-					require.NoError(t, c.Check(t.Context(), k.newSubject(t, c.Target)))
-				})
+		t.Run(name, func(t *testing.T) {
+			enginetest.RunInBubble(t, enginetest.Cases(), func(t *testing.T, b enginetest.Behaviour) enginetest.Subject {
+				return k.newSubject(t, b, serve)
+			})
+		})
+	}
+}
+
+func TestClientContractOverLoopback(t *testing.T) {
+	for name, k := range kinds() {
+		t.Run(name, func(t *testing.T) {
+			enginetest.Run(t, enginetest.UntimedCases(), func(t *testing.T, b enginetest.Behaviour) enginetest.Subject {
+				return k.newSubject(t, b, serveTCP)
 			})
-		}
+		})
 	}
 }
--- a/internal/engine/enginetest/doc.go
+++ b/internal/engine/enginetest/doc.go
@@ -7,7 +7,9 @@
 
 import (
 	"context"
+	"slices"
 	"testing"
+	"testing/synctest"
 
 	"github.com/cockroachdb/errors"
 
@@ -79,40 +81,61 @@
 	Name   string
 	Target Behaviour
 	Check  func(ctx context.Context, s Subject) error
+	Timed  bool // waits for a time limit of the client
 }
 
-// Run runs each case on a subject of its own.
-func Run(t *testing.T, factory Factory) {
+// Run runs each of cases on a subject of its own.
+func Run(t *testing.T, cases []Case, factory Factory) {
 	t.Helper()
-	for _, c := range Cases() {
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) { c.run(t, factory) })
+	}
+}
+
+// RunInBubble is Run with a bubble of synctest for each case. The factory makes
+// subjects that do no I/O outside of it.
+func RunInBubble(t *testing.T, cases []Case, factory Factory) {
+	t.Helper()
+	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
-			if err := c.Check(t.Context(), factory(t, c.Target)); err != nil {
-				t.Errorf("contract broken: %v", err)
-			}
+			synctest.Test(t, func(t *testing.T) { c.run(t, factory) })
 		})
 	}
 }
 
+func (c Case) run(t *testing.T, factory Factory) {
+	t.Helper()
+	if err := c.Check(t.Context(), factory(t, c.Target)); err != nil {
+		t.Errorf("contract broken: %v", err)
+	}
+}
+
+// UntimedCases returns the cases that wait for no time limit, so that their
+// verdicts hold on any machine without a fake clock.
+func UntimedCases() []Case {
+	return slices.DeleteFunc(Cases(), func(c Case) bool { return c.Timed })
+}
+
 // Cases returns the contract of engine.Client.
 func Cases() []Case {
 	return []Case{
-		{"whole answer ends with EOF", Works, checkWhole},
-		{"slow answer that makes progress is whole", Trickles, checkWhole},
-		{"call arrives as it was made", Works, checkArrives},
-		{"close cancels the call", StallsBody, checkClose},
-		{"end of the caller's context ends a read", StallsBody, checkReadCancelled},
-		{"end of the caller's context ends a call that may run", StallsHead, checkCallCancelled},
-		{"unreachable target: call is not sent", Unreachable, checkNotSent},
-		{"call whose context has ended is not sent", Works, checkEndedContext},
-		{"refused fencing number", RefusesFence, checkFenced},
-		{"cut before the head: truncated, sent once", CutsHead, checkCutHead},
-		{"cut in the body: truncated", CutsBody, checkCutBody},
-		{"cut before the end: truncated", CutsEnd, checkCutBody},
-		{"no head in time: stalled", StallsHead, checkStalledHead},
-		{"no progress in the body: stalled", StallsBody, checkStalledBody},
-		{"new call works after a stall", StallsOnce, checkAfterStall},
-		{"probe returns the start marker", Works, checkProbe},
-		{"probe of an unreachable target fails", Unreachable, checkProbeFails},
+		{"whole answer ends with EOF", Works, checkWhole, false},
+		{"slow answer that makes progress is whole", Trickles, checkWhole, true},
+		{"call arrives as it was made", Works, checkArrives, false},
+		{"close cancels the call", StallsBody, checkClose, false},
+		{"end of the caller's context ends a read", StallsBody, checkReadCancelled, false},
+		{"end of the caller's context ends a call that may run", StallsHead, checkCallCancelled, false},
+		{"unreachable target: call is not sent", Unreachable, checkNotSent, false},
+		{"call whose context has ended is not sent", Works, checkEndedContext, false},
+		{"refused fencing number", RefusesFence, checkFenced, false},
+		{"cut before the head: truncated, sent once", CutsHead, checkCutHead, false},
+		{"cut in the body: truncated", CutsBody, checkCutBody, false},
+		{"cut before the end: truncated", CutsEnd, checkCutBody, false},
+		{"no head in time: stalled", StallsHead, checkStalledHead, true},
+		{"no progress in the body: stalled", StallsBody, checkStalledBody, true},
+		{"new call works after a stall", StallsOnce, checkAfterStall, true},
+		{"probe returns the start marker", Works, checkProbe, false},
+		{"probe of an unreachable target fails", Unreachable, checkProbeFails, false},
 	}
 }
 
--- a/internal/engine/mutants_test.go
+++ b/internal/engine/mutants_test.go
@@ -188,9 +188,9 @@
 				ctx, cancel := context.WithTimeout(t.Context(), time.Hour)
 				defer cancel()
 				c := findCase(t, mutant.fails)
-				subject := kinds()["stream"].newSubject(t, c.Target)
+				subject := kinds()["stream"].newSubject(t, c.Target, serve)
 				require.NoError(t, c.Check(ctx, subject), "client as it is")
-				subject = kinds()["stream"].newSubject(t, c.Target)
+				subject = kinds()["stream"].newSubject(t, c.Target, serve)
 				subject.Client = mutant.make(subject.Client)
 				require.Error(t, c.Check(ctx, subject))
 				time.Sleep(abandoned) // the answers that a mutant left open end
--- a/internal/engine/raw_test.go
+++ b/internal/engine/raw_test.go
@@ -119,7 +119,7 @@
 func TestSlowReaderIsNoStall(t *testing.T) {
 	for _, name := range []string{"stream", "service"} {
 		synctest.Test(t, func(t *testing.T) {
-			s := kinds()[name].newSubject(t, enginetest.Works)
+			s := kinds()[name].newSubject(t, enginetest.Works, serve)
 			answer, err := s.Do(t.Context(), s.Call())
 			require.NoError(t, err)
 			defer answer.Close()
@@ -163,7 +163,7 @@
 func TestModelClientAsksForPlainAnswers(t *testing.T) {
 	for name, want := range map[string]string{"whole": "", "service": "gzip"} {
 		synctest.Test(t, func(t *testing.T) {
-			s := kinds()[name].newSubject(t, enginetest.Works)
+			s := kinds()[name].newSubject(t, enginetest.Works, serve)
 			call := s.Call()
 			call.Header.Set("Accept-Encoding", "gzip")
 			answer, err := s.Do(t.Context(), call)
--- a/internal/engine/target_test.go
+++ b/internal/engine/target_test.go
@@ -11,6 +11,8 @@
 	"testing"
 	"time"
 
+	"github.com/stretchr/testify/require"
+
 	"github.com/mastichollow/mastichollow/internal/engine"
 	"github.com/mastichollow/mastichollow/internal/engine/enginetest"
 )
@@ -149,6 +151,18 @@
 	return engine.Options{Dial: listener.dial, Progress: progress}
 }
 
+// serveTCP is serve over TCP on a loopback address.
+func serveTCP(t *testing.T, handler http.Handler) engine.Options {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	server := &http.Server{Handler: handler}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { server.Close() })
+	return engine.Options{Dial: func(ctx context.Context, _, _ string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, "tcp", listener.Addr().String())
+	}}
+}
+
 // refuse is a Dial to a target that cannot be connected to.
 func refuse(context.Context, string, string) (net.Conn, error) {
 	return nil, errors.New("connection refused")
--- a/internal/platform/batcher_test.go
+++ b/internal/platform/batcher_test.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"fmt"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
 	"github.com/mastichollow/mastichollow/internal/platform"
@@ -271,6 +274,32 @@
 	})
 }
 
+func TestBatcherCountsEachReason(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reg := prometheus.NewRegistry()
+		b := platform.NewBatcher(standin.NewTable(), tick, 10)
+		b.Register(reg)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		full := make([][]platform.Write, 8192+1) // one more than may wait
+		for _, r := range commitAll(ctx, b, full...) {
+			require.ErrorIs(t, r.err, platform.ErrUnavailable)
+		}
+		running, stop := context.WithCancel(t.Context())
+		stop()
+		require.NoError(t, b.Run(running))
+		_, err := b.Commit(t.Context(), create("a")...)
+		require.ErrorIs(t, err, platform.ErrUnavailable)
+		require.NoError(t, testutil.GatherAndCompare(reg, strings.NewReader(`
+# HELP mastichollow_platform_batch_refused_total Commits that were not sent, by reason.
+# TYPE mastichollow_platform_batch_refused_total counter
+mastichollow_platform_batch_refused_total{reason="queue_full"} 1
+mastichollow_platform_batch_refused_total{reason="stopped"} 1
+mastichollow_platform_batch_refused_total{reason="withdrawn"} 8192
+`), "mastichollow_platform_batch_refused_total"))
+	})
+}
+
 func BenchmarkBatcher(b *testing.B) {
 	for _, callers := range []int{10, 100, 1000} {
 		b.Run(fmt.Sprintf("callers=%d", callers), func(b *testing.B) {
--- a/internal/platform/contract_test.go
+++ b/internal/platform/contract_test.go
@@ -2,11 +2,8 @@
 
 import (
 	"testing"
-	"testing/synctest"
 	"time"
 
-	"github.com/stretchr/testify/require"
-
 	"github.com/mastichollow/mastichollow/internal/platform"
 	"github.com/mastichollow/mastichollow/internal/platform/platformtest"
 	"github.com/mastichollow/mastichollow/internal/standin"
@@ -30,16 +27,9 @@
 
 // runDecorated runs the contract of a table service on decorated stand-ins.
 func runDecorated(t *testing.T, decorate func(*testing.T, platform.TableService) platform.TableService) {
-	for _, c := range platformtest.TableCases() {
-		t.Run(c.Name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				subject := newSubject(func(table platform.TableService) platform.TableService {
-					return decorate(t, table)
-				})
-				require.NoError(t, c.Check(t.Context(), subject))
-			})
-		})
-	}
+	platformtest.RunTableInBubble(t, func(t *testing.T) platformtest.Table {
+		return newSubject(func(table platform.TableService) platform.TableService { return decorate(t, table) })
+	})
 }
 
 // neverOpen keeps the circuit breaker out of the contract's cases.
--- a/internal/platform/guarded_test.go
+++ b/internal/platform/guarded_test.go
@@ -121,6 +121,28 @@
 	})
 }
 
+func TestGuardedCountsGivenUpRetries(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		reg := prometheus.NewRegistry()
+		table := standin.NewTable()
+		g := platform.NewGuarded(table, platform.GuardConfig{Registerer: reg, Retries: 2, Failures: neverOpen})
+		table.SetFault(func(string, string) standin.Fault { return standin.FaultDown })
+		for range 6 { // the burst of retries is used up in the sixth call
+			_, err := g.Get(t.Context(), "a")
+			require.ErrorIs(t, err, platform.ErrUnavailable)
+		}
+		require.NoError(t, testutil.GatherAndCompare(reg, strings.NewReader(`
+# HELP mastichollow_platform_refused_total Calls of the table service that were not made or not repeated, by operation and reason.
+# TYPE mastichollow_platform_refused_total counter
+mastichollow_platform_refused_total{op="get",reason="retries_used_up"} 5
+mastichollow_platform_refused_total{op="get",reason="retry_budget"} 1
+# HELP mastichollow_platform_retries_total Repeated calls of the table service by operation.
+# TYPE mastichollow_platform_retries_total counter
+mastichollow_platform_retries_total{op="get"} 10
+`), "mastichollow_platform_refused_total", "mastichollow_platform_retries_total"))
+	})
+}
+
 func TestGuardedBoundsRetriesToAShareOfTheCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := standin.NewTable()
--- a/internal/platform/platformtest/doc.go
+++ b/internal/platform/platformtest/doc.go
@@ -8,6 +8,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 
 	"github.com/cockroachdb/errors"
 
@@ -36,16 +37,29 @@
 
 // run runs each case on a subject of its own.
 func run[S any](t *testing.T, cases []Case[S], factory func(t *testing.T) S) {
+	t.Helper()
+	for _, c := range cases {
+		t.Run(c.Name, func(t *testing.T) { c.run(t, factory) })
+	}
+}
+
+// runInBubble is run with a bubble of synctest for each case.
+func runInBubble[S any](t *testing.T, cases []Case[S], factory func(t *testing.T) S) {
 	t.Helper()
 	for _, c := range cases {
 		t.Run(c.Name, func(t *testing.T) {
-			if err := c.Check(t.Context(), factory(t)); err != nil {
-				t.Errorf("contract broken: %v", err)
-			}
+			synctest.Test(t, func(t *testing.T) { c.run(t, factory) })
 		})
 	}
 }
 
+func (c Case[S]) run(t *testing.T, factory func(t *testing.T) S) {
+	t.Helper()
+	if err := c.Check(t.Context(), factory(t)); err != nil {
+		t.Errorf("contract broken: %v", err)
+	}
+}
+
 // marks are the errors of the platform, of which each failure has one.
 var marks = []error{
 	platform.ErrNotFound, platform.ErrConflict, platform.ErrUnavailable, platform.ErrUncertain,
--- a/internal/platform/platformtest/table.go
+++ b/internal/platform/platformtest/table.go
@@ -22,6 +22,13 @@
 	run(t, TableCases(), factory)
 }
 
+// RunTableInBubble is RunTable with a bubble of synctest for each case. The
+// factory makes subjects that do no I/O outside of it.
+func RunTableInBubble(t *testing.T, factory func(t *testing.T) Table) {
+	t.Helper()
+	runInBubble(t, TableCases(), factory)
+}
+
 // TableCases returns the contract of a table service.
 func TableCases() []Case[Table] {
 	return []Case[Table]{
