--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -56,6 +56,9 @@
 // begin sends call once and returns the head of its answer. The guard ends the
 // answer; the end of ctx does so only until begin returns.
 func (c *client) begin(ctx context.Context, call Call) (*http.Response, *guard, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, nil, errors.Mark(err, ErrNotSent)
+	}
 	g := newGuard(c.options.Progress)
 	defer g.watch(ctx)()
 	limit := time.AfterFunc(c.options.BeginTimeout, func() { g.cancel(ErrStalled) })
--- a/internal/engine/mutants_test.go
+++ b/internal/engine/mutants_test.go
@@ -57,131 +57,98 @@
 	return a.Answer.Close()
 }
 
-// replaceError replaces errors marked from by to.
-func replaceError(from, to error) func(context.Context, engine.Call, error) (engine.Answer, error) {
-	return func(_ context.Context, _ engine.Call, err error) (engine.Answer, error) {
-		if errors.Is(err, from) {
-			return nil, to
-		}
-		return nil, err
+// mutate makes a mutant of a client.
+type mutate func(engine.Client) engine.Client
+
+// withError is a client whose calls fail with to instead of from.
+func withError(from, to error) mutate {
+	return func(c engine.Client) engine.Client {
+		return broken{Client: c, failed: func(_ context.Context, _ engine.Call, err error) (engine.Answer, error) {
+			if errors.Is(err, from) {
+				err = to
+			}
+			return nil, err
+		}}
 	}
 }
 
-// replaceNext replaces errors of Next marked from by to.
-func replaceNext(from, to error) func(engine.Frame, error) (engine.Frame, error) {
-	return func(frame engine.Frame, err error) (engine.Frame, error) {
+// withNext is a client whose frames and errors of reads are changed.
+func withNext(change func(engine.Frame, error) (engine.Frame, error)) mutate {
+	return func(c engine.Client) engine.Client { return broken{Client: c, next: change} }
+}
+
+// withReadError is a client whose reads fail with to instead of from.
+func withReadError(from, to error) mutate {
+	return withNext(func(frame engine.Frame, err error) (engine.Frame, error) {
 		if errors.Is(err, from) {
-			return frame, to
+			err = to
 		}
 		return frame, err
+	})
+}
+
+// withCall is a client whose calls are changed.
+func withCall(change func(*engine.Call)) mutate {
+	return func(c engine.Client) engine.Client {
+		return broken{Client: c, call: func(call engine.Call) engine.Call { change(&call); return call }}
 	}
 }
 
+// sendTwice is a client that repeats a call that failed.
+func sendTwice(c engine.Client) engine.Client {
+	return broken{Client: c, failed: func(ctx context.Context, call engine.Call, _ error) (engine.Answer, error) {
+		return c.Do(ctx, call)
+	}}
+}
+
+// closeLate is a client whose answers are closed long after they should be.
+func closeLate(c engine.Client) engine.Client {
+	return broken{Client: c, close: func(a engine.Answer) error {
+		time.AfterFunc(abandoned, func() { a.Close() })
+		return nil
+	}}
+}
+
 // brokenProbe is a client whose probe always succeeds.
 type brokenProbe struct{ engine.Client }
 
 func (brokenProbe) Probe(context.Context) (string, error) { return "", nil }
 
+func probeBlindly(c engine.Client) engine.Client { return brokenProbe{c} }
+
+func countOneUnit(f engine.Frame, err error) (engine.Frame, error) {
+	f.Units = 1
+	return f, err
+}
+
+func addSpace(f engine.Frame, err error) (engine.Frame, error) {
+	f.Data = append(f.Data, ' ')
+	return f, err
+}
+
 // abandoned is how long a mutant leaves an answer open, longer than its check
 // lasts.
 const abandoned = 2 * time.Hour
 
 func TestClientContractFindsMutants(t *testing.T) {
 	for name, mutant := range map[string]struct {
-		make  func(engine.Client) engine.Client
+		make  mutate
 		fails string
 	}{
-		"cut answer as whole": {
-			func(c engine.Client) engine.Client {
-				return broken{Client: c, next: replaceNext(engine.ErrTruncated, io.EOF)}
-			},
-			"cut before the end: truncated",
-		},
-		"stall as cut": {
-			func(c engine.Client) engine.Client {
-				return broken{Client: c, next: replaceNext(engine.ErrStalled, engine.ErrTruncated)}
-			},
-			"no progress in the body: stalled",
-		},
-		"cut call as not sent": {
-			func(c engine.Client) engine.Client {
-				return broken{Client: c, failed: replaceError(engine.ErrTruncated, engine.ErrNotSent)}
-			},
-			"cut before the head: truncated, sent once",
-		},
-		"cancelled call as not sent": {
-			func(c engine.Client) engine.Client {
-				return broken{Client: c, failed: replaceError(engine.ErrTruncated, engine.ErrNotSent)}
-			},
-			"end of the caller's context ends a call that may run",
-		},
-		"cut call sent again": {
-			func(c engine.Client) engine.Client {
-				return broken{Client: c, failed: func(ctx context.Context, call engine.Call, _ error) (engine.Answer, error) {
-					return c.Do(ctx, call)
-				}}
-			},
-			"cut before the head: truncated, sent once",
-		},
-		"unreachable as cut": {
-			func(c engine.Client) engine.Client {
-				return broken{Client: c, failed: replaceError(engine.ErrNotSent, engine.ErrTruncated)}
-			},
-			"unreachable target: call is not sent",
-		},
-		"fenced as not sent": {
-			func(c engine.Client) engine.Client {
-				return broken{Client: c, failed: replaceError(engine.ErrFenced, engine.ErrNotSent)}
-			},
-			"refused fencing number",
-		},
-		"units not counted": {
-			func(c engine.Client) engine.Client {
-				return broken{Client: c, next: func(f engine.Frame, err error) (engine.Frame, error) {
-					f.Units = 1
-					return f, err
-				}}
-			},
-			"whole answer ends with EOF",
-		},
-		"piece changed": {
-			func(c engine.Client) engine.Client {
-				return broken{Client: c, next: func(f engine.Frame, err error) (engine.Frame, error) {
-					f.Data = append(f.Data, ' ')
-					return f, err
-				}}
-			},
-			"whole answer ends with EOF",
-		},
-		"fence not passed on": {
-			func(c engine.Client) engine.Client {
-				return broken{Client: c, call: func(call engine.Call) engine.Call { call.Fence = 0; return call }}
-			},
-			"call arrives as it was made",
-		},
-		"idempotency key not passed on": {
-			func(c engine.Client) engine.Client {
-				return broken{Client: c, call: func(call engine.Call) engine.Call { call.Header = nil; return call }}
-			},
-			"call arrives as it was made",
-		},
-		"close without effect": {
-			func(c engine.Client) engine.Client {
-				return broken{Client: c, close: func(a engine.Answer) error {
-					time.AfterFunc(abandoned, func() { a.Close() })
-					return nil
-				}}
-			},
-			"close cancels the call",
-		},
-		"probe always succeeds": {
-			func(c engine.Client) engine.Client { return brokenProbe{c} },
-			"probe of an unreachable target fails",
-		},
-		"probe without a marker": {
-			func(c engine.Client) engine.Client { return brokenProbe{c} },
-			"probe returns the start marker",
-		},
+		"cut answer as whole":           {withReadError(engine.ErrTruncated, io.EOF), "cut before the end: truncated"},
+		"stall as cut":                  {withReadError(engine.ErrStalled, engine.ErrTruncated), "no progress in the body: stalled"},
+		"cut call as not sent":          {withError(engine.ErrTruncated, engine.ErrNotSent), "cut before the head: truncated, sent once"},
+		"cancelled call as not sent":    {withError(engine.ErrTruncated, engine.ErrNotSent), "end of the caller's context ends a call that may run"},
+		"cut call sent again":           {sendTwice, "cut before the head: truncated, sent once"},
+		"unreachable as cut":            {withError(engine.ErrNotSent, engine.ErrTruncated), "unreachable target: call is not sent"},
+		"fenced as not sent":            {withError(engine.ErrFenced, engine.ErrNotSent), "refused fencing number"},
+		"units not counted":             {withNext(countOneUnit), "whole answer ends with EOF"},
+		"piece changed":                 {withNext(addSpace), "whole answer ends with EOF"},
+		"fence not passed on":           {withCall(func(c *engine.Call) { c.Fence = 0 }), "call arrives as it was made"},
+		"idempotency key not passed on": {withCall(func(c *engine.Call) { c.Header = nil }), "call arrives as it was made"},
+		"close without effect":          {closeLate, "close cancels the call"},
+		"probe always succeeds":         {probeBlindly, "probe of an unreachable target fails"},
+		"probe without a marker":        {probeBlindly, "probe returns the start marker"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
--- a/internal/platform/platformtest/doc.go
+++ b/internal/platform/platformtest/doc.go
@@ -68,11 +68,11 @@
 // wantMark returns an error unless err is marked want and nothing else.
 func wantMark(what string, err, want error) error {
 	if err == nil {
-		return errors.Newf("%s: succeeded, want error %q", what, want)
+		return errors.Newf("%s: succeeded, want error %v", what, want)
 	}
 	for _, mark := range marks {
 		if is := errors.Is(err, mark); is != errors.Is(want, mark) {
-			return errors.Newf("%s: error %q is marked %q: %t, want mark %q", what, err, mark, is, want)
+			return errors.Newf("%s: error %v is marked %v: %t, want mark %v", what, err, mark, is, want)
 		}
 	}
 	return nil
