--- /dev/null
+++ b/internal/platform/batcherproperty_test.go
@@ -0,0 +1,189 @@
+package platform_test
+
+import (
+	"context"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/platform"
+	"github.com/mastichollow/mastichollow/internal/standin"
+)
+
+// journal is a table that notes what took effect. Its commits meet random
+// faults and last for random times.
+type journal struct {
+	*standin.Table
+	mu      sync.Mutex
+	random  *rand.Rand
+	states  []map[string]uint64 // versions of the keys before and after each transaction
+	applied map[string]int      // how often each value was written
+	version map[string]uint64   // of the transaction that wrote a value
+}
+
+func newJournal(seed uint64) *journal {
+	return &journal{
+		Table:   standin.NewTable(),
+		random:  rand.New(rand.NewPCG(seed, seed)),
+		states:  []map[string]uint64{{}},
+		applied: make(map[string]int),
+		version: make(map[string]uint64),
+	}
+}
+
+func (j *journal) Commit(ctx context.Context, writes ...platform.Write) (uint64, error) {
+	time.Sleep(j.roll(3 * int(tick)))
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	fault := j.random.IntN(20)
+	if fault == 0 {
+		return 0, platform.ErrUnavailable
+	}
+	if fault == 1 {
+		return 0, platform.ErrUncertain
+	}
+	version, err := j.Table.Commit(ctx, writes...)
+	if err != nil {
+		return 0, err
+	}
+	state := maps.Clone(j.states[len(j.states)-1])
+	for _, w := range writes {
+		state[w.Key] = version
+		if w.Delete {
+			delete(state, w.Key)
+		}
+		j.applied[string(w.Value)]++
+		j.version[string(w.Value)] = version
+	}
+	j.states = append(j.states, state)
+	if fault == 2 {
+		return 0, platform.ErrUncertain
+	}
+	return version, nil
+}
+
+func (j *journal) roll(n int) time.Duration {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return time.Duration(j.random.IntN(n))
+}
+
+// now returns the number of transactions so far and the versions of the keys.
+func (j *journal) now() (int, map[string]uint64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.states) - 1, j.states[len(j.states)-1]
+}
+
+// randomWrites returns one or two writes with a value of their own.
+func randomWrites(random *rand.Rand, state map[string]uint64, value string) []platform.Write {
+	var writes []platform.Write
+	first := random.IntN(4)
+	for i := range 1 + random.IntN(2) {
+		key := fmt.Sprint("key", (first+i)%4)
+		w := platform.Write{Key: key, Value: []byte(value), If: state[key], Delete: random.IntN(4) == 0}
+		if random.IntN(4) == 0 {
+			w.If = uint64(random.IntN(3))
+		}
+		writes = append(writes, w)
+	}
+	return writes
+}
+
+// checkResult checks that what a caller was told is what the journal noted.
+func checkResult(j *journal, began int, writes []platform.Write, r result) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	value := string(writes[0].Value)
+	applied := j.applied[value]
+	var conflict *platform.ConflictError
+	switch {
+	case r.err == nil:
+		if applied != len(writes) || j.version[value] != r.version {
+			return errors.Newf("success at version %d, but %d of %d writes were applied at %d", r.version, applied, len(writes), j.version[value])
+		}
+	case errors.As(r.err, &conflict):
+		if applied != 0 {
+			return errors.Newf("conflict, but %d writes were applied", applied)
+		}
+		return checkConflict(j.states[began:], writes, conflict.Keys)
+	case errors.Is(r.err, platform.ErrUnavailable):
+		if applied != 0 {
+			return errors.Newf("unavailable, but %d writes were applied", applied)
+		}
+	case errors.Is(r.err, platform.ErrUncertain):
+		if applied != 0 && applied != len(writes) {
+			return errors.Newf("%d of %d writes were applied", applied, len(writes))
+		}
+	default:
+		return r.err
+	}
+	return nil
+}
+
+// checkConflict checks that the condition of each key failed in some state
+// that the table had during the call.
+func checkConflict(states []map[string]uint64, writes []platform.Write, keys []string) error {
+	failed := make(map[string]bool)
+	for _, state := range states {
+		for _, w := range writes {
+			failed[w.Key] = failed[w.Key] || state[w.Key] != w.If
+		}
+	}
+	for _, key := range keys {
+		if !failed[key] {
+			return errors.Newf("conflict over %q, whose condition held all the time", key)
+		}
+	}
+	return nil
+}
+
+// TestBatcherTellsTheTruth checks for random commits, delays and faults that
+// each caller is told what happened to its own writes.
+func TestBatcherTellsTheTruth(t *testing.T) {
+	const seeds, callers = 150, 40
+	for seed := range uint64(seeds) {
+		synctest.Test(t, func(t *testing.T) {
+			j := newJournal(seed)
+			b := platform.NewBatcher(j, tick, 12)
+			go func() { _ = b.Run(t.Context()) }()
+			var running sync.WaitGroup
+			for i := range callers {
+				running.Go(func() {
+					time.Sleep(j.roll(10 * int(tick)))
+					began, state := j.now()
+					random := rand.New(rand.NewPCG(seed, uint64(i)))
+					writes := randomWrites(random, state, fmt.Sprint("value", i))
+					ctx, cancel := context.WithTimeout(t.Context(), j.roll(20*int(tick)))
+					defer cancel()
+					var r result
+					r.version, r.err = b.Commit(ctx, writes...)
+					if errors.Is(r.err, platform.ErrUncertain) {
+						time.Sleep(100 * tick) // until it has taken effect or never will
+					}
+					if err := checkResult(j, began, writes, r); err != nil {
+						t.Errorf("seed %d, caller %d: %v", seed, i, err)
+					}
+				})
+			}
+			running.Wait()
+			time.Sleep(100 * tick)
+		})
+	}
+}
+
+func TestJournalFindsLies(t *testing.T) {
+	j := newJournal(1)
+	writes := []platform.Write{{Key: "a", Value: []byte("v")}}
+	require.Error(t, checkResult(j, 0, writes, result{version: 1}))
+	require.Error(t, checkResult(j, 0, writes, result{err: &platform.ConflictError{Keys: []string{"a"}}}))
+	j.applied["v"] = 1
+	require.Error(t, checkResult(j, 0, writes, result{err: platform.ErrUnavailable}))
+}
