--- a/internal/platform/batcherproperty_test.go
+++ b/internal/platform/batcherproperty_test.go
@@ -101,13 +101,13 @@
 func checkResult(j *journal, began int, writes []platform.Write, r result) error {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	value := string(writes[0].Value)
-	applied := j.applied[value]
+	applied := j.applied[string(writes[0].Value)]
+	version := j.version[string(writes[0].Value)]
 	var conflict *platform.ConflictError
 	switch {
 	case r.err == nil:
-		if applied != len(writes) || j.version[value] != r.version {
-			return errors.Newf("success at version %d, but %d of %d writes were applied at %d", r.version, applied, len(writes), j.version[value])
+		if applied != len(writes) || version != r.version {
+			return errors.Newf("success at version %d, but %d of %d writes were applied at %d", r.version, applied, len(writes), version)
 		}
 	case errors.As(r.err, &conflict):
 		if applied != 0 {
