--- a/internal/fairness/estimate.go
+++ b/internal/fairness/estimate.go
@@ -38,10 +38,11 @@
 	m.square += learnRate * (cost*cost - m.square)
 }
 
-// value returns the mean in service units, 0 when none is known.
+// value returns the mean in service units. While none is known it is 1, so that
+// workspaces of one level share the first slots by weight.
 func (m *costMean) value() float64 {
 	if m.cost == 0 {
-		return 0
+		return 1
 	}
 	return m.square / m.cost
 }
--- a/internal/fairness/ledger_test.go
+++ b/internal/fairness/ledger_test.go
@@ -80,8 +80,8 @@
 	l.Charge(2, 700)
 	assert.InDelta(t, 700, l.Floor(), 0, "a workspace at its limit does not hold the floor down")
 	held.Finish()
-	assert.InDelta(t, 700, l.Level(1), 0, "it is lifted when it may run again")
 	other.Finish()
+	assert.InDelta(t, 700, l.Level(1), 0, "it is lifted when it may run again")
 }
 
 func TestSilentSourceHoldsNoBacklog(t *testing.T) {
--- a/internal/fairness/queue_test.go
+++ b/internal/fairness/queue_test.go
@@ -114,6 +114,42 @@
 	}
 }
 
+// TestRunningRequestsCountBeforeTheyProduce grants many slots at one moment to a
+// workspace that is behind: it gets no more than brings it level.
+func TestRunningRequestsCountBeforeTheyProduce(t *testing.T) {
+	l := fairness.NewLedger()
+	q := fairness.NewQueue(l)
+	past := l.Start(3, 0)
+	past.Charge(100)
+	past.Finish()
+	for n := range 8 {
+		require.NoError(t, q.Push(offer(fmt.Sprint("1-", n), 1, request.ClassBatch), 9))
+		require.NoError(t, q.Push(offer(fmt.Sprint("2-", n), 2, request.ClassBatch), 9))
+	}
+	l.Charge(2, 250)
+	granted := make(map[workspace.RowID]int)
+	for range 9 {
+		e, _ := q.Pop(nil)
+		l.Start(e.Workspace, 0)
+		granted[e.Workspace]++
+	}
+	assert.Equal(t, map[workspace.RowID]int{1: 6, 2: 3}, granted, "600 units ahead against 250 + 300")
+}
+
+func TestRequestsRunningElsewhereCount(t *testing.T) {
+	l := fairness.NewLedger()
+	q := fairness.NewQueue(l)
+	past := l.Start(3, 0)
+	past.Charge(100)
+	past.Finish()
+	require.NoError(t, q.Push(offer("1", 1, request.ClassBatch), 9))
+	require.NoError(t, q.Push(offer("2", 2, request.ClassBatch), 9))
+	l.Charge(2, 250)
+	l.Apply(report("east", 1, fairness.Total{Workspace: 1, Running: 3}))
+	e, _ := q.Pop(nil)
+	assert.Equal(t, workspace.RowID(2), e.Workspace, "three requests of 100 units against 250 units")
+}
+
 func backlog(b *testing.B, workspaces int) (*fairness.Ledger, *fairness.Queue) {
 	b.Helper()
 	l := fairness.NewLedger()
