--- a/internal/agent/scheduler.go
+++ b/internal/agent/scheduler.go
@@ -42,7 +42,6 @@
 	homes    map[workspace.RowID]int        // waiting offers whose home is here
 	alone    *attempt                       // suspect that waits for or has the target for itself
 	closed   *wire.Refuse                   // set: nothing more is granted
-	idle     chan struct{}                  // not nil: closed once nothing is held
 	slotTime time.Duration                  // smoothed time that a request keeps a slot
 }
 
@@ -66,6 +65,9 @@
 func (s *scheduler) admit(at *attempt, limit int) (ahead int, refusal *wire.Refuse, err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	if at.phase == phaseDropped {
+		return 0, at.refusal, nil // handed back while it was parked
+	}
 	delete(s.parked, at)
 	if s.closed != nil {
 		at.phase = phaseDropped
@@ -167,7 +169,8 @@
 	close(at.granted)
 }
 
-// stage takes at's Run and reports whether at was still granted.
+// stage takes at's Run and reports whether at was still granted. A closed
+// scheduler drops it unless it gets a slot at once.
 func (s *scheduler) stage(at *attempt, run *wire.Run, fence uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -179,6 +182,9 @@
 	s.granted--
 	s.staged = append(s.staged, at)
 	s.dispatch()
+	if s.closed != nil && at.phase == phaseStaged {
+		s.dropLocked(at, s.closed)
+	}
 	return true
 }
 
@@ -281,10 +287,6 @@
 	if at.offer.Class == request.ClassBatch {
 		s.batch--
 	}
-	if s.idle != nil && s.occupied() == 0 {
-		close(s.idle)
-		s.idle = nil
-	}
 }
 
 // withdraw takes at back for its router. It reports whether at was dropped. An
@@ -345,7 +347,9 @@
 	s.slotTime += (busy - s.slotTime) / share
 }
 
-// close hands back what waits and grants nothing more.
+// close hands back what waits and grants nothing more. What has no slot yet
+// counts as waiting, so that a target that is leaving gets nothing new; a grant
+// under way is honoured if there is a free slot.
 func (s *scheduler) close(refusal *wire.Refuse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -353,6 +357,9 @@
 		s.closed = refusal
 	}
 	s.handBackLocked(refusal)
+	for _, at := range slices.Clone(s.staged) {
+		s.dropLocked(at, refusal)
+	}
 }
 
 // handBack hands back what waits.
@@ -378,18 +385,3 @@
 	defer s.mu.Unlock()
 	return s.closed
 }
-
-// whenIdle returns a channel that is closed once nothing is held.
-func (s *scheduler) whenIdle() <-chan struct{} {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.occupied() == 0 {
-		done := make(chan struct{})
-		close(done)
-		return done
-	}
-	if s.idle == nil {
-		s.idle = make(chan struct{})
-	}
-	return s.idle
-}
--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/mastichollow/mastichollow/internal/placement"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/transport"
 	"github.com/mastichollow/mastichollow/internal/wire"
@@ -110,6 +111,21 @@
 				sends(accepted, chunk(3, "def"), end(6)),
 			},
 		},
+		{
+			name: "slow, but alive", runs: 1, resumes: 2, body: "abcdef",
+			streams: []script{
+				grantThen(accepted),
+				sends(accepted),
+				sends(append([]maker{accepted}, whole[1:]...)...),
+			},
+		},
+		{
+			name: "never fits", runs: 1, resumes: 4, once: true, reason: request.ReasonAnswerInvalid,
+			streams: []script{
+				grantThen(accepted, head("text/plain"), end(6)),
+				sends(accepted, end(6)),
+			},
+		},
 		{
 			name: "killed after Run, repeatable", runs: 2, resumes: 1, body: "abcdef",
 			streams: []script{
@@ -192,6 +208,8 @@
 				default:
 					require.Equal(t, http.StatusOK, rec.Code)
 					require.Equal(t, tt.body, rec.Body.String())
+					require.Empty(t, f.fleet.seen().withdrawn, "a resumed attempt was withdrawn")
+					require.Empty(t, f.fleet.seen().forgotten, "a connection that answers was dropped")
 				}
 			})
 		})
@@ -274,12 +292,17 @@
 // homeOf returns the home agent of a completion among two agents, and the other
 // one.
 func (f *fixture) homeOf(body string) (home, other string) {
+	plan := f.planOf(body)
+	return plan.Home.ID, plan.Near[0].ID
+}
+
+// planOf returns the order of agents for a completion.
+func (f *fixture) planOf(body string) placement.Plan {
 	f.t.Helper()
 	req := post(pathCompletions, body)
 	e, refused := f.router.checkEnvelope("id", req)
 	require.Nil(f.t, refused)
 	c, refused := f.router.completionCall(e, req, []byte(body))
 	require.Nil(f.t, refused)
-	plan := newBinding(newExecution(f.router, c, nil)).plan()
-	return plan.Home.ID, plan.Near[0].ID
+	return newBinding(newExecution(f.router, c, nil)).plan()
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -12,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/mastichollow/mastichollow/internal/request"
+	"github.com/mastichollow/mastichollow/internal/wire"
 )
 
 // ErrSettings marks settings that a router cannot work with.
@@ -27,6 +27,8 @@
 	budget  *retryBudget
 	forget  *forgetter
 	stopped atomic.Bool
+
+	admission *admission
 }
 
 // New returns a router. Its error names every fault of cfg and is marked
@@ -40,14 +42,26 @@
 		cfg:     cfg,
 		log:     cfg.Logger,
 		metrics: newMetrics(cfg.Registerer),
-		index:   indexCache{store: cfg.Store},
 		waiting: newWaitingRoom(cfg.Limits.Offered),
 		budget:  newRetryBudget(cfg.Timing.RetryRatio, cfg.Timing.RetryBurst),
 		forget:  newForgetter(cfg.Opener),
 	}
+	r.admission = newAdmission(cfg.Site.Domain)
+	r.index = indexCache{store: cfg.Store, changed: r.admission.apply}
+	r.index.get()
+	cfg.Store.OnDigest(r.admission.merge)
 	return r, nil
 }
 
+// Run keeps the limits of the workspaces up to date until ctx ends.
+func (r *Router) Run(ctx context.Context) error {
+	r.admission.run(ctx, func() { r.index.get() })
+	return nil
+}
+
+// Report returns what this router admitted, for the reports to the fleet.
+func (r *Router) Report() []wire.PoolSums { return r.admission.report() }
+
 // Ready returns nil when the router can take requests, or the reason why not.
 func (r *Router) Ready() error {
 	if r.stopped.Load() {
@@ -67,6 +81,9 @@
 func (r *Router) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	id := request.NewID()
 	w.Header().Set(headerRequestID, string(id))
+	if r.stopped.Load() {
+		w.Header().Set("Connection", "close")
+	}
 	e, refused := r.checkEnvelope(id, req)
 	if refused != nil {
 		r.refuse(w, e, nil, refused)
@@ -99,7 +116,7 @@
 
 // serve admits a request, reads its body and runs it.
 func (r *Router) serve(w http.ResponseWriter, req *http.Request, e envelope, check checker) {
-	release, refused := r.cfg.Limiter.Admit(e.row)
+	release, refused := r.admission.gate.Admit(e.row)
 	if refused != nil {
 		r.refuse(w, e, nil, refused)
 		return
@@ -115,6 +132,10 @@
 		r.refuse(w, e, nil, refused)
 		return
 	}
+	if e.idx.quarantined(c.content.Fingerprint) {
+		r.refuse(w, e, c, refuse(request.ReasonQuarantined, "requests like it crashed targets"))
+		return
+	}
 	r.run(w, req, e, c)
 }
 
@@ -178,8 +199,3 @@
 	}
 	r.log.Info(message, args...)
 }
-
-// String names the router's place in logs.
-func (r *Router) String() string {
-	return fmt.Sprintf("router in %s/%s", r.cfg.Site.Region, r.cfg.Site.Domain)
-}
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -112,6 +112,9 @@
 // cancelled at the target, and one that may not goes on.
 type Withdraw struct {
 	Attempt request.AttemptID `cbor:"1,keyasint"`
+	// Suspect tells the home agent that the request ran at the crash of a
+	// target elsewhere. It may be sent after an earlier Withdraw.
+	Suspect bool `cbor:"2,keyasint,omitempty"`
 }
 
 // Field is a header field of HTTP.
@@ -171,7 +174,9 @@
 }
 
 // Resume asks, on a new stream, for the rest of an attempt's answer: the body
-// from Offset on, and the Head before it when Head is set.
+// from Offset on, and the Head before it when Head is set. The agent answers at
+// once with Accepted, which tells a slow target from a silent stream, or with
+// Fail.
 type Resume struct {
 	Attempt request.AttemptID `cbor:"1,keyasint"`
 	Offset  uint64            `cbor:"2,keyasint"`
