--- a/cmd/mastichollow-bench/main.go
+++ b/cmd/mastichollow-bench/main.go
@@ -67,6 +67,11 @@
 			jobs = append(jobs, s.play(size, policy, experiment.VariantScenarios)...)
 		}
 	}
+	for _, size := range experiment.Curve() {
+		if wanted(s.Size, size.Name) {
+			jobs = append(jobs, s.play(size, experiment.Chosen(), []string{"steady"})...)
+		}
+	}
 	return jobs
 }
 
--- a/internal/experiment/deployment.go
+++ b/internal/experiment/deployment.go
@@ -1,6 +1,10 @@
 package experiment
 
-import "time"
+import (
+	"fmt"
+	"slices"
+	"time"
+)
 
 // Deployment is the size of one user's fleet, one pool of model engines.
 type Deployment struct {
@@ -57,6 +61,21 @@
 	}
 }
 
+// Curve returns Muistopurkki's fleet with more backlogged workspaces and the same
+// capacity.
+func Curve() []Deployment {
+	var list []Deployment
+	for _, n := range []int{47, 150, 470} {
+		d := Muistopurkki()
+		d.Name = fmt.Sprintf("%s-%d-workspaces", d.Name, n)
+		d.Workspaces = slices.Repeat([]Workspace{{
+			Weight: 1, Callers: 4, Quick: 0.75 / float64(n), Regions: []float64{1, 1, 1},
+		}}, n)
+		list = append(list, d)
+	}
+	return list
+}
+
 // workspaces returns fifteen, three of them large, spread unevenly: two are in
 // one region only.
 func workspaces() []Workspace {
--- a/internal/experiment/meter.go
+++ b/internal/experiment/meter.go
@@ -66,7 +66,7 @@
 // not count as use of the capacity, which has lost it.
 func (m *meter) served(c *call, a *agent, units float64) {
 	m.service[c.ws-1] += units / m.w.deployment.Workspaces[c.ws-1].Weight
-	if m.w.now >= settling && !a.leaving {
+	if m.w.now > settling && !a.leaving {
 		m.units += units
 	}
 }
@@ -86,12 +86,25 @@
 	if m.w.now < settling {
 		return
 	}
+	m.samplePossible()
+	m.sampleSpread()
+	m.samplePairs()
+}
+
+// samplePossible adds what could have been produced since the last sample.
+func (m *meter) samplePossible() {
+	if m.w.now == settling {
+		return
+	}
 	for _, a := range m.w.agents {
 		if !a.leaving {
 			m.possible += float64(m.w.deployment.Slots) * m.w.deployment.Speed * sampling.Seconds()
 		}
 	}
-	m.sampleSpread()
+}
+
+// samplePairs notes the difference in service of each pair.
+func (m *meter) samplePairs() {
 	for i := range m.service {
 		for j := range i {
 			if m.w.now < m.since(i)+settling || m.w.now < m.since(j)+settling {
--- a/internal/experiment/policy.go
+++ b/internal/experiment/policy.go
@@ -39,18 +39,18 @@
 // Policies lists what is compared in each scenario: the simplest baseline, shares
 // per region, and shares of the fleet.
 func Policies() []Policy {
-	push := chosen()
+	push := Chosen()
 	push.Name = "round-robin"
 	push.Push = true
 	push.Sharing = ShareNone
-	region := chosen()
+	region := Chosen()
 	region.Name = "region"
 	region.Sharing = ShareRegion
-	return []Policy{push, region, chosen()}
+	return []Policy{push, region, Chosen()}
 }
 
-// chosen is the policy that the fleet follows.
-func chosen() Policy {
+// Chosen returns the policy that the fleet follows.
+func Chosen() Policy {
 	return Policy{
 		Name: "fleet", Sharing: ShareFleet, Extra: 1,
 		Report: 500 * time.Millisecond, Digest: 500 * time.Millisecond, FarDigest: 2 * time.Second,
@@ -61,7 +61,7 @@
 // Variants lists the chosen policy with one thing changed each.
 func Variants() []Policy {
 	variant := func(name string, change func(*Policy)) Policy {
-		p := chosen()
+		p := Chosen()
 		p.Name = name
 		change(&p)
 		return p
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -297,3 +297,20 @@
 	require.NotNil(t, refused)
 	assert.Equal(t, request.ReasonRateLimit, refused.Reason)
 }
+
+// BenchmarkAdmit measures a request that is admitted and one that is refused.
+func BenchmarkAdmit(b *testing.B) {
+	for name, limits := range map[string]limit.Limits{"admitted": {Rate: 1e12, Queue: 1 << 40}, "refused": {Rate: 1e-9}} {
+		b.Run(name, func(b *testing.B) {
+			a := admission(limits, 6)
+			now := start
+			b.ReportAllocs()
+			for b.Loop() {
+				now = now.Add(time.Microsecond)
+				if a.Admit(ws, now) == nil {
+					a.Done(ws, now)
+				}
+			}
+		})
+	}
+}
