--- a/internal/experiment/bytes_test.go
+++ b/internal/experiment/bytes_test.go
@@ -1,12 +1,16 @@
 package experiment
 
 import (
+	"encoding/binary"
 	"fmt"
+	"strings"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/mastichollow/mastichollow/internal/fleet"
+	"github.com/mastichollow/mastichollow/internal/placement"
+	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/wire"
 	"github.com/mastichollow/mastichollow/internal/workspace"
 )
@@ -77,3 +81,56 @@
 		})
 	}
 }
+
+// BenchmarkConfigBytes reports the bytes of a table and of a VM list.
+func BenchmarkConfigBytes(b *testing.B) {
+	for _, n := range []int{15, 4700} {
+		table := &workspace.Table{Version: 10_000, ChangeID: strings.Repeat("c", 36), NextID: workspace.RowID(n)}
+		for i := range n {
+			table.Rows = append(table.Rows, workspace.Row{
+				ID: workspace.RowID(i), Name: fmt.Sprint("workspace-", i), KeyHashes: []string{strings.Repeat("a", 64)},
+				Weight: 1.5, RateLimit: 50, Concurrency: 40, QueueLimit: 1000, Pools: []string{"letter-writer", "shop-api"},
+			})
+		}
+		b.Run(fmt.Sprint("rows=", n), func(b *testing.B) { reportConfig(b, &wire.Config{Table: table}, n) })
+	}
+	for _, n := range []int{29, 12_600} {
+		var vms []target.VM
+		for i := range n {
+			vms = append(vms, target.VM{
+				ID: fmt.Sprintf("vm-%08d", i), Addr: "10.120.130.140:7000", Role: target.RoleAgent, Region: "north",
+				Domain: "north-1", Pool: "letter-writer", Kind: target.KindModel, State: target.StateLive,
+			})
+		}
+		b.Run(fmt.Sprint("vms=", n), func(b *testing.B) { reportConfig(b, &wire.Config{VMs: vms}, n) })
+	}
+}
+
+func reportConfig(b *testing.B, c *wire.Config, n int) {
+	bytes := 0
+	for b.Loop() {
+		frame, err := wire.Append(nil, c)
+		require.NoError(b, err)
+		bytes = len(frame)
+	}
+	b.ReportMetric(float64(bytes), "B")
+	b.ReportMetric(float64(bytes)/float64(n), "B/entry")
+}
+
+// BenchmarkPlan measures the order of the agents for one request.
+func BenchmarkPlan(b *testing.B) {
+	for _, n := range []int{20, 200, 1429} {
+		b.Run(fmt.Sprint("agents=", n), func(b *testing.B) {
+			d := Muistopurkki()
+			d.Agents = n
+			w := newWorld(d, Scenario{}, Chosen())
+			r := w.routers[0]
+			vms := w.live()
+			site := placement.Site{Region: regionName(0), Domain: regionName(0)}
+			b.ReportAllocs()
+			for i := uint64(0); b.Loop(); i++ {
+				placement.Make(vms, site, placement.Content{Fingerprint: binary.BigEndian.AppendUint64(nil, i)}, r.hasFree)
+			}
+		})
+	}
+}
