--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/mastichollow/mastichollow/internal/target"
+	"github.com/mastichollow/mastichollow/internal/wire"
 )
 
 // firstRelay returns the ID of the first relay of a region's domain.
@@ -124,6 +125,31 @@
 	})
 }
 
+func TestSumsStayExactWhileTheRelayOfTheReaderComesAndGoes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := usersFleet(t, 3, 2)
+		const reader = "north-agent-0"
+		serveBacklog(n, 10*time.Second, 1)
+		time.Sleep(4 * time.Second)
+		before := service(n.nodes[reader], "south-d1", 1)
+		first := firstRelay(n, "north")
+		const seconds = 20
+		total := uint64(10)
+		for _, cut := range []bool{true, false, true} {
+			n.setCut(func(from, to string) bool { return cut && (from == first || to == first) })
+			for range seconds {
+				total++
+				sum := wire.Sum{Workspace: 1, Service: total * unitsPerSecond}
+				n.nodes["south-agent-0"].setSums("letter-writer", sum)
+				n.nodes["south-agent-1"].setSums("letter-writer", sum)
+				time.Sleep(time.Second)
+			}
+		}
+		time.Sleep(4 * time.Second)
+		require.Equal(t, before+2*(total-10)*unitsPerSecond, service(n.nodes[reader], "south-d1", 1))
+	})
+}
+
 // linksOf returns the links of node to its relays.
 func linksOf(node *testNode) map[*link]string {
 	node.Node.mu.Lock()
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -59,7 +59,7 @@
 	sent         sentConfig
 	reported     reportState
 	vms          map[string]target.VM // list that the peer sent
-	packers      map[originKey]*packer
+	joined       map[originKey]uint64 // step of the fan that the peer has
 	unpackers    map[originKey]*unpacker
 }
 
@@ -94,7 +94,7 @@
 		out:       make(chan wire.Message, linkDepth),
 		heard:     make(chan struct{}, 1),
 		cancel:    func(error) {},
-		packers:   make(map[originKey]*packer),
+		joined:    make(map[originKey]uint64),
 		unpackers: make(map[originKey]*unpacker),
 	}
 }
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -85,7 +85,7 @@
 		d.Relay, d.Incarnation = l.peer.ID, l.incarnation
 	}
 	var err error
-	d.Pools, err = l.unpacker(d).unpack(m.Packed)
+	d.Pools, err = l.unpacker(d, m.Full).unpack(m.Packed)
 	n.mu.Unlock()
 	if err != nil {
 		return err
@@ -94,11 +94,12 @@
 	return nil
 }
 
-// unpacker returns the unpacker of the digests of d's origin.
-func (l *link) unpacker(d *wire.Digest) *unpacker {
+// unpacker returns the unpacker of the digests of d's origin, a new one before a
+// full digest.
+func (l *link) unpacker(d *wire.Digest, full bool) *unpacker {
 	key := originKey{d.Domain, origin{d.Relay, d.Incarnation}}
 	u := l.unpackers[key]
-	if u == nil {
+	if u == nil || full {
 		u = newUnpacker()
 		l.unpackers[key] = u
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -97,8 +97,9 @@
 	dialled map[string]dialState // by VM ID and kind of link
 	tallies map[string]*tally    // by failure domain
 	applied map[string]*poolSums // own totals in the store, by failure domain
-	reports uint64               // sequence of the last report
-	digests uint64               // sequence of the last own digest
+	fans    map[originKey]*fan
+	reports uint64 // sequence of the last report
+	digests uint64 // sequence of the last own digest
 }
 
 // NewNode returns a node or an error that names every fault of cfg.
@@ -119,6 +120,7 @@
 		dialled: make(map[string]dialState),
 		tallies: make(map[string]*tally),
 		applied: make(map[string]*poolSums),
+		fans:    make(map[originKey]*fan),
 	}
 	n.poller = newPoller(cfg, n.periods, n.metrics, n.log)
 	return n, nil
--- a/internal/fleet/pack.go
+++ b/internal/fleet/pack.go
@@ -1,7 +1,9 @@
 package fleet
 
 import (
+	"cmp"
 	"encoding/binary"
+	"slices"
 
 	"github.com/cockroachdb/errors"
 
@@ -23,8 +25,9 @@
 
 const maxPackedPools = 1 << 10
 
-// packer writes the sums of one failure domain as differences to what it wrote
-// before, and unpacker reads them. Both live as long as one stream.
+// packer writes the sums of one origin as differences to what it wrote before,
+// and unpacker reads them. One packer serves all links of a relay; a link that
+// missed something gets all of it and an unpacker that starts anew.
 //
 // A digest is a sequence of pools: index of the pool; its name when the index
 // is new; free slots; waiting offers; number of rows; rows. A row is the
@@ -48,6 +51,19 @@
 	return buf
 }
 
+// full returns everything that was packed so far for a reader that has none of
+// it, so that it can read what is packed next.
+func (p *packer) full() []byte {
+	pools := diff(nil, p.sent)
+	slices.SortFunc(pools, func(a, b wire.PoolSums) int { return cmp.Compare(p.index[a.Pool], p.index[b.Pool]) })
+	fresh := newPacker()
+	var buf []byte
+	for _, pool := range pools {
+		buf = fresh.packPool(buf, pool)
+	}
+	return buf
+}
+
 func (p *packer) packPool(buf []byte, pool wire.PoolSums) []byte {
 	index, known := p.index[pool.Pool]
 	if !known {
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -91,10 +91,19 @@
 func (n *Node) sendDigests() {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	old := n.fans
+	n.fans = make(map[originKey]*fan, len(old))
 	n.cfg.Store.eachOrigin(func(domain string, src *originSums) {
+		key := originKey{domain, src.origin}
+		f := old[key]
+		if f == nil {
+			f = &fan{packer: newPacker()}
+		}
+		n.fans[key] = f
+		f.advance(src)
 		for l := range n.links {
 			if n.sends(l, domain) {
-				n.sendDigest(l, domain, src)
+				n.sendDigest(l, key, f)
 			}
 		}
 	})
@@ -112,28 +121,46 @@
 	}
 }
 
-// sendDigest sends l what it lacks of an origin's sums. n.mu is held.
-func (n *Node) sendDigest(l *link, domain string, src *originSums) {
-	key := originKey{domain, src.origin}
-	p := l.packers[key]
-	if p == nil {
-		p = newPacker()
-		l.packers[key] = p
-	}
-	packed := p.pack(src.sums)
-	if len(packed) == 0 {
+// sendDigest sends l what it lacks of the sums of f. n.mu is held.
+func (n *Node) sendDigest(l *link, key originKey, f *fan) {
+	had := l.joined[key]
+	l.joined[key] = f.step
+	if had == f.step {
 		return
 	}
-	d := &wire.Digest{Sequence: src.sequence, Packed: packed}
-	if domain != n.cfg.Self.Domain {
-		d.Domain = domain
+	d := &wire.Digest{Sequence: f.sequence, Packed: f.packed}
+	if had != f.step-1 || had == 0 {
+		d.Full, d.Packed = true, f.packer.full()
+	}
+	if key.domain != n.cfg.Self.Domain {
+		d.Domain = key.domain
 	}
-	if src.relay != n.cfg.Self.ID || src.incarnation != n.cfg.Incarnation {
-		d.Relay, d.Incarnation = src.relay, src.incarnation
+	if key.relay != n.cfg.Self.ID || key.incarnation != n.cfg.Incarnation {
+		d.Relay, d.Incarnation = key.relay, key.incarnation
 	}
 	l.send(d)
 }
 
+// fan packs the sums of one origin once for all links.
+type fan struct {
+	packer   *packer
+	sequence uint64 // of the sums that were packed last
+	step     uint64 // grows with each change that was packed
+	packed   []byte // the last change
+}
+
+// advance packs what has changed.
+func (f *fan) advance(src *originSums) {
+	if src.sequence != 0 && src.sequence == f.sequence {
+		return
+	}
+	f.sequence = src.sequence
+	if packed := f.packer.pack(src.sums); len(packed) > 0 {
+		f.packed = packed
+		f.step++
+	}
+}
+
 // runConfigs sends the configuration to members when it changes.
 func (n *Node) runConfigs(ctx context.Context) {
 	changes := n.cfg.Store.Watch()
--- a/internal/fleet/sums_test.go
+++ b/internal/fleet/sums_test.go
@@ -258,6 +258,14 @@
 			got.set(pools)
 			require.Equal(t, want, got)
 			require.Empty(t, p.pack(next), "nothing changed")
+			if rapid.Bool().Draw(t, "late reader") {
+				u = newUnpacker()
+				pools, err := u.unpack(p.full())
+				require.NoError(t, err)
+				got = newPoolSums()
+				got.set(pools)
+				require.Equal(t, want, got, "everything")
+			}
 		}
 	})
 }
--- a/internal/operator/operator_test.go
+++ b/internal/operator/operator_test.go
@@ -118,6 +118,22 @@
 	require.Len(t, table.history, 2)
 }
 
+func TestVersionItemHasTheVersionOfTheTable(t *testing.T) {
+	ctx := context.Background()
+	table := newFaultyTable()
+	data, err := workspace.New().Encode()
+	require.NoError(t, err)
+	first, err := table.Commit(ctx, platform.Write{Key: platform.KeyTable, Value: data})
+	require.NoError(t, err)
+	for weight := range 2 { // on a table without a version item, and on one with it
+		result, err := testOperator(table).Apply(ctx, []workspace.Row{testRow("shop", float64(weight+1))}, first+uint64(weight))
+		require.NoError(t, err)
+		item, err := table.Get(ctx, platform.KeyTableVersion)
+		require.NoError(t, err)
+		require.Equal(t, result.Version, item.Version)
+	}
+}
+
 func TestMarkKeepsRowsAndSurvivesRaces(t *testing.T) {
 	ctx := context.Background()
 	table := newFaultyTable()
