--- a/internal/fleet/dial.go
+++ b/internal/fleet/dial.go
@@ -87,6 +87,9 @@
 // wantedRelays returns the links to the relays of this failure domain. n.mu is
 // held.
 func (n *Node) wantedRelays(now time.Time) []wanted {
+	if len(n.cfg.Store.Snapshot().VMs) == 0 {
+		return n.firstUsable(toRelay, seedVMs(n.cfg.Seeds), relaysPerDomain, now)
+	}
 	order := n.cfg.Store.Snapshot().RelayOrder(n.cfg.Self.Domain, n.cfg.Self.Region)
 	count := relaysPerDomain
 	if rankOf(order, n.cfg.Self.ID) < relaysPerDomain {
@@ -95,6 +98,15 @@
 	return n.firstUsable(toRelay, order, count, now)
 }
 
+// seedVMs returns the routers at addrs, of which nothing else is known.
+func seedVMs(addrs []string) []target.VM {
+	vms := make([]target.VM, 0, len(addrs))
+	for _, addr := range addrs {
+		vms = append(vms, target.VM{ID: addr, Addr: addr, Role: target.RoleRouter})
+	}
+	return vms
+}
+
 // wantedPeers returns the links to one relay of each failure domain of a later
 // name, if this process adds up the reports of its own. Digests go both ways on
 // a link, so that one is enough between two domains. n.mu is held.
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -186,10 +186,8 @@
 		n.handleHello(l, m)
 		return nil
 	case *wire.Config:
-		if l.kind != toMember {
-			n.handleConfig(l, m)
-			return nil
-		}
+		n.handleConfig(l, m)
+		return nil
 	case *wire.Digest:
 		if l.kind != toMember {
 			return n.handleDigest(l, m)
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -121,7 +121,7 @@
 	return slices.Collect(maps.Values(l.vms))
 }
 
-// handleConfig puts the configuration in force that a relay sent.
+// handleConfig puts the configuration in force that a peer sent.
 func (n *Node) handleConfig(l *link, c *wire.Config) {
 	now := time.Now()
 	if c.Table != nil {
@@ -136,5 +136,8 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	l.stale = c.Stale
+	if c.Table != nil {
+		l.sent.table = max(l.sent.table, c.Table.Version)
+	}
 	n.wake()
 }
--- a/internal/fleet/network_test.go
+++ b/internal/fleet/network_test.go
@@ -30,6 +30,7 @@
 	mu     sync.Mutex
 	vms    []target.VM
 	vmsErr error
+	seeds  []string
 	nodes  map[string]*testNode
 	cut    func(from, to string) bool // whether nothing passes
 	apart  map[string]bool            // nodes that do not reach the platform
@@ -110,6 +111,7 @@
 		Table:       &reach{TableService: n.table, n: n, id: vm.ID},
 		VMs:         vmList{n: n, id: vm.ID},
 		Opener:      opener{n: n, from: vm},
+		Seeds:       n.seeds,
 		Registerer:  node.reg,
 		Report:      node.report,
 	}
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -62,6 +62,9 @@
 	Table       platform.TableService
 	VMs         platform.VMList
 	Opener      transport.Opener
+	// Seeds are addresses (IP:port) of routers, asked for the VM list and the
+	// table when the platform gives none at the start. They may be missing.
+	Seeds []string
 	// Report returns the sums and loads of this process; nil for a process
 	// without a target.
 	Report func() []wire.PoolSums
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -186,22 +186,17 @@
 	}
 }
 
-// configFor returns what the peer of l lacks, or nil. A relay of another
-// domain gets the configuration only while it cannot read the platform. n.mu
-// is held.
+// configFor returns what the peer of l lacks, or nil. A relay, its own or of
+// another domain, gets the configuration only while it cannot read the
+// platform. n.mu is held.
 func (n *Node) configFor(l *link, s *Snapshot, now time.Time) *wire.Config {
 	sent := &l.sent
 	stale := n.staleFor(l.kind)
 	c := &wire.Config{Stale: stale}
 	changed := stale != sent.stale
 	sent.stale = stale
-	switch l.kind {
-	case toRelay:
-		return nil
-	case toPeer, fromPeer:
-		if !l.stale {
-			return orNil(c, changed)
-		}
+	if l.kind != toMember && !l.stale {
+		return orNil(c, changed)
 	}
 	if s.Table != nil && s.Table.Version > sent.table {
 		c.Table, sent.table, changed = s.Table, s.Table.Version, true
@@ -234,13 +229,17 @@
 
 // staleFor reports whether this process says to a peer that it cannot read the
 // platform. To members it says so only when no relay of another domain reads
-// it in its place. n.mu is held.
+// it in its place. Members read it for no one. n.mu is held.
 func (n *Node) staleFor(kind linkKind) bool {
 	stale := n.isStale.Load()
-	if kind != toMember {
+	switch kind {
+	case toRelay:
+		return false
+	case toMember:
+		return stale && !n.upstream(toPeer, fromPeer)
+	default:
 		return stale
 	}
-	return stale && !n.upstream(toPeer, fromPeer)
 }
 
 // upstream reports whether the peer of a link of one of kinds reads the
