--- a/internal/agent/offer.go
+++ b/internal/agent/offer.go
@@ -44,14 +44,15 @@
 }
 
 // drain waits until the stream ends, or ctx, and reports whether the peer
-// closed its side in order.
-func (in *inbox) drain(ctx context.Context) bool {
+// closed its side in order. see gets each message.
+func (in *inbox) drain(ctx context.Context, see func(wire.Message)) bool {
 	for {
 		select {
-		case _, ok := <-in.messages:
+		case m, ok := <-in.messages:
 			if !ok {
 				return errors.Is(in.err, io.EOF)
 			}
+			see(m)
 		case <-ctx.Done():
 			return false
 		}
@@ -64,17 +65,21 @@
 	at     *attempt
 	stream transport.Stream
 	inbox  *inbox
+	reader uint64 // the stream's number at the output, once Run has come
 }
 
 // serveOffer serves an offer until its stream ends.
 func (a *Agent) serveOffer(ctx context.Context, o *wire.Offer, s transport.Stream) {
 	if refusal := a.check(o); refusal != nil {
-		a.refuse(ctx, s, o.Attempt, refusal)
+		a.refuse(ctx, s, o, refusal)
 		return
 	}
+	if o.Suspect {
+		a.suspects.put(o.Fingerprint, false)
+	}
 	at := newAttempt(a.base, o, a.cfg.Limits.WindowBytes, time.Now())
 	if !a.attempts.add(at) {
-		a.refuse(ctx, s, o.Attempt, &wire.Refuse{Reason: request.ReasonMalformed, Detail: "attempt is known"})
+		a.refuse(ctx, s, o, &wire.Refuse{Reason: request.ReasonMalformed, Detail: "attempt is known"})
 		return
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -89,8 +94,9 @@
 		of.accepted(ctx)
 		return
 	}
+	of.end()
 	if o.Home {
-		a.keepHome(ctx, of.inbox)
+		a.keepHome(ctx, at, of.inbox)
 	}
 }
 
@@ -129,7 +135,7 @@
 		refusal = of.queueFull(at.offer)
 	}
 	if refusal != nil {
-		of.refuse(ctx, of.stream, at.offer.Attempt, refusal)
+		of.refuse(ctx, of.stream, at.offer, refusal)
 		return false
 	}
 	select {
@@ -207,6 +213,7 @@
 		of.refuseGone(ctx)
 		return false
 	}
+	of.reader = at.out.attachFirst() // before anything is written
 	of.background.Go(func() { of.run(at) })
 	return true
 }
@@ -227,7 +234,7 @@
 // drop takes the offer back and refuses it.
 func (of *offering) drop(ctx context.Context, reason request.Reason) {
 	if of.sched.drop(of.at) {
-		of.refuse(ctx, of.stream, of.at.offer.Attempt, &wire.Refuse{Reason: reason})
+		of.refuse(ctx, of.stream, of.at.offer, &wire.Refuse{Reason: reason})
 	}
 }
 
@@ -235,20 +242,16 @@
 // offer that another stream asked for with Resume gets none here.
 func (of *offering) refuseGone(ctx context.Context) {
 	if refusal := of.at.refusal; refusal != nil {
-		of.refuse(ctx, of.stream, of.at.offer.Attempt, refusal)
+		of.refuse(ctx, of.stream, of.at.offer, refusal)
 	}
 }
 
 // accepted relays the answer.
 func (of *offering) accepted(ctx context.Context) {
 	id := of.at.offer.Attempt
-	reader, err := of.at.out.attach(0, true)
-	if err != nil {
-		return
-	}
 	if of.stream.Send(ctx, &wire.Accepted{Attempt: id}) != nil {
-		of.detach(of.at, reader)
+		of.detach(of.at, of.reader)
 		return
 	}
-	of.relay(ctx, &relay{at: of.at, stream: of.stream, inbox: of.inbox, reader: reader})
+	of.relay(ctx, &relay{at: of.at, stream: of.stream, inbox: of.inbox, reader: of.reader})
 }
