--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -62,6 +62,9 @@
 	Table       platform.TableService
 	VMs         platform.VMList
 	Opener      transport.Opener
+	// Seeds are addresses (IP:port) of routers, asked for the VM list and the
+	// table when the platform gives none at the start. They may be missing.
+	Seeds []string
 	// Report returns the sums and loads of this process; nil for a process
 	// without a target.
 	Report func() []wire.PoolSums
@@ -97,8 +100,9 @@
 	dialled map[string]dialState // by VM ID and kind of link
 	tallies map[string]*tally    // by failure domain
 	applied map[string]*poolSums // own totals in the store, by failure domain
-	reports uint64               // sequence of the last report
-	digests uint64               // sequence of the last own digest
+	fans    map[originKey]*fan
+	reports uint64 // sequence of the last report
+	digests uint64 // sequence of the last own digest
 }
 
 // NewNode returns a node or an error that names every fault of cfg.
@@ -119,6 +123,7 @@
 		dialled: make(map[string]dialState),
 		tallies: make(map[string]*tally),
 		applied: make(map[string]*poolSums),
+		fans:    make(map[originKey]*fan),
 	}
 	n.poller = newPoller(cfg, n.periods, n.metrics, n.log)
 	return n, nil
