--- a/internal/agent/admit.go
+++ b/internal/agent/admit.go
@@ -100,15 +100,11 @@
 	}
 }
 
-// queueIsFull reports whether limit waiting requests of the workspace are
-// known: over the fleet those that wait at their home agent, each counted
-// once, and here those that wait for an equal request.
+// queueIsFull reports whether as many requests of the workspace as may wait in
+// the fleet wait for an equal request here. Routers keep the limit over the
+// fleet; the agent's own bounds its memory.
 func (a *Agent) queueIsFull(o *wire.Offer, limit int) bool {
-	ws := o.Workspace
-	if a.holds.waitingOf(ws) >= limit {
-		return true
-	}
-	return o.Home && a.sched.homesOf(ws)+a.remote.queued(ws) >= limit
+	return a.holds.waitingOf(o.Workspace) >= limit
 }
 
 func (a *Agent) queueFull(o *wire.Offer) *wire.Refuse {
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,10 +11,11 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mastichollow/mastichollow/internal/fairness"
+	"github.com/mastichollow/mastichollow/internal/fairness/source"
+	"github.com/mastichollow/mastichollow/internal/limit"
 	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/transport"
 	"github.com/mastichollow/mastichollow/internal/wire"
-	"github.com/mastichollow/mastichollow/internal/workspace"
 )
 
 // ErrNotReady marks an agent that cannot take work.
@@ -28,7 +29,7 @@
 	metrics  *metrics
 	ledger   *fairness.Ledger
 	sched    *scheduler
-	remote   *remote
+	limits   *limit.Concurrency
 	holds    *holds
 	attempts *attempts
 	suspects *suspects
@@ -55,23 +56,23 @@
 	if cfg.Registerer == nil {
 		cfg.Registerer = prometheus.NewRegistry()
 	}
-	ledger := fairness.NewLedger()
+	ledger := fairness.NewLedgerWith(fairness.Settings{Own: cfg.Domain})
+	limits := limit.NewConcurrency(cfg.Domain)
 	a := &Agent{
 		cfg:      cfg,
 		log:      cfg.Logger,
 		metrics:  newMetrics(cfg.Registerer),
 		ledger:   ledger,
-		sched:    newScheduler(ledger, cfg.Slots, cfg.Slots-cfg.InteractiveSlots),
-		remote:   newRemote(cfg.Pool, cfg.Domain, ledger),
+		sched:    newScheduler(ledger, limits, cfg.Slots, cfg.Slots-cfg.InteractiveSlots),
+		limits:   limits,
 		holds:    newHolds(),
 		attempts: newAttempts(cfg.Limits.Keep, cfg.Limits.KeepBytes),
 		suspects: newSuspects(cfg.Store),
 		fence:    new(fence),
 		health:   new(health),
-		table:    newTableIndex(cfg.Store, ledger),
+		table:    newTableIndex(cfg.Store, ledger, limits),
 	}
 	a.base, a.cancel = context.WithCancel(context.Background())
-	a.sched.mayRun = a.mayRun
 	a.sched.isSuspect = a.suspects.has
 	a.sched.onBusy = func(d time.Duration) { a.metrics.busy.Add(d.Seconds()) }
 	registerLoad(cfg.Registerer, a.sched)
@@ -87,6 +88,7 @@
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { a.watchStore(ctx); return nil })
 	g.Go(func() error { a.watchTarget(ctx); return nil })
+	g.Go(func() error { a.expire(ctx); return nil })
 	g.Go(func() error { a.acquireFence(ctx); return nil })
 	if a.cfg.Kind == target.KindService {
 		g.Go(func() error { a.chargeTime(ctx); return nil })
@@ -128,32 +130,56 @@
 
 // Report returns the sums of this agent since its start, for the fleet.
 func (a *Agent) Report() wire.PoolSums {
-	service := make(map[workspace.RowID]uint64)
-	for _, t := range a.ledger.Own() {
-		service[t.Workspace] = t.Service
-	}
-	sums := a.sched.load().sums(a.cfg.Pool, service)
+	sums := a.sched.report(a.cfg.Pool)
 	if a.Ready() != nil {
 		sums.Free = 0
 	}
-	a.remote.noteReport(sums.Sums)
 	return sums
 }
 
-// ApplyDigest takes in the sums of a failure domain.
+// ApplyDigest takes in the sums of a failure domain. Those of the own one
+// contain what this agent reported; ledger and limits take that into account.
 func (a *Agent) ApplyDigest(d *wire.Digest) {
-	a.remote.apply(d, time.Now())
+	now := time.Now()
+	var sums []wire.Sum
+	for _, p := range d.Pools {
+		if p.Pool == a.cfg.Pool {
+			sums = p.Sums
+		}
+	}
+	totals := make([]fairness.Total, 0, len(sums))
+	for _, s := range sums {
+		totals = append(totals, fairness.Total{
+			Workspace: s.Workspace,
+			Service:   s.Service,
+			Running:   s.Running,
+			Queued:    s.Queued,
+		})
+	}
+	id := source.ID{Name: d.Domain, Incarnation: d.Incarnation}
+	a.ledger.Apply(fairness.Update{Source: id, Sequence: d.Sequence, Full: d.Full, Totals: totals, At: now})
+	a.limits.Merge(limit.Source{ID: id, Sequence: d.Sequence, Full: d.Full}, sums, now)
 	a.sched.reconsider()
 }
 
-// mayRun reports whether the concurrency limit of ws over the fleet allows one
-// more than here running requests. scheduler.mu is held.
-func (a *Agent) mayRun(ws workspace.RowID, here int) bool {
-	row := a.table.row(ws)
-	if row == nil {
-		return true // removed since; what was admitted is served
+// expirePeriod is the time between two looks for sources that fell silent and
+// for limits that have room again.
+const expirePeriod = time.Second
+
+// expire gives up the figures of silent sources until ctx ends.
+func (a *Agent) expire(ctx context.Context) {
+	ticker := time.NewTicker(expirePeriod)
+	defer ticker.Stop()
+	for {
+		select {
+		case now := <-ticker.C:
+			a.ledger.Expire(now)
+			a.limits.Expire(now)
+			a.sched.reconsider()
+		case <-ctx.Done():
+			return
+		}
 	}
-	return row.Concurrency == 0 || a.remote.running(ws)+here < row.Concurrency
 }
 
 // chargeTime charges the slot time of running requests until ctx ends.
@@ -163,20 +189,18 @@
 	for {
 		select {
 		case now := <-ticker.C:
-			for ws, ms := range a.sched.chargeable(now) {
-				a.charge(ws, ms)
-			}
+			a.metrics.service.Add(float64(a.sched.chargeTime(now)))
 		case <-ctx.Done():
 			return
 		}
 	}
 }
 
-// charge adds service to ws.
-func (a *Agent) charge(ws workspace.RowID, units int64) {
+// charge adds service that at produced.
+func (a *Agent) charge(at *attempt, units int64) {
 	if units <= 0 {
 		return
 	}
-	a.ledger.Charge(ws, units)
+	at.account.Charge(units)
 	a.metrics.service.Add(float64(units))
 }
--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -52,8 +52,9 @@
 
 	// Guarded by scheduler.mu.
 	phase     phase
-	refusal   *wire.Refuse // why it was handed back; nil when its own stream dropped it
-	suspect   bool         // runs alone
+	account   *fairness.Running // from phaseGranted on
+	refusal   *wire.Refuse      // why it was handed back; nil when its own stream dropped it
+	suspect   bool              // runs alone
 	withdrawn bool
 	handed    bool // may have reached the target
 	startedAt time.Time
--- a/internal/agent/crash_test.go
+++ b/internal/agent/crash_test.go
@@ -167,6 +167,44 @@
 	})
 }
 
+// TestHomeLearnsOfSuspect tells the home agent of a crash elsewhere.
+func TestHomeLearnsOfSuspect(t *testing.T) {
+	print := func(o *wire.Offer) { o.Home, o.Fingerprint = true, []byte("f") }
+	tests := []struct {
+		name string
+		tell func(*rig)
+	}{
+		{"by the stream of the request's first round", func(r *rig) {
+			c := r.offer(print)
+			expect[*wire.Grant](c)
+			c.send(&wire.Withdraw{Attempt: c.id})
+			c.send(&wire.Withdraw{Attempt: c.id, Suspect: true})
+			expect[*wire.Refuse](c)
+			_ = c.s.CloseSend()
+			<-c.done
+		}},
+		{"by the offer of the next round", func(r *rig) {
+			c := r.offer(func(o *wire.Offer) { print(o); o.Suspect = true })
+			expect[*wire.Grant](c)
+			_ = c.s.CloseSend()
+			<-c.done
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, nil)
+				defer r.stop()
+				tt.tell(r)
+				c := r.offer(print).run()
+				synctest.Wait()
+				_, _, trial := r.registry.state("f")
+				require.Equal(t, c.id, trial)
+			})
+		})
+	}
+}
+
 // TestDuplicatesOfUnlistedSuspect are not sent to agents that do not know the
 // suspect yet, also before it is clear that the target crashed.
 func TestDuplicatesOfUnlistedSuspect(t *testing.T) {
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -37,6 +37,8 @@
 		if a.isLeaving() {
 			a.stopGrants("VM is leaving")
 		}
+		a.table.refresh()
+		a.limits.SetMembers(max(len(a.cfg.Store.Snapshot().Agents(a.cfg.Pool)), 1))
 		a.sched.reconsider()
 		select {
 		case <-changed:
--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -13,47 +13,34 @@
 	maxRetryAfter = time.Minute
 )
 
-// load is the state of the slots at one moment.
-type load struct {
-	free    int
-	queued  int
-	running map[workspace.RowID]int
-	started map[workspace.RowID]uint64
-	homes   map[workspace.RowID]int
-}
-
-// load returns the state of the slots.
-func (s *scheduler) load() load {
+// report returns the free slots, the waiting offers and the sums of all
+// workspaces. A waiting request counts at its home agent only.
+func (s *scheduler) report(pool string) wire.PoolSums {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	l := load{
-		queued:  len(s.waiting),
-		running: make(map[workspace.RowID]int, len(s.held)),
-		started: make(map[workspace.RowID]uint64, len(s.starts)),
-		homes:   make(map[workspace.RowID]int, len(s.homes)),
-	}
+	p := wire.PoolSums{Pool: pool, Queued: uint32(len(s.waiting))}
 	if s.closed == nil && s.alone == nil {
-		l.free = max(s.slots-s.occupied(), 0)
+		p.Free = uint32(max(s.slots-s.occupied(), 0))
 	}
-	for ws, n := range s.held {
-		l.running[ws] = n
+	sums := make(map[workspace.RowID]wire.Sum)
+	for _, t := range s.ledger.Own() {
+		sums[t.Workspace] = wire.Sum{Service: t.Service, Running: t.Running}
 	}
 	for ws, n := range s.starts {
-		l.started[ws] = n
+		sum := sums[ws]
+		sum.Started = n
+		sums[ws] = sum
 	}
 	for ws, n := range s.homes {
-		if n > 0 {
-			l.homes[ws] = n
-		}
+		sum := sums[ws]
+		sum.Queued = uint32(n)
+		sums[ws] = sum
 	}
-	return l
-}
-
-// homesOf returns the number of waiting offers of ws whose home is here.
-func (s *scheduler) homesOf(ws workspace.RowID) int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.homes[ws]
+	for ws, sum := range sums {
+		sum.Workspace = ws
+		p.Sums = append(p.Sums, sum)
+	}
+	return p
 }
 
 // busy returns the numbers of waiting offers and of running requests.
@@ -72,64 +59,32 @@
 	return min(max(wait, minRetryAfter), maxRetryAfter)
 }
 
-// chargeable returns the unpaid slot time of the running attempts in whole
-// milliseconds and notes it as paid.
-func (s *scheduler) chargeable(now time.Time) map[workspace.RowID]int64 {
+// chargeTime charges the unpaid slot time of the running attempts, in whole
+// milliseconds, and returns the sum.
+func (s *scheduler) chargeTime(now time.Time) int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	due := make(map[workspace.RowID]int64, len(s.running))
+	var total int64
 	for at := range s.running {
-		due[at.offer.Workspace] += at.unpaid(now)
+		total += at.chargeTime(now)
 	}
-	return due
+	return total
 }
 
-// chargeableOf is chargeable for at alone.
-func (s *scheduler) chargeableOf(at *attempt, now time.Time) (due, total int64) {
+// chargeTimeOf is chargeTime for at alone. It also returns all that at paid.
+func (s *scheduler) chargeTimeOf(at *attempt, now time.Time) (due, paid int64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	due = at.unpaid(now)
+	due = at.chargeTime(now)
 	return due, at.charged.Milliseconds()
 }
 
-// unpaid returns the slot time since the last call, in milliseconds.
+// chargeTime charges the slot time since the last call, in milliseconds.
 // scheduler.mu is held.
-func (at *attempt) unpaid(now time.Time) int64 {
+func (at *attempt) chargeTime(now time.Time) int64 {
 	due := now.Sub(at.startedAt) - at.charged
 	ms := max(due.Milliseconds(), 0)
 	at.charged += time.Duration(ms) * time.Millisecond
+	at.account.Charge(ms)
 	return ms
 }
-
-// sums returns the report of the load together with service.
-func (l load) sums(pool string, service map[workspace.RowID]uint64) wire.PoolSums {
-	p := wire.PoolSums{Pool: pool, Free: uint32(l.free), Queued: uint32(l.queued)}
-	for ws := range l.workspaces(service) {
-		p.Sums = append(p.Sums, wire.Sum{
-			Workspace: ws,
-			Service:   service[ws],
-			Started:   l.started[ws],
-			Running:   uint32(l.running[ws]),
-			Queued:    uint32(l.homes[ws]),
-		})
-	}
-	return p
-}
-
-// workspaces returns all workspaces with a figure.
-func (l load) workspaces(service map[workspace.RowID]uint64) map[workspace.RowID]struct{} {
-	all := make(map[workspace.RowID]struct{}, len(service))
-	for ws := range service {
-		all[ws] = struct{}{}
-	}
-	for ws := range l.started {
-		all[ws] = struct{}{}
-	}
-	for ws := range l.running {
-		all[ws] = struct{}{}
-	}
-	for ws := range l.homes {
-		all[ws] = struct{}{}
-	}
-	return all
-}
--- a/internal/agent/offer_test.go
+++ b/internal/agent/offer_test.go
@@ -137,25 +137,68 @@
 		r := newRig(t, nil)
 		defer r.stop()
 		limited := func(o *wire.Offer) { o.Workspace, o.Home = 3, true }
-		digest := func(running, queued uint32) *wire.Digest {
-			sums := []wire.Sum{{Workspace: 3, Running: running, Queued: queued}}
+		digest := func(running uint32) *wire.Digest {
+			sums := []wire.Sum{{Workspace: 3, Running: running}}
 			return &wire.Digest{Domain: "b", Pools: []wire.PoolSums{{Pool: testPool, Sums: sums}}}
 		}
-		r.ApplyDigest(digest(1, 1))
+		r.ApplyDigest(digest(1))
 		c := r.offer(limited)
 		expect[*wire.Queued](c)
+		require.EqualValues(t, 1, r.Report().Sums[0].Queued)
+		waiting := r.offer(limited)
+		expect[*wire.Queued](waiting)
 		refusal := expect[*wire.Refuse](r.offer(limited))
-		require.Equal(t, request.ReasonQueueFull, refusal.Reason, "one waits here and one elsewhere")
+		require.Equal(t, request.ReasonQueueFull, refusal.Reason)
 		require.Positive(t, refusal.RetryAfter)
-		r.ApplyDigest(digest(0, 0))
+		r.ApplyDigest(digest(0))
 		c.run()
-		waiting := r.offer(limited)
-		expect[*wire.Queued](waiting)
+		synctest.Wait()
+		require.Equal(t, 1, r.target.busy(), "the other waits for the limit, not for a slot")
 		require.Equal(t, "hello world", c.whole())
 		require.Equal(t, "hello world", waiting.run().whole())
 	})
 }
 
+// TestDigestsCountOthersOnce reports own service to the own failure domain and
+// gets it back in the domain's sums.
+func TestDigestsCountOthersOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		defer r.stop()
+		digest := func(domain string, service uint64) {
+			sums := []wire.Sum{{Workspace: 1, Service: service}}
+			pools := []wire.PoolSums{{Pool: "another", Sums: sums}, {Pool: testPool, Sums: sums}}
+			r.ApplyDigest(&wire.Digest{Domain: domain, Pools: pools})
+		}
+		digest("a", 0)
+		digest("b", 500)
+		r.offer(nil).run().whole() // 11 units
+		require.InDelta(t, 11, r.ledger.Level(1), 0)
+		digest("a", 11)
+		require.InDelta(t, 11, r.ledger.Level(1), 0, "own service came back")
+		digest("a", 31)
+		digest("a", 31)
+		require.InDelta(t, 31, r.ledger.Level(1), 0, "others of the own domain")
+		digest("b", 505)
+		require.InDelta(t, 36, r.ledger.Level(1), 0, "another domain")
+	})
+}
+
+func TestServiceIsChargedByTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, func(c *Config) { c.Kind = target.KindService })
+		defer r.stop()
+		answers(nil, step{after: 1500 * time.Millisecond})(r)
+		c := r.offer(nil).run()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		require.InDelta(t, 1000, float64(r.Report().Sums[0].Service), 100, "while it runs")
+		_, last := c.answer()
+		require.EqualValues(t, 1500, last.(*wire.End).Service)
+		require.EqualValues(t, 1500, r.Report().Sums[0].Service)
+	})
+}
+
 func TestInteractiveBeforeBatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, func(c *Config) { c.Slots, c.InteractiveSlots = 3, 1 })
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -61,11 +61,11 @@
 func (a *Agent) runInSlot(at *attempt) ending {
 	end := a.execute(at)
 	if a.cfg.Kind == target.KindService {
-		due, total := a.sched.chargeableOf(at, time.Now())
-		a.charge(at.offer.Workspace, due)
-		end.service = total
+		due, paid := a.sched.chargeTimeOf(at, time.Now())
+		a.metrics.service.Add(float64(due))
+		end.service = paid
 	}
-	a.sched.finish(at)
+	a.sched.finish(at, end.outcome == request.OutcomeCompleted)
 	return end
 }
 
@@ -165,7 +165,7 @@
 	end := ending{outcome: request.OutcomeCompleted}
 	for {
 		frame, err := answer.Next(at.ctx)
-		a.charge(at.offer.Workspace, frame.Units)
+		a.charge(at, frame.Units)
 		end.service += frame.Units
 		if errors.Is(err, io.EOF) {
 			at.stored = rec.answer()
--- a/internal/agent/scheduler.go
+++ b/internal/agent/scheduler.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mastichollow/mastichollow/internal/fairness"
+	"github.com/mastichollow/mastichollow/internal/limit"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/wire"
 	"github.com/mastichollow/mastichollow/internal/workspace"
@@ -20,9 +21,8 @@
 	slots      int
 	batchSlots int // slots that batch work may take
 
-	// mayRun reports whether the limits of a workspace let it run one more
-	// than the given number of requests at this agent.
-	mayRun func(ws workspace.RowID, here int) bool
+	ledger *fairness.Ledger
+	limits *limit.Concurrency
 	// isSuspect reports whether a fingerprint ran at a crash of a target.
 	isSuspect func(fingerprint []byte) bool
 	// onBusy is told how long a slot was busy.
@@ -37,7 +37,6 @@
 	granted  int                            // attempts in phaseGranted
 	batch    int                            // batch attempts granted, staged or running
 	batchRun int                            // batch attempts running
-	held     map[workspace.RowID]int        // attempts granted, staged or running
 	starts   map[workspace.RowID]uint64     // attempts that got a slot
 	homes    map[workspace.RowID]int        // waiting offers whose home is here
 	alone    *attempt                       // suspect that waits for or has the target for itself
@@ -45,15 +44,16 @@
 	slotTime time.Duration                  // smoothed time that a request keeps a slot
 }
 
-func newScheduler(ledger *fairness.Ledger, slots, batchSlots int) *scheduler {
+func newScheduler(ledger *fairness.Ledger, limits *limit.Concurrency, slots, batchSlots int) *scheduler {
 	return &scheduler{
 		slots:      slots,
 		batchSlots: batchSlots,
+		ledger:     ledger,
+		limits:     limits,
 		queue:      fairness.NewQueue(ledger),
 		parked:     make(map[*attempt]struct{}),
 		waiting:    make(map[request.AttemptID]*attempt),
 		running:    make(map[*attempt]struct{}),
-		held:       make(map[workspace.RowID]int),
 		starts:     make(map[workspace.RowID]uint64),
 		homes:      make(map[workspace.RowID]int),
 	}
@@ -153,7 +153,7 @@
 	if e.Class == request.ClassBatch && s.batch >= s.batchSlots+spareGrants {
 		return false
 	}
-	return s.mayRun(e.Workspace, s.held[e.Workspace])
+	return s.limits.MayStart(e.Workspace, time.Now())
 }
 
 // grant gives at a slot or the spare grant. s.mu is held.
@@ -162,7 +162,8 @@
 	s.countHome(at, -1)
 	at.phase = phaseGranted
 	s.granted++
-	s.held[at.offer.Workspace]++
+	at.account = s.ledger.Start(at.entry.Workspace, at.entry.Class, at.entry.CostHint)
+	s.limits.Start(at.entry.Workspace, time.Now())
 	if at.offer.Class == request.ClassBatch {
 		s.batch++
 	}
@@ -261,10 +262,12 @@
 	case phaseGranted:
 		s.granted--
 		s.leave(at)
+		at.account.Cancel()
 	case phaseStaged:
 		i := slices.Index(s.staged, at)
 		s.staged = slices.Delete(s.staged, i, i+1)
 		s.leave(at)
+		at.account.Cancel()
 	default:
 		return false
 	}
@@ -279,11 +282,7 @@
 
 // leave ends the holding of at. s.mu is held.
 func (s *scheduler) leave(at *attempt) {
-	ws := at.offer.Workspace
-	s.held[ws]--
-	if s.held[ws] == 0 {
-		delete(s.held, ws)
-	}
+	s.limits.Done(at.offer.Workspace)
 	if at.offer.Class == request.ClassBatch {
 		s.batch--
 	}
@@ -318,8 +317,8 @@
 	return true
 }
 
-// finish takes the slot back.
-func (s *scheduler) finish(at *attempt) {
+// finish takes the slot back. whole tells that the request ran to its end.
+func (s *scheduler) finish(at *attempt, whole bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.running, at)
@@ -334,6 +333,11 @@
 	s.onBusy(busy)
 	s.smooth(busy)
 	s.leave(at)
+	if whole {
+		at.account.Finish()
+	} else {
+		at.account.Cancel()
+	}
 	s.dispatch()
 }
 
--- a/internal/agent/scheduler_test.go
+++ b/internal/agent/scheduler_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"fmt"
-	"maps"
 	"slices"
 	"testing"
 	"time"
@@ -12,14 +11,15 @@
 	"pgregory.net/rapid"
 
 	"github.com/mastichollow/mastichollow/internal/fairness"
+	"github.com/mastichollow/mastichollow/internal/limit"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/wire"
 	"github.com/mastichollow/mastichollow/internal/workspace"
 )
 
 const (
-	machineSlots       = 3
-	machineBatchSlots  = 2
+	machineSlots       = 2
+	machineBatchSlots  = 1
 	machineConcurrency = 2 // of workspace 2
 	machineQueueLimit  = 5
 )
@@ -34,20 +34,24 @@
 
 func newMachine() *machine {
 	m := &machine{
-		s:      newScheduler(fairness.NewLedger(), machineSlots, machineBatchSlots),
+		s:      newScheduler(fairness.NewLedger(), limit.NewConcurrency(""), machineSlots, machineBatchSlots),
 		before: make(map[*attempt]phase),
 	}
-	m.s.mayRun = func(ws workspace.RowID, here int) bool { return ws != 2 || here < machineConcurrency }
+	m.s.limits.SetLimits(map[workspace.RowID]limit.Limits{2: {Concurrency: machineConcurrency}})
 	m.s.isSuspect = func([]byte) bool { return false }
 	m.s.onBusy = func(time.Duration) {}
 	return m
 }
 
-// any draws an attempt, in whatever phase.
+// any draws an attempt, in whatever phase, mostly one that has not ended.
 func (m *machine) any(t *rapid.T) *attempt {
 	if len(m.attempts) == 0 {
 		t.Skip("no attempts")
 	}
+	live := slices.DeleteFunc(slices.Clone(m.attempts), func(at *attempt) bool { return at.phase >= phaseDropped })
+	if len(live) > 0 && rapid.IntRange(0, 3).Draw(t, "live") > 0 {
+		return rapid.SampledFrom(live).Draw(t, "attempt")
+	}
 	return rapid.SampledFrom(m.attempts).Draw(t, "attempt")
 }
 
@@ -80,7 +84,7 @@
 
 func (m *machine) finish(t *rapid.T) {
 	if at := m.any(t); at.phase == phaseRunning {
-		m.s.finish(at)
+		m.s.finish(at, rapid.Bool().Draw(t, "whole"))
 	}
 }
 
@@ -90,9 +94,20 @@
 	require.Equal(t, was == phaseGranted, m.s.stage(at, &wire.Run{}, 1))
 }
 
+// stageAll lets the routers of all granted attempts answer.
+func (m *machine) stageAll(t *rapid.T) {
+	for _, at := range m.in(phaseGranted) {
+		require.True(t, m.s.stage(at, &wire.Run{}, 1))
+	}
+}
+
 func (m *machine) drop(t *rapid.T) {
 	at := m.any(t)
+	was := at.phase
 	require.Equal(t, m.s.drop(at), at.phase == phaseDropped)
+	if was == phaseStaged {
+		require.Equal(t, was, at.phase, "an attempt with its Run outlives its stream")
+	}
 }
 
 func (m *machine) unstage(t *rapid.T) {
@@ -113,12 +128,14 @@
 	require.Equal(t, at.phase == phaseRunning && !at.withdrawn, m.s.handOver(at))
 }
 
-func (m *machine) handBack(*rapid.T) {
-	m.s.handBack(&wire.Refuse{Reason: request.ReasonTargetDown})
+func (m *machine) handBack(t *rapid.T) {
+	if rapid.IntRange(0, 4).Draw(t, "handBack") == 0 {
+		m.s.handBack(&wire.Refuse{Reason: request.ReasonTargetDown})
+	}
 }
 
 func (m *machine) close(t *rapid.T) {
-	if rapid.IntRange(0, 19).Draw(t, "close") == 0 {
+	if rapid.IntRange(0, 4).Draw(t, "close") == 0 {
 		m.s.close(&wire.Refuse{Reason: request.ReasonDraining})
 		m.closed = true
 	}
@@ -144,7 +161,9 @@
 		perWorkspace[at.offer.Workspace]++
 		alone = alone || at.suspect
 	}
-	require.True(t, maps.Equal(perWorkspace, m.s.held), "%v %v", perWorkspace, m.s.held)
+	for _, own := range m.s.ledger.Own() {
+		require.EqualValues(t, perWorkspace[own.Workspace], own.Running)
+	}
 	require.LessOrEqual(t, perWorkspace[2], machineConcurrency)
 	require.False(t, alone && len(held) > 1, "a suspect runs beside another request")
 	homes := map[workspace.RowID]int{}
@@ -211,6 +230,8 @@
 		t.Repeat(map[string]func(*rapid.T){
 			"":         m.check,
 			"offer":    m.offer,
+			"offers":   func(t *rapid.T) { m.offer(t); m.offer(t); m.offer(t) },
+			"stageAll": m.stageAll,
 			"promote":  func(t *rapid.T) { m.admit(t, m.any(t)) },
 			"stage":    m.stage,
 			"finish":   m.finish,
--- a/internal/agent/table.go
+++ b/internal/agent/table.go
@@ -5,32 +5,41 @@
 
 	"github.com/mastichollow/mastichollow/internal/fairness"
 	"github.com/mastichollow/mastichollow/internal/fleet"
+	"github.com/mastichollow/mastichollow/internal/limit"
 	"github.com/mastichollow/mastichollow/internal/workspace"
 )
 
-// tableIndex finds the rows of the workspace table in force and keeps the
-// ledger's weights in step with it.
+// tableIndex finds the rows of the workspace table in force and keeps weights
+// and limits in step with it.
 type tableIndex struct {
 	store  *fleet.Store
 	ledger *fairness.Ledger
+	limits *limit.Concurrency
 
 	mu    sync.Mutex
 	table *workspace.Table
 	rows  map[workspace.RowID]*workspace.Row
 }
 
-func newTableIndex(store *fleet.Store, ledger *fairness.Ledger) *tableIndex {
-	return &tableIndex{store: store, ledger: ledger}
+func newTableIndex(store *fleet.Store, ledger *fairness.Ledger, limits *limit.Concurrency) *tableIndex {
+	return &tableIndex{store: store, ledger: ledger, limits: limits}
 }
 
 // row returns the row of ws, or nil.
 func (t *tableIndex) row(ws workspace.RowID) *workspace.Row {
+	t.refresh()
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.rows[ws]
+}
+
+// refresh takes over the table in force.
+func (t *tableIndex) refresh() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if table := t.store.Snapshot().Table; table != t.table {
 		t.load(table)
 	}
-	return t.rows[ws]
 }
 
 // load indexes table. t.mu is held.
@@ -38,10 +47,16 @@
 	t.table = table
 	t.rows = make(map[workspace.RowID]*workspace.Row, len(table.Rows))
 	weights := make(map[workspace.RowID]float64, len(table.Rows))
+	caps := make(map[workspace.RowID]int, len(table.Rows))
+	limits := make(map[workspace.RowID]limit.Limits, len(table.Rows))
 	for i := range table.Rows {
 		row := &table.Rows[i]
 		t.rows[row.ID] = row
 		weights[row.ID] = row.Weight
+		caps[row.ID] = row.Concurrency
+		limits[row.ID] = limit.LimitsOf(row)
 	}
 	t.ledger.SetWeights(weights)
+	t.ledger.SetCaps(caps)
+	t.limits.SetLimits(limits)
 }
