--- a/internal/agent/scheduler.go
+++ b/internal/agent/scheduler.go
@@ -162,7 +162,7 @@
 	s.countHome(at, -1)
 	at.phase = phaseGranted
 	s.granted++
-	at.account = s.ledger.Start(at.entry.Workspace, at.entry.Class, at.entry.CostHint)
+	at.account = s.ledger.Start(at.entry.Workspace, at.entry.CostHint)
 	s.limits.Start(at.entry.Workspace, time.Now())
 	if at.offer.Class == request.ClassBatch {
 		s.batch++
