--- a/internal/agent/claims.go
+++ b/internal/agent/claims.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
@@ -11,9 +12,11 @@
 	"github.com/mastichollow/mastichollow/internal/request"
 )
 
-// maxPlatformTries is how often a call to the platform that follows an answer
-// is tried.
-const maxPlatformTries = 8
+// Bounds of the repetition of a call to the platform that follows an answer.
+const (
+	persistTime  = time.Hour
+	persistPause = 15 * time.Second // between two tries at most; less than suspectMemory
+)
 
 // begin claims the request of at. ok is false when it must not run here; then
 // end says how it ended. A non-nil answer is replayed.
@@ -84,7 +87,8 @@
 
 func (a *Agent) persistLater(operation string, f func(context.Context) error) {
 	pause := backoff.NewExponentialBackOff()
-	for range maxPlatformTries {
+	pause.MaxInterval = persistPause
+	for begun := time.Now(); time.Since(begun) < persistTime; {
 		sleep(a.base, pause.NextBackOff())
 		a.metrics.retries.WithLabelValues(operation).Inc()
 		if a.tryPlatform(f) == nil || a.base.Err() != nil {
--- a/internal/agent/crash_test.go
+++ b/internal/agent/crash_test.go
@@ -264,7 +264,7 @@
 		}, request.ReasonTargetCrashed, true, true, 1},
 		{"on trial elsewhere", func(r *rig) { r.registry.trials["f"] = "other" }, request.ReasonSuspect, true, false, 0},
 		{"quarantined elsewhere", func(r *rig) { r.registry.known["f"] = true }, request.ReasonQuarantined, true, true, 0},
-		{"registry is unavailable", func(r *rig) { r.registry.unavailable = true }, request.ReasonSuspect, true, false, 0},
+		{"registry is unavailable", func(r *rig) { r.registry.setUnavailable(true) }, request.ReasonSuspect, true, false, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -322,3 +322,30 @@
 		require.NoError(t, r.Ready())
 	})
 }
+
+// TestAccusationIsRepeated keeps a suspect while the platform is out.
+func TestAccusationIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		defer r.stop()
+		crashOn(r)
+		r.registry.setUnavailable(true)
+		c := r.offer(func(o *wire.Offer) { o.Fingerprint = poison })
+		_, last := c.deliver(poison, false)
+		require.True(t, last.(*wire.Fail).Suspect)
+		_ = c.s.CloseSend()
+		<-c.done
+		r.target.set("start-2", false)
+		time.Sleep(2 * time.Second)
+		again := r.offer(func(o *wire.Offer) { o.Fingerprint = poison }).run()
+		_, last = again.answer()
+		require.Equal(t, request.ReasonSuspect, reasonOf(last), "no trial without the platform")
+		time.Sleep(20 * time.Minute)
+		r.registry.setUnavailable(false)
+		time.Sleep(time.Minute)
+		_, known, _ := r.registry.state(string(poison))
+		require.True(t, known)
+		require.Equal(t, 1, r.target.count())
+		require.Positive(t, r.counter(r.metrics.retries, "accuse"))
+	})
+}
--- a/internal/agent/drain_test.go
+++ b/internal/agent/drain_test.go
@@ -14,60 +14,68 @@
 	"github.com/mastichollow/mastichollow/internal/workspace"
 )
 
-// TestDrainCutsNothing stops an agent under load: what runs is answered whole,
-// and what has no slot is handed back at once as not run.
+// TestDrainCutsNothing stops an agent under load.
 func TestDrainCutsNothing(t *testing.T) {
-	leaving := testTable(2)
-	leaving.Marks = map[string]workspace.Mark{"agent-1": workspace.MarkLeaving}
 	tests := []struct {
 		name string
 		stop func(*rig)
 	}{
 		{"process stops", func(r *rig) { r.stopGrants("test") }},
 		{"process stops twice", func(r *rig) { r.stopGrants("test"); r.stopGrants("again") }},
-		{"VM is marked leaving", func(r *rig) { r.store.ApplyTable(leaving) }},
-		{"VM is listed as leaving", func(r *rig) {
-			r.store.ApplyVMs([]target.VM{{ID: "agent-1", State: target.StateLeaving}})
-		}},
 		{"platform fails meanwhile", func(r *rig) {
-			r.registry.mu.Lock()
-			r.registry.unavailable = true
-			r.registry.mu.Unlock()
+			r.registry.setUnavailable(true)
 			r.stopGrants("test")
 		}},
 	}
 	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			synctest.Test(t, func(t *testing.T) {
-				r := newRig(t, nil)
-				defer r.stop()
-				answers(nil, step{data: "long "}, step{after: 10 * time.Minute, data: "letter"})(r)
-				print := func(o *wire.Offer) { o.Fingerprint = []byte("same") }
-				running := []*conn{r.offer(print).run(), r.offer(func(o *wire.Offer) { o.Claim = []byte("k") }).run()}
-				staged := r.offer(nil).run()
-				queued := r.offer(nil)
-				expect[*wire.Queued](queued)
-				duplicate := r.offer(print)
-				expect[*wire.Queued](duplicate)
-				synctest.Wait()
-				begun := time.Now()
-				tt.stop(r)
-				for _, c := range []*conn{staged, queued, duplicate} {
-					_, last := c.answer()
-					require.Equal(t, request.ReasonDraining, reasonOf(last))
-					require.Zero(t, r.target.ran(c.id))
-				}
-				require.Equal(t, request.ReasonDraining, expect[*wire.Refuse](r.offer(nil)).Reason)
-				require.Zero(t, time.Since(begun))
-				for _, c := range running {
-					require.Equal(t, "long letter", c.whole())
-				}
-				require.NoError(t, r.Drain(context.Background()))
-			})
-		})
+		t.Run(tt.name, func(t *testing.T) { testDrain(t, tt.stop) })
 	}
 }
 
+// TestLeavingVMDrains marks the VM of an agent under load as leaving.
+func TestLeavingVMDrains(t *testing.T) {
+	marked := testTable(2)
+	marked.Marks = map[string]workspace.Mark{"agent-1": workspace.MarkLeaving}
+	listed := []target.VM{{ID: "agent-1", State: target.StateLeaving}}
+	t.Run("by the operators", func(t *testing.T) {
+		testDrain(t, func(r *rig) { r.store.ApplyTable(marked) })
+	})
+	t.Run("by the platform", func(t *testing.T) {
+		testDrain(t, func(r *rig) { r.store.ApplyVMs(listed) })
+	})
+}
+
+// testDrain requires that what runs is answered whole, and that what has no
+// slot is handed back at once as not run.
+func testDrain(t *testing.T, stop func(*rig)) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		defer r.stop()
+		answers(nil, step{data: "long "}, step{after: 10 * time.Minute, data: "letter"})(r)
+		print := func(o *wire.Offer) { o.Fingerprint = []byte("same") }
+		running := []*conn{r.offer(print).run(), r.offer(func(o *wire.Offer) { o.Claim = []byte("k") }).run()}
+		staged := r.offer(nil).run()
+		queued := r.offer(nil)
+		expect[*wire.Queued](queued)
+		duplicate := r.offer(print)
+		expect[*wire.Queued](duplicate)
+		synctest.Wait()
+		begun := time.Now()
+		stop(r)
+		for _, c := range []*conn{staged, queued, duplicate} {
+			_, last := c.answer()
+			require.Equal(t, request.ReasonDraining, reasonOf(last))
+			require.Zero(t, r.target.ran(c.id))
+		}
+		require.Equal(t, request.ReasonDraining, expect[*wire.Refuse](r.offer(nil)).Reason)
+		require.Zero(t, time.Since(begun))
+		for _, c := range running {
+			require.Equal(t, "long letter", c.whole())
+		}
+		require.NoError(t, r.Drain(context.Background()))
+	})
+}
+
 func TestDrainHonoursGrant(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, nil)
--- a/internal/agent/fakes_test.go
+++ b/internal/agent/fakes_test.go
@@ -280,6 +280,12 @@
 	return quarantined, known, f.trials[fingerprint]
 }
 
+func (f *fakeSuspects) setUnavailable(v bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.unavailable = v
+}
+
 // count returns the number of suspects.
 func (f *fakeSuspects) count() int {
 	f.mu.Lock()
--- a/internal/agent/faults_test.go
+++ b/internal/agent/faults_test.go
@@ -169,6 +169,9 @@
 				if tt.told != "" {
 					_, last := c.answer()
 					require.Equal(t, tt.told, reasonOf(last))
+					if _, refused := last.(*wire.Refuse); refused {
+						require.Equal(t, 1, r.counter(r.metrics.refusals, string(tt.told)))
+					}
 				}
 				require.Less(t, time.Since(begun), time.Minute)
 				time.Sleep(time.Minute)
--- a/internal/agent/offer_test.go
+++ b/internal/agent/offer_test.go
@@ -36,6 +36,9 @@
 		want  request.Reason
 		final bool
 	}{
+		{"suspect without a fingerprint", nil, func(o *wire.Offer) { o.Suspect = true }, request.ReasonMalformed, true},
+		{"suspect without a registry", func(r *rig) { r.cfg.Suspects = nil }, func(o *wire.Offer) { o.Suspect, o.Fingerprint = true, []byte("f") }, request.ReasonSuspect, false},
+		{"claim without a claimer", func(r *rig) { r.cfg.Claims = nil }, func(o *wire.Offer) { o.Claim = []byte("k") }, request.ReasonClaimUnavailable, false},
 		{"no attempt", nil, func(o *wire.Offer) { o.Attempt = "" }, request.ReasonMalformed, true},
 		{"class", nil, func(o *wire.Offer) { o.Class = 9 }, request.ReasonMalformed, true},
 		{"pool", nil, func(o *wire.Offer) { o.Pool = "other" }, request.ReasonUnknownPool, true},
