--- a/internal/agent/crash_test.go
+++ b/internal/agent/crash_test.go
@@ -341,6 +341,7 @@
 		_, last = again.answer()
 		require.Equal(t, request.ReasonSuspect, reasonOf(last), "no trial without the platform")
 		time.Sleep(20 * time.Minute)
+		require.True(t, r.suspects.has(poison), "the agent itself remembers it so long")
 		r.registry.setUnavailable(false)
 		time.Sleep(time.Minute)
 		_, known, _ := r.registry.state(string(poison))
--- a/internal/agent/faults_test.go
+++ b/internal/agent/faults_test.go
@@ -120,6 +120,20 @@
 	})
 }
 
+func TestUnreachedTargetIsDownAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		defer r.stop()
+		answers(engine.ErrNotSent)(r)
+		r.target.set("", true)
+		r.offer(nil).run().answer()
+		require.Equal(t, request.ReasonTargetDown, expect[*wire.Refuse](r.offer(nil)).Reason)
+		r.target.set("start-2", false)
+		time.Sleep(2 * time.Second)
+		require.NoError(t, r.Ready())
+	})
+}
+
 func TestCallsCarryFencingNumber(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, func(c *Config) { c.Fence = TableFence(newTable(), "agent-1") })
