--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -57,6 +57,7 @@
 	suspect   bool              // runs alone
 	withdrawn bool
 	handed    bool // may have reached the target
+	queuedAt  time.Time
 	startedAt time.Time
 	charged   time.Duration // of the slot's time, plain services only
 	crash     *crash        // the crash at which it ran, or nil
--- a/internal/agent/crash_test.go
+++ b/internal/agent/crash_test.go
@@ -228,7 +228,7 @@
 		r := newRig(t, nil)
 		defer r.stop()
 		before := r.offer(nil).run()
-		suspected := r.offer(func(o *wire.Offer) { o.Fingerprint, o.Suspect = []byte("f"), true })
+		suspected := r.offer(func(o *wire.Offer) { o.Fingerprint, o.Suspect, o.Home = []byte("f"), true, true })
 		expect[*wire.Queued](suspected)
 		after := r.offer(nil)
 		expect[*wire.Queued](after)
@@ -246,6 +246,28 @@
 	})
 }
 
+// TestSuspectFromElsewhereWaits lets others run for a time before the target is
+// drained for a suspect whose home is another agent.
+func TestSuspectFromElsewhereWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		defer r.stop()
+		answers(nil, step{after: 10 * time.Second, data: "x"})(r)
+		r.offer(nil).run()
+		begun := time.Now()
+		suspected := r.offer(func(o *wire.Offer) { o.Fingerprint, o.Suspect = []byte("f"), true })
+		expect[*wire.Queued](suspected)
+		time.Sleep(suspectPatience - time.Second)
+		r.offer(nil).run()
+		time.Sleep(2 * time.Second)
+		late := r.offer(nil)
+		expect[*wire.Queued](late)
+		suspected.run().whole()
+		require.Equal(t, suspectPatience+19*time.Second, time.Since(begun).Truncate(time.Second), "after both, and alone")
+		late.run().whole()
+	})
+}
+
 func TestTrialOutcomes(t *testing.T) {
 	tests := []struct {
 		name        string
--- a/internal/agent/scheduler.go
+++ b/internal/agent/scheduler.go
@@ -12,6 +12,12 @@
 	"github.com/mastichollow/mastichollow/internal/workspace"
 )
 
+// suspectPatience is how long a suspect whose home is another agent waits for
+// the target to be idle by itself. After that, and at its home agent at once,
+// nothing else is granted until it is. So a suspect that is offered to several
+// agents drains one of them.
+const suspectPatience = 5 * time.Second
+
 // spareGrants is the number of attempts granted beyond the slots, so that a
 // slot that falls free has a request at hand.
 const spareGrants = 1
@@ -74,12 +80,13 @@
 		return 0, s.closed, nil
 	}
 	ahead = s.queue.Len()
+	at.queuedAt = time.Now()
 	if err := s.queue.Push(at.entry, limit); err != nil {
 		at.phase = phaseDropped
 		return 0, nil, err
 	}
-	at.phase = phaseQueued
 	s.waiting[at.offer.Attempt] = at
+	at.phase = phaseQueued
 	s.countHome(at, 1)
 	s.dispatch()
 	return ahead, nil, nil
@@ -127,7 +134,7 @@
 func (s *scheduler) occupied() int { return s.granted + len(s.staged) + len(s.running) }
 
 // pick takes the next attempt to grant out of the queue, or returns nil. A
-// suspect is picked once nothing else is held, and nothing is picked until it
+// suspect is granted once nothing else is held, and nothing else is until it
 // has ended. s.mu is held.
 func (s *scheduler) pick() *attempt {
 	if s.alone == nil {
@@ -136,10 +143,10 @@
 			return nil
 		}
 		at := s.waiting[e.Attempt]
-		if !at.offer.Suspect && !s.isSuspect(at.offer.Fingerprint) {
+		at.suspect = s.runsAlone(at)
+		if !at.suspect {
 			return at
 		}
-		at.suspect = true
 		s.alone = at
 	}
 	if s.alone.phase != phaseQueued || s.occupied() > 0 {
@@ -153,9 +160,23 @@
 	if e.Class == request.ClassBatch && s.batch >= s.batchSlots+spareGrants {
 		return false
 	}
+	at := s.waiting[e.Attempt]
+	if s.occupied() > 0 && s.runsAlone(at) && !at.drains(time.Now()) {
+		return false
+	}
 	return s.limits.MayStart(e.Workspace, time.Now())
 }
 
+// runsAlone reports whether at is a suspect.
+func (s *scheduler) runsAlone(at *attempt) bool {
+	return at.offer.Suspect || s.isSuspect(at.offer.Fingerprint)
+}
+
+// drains reports whether at, a suspect, may keep others from being granted.
+func (at *attempt) drains(now time.Time) bool {
+	return at.offer.Home || now.Sub(at.queuedAt) >= suspectPatience
+}
+
 // grant gives at a slot or the spare grant. s.mu is held.
 func (s *scheduler) grant(at *attempt) {
 	delete(s.waiting, at.offer.Attempt)
