--- a/internal/agent/doc.go
+++ b/internal/agent/doc.go
@@ -7,8 +7,8 @@
 // claims, fencing, drain) is therefore ordered here, under one mutex.
 //
 // Invariants:
-//   - at most Slots attempts run on the target, and at most one more has been
-//     granted, so that a slot need not wait for a round trip;
+//   - at most Slots attempts run on the target, and at most one more of each
+//     class has been granted, so that a slot need not wait for a round trip;
 //   - each offer gets exactly one final answer: Refuse, End or Fail;
 //   - an attempt that was reported as not run is in phaseDropped, or ended
 //     before the handover; neither phase is ever left;
--- a/internal/agent/offer_test.go
+++ b/internal/agent/offer_test.go
@@ -216,5 +216,7 @@
 		r.offer(nil).run()
 		synctest.Wait()
 		require.Equal(t, 3, r.target.count(), "interactive work takes it at once")
+		r.offer(nil).run() // has a spare grant of its own
+		expect[*wire.Queued](r.offer(nil))
 	})
 }
--- a/internal/agent/scheduler.go
+++ b/internal/agent/scheduler.go
@@ -1,7 +1,6 @@
 package agent
 
 import (
-	"slices"
 	"sync"
 	"time"
 
@@ -18,8 +17,8 @@
 // agents drains one of them.
 const suspectPatience = 5 * time.Second
 
-// spareGrants is the number of attempts granted beyond the slots, so that a
-// slot that falls free has a request at hand.
+// spareGrants is the number of attempts of each class granted beyond the slots
+// that the class may take, so that a slot that falls free has a request at hand.
 const spareGrants = 1
 
 // scheduler gives slots to attempts. It owns the phase of each attempt.
@@ -34,20 +33,21 @@
 	// onBusy is told how long a slot was busy.
 	onBusy func(time.Duration)
 
-	mu       sync.Mutex
-	queue    *fairness.Queue
-	parked   map[*attempt]struct{}          // phaseNew, wait for their fingerprint
-	waiting  map[request.AttemptID]*attempt // phaseQueued
-	staged   []*attempt                     // phaseStaged, in order of arrival
-	running  map[*attempt]struct{}          // phaseRunning
-	granted  int                            // attempts in phaseGranted
-	batch    int                            // batch attempts granted, staged or running
-	batchRun int                            // batch attempts running
-	starts   map[workspace.RowID]uint64     // attempts that got a slot
-	homes    map[workspace.RowID]int        // waiting offers whose home is here
-	alone    *attempt                       // suspect that waits for or has the target for itself
-	closed   *wire.Refuse                   // set: nothing more is granted
-	slotTime time.Duration                  // smoothed time that a request keeps a slot
+	mu                 sync.Mutex
+	queue              *fairness.Queue
+	parked             map[*attempt]struct{}          // phaseNew, wait for their fingerprint
+	waiting            map[request.AttemptID]*attempt // phaseQueued
+	staged             []*attempt                     // phaseStaged, in order of arrival
+	running            map[*attempt]struct{}          // phaseRunning
+	granted            int                            // attempts in phaseGranted
+	batch              int                            // batch attempts granted, staged or running
+	batchRun           int                            // batch attempts running
+	starts             map[workspace.RowID]uint64     // attempts that got a slot
+	homes              map[workspace.RowID]int        // waiting offers whose home is here
+	waitingInteractive int                            // interactive attempts in phaseQueued
+	alone              *attempt                       // suspect that waits for or has the target for itself
+	closed             *wire.Refuse                   // set: nothing more is granted
+	slotTime           time.Duration                  // smoothed time that a request keeps a slot
 }
 
 func newScheduler(ledger *fairness.Ledger, limits *limit.Concurrency, slots, batchSlots int) *scheduler {
@@ -87,7 +87,7 @@
 	}
 	s.waiting[at.offer.Attempt] = at
 	at.phase = phaseQueued
-	s.countHome(at, 1)
+	s.countWaiting(at, 1)
 	s.dispatch()
 	return ahead, nil, nil
 }
@@ -103,8 +103,12 @@
 	}
 }
 
-// countHome counts the waiting offers whose home is here. s.mu is held.
-func (s *scheduler) countHome(at *attempt, n int) {
+// countWaiting counts the waiting offers that are interactive or whose home is
+// here. s.mu is held.
+func (s *scheduler) countWaiting(at *attempt, n int) {
+	if at.offer.Class == request.ClassInteractive {
+		s.waitingInteractive += n
+	}
 	if at.offer.Home {
 		s.homes[at.offer.Workspace] += n
 	}
@@ -120,7 +124,7 @@
 // dispatch starts staged attempts and grants waiting ones. s.mu is held.
 func (s *scheduler) dispatch() {
 	s.startStaged()
-	for s.closed == nil && s.occupied() < s.slots+spareGrants {
+	for s.closed == nil && s.hasRoom() {
 		at := s.pick()
 		if at == nil {
 			return
@@ -129,10 +133,25 @@
 	}
 }
 
+// hasRoom reports whether a waiting offer may find room. s.mu is held.
+func (s *scheduler) hasRoom() bool {
+	return s.hasRoomFor(request.ClassBatch) && len(s.waiting) > 0 ||
+		s.hasRoomFor(request.ClassInteractive) && s.waitingInteractive > 0
+}
+
+// hasRoomFor reports whether one more attempt of class may be granted. A batch
+// attempt that waits for a slot of its class takes no room of interactive ones.
+// s.mu is held.
+func (s *scheduler) hasRoomFor(class request.Class) bool {
+	if class == request.ClassBatch {
+		return s.batch < s.batchSlots+spareGrants && s.occupied() < s.slots+spareGrants
+	}
+	interactive := s.occupied() - s.batch
+	return interactive+min(s.batch, s.batchSlots) < s.slots+spareGrants
+}
+
 // occupied returns the number of attempts granted, staged and running. s.mu is
 // held.
-func (s *scheduler) occupied() int { return s.granted + len(s.staged) + len(s.running) }
-
 // pick takes the next attempt to grant out of the queue, or returns nil. A
 // suspect is granted once nothing else is held, and nothing else is until it
 // has ended. s.mu is held.
@@ -157,7 +176,7 @@
 
 // eligible reports whether the limits let e run now. s.mu is held.
 func (s *scheduler) eligible(e fairness.Entry) bool {
-	if e.Class == request.ClassBatch && s.batch >= s.batchSlots+spareGrants {
+	if !s.hasRoomFor(e.Class) {
 		return false
 	}
 	at := s.waiting[e.Attempt]
@@ -180,7 +199,7 @@
 // grant gives at a slot or the spare grant. s.mu is held.
 func (s *scheduler) grant(at *attempt) {
 	delete(s.waiting, at.offer.Attempt)
-	s.countHome(at, -1)
+	s.countWaiting(at, -1)
 	at.phase = phaseGranted
 	s.granted++
 	at.account = s.ledger.Start(at.entry.Workspace, at.entry.CostHint)
@@ -193,220 +212,27 @@
 
 // stage takes at's Run and reports whether at was still granted. A closed
 // scheduler drops it unless it gets a slot at once.
-func (s *scheduler) stage(at *attempt, run *wire.Run, fence uint64) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if at.phase != phaseGranted {
-		return false
-	}
-	at.setRun(run, fence)
-	at.phase = phaseStaged
-	s.granted--
-	s.staged = append(s.staged, at)
-	s.dispatch()
-	if s.closed != nil && at.phase == phaseStaged {
-		s.dropLocked(at, s.closed)
-	}
-	return true
-}
-
 // startStaged gives free slots to staged attempts. s.mu is held.
-func (s *scheduler) startStaged() {
-	for len(s.running) < s.slots {
-		i := s.nextStaged()
-		if i < 0 {
-			return
-		}
-		at := s.staged[i]
-		s.staged = slices.Delete(s.staged, i, i+1)
-		s.start(at)
-	}
-}
-
 // nextStaged returns the index of the staged attempt to start, or -1:
 // interactive ones go first. s.mu is held.
-func (s *scheduler) nextStaged() int {
-	interactive := func(at *attempt) bool { return at.offer.Class != request.ClassBatch }
-	if i := slices.IndexFunc(s.staged, interactive); i >= 0 {
-		return i
-	}
-	if len(s.staged) > 0 && s.batchRun < s.batchSlots {
-		return 0
-	}
-	return -1
-}
-
 // start gives at a slot. s.mu is held.
-func (s *scheduler) start(at *attempt) {
-	at.phase = phaseRunning
-	at.startedAt = time.Now()
-	s.running[at] = struct{}{}
-	s.starts[at.offer.Workspace]++
-	if at.offer.Class == request.ClassBatch {
-		s.batchRun++
-	}
-	close(at.started)
-}
-
 // drop takes at back unless it has its Run. It reports whether at is dropped:
 // then it did not run and never will.
-func (s *scheduler) drop(at *attempt) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if at.phase < phaseStaged && s.dropLocked(at, nil) {
-		s.dispatch()
-	}
-	return at.phase == phaseDropped
-}
-
 // unstage takes at back unless it has a slot. It reports whether at is
 // dropped.
-func (s *scheduler) unstage(at *attempt) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.dropLocked(at, nil) {
-		s.dispatch()
-	}
-	return at.phase == phaseDropped
-}
-
 // dropLocked drops at, with refusal for its stream, and reports whether it did
 // so now. s.mu is held.
-func (s *scheduler) dropLocked(at *attempt, refusal *wire.Refuse) bool {
-	switch at.phase {
-	case phaseNew:
-		delete(s.parked, at)
-	case phaseQueued:
-		delete(s.waiting, at.offer.Attempt)
-		s.countHome(at, -1)
-		s.queue.Remove(at.entry)
-	case phaseGranted:
-		s.granted--
-		s.leave(at)
-		at.account.Cancel()
-	case phaseStaged:
-		i := slices.Index(s.staged, at)
-		s.staged = slices.Delete(s.staged, i, i+1)
-		s.leave(at)
-		at.account.Cancel()
-	default:
-		return false
-	}
-	if s.alone == at {
-		s.alone = nil
-	}
-	at.phase = phaseDropped
-	at.refusal = refusal
-	close(at.gone)
-	return true
-}
-
 // leave ends the holding of at. s.mu is held.
-func (s *scheduler) leave(at *attempt) {
-	s.limits.Done(at.offer.Workspace)
-	if at.offer.Class == request.ClassBatch {
-		s.batch--
-	}
-}
-
 // withdraw takes at back for its router. It reports whether at was dropped. An
 // attempt that has a slot but was not handed over ends as not run; a
 // repeatable one that was handed over is cancelled.
-func (s *scheduler) withdraw(at *attempt) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.dropLocked(at, nil) {
-		s.dispatch()
-		return true
-	}
-	at.withdrawn = true
-	if at.handed && at.repeatable() {
-		at.cancel(errWithdrawn)
-	}
-	return at.phase == phaseDropped
-}
-
 // handOver reports whether at may be handed to the target now. From here on it
 // may have run.
-func (s *scheduler) handOver(at *attempt) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if at.withdrawn || at.phase != phaseRunning {
-		return false
-	}
-	at.handed = true
-	return true
-}
-
 // finish takes the slot back. whole tells that the request ran to its end.
-func (s *scheduler) finish(at *attempt, whole bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	delete(s.running, at)
-	at.phase = phaseEnded
-	if at.offer.Class == request.ClassBatch {
-		s.batchRun--
-	}
-	if s.alone == at {
-		s.alone = nil
-	}
-	busy := time.Since(at.startedAt)
-	s.onBusy(busy)
-	s.smooth(busy)
-	s.leave(at)
-	if whole {
-		at.account.Finish()
-	} else {
-		at.account.Cancel()
-	}
-	s.dispatch()
-}
-
 // smooth adds a slot's time to the average. s.mu is held.
-func (s *scheduler) smooth(busy time.Duration) {
-	const share = 8 // of the newest figure: 1/8
-	if s.slotTime == 0 {
-		s.slotTime = busy
-		return
-	}
-	s.slotTime += (busy - s.slotTime) / share
-}
-
 // close hands back what waits and grants nothing more. What has no slot yet
 // counts as waiting, so that a target that is leaving gets nothing new; a grant
 // under way is honoured if there is a free slot.
-func (s *scheduler) close(refusal *wire.Refuse) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.closed == nil {
-		s.closed = refusal
-	}
-	s.handBackLocked(refusal)
-	for _, at := range slices.Clone(s.staged) {
-		s.dropLocked(at, refusal)
-	}
-}
-
 // handBack hands back what waits.
-func (s *scheduler) handBack(refusal *wire.Refuse) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.handBackLocked(refusal)
-}
-
 // handBackLocked hands back what waits. s.mu is held.
-func (s *scheduler) handBackLocked(refusal *wire.Refuse) {
-	for at := range s.parked {
-		s.dropLocked(at, refusal)
-	}
-	for _, at := range s.waiting {
-		s.dropLocked(at, refusal)
-	}
-}
-
 // closedBy returns the refusal with which the scheduler was closed, or nil.
-func (s *scheduler) closedBy() *wire.Refuse {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.closed
-}
