--- a/internal/agent/handback.go
+++ b/internal/agent/handback.go
@@ -6,6 +6,8 @@
 	"github.com/mastichollow/mastichollow/internal/wire"
 )
 
+// drop takes at back unless it has its Run. It reports whether at is dropped:
+// then it did not run and never will.
 func (s *scheduler) drop(at *attempt) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -15,6 +17,8 @@
 	return at.phase == phaseDropped
 }
 
+// unstage takes at back unless it has a slot. It reports whether at is
+// dropped.
 func (s *scheduler) unstage(at *attempt) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -24,6 +28,8 @@
 	return at.phase == phaseDropped
 }
 
+// dropLocked drops at, with refusal for its stream, and reports whether it did
+// so now. s.mu is held.
 func (s *scheduler) dropLocked(at *attempt, refusal *wire.Refuse) bool {
 	switch at.phase {
 	case phaseNew:
@@ -53,6 +59,9 @@
 	return true
 }
 
+// withdraw takes at back for its router. It reports whether at was dropped. An
+// attempt that has a slot but was not handed over ends as not run; a
+// repeatable one that was handed over is cancelled.
 func (s *scheduler) withdraw(at *attempt) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -67,6 +76,9 @@
 	return at.phase == phaseDropped
 }
 
+// close hands back what waits and grants nothing more. What has no slot yet
+// counts as waiting, so that a target that is leaving gets nothing new; a grant
+// under way is honoured if there is a free slot.
 func (s *scheduler) close(refusal *wire.Refuse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -79,12 +91,14 @@
 	}
 }
 
+// handBack hands back what waits.
 func (s *scheduler) handBack(refusal *wire.Refuse) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.handBackLocked(refusal)
 }
 
+// handBackLocked hands back what waits. s.mu is held.
 func (s *scheduler) handBackLocked(refusal *wire.Refuse) {
 	for at := range s.parked {
 		s.dropLocked(at, refusal)
@@ -94,6 +108,7 @@
 	}
 }
 
+// closedBy returns the refusal with which the scheduler was closed, or nil.
 func (s *scheduler) closedBy() *wire.Refuse {
 	s.mu.Lock()
 	defer s.mu.Unlock()
--- a/internal/agent/scheduler.go
+++ b/internal/agent/scheduler.go
@@ -150,8 +150,6 @@
 	return interactive+min(s.batch, s.batchSlots) < s.slots+spareGrants
 }
 
-// occupied returns the number of attempts granted, staged and running. s.mu is
-// held.
 // pick takes the next attempt to grant out of the queue, or returns nil. A
 // suspect is granted once nothing else is held, and nothing else is until it
 // has ended. s.mu is held.
@@ -209,30 +207,3 @@
 	}
 	close(at.granted)
 }
-
-// stage takes at's Run and reports whether at was still granted. A closed
-// scheduler drops it unless it gets a slot at once.
-// startStaged gives free slots to staged attempts. s.mu is held.
-// nextStaged returns the index of the staged attempt to start, or -1:
-// interactive ones go first. s.mu is held.
-// start gives at a slot. s.mu is held.
-// drop takes at back unless it has its Run. It reports whether at is dropped:
-// then it did not run and never will.
-// unstage takes at back unless it has a slot. It reports whether at is
-// dropped.
-// dropLocked drops at, with refusal for its stream, and reports whether it did
-// so now. s.mu is held.
-// leave ends the holding of at. s.mu is held.
-// withdraw takes at back for its router. It reports whether at was dropped. An
-// attempt that has a slot but was not handed over ends as not run; a
-// repeatable one that was handed over is cancelled.
-// handOver reports whether at may be handed to the target now. From here on it
-// may have run.
-// finish takes the slot back. whole tells that the request ran to its end.
-// smooth adds a slot's time to the average. s.mu is held.
-// close hands back what waits and grants nothing more. What has no slot yet
-// counts as waiting, so that a target that is leaving gets nothing new; a grant
-// under way is honoured if there is a free slot.
-// handBack hands back what waits.
-// handBackLocked hands back what waits. s.mu is held.
-// closedBy returns the refusal with which the scheduler was closed, or nil.
--- a/internal/agent/slots.go
+++ b/internal/agent/slots.go
@@ -8,8 +8,12 @@
 	"github.com/mastichollow/mastichollow/internal/wire"
 )
 
+// occupied returns the number of attempts granted, staged and running. s.mu is
+// held.
 func (s *scheduler) occupied() int { return s.granted + len(s.staged) + len(s.running) }
 
+// stage takes at's Run and reports whether at was still granted. A closed
+// scheduler drops it unless it gets a slot at once.
 func (s *scheduler) stage(at *attempt, run *wire.Run, fence uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -27,6 +31,7 @@
 	return true
 }
 
+// startStaged gives free slots to staged attempts. s.mu is held.
 func (s *scheduler) startStaged() {
 	for len(s.running) < s.slots {
 		i := s.nextStaged()
@@ -39,6 +44,8 @@
 	}
 }
 
+// nextStaged returns the index of the staged attempt to start, or -1:
+// interactive ones go first. s.mu is held.
 func (s *scheduler) nextStaged() int {
 	interactive := func(at *attempt) bool { return at.offer.Class != request.ClassBatch }
 	if i := slices.IndexFunc(s.staged, interactive); i >= 0 {
@@ -50,6 +57,7 @@
 	return -1
 }
 
+// start gives at a slot. s.mu is held.
 func (s *scheduler) start(at *attempt) {
 	at.phase = phaseRunning
 	at.startedAt = time.Now()
@@ -61,6 +69,7 @@
 	close(at.started)
 }
 
+// leave ends the holding of at. s.mu is held.
 func (s *scheduler) leave(at *attempt) {
 	s.limits.Done(at.offer.Workspace)
 	if at.offer.Class == request.ClassBatch {
@@ -68,6 +77,8 @@
 	}
 }
 
+// handOver reports whether at may be handed to the target now. From here on it
+// may have run.
 func (s *scheduler) handOver(at *attempt) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -78,6 +89,7 @@
 	return true
 }
 
+// finish takes the slot back. whole tells that the request ran to its end.
 func (s *scheduler) finish(at *attempt, whole bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -101,6 +113,7 @@
 	s.dispatch()
 }
 
+// smooth adds a slot's time to the average. s.mu is held.
 func (s *scheduler) smooth(busy time.Duration) {
 	const share = 8 // of the newest figure: 1/8
 	if s.slotTime == 0 {
