--- /dev/null
+++ b/cmd/mastichollow-agent/settings_test.go
@@ -0,0 +1,33 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/transport"
+)
+
+const anyAddr = "127.0.0.1:0"
+
+func TestSettingsNameEveryFault(t *testing.T) {
+	valid := settings{
+		ID: "agent-1", Domain: "a", Region: "r", Listen: anyAddr, Admin: anyAddr, FleetKey: transport.NewKey(),
+		Pool: "letters", Kind: "model", Slots: 8, InteractiveSlots: -1,
+		TargetURL: "http://127.0.0.1:1", TableURL: "http://127.0.0.1:1", VMsURL: "http://127.0.0.1:1", ObjectsURL: "http://127.0.0.1:1",
+		Hold: 1, BeginTimeout: 1, Progress: 1, PlatformTimeout: 1, Keep: 1, KeepBytes: 1,
+	}
+	copied := valid
+	require.NoError(t, copied.validate())
+	require.Equal(t, 1, copied.InteractiveSlots)
+
+	faulty := settings{Listen: "localhost:1", Admin: "no", TargetURL: "ftp://x", InteractiveSlots: 3}
+	err := faulty.validate()
+	for _, flag := range []string{
+		"id", "domain", "region", "listen", "admin", "fleet-key", "pool", "kind", "slots", "interactive-slots",
+		"target-url", "table-url", "vms-url", "objects-url",
+		"hold", "begin-timeout", "progress", "platform-timeout", "keep", "keep-bytes",
+	} {
+		require.ErrorContains(t, err, "--"+flag+":")
+	}
+}
