--- a/internal/agent/attempt.go
+++ b/internal/agent/attempt.go
@@ -52,10 +52,12 @@
 
 	// Guarded by scheduler.mu.
 	phase     phase
-	refusal   *wire.Refuse // why it was handed back; nil when its own stream dropped it
-	suspect   bool         // runs alone
+	account   *fairness.Running // from phaseGranted on
+	refusal   *wire.Refuse      // why it was handed back; nil when its own stream dropped it
+	suspect   bool              // runs alone
 	withdrawn bool
 	handed    bool // may have reached the target
+	queuedAt  time.Time
 	startedAt time.Time
 	charged   time.Duration // of the slot's time, plain services only
 	crash     *crash        // the crash at which it ran, or nil
--- a/internal/agent/crash_test.go
+++ b/internal/agent/crash_test.go
@@ -167,6 +167,44 @@
 	})
 }
 
+// TestHomeLearnsOfSuspect tells the home agent of a crash elsewhere.
+func TestHomeLearnsOfSuspect(t *testing.T) {
+	print := func(o *wire.Offer) { o.Home, o.Fingerprint = true, []byte("f") }
+	tests := []struct {
+		name string
+		tell func(*rig)
+	}{
+		{"by the stream of the request's first round", func(r *rig) {
+			c := r.offer(print)
+			expect[*wire.Grant](c)
+			c.send(&wire.Withdraw{Attempt: c.id})
+			c.send(&wire.Withdraw{Attempt: c.id, Suspect: true})
+			expect[*wire.Refuse](c)
+			_ = c.s.CloseSend()
+			<-c.done
+		}},
+		{"by the offer of the next round", func(r *rig) {
+			c := r.offer(func(o *wire.Offer) { print(o); o.Suspect = true })
+			expect[*wire.Grant](c)
+			_ = c.s.CloseSend()
+			<-c.done
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, nil)
+				defer r.stop()
+				tt.tell(r)
+				c := r.offer(print).run()
+				synctest.Wait()
+				_, _, trial := r.registry.state("f")
+				require.Equal(t, c.id, trial)
+			})
+		})
+	}
+}
+
 // TestDuplicatesOfUnlistedSuspect are not sent to agents that do not know the
 // suspect yet, also before it is clear that the target crashed.
 func TestDuplicatesOfUnlistedSuspect(t *testing.T) {
@@ -190,7 +228,7 @@
 		r := newRig(t, nil)
 		defer r.stop()
 		before := r.offer(nil).run()
-		suspected := r.offer(func(o *wire.Offer) { o.Fingerprint, o.Suspect = []byte("f"), true })
+		suspected := r.offer(func(o *wire.Offer) { o.Fingerprint, o.Suspect, o.Home = []byte("f"), true, true })
 		expect[*wire.Queued](suspected)
 		after := r.offer(nil)
 		expect[*wire.Queued](after)
@@ -208,6 +246,28 @@
 	})
 }
 
+// TestSuspectFromElsewhereWaits lets others run for a time before the target is
+// drained for a suspect whose home is another agent.
+func TestSuspectFromElsewhereWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		defer r.stop()
+		answers(nil, step{after: 10 * time.Second, data: "x"})(r)
+		r.offer(nil).run()
+		begun := time.Now()
+		suspected := r.offer(func(o *wire.Offer) { o.Fingerprint, o.Suspect = []byte("f"), true })
+		expect[*wire.Queued](suspected)
+		time.Sleep(suspectPatience - time.Second)
+		r.offer(nil).run()
+		time.Sleep(2 * time.Second)
+		late := r.offer(nil)
+		expect[*wire.Queued](late)
+		suspected.run().whole()
+		require.Equal(t, suspectPatience+19*time.Second, time.Since(begun).Truncate(time.Second), "after both, and alone")
+		late.run().whole()
+	})
+}
+
 func TestTrialOutcomes(t *testing.T) {
 	tests := []struct {
 		name        string
@@ -226,7 +286,7 @@
 		}, request.ReasonTargetCrashed, true, true, 1},
 		{"on trial elsewhere", func(r *rig) { r.registry.trials["f"] = "other" }, request.ReasonSuspect, true, false, 0},
 		{"quarantined elsewhere", func(r *rig) { r.registry.known["f"] = true }, request.ReasonQuarantined, true, true, 0},
-		{"registry is unavailable", func(r *rig) { r.registry.unavailable = true }, request.ReasonSuspect, true, false, 0},
+		{"registry is unavailable", func(r *rig) { r.registry.setUnavailable(true) }, request.ReasonSuspect, true, false, 0},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -284,3 +344,31 @@
 		require.NoError(t, r.Ready())
 	})
 }
+
+// TestAccusationIsRepeated keeps a suspect while the platform is out.
+func TestAccusationIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		defer r.stop()
+		crashOn(r)
+		r.registry.setUnavailable(true)
+		c := r.offer(func(o *wire.Offer) { o.Fingerprint = poison })
+		_, last := c.deliver(poison, false)
+		require.True(t, last.(*wire.Fail).Suspect)
+		_ = c.s.CloseSend()
+		<-c.done
+		r.target.set("start-2", false)
+		time.Sleep(2 * time.Second)
+		again := r.offer(func(o *wire.Offer) { o.Fingerprint = poison }).run()
+		_, last = again.answer()
+		require.Equal(t, request.ReasonSuspect, reasonOf(last), "no trial without the platform")
+		time.Sleep(20 * time.Minute)
+		require.True(t, r.suspects.has(poison), "the agent itself remembers it so long")
+		r.registry.setUnavailable(false)
+		time.Sleep(time.Minute)
+		_, known, _ := r.registry.state(string(poison))
+		require.True(t, known)
+		require.Equal(t, 1, r.target.count())
+		require.Positive(t, r.counter(r.metrics.retries, "accuse"))
+	})
+}
--- a/internal/agent/faults_test.go
+++ b/internal/agent/faults_test.go
@@ -120,6 +120,20 @@
 	})
 }
 
+func TestUnreachedTargetIsDownAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		defer r.stop()
+		answers(engine.ErrNotSent)(r)
+		r.target.set("", true)
+		r.offer(nil).run().answer()
+		require.Equal(t, request.ReasonTargetDown, expect[*wire.Refuse](r.offer(nil)).Reason)
+		r.target.set("start-2", false)
+		time.Sleep(2 * time.Second)
+		require.NoError(t, r.Ready())
+	})
+}
+
 func TestCallsCarryFencingNumber(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, func(c *Config) { c.Fence = TableFence(newTable(), "agent-1") })
@@ -169,6 +183,9 @@
 				if tt.told != "" {
 					_, last := c.answer()
 					require.Equal(t, tt.told, reasonOf(last))
+					if _, refused := last.(*wire.Refuse); refused {
+						require.Equal(t, 1, r.counter(r.metrics.refusals, string(tt.told)))
+					}
 				}
 				require.Less(t, time.Since(begun), time.Minute)
 				time.Sleep(time.Minute)
--- a/internal/agent/offer_test.go
+++ b/internal/agent/offer_test.go
@@ -36,6 +36,9 @@
 		want  request.Reason
 		final bool
 	}{
+		{"suspect without a fingerprint", nil, func(o *wire.Offer) { o.Suspect = true }, request.ReasonMalformed, true},
+		{"suspect without a registry", func(r *rig) { r.cfg.Suspects = nil }, func(o *wire.Offer) { o.Suspect, o.Fingerprint = true, []byte("f") }, request.ReasonSuspect, false},
+		{"claim without a claimer", func(r *rig) { r.cfg.Claims = nil }, func(o *wire.Offer) { o.Claim = []byte("k") }, request.ReasonClaimUnavailable, false},
 		{"no attempt", nil, func(o *wire.Offer) { o.Attempt = "" }, request.ReasonMalformed, true},
 		{"class", nil, func(o *wire.Offer) { o.Class = 9 }, request.ReasonMalformed, true},
 		{"pool", nil, func(o *wire.Offer) { o.Pool = "other" }, request.ReasonUnknownPool, true},
@@ -99,33 +102,22 @@
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, func(c *Config) { c.Slots = 1 })
 		defer r.stop()
-		var order []int
-		var conns []*conn
-		for range 12 {
-			for ws := 1; ws <= 2; ws++ {
-				conns = append(conns, r.offer(func(o *wire.Offer) { o.Workspace = workspace.RowID(ws) }))
-				synctest.Wait()
-			}
-		}
-		finished := make(chan int, len(conns))
-		for i, c := range conns {
+		finished := make(chan int, 24)
+		for i := range 24 {
+			ws := i%2 + 1
+			c := r.offer(func(o *wire.Offer) { o.Workspace = workspace.RowID(ws) })
+			synctest.Wait()
 			go func() {
-				if _, queued := c.recv().(*wire.Queued); queued {
-					expect[*wire.Grant](c)
-				}
-				c.send(&wire.Run{Attempt: c.id})
-				c.answer()
-				finished <- i%2 + 1
+				c.deliver(nil, false)
+				_ = c.s.CloseSend()
+				finished <- ws
 			}()
 		}
-		for range 12 {
-			order = append(order, <-finished)
-		}
 		served := map[int]int{}
-		for _, ws := range order {
-			served[ws]++
+		for range 12 {
+			served[<-finished]++
 		}
-		require.InDelta(t, 9, served[2], 1, "weight 3 beside weight 1: %v", order)
+		require.InDelta(t, 9, served[2], 1, "weight 3 beside weight 1")
 		for range 12 {
 			<-finished
 		}
@@ -137,25 +129,68 @@
 		r := newRig(t, nil)
 		defer r.stop()
 		limited := func(o *wire.Offer) { o.Workspace, o.Home = 3, true }
-		digest := func(running, queued uint32) *wire.Digest {
-			sums := []wire.Sum{{Workspace: 3, Running: running, Queued: queued}}
+		digest := func(running uint32) *wire.Digest {
+			sums := []wire.Sum{{Workspace: 3, Running: running}}
 			return &wire.Digest{Domain: "b", Pools: []wire.PoolSums{{Pool: testPool, Sums: sums}}}
 		}
-		r.ApplyDigest(digest(1, 1))
+		r.ApplyDigest(digest(1))
 		c := r.offer(limited)
 		expect[*wire.Queued](c)
+		require.EqualValues(t, 1, r.Report().Sums[0].Queued)
+		waiting := r.offer(limited)
+		expect[*wire.Queued](waiting)
 		refusal := expect[*wire.Refuse](r.offer(limited))
-		require.Equal(t, request.ReasonQueueFull, refusal.Reason, "one waits here and one elsewhere")
+		require.Equal(t, request.ReasonQueueFull, refusal.Reason)
 		require.Positive(t, refusal.RetryAfter)
-		r.ApplyDigest(digest(0, 0))
+		r.ApplyDigest(digest(0))
 		c.run()
-		waiting := r.offer(limited)
-		expect[*wire.Queued](waiting)
+		synctest.Wait()
+		require.Equal(t, 1, r.target.busy(), "the other waits for the limit, not for a slot")
 		require.Equal(t, "hello world", c.whole())
 		require.Equal(t, "hello world", waiting.run().whole())
 	})
 }
 
+// TestDigestsCountOthersOnce reports own service to the own failure domain and
+// gets it back in the domain's sums.
+func TestDigestsCountOthersOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		defer r.stop()
+		digest := func(domain string, service uint64) {
+			sums := []wire.Sum{{Workspace: 1, Service: service}}
+			pools := []wire.PoolSums{{Pool: "another", Sums: sums}, {Pool: testPool, Sums: sums}}
+			r.ApplyDigest(&wire.Digest{Domain: domain, Pools: pools})
+		}
+		digest("a", 0)
+		digest("b", 500)
+		r.offer(nil).run().whole() // 11 units
+		require.InDelta(t, 11, r.ledger.Level(1), 0)
+		digest("a", 11)
+		require.InDelta(t, 11, r.ledger.Level(1), 0, "own service came back")
+		digest("a", 31)
+		digest("a", 31)
+		require.InDelta(t, 31, r.ledger.Level(1), 0, "others of the own domain")
+		digest("b", 505)
+		require.InDelta(t, 36, r.ledger.Level(1), 0, "another domain")
+	})
+}
+
+func TestServiceIsChargedByTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, func(c *Config) { c.Kind = target.KindService })
+		defer r.stop()
+		answers(nil, step{after: 1500 * time.Millisecond})(r)
+		c := r.offer(nil).run()
+		time.Sleep(time.Second)
+		synctest.Wait()
+		require.InDelta(t, 1000, float64(r.Report().Sums[0].Service), 100, "while it runs")
+		_, last := c.answer()
+		require.EqualValues(t, 1500, last.(*wire.End).Service)
+		require.EqualValues(t, 1500, r.Report().Sums[0].Service)
+	})
+}
+
 func TestInteractiveBeforeBatch(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		r := newRig(t, func(c *Config) { c.Slots, c.InteractiveSlots = 3, 1 })
@@ -170,5 +205,7 @@
 		r.offer(nil).run()
 		synctest.Wait()
 		require.Equal(t, 3, r.target.count(), "interactive work takes it at once")
+		r.offer(nil).run() // has a spare grant of its own
+		expect[*wire.Queued](r.offer(nil))
 	})
 }
