--- a/internal/router/bench_test.go
+++ b/internal/router/bench_test.go
@@ -9,6 +9,7 @@
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/transport"
+	"github.com/mastichollow/mastichollow/internal/wire"
 )
 
 // BenchmarkRequest measures the router's part of one request, with an agent in
@@ -39,6 +40,32 @@
 	})
 }
 
+// BenchmarkOfferBytes measures the bytes of an offer that another agent won, as
+// one across regions costs: the offer, its place in the queue, its withdrawal and
+// the answer to that.
+func BenchmarkOfferBytes(b *testing.B) {
+	f := newFixture(b, nil, benchAgents()...)
+	l := newBinding(newExecution(f.router, f.callOf(chatBody), nil)).ask(b.Context(), benchAgents()[1], false)
+	l.cancel()
+	messages := []wire.Message{
+		l.first,
+		&wire.Queued{Attempt: l.attempt, Ahead: 100},
+		&wire.Withdraw{Attempt: l.attempt},
+		&wire.Refuse{Attempt: l.attempt, Reason: request.ReasonWithdrawn},
+	}
+	var frames []byte
+	for b.Loop() {
+		frames = frames[:0]
+		for _, m := range messages {
+			var err error
+			if frames, err = wire.Append(frames, m); err != nil {
+				b.Fatal(err)
+			}
+		}
+	}
+	b.ReportMetric(float64(len(frames)), "bytes/offer")
+}
+
 // newBenchRouter returns a router with the agents of benchAgents that
 // follow s.
 func newBenchRouter(b *testing.B, s script) *Router {
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -38,7 +38,7 @@
 	HomePatience   time.Duration // for the home agent's answer before others are asked
 	Widen          time.Duration // between two steps of asking further agents
 	SpillAfter     time.Duration // of waiting before other regions are asked
-	Progress       time.Duration // without a message before a running attempt is resumed on a new connection; above the time after which an agent gives up a silent target
+	Progress       time.Duration // without a message, several heartbeats of an agent, before an attempt is resumed
 	Body           time.Duration // to read a request's body
 	Write          time.Duration // for the caller to take a piece of the answer
 	RetryBackoff   time.Duration // first pause before a retry
@@ -60,7 +60,7 @@
 		HomePatience:   50 * time.Millisecond,
 		Widen:          100 * time.Millisecond,
 		SpillAfter:     time.Second,
-		Progress:       40 * time.Second,
+		Progress:       3 * time.Second,
 		Body:           30 * time.Second,
 		Write:          time.Minute,
 		RetryBackoff:   50 * time.Millisecond,
--- a/internal/router/execution.go
+++ b/internal/router/execution.go
@@ -77,6 +77,14 @@
 	return newRelay(x, b, winner).run(ctx)
 }
 
+// dropBody frees the request's body once no retry can need it any more: a long
+// answer must not hold it.
+func (x *execution) dropBody() {
+	if x.ans.committed {
+		x.c.run.Body = nil
+	}
+}
+
 // retry waits before the next round, or returns the refusal that ends the call.
 func (x *execution) retry(ctx context.Context, refused *request.RefusedError) *request.RefusedError {
 	if !x.mayRetry(ctx, refused) {
--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -36,6 +37,15 @@
 	return func(request.AttemptID) wire.Message { return m("another-attempt") }
 }
 
+// later returns a maker that sends m after a time that is shorter than the one
+// after which a stream counts as silent.
+func later(m maker) maker {
+	return func(id request.AttemptID) wire.Message {
+		time.Sleep(DefaultTiming().Progress * 9 / 10)
+		return m(id)
+	}
+}
+
 func granted(id request.AttemptID) wire.Message { return &wire.Grant{Attempt: id} }
 
 const order = "/services/shop-api/orders"
@@ -112,13 +122,17 @@
 			},
 		},
 		{
-			name: "slow, but alive", runs: 1, resumes: 2, body: "abcdef",
+			name: "silent, but answers anew", runs: 1, resumes: 2, body: "abcdef",
 			streams: []script{
 				grantThen(accepted),
 				sends(accepted),
 				sends(append([]maker{accepted}, whole[1:]...)...),
 			},
 		},
+		{
+			name: "slow, but alive", runs: 1, body: "abcdef",
+			streams: []script{grantThen(accepted, later(accepted), later(accepted), later(whole[1]), whole[2], whole[3])},
+		},
 		{
 			name: "never fits", runs: 1, resumes: 4, once: true, reason: request.ReasonAnswerInvalid,
 			streams: []script{
@@ -298,11 +312,16 @@
 
 // planOf returns the order of agents for a completion.
 func (f *fixture) planOf(body string) placement.Plan {
+	return newBinding(newExecution(f.router, f.callOf(body), nil)).plan()
+}
+
+// callOf returns the call of a completion.
+func (f *fixture) callOf(body string) *call {
 	f.t.Helper()
 	req := post(pathCompletions, body)
-	e, refused := f.router.checkEnvelope("id", req)
+	e, refused := f.router.checkEnvelope(request.NewID(), req)
 	require.Nil(f.t, refused)
 	c, refused := f.router.completionCall(e, req, []byte(body))
 	require.Nil(f.t, refused)
-	return newBinding(newExecution(f.router, c, nil)).plan()
+	return c
 }
--- a/internal/router/problem.go
+++ b/internal/router/problem.go
@@ -92,6 +92,24 @@
 	}
 }
 
+// defaultRetryAfter is when to come back after a refusal for a state that
+// passes, if the refusing process does not know better.
+const defaultRetryAfter = 2 * time.Second
+
+// retryAfter returns when the caller of a refused request may come back; zero:
+// it is not said.
+func retryAfter(refused *request.RefusedError) time.Duration {
+	if refused.RetryAfter > 0 {
+		return refused.RetryAfter
+	}
+	switch kindOf(refused.Reason).status {
+	case http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return defaultRetryAfter
+	default:
+		return 0
+	}
+}
+
 // kindOf returns the kind of reason; reasons of newer agents are bad gateways.
 func kindOf(reason request.Reason) kind {
 	if k, ok := kinds[reason]; ok {
@@ -122,12 +140,12 @@
 }
 
 // write sends the document.
-func (p problem) write(w http.ResponseWriter, retryAfter time.Duration) {
+func (p problem) write(w http.ResponseWriter, after time.Duration) {
 	h := w.Header()
 	h.Set("Content-Type", "application/problem+json")
 	h.Set("Cache-Control", "no-store")
-	if retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatInt(seconds(retryAfter), 10))
+	if after > 0 {
+		h.Set("Retry-After", strconv.FormatInt(seconds(after), 10))
 	}
 	if p.Status == http.StatusUnauthorized {
 		h.Set("WWW-Authenticate", "Bearer")
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -119,7 +119,9 @@
 		return false, nil, ans.begin(m)
 	case *wire.Chunk:
 		y.x.r.metrics.received(y.leg, len(m.Data))
-		return false, nil, ans.add(m, len(y.x.legs.events) == 0)
+		err := ans.add(m, len(y.x.legs.events) == 0)
+		y.x.dropBody()
+		return false, nil, err
 	case *wire.End:
 		err := ans.end(m)
 		return err == nil, nil, err
--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -35,9 +35,9 @@
 	}
 }
 
-// silent resumes an attempt that has sent nothing for long. A target that is
-// slow looks alike, so the connection is kept at first: the agent answers
-// Resume at once. If it does not, the connection is not trusted any more.
+// silent resumes an attempt whose agent has sent no heartbeat for long. At first
+// the connection is kept, since other answers may well come on it. If the agent
+// stays silent on a new stream, the connection is not trusted any more.
 func (y *relay) silent(ctx context.Context) *request.RefusedError {
 	if y.resumes > 0 {
 		y.x.r.forget.forget(y.leg.agent.Addr, y.leg.opened)
--- a/internal/router/retry_test.go
+++ b/internal/router/retry_test.go
@@ -71,6 +71,8 @@
 				p := decodeProblem(t, rec)
 				require.Equal(t, kinds[reason].status, rec.Code)
 				require.Equal(t, reason != request.ReasonInProgress, p.NotRun)
+				passes := rec.Code == http.StatusTooManyRequests || rec.Code == http.StatusServiceUnavailable
+				require.Equal(t, passes, rec.Header().Get("Retry-After") != "")
 				tries := 1.0
 				if retryable[reason] {
 					tries += float64(DefaultTiming().MaxRetries)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -169,7 +169,7 @@
 	if c != nil {
 		keyed = c.keyed
 	}
-	newProblem(e.id, refused, keyed).write(w, refused.RetryAfter)
+	newProblem(e.id, refused, keyed).write(w, retryAfter(refused))
 }
 
 // refuseMethod answers a request whose path knows another method.
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -133,7 +133,8 @@
 }
 
 // Accepted says that the agent holds the request's body. From here on the
-// attempt can be asked for with Resume.
+// attempt can be asked for with Resume. It is repeated as a heartbeat while there
+// is no more of the answer, which tells a slow target from a silent stream.
 type Accepted struct {
 	Attempt request.AttemptID `cbor:"1,keyasint"`
 }
@@ -174,9 +175,7 @@
 }
 
 // Resume asks, on a new stream, for the rest of an attempt's answer: the body
-// from Offset on, and the Head before it when Head is set. The agent answers at
-// once with Accepted, which tells a slow target from a silent stream, or with
-// Fail.
+// from Offset on, and the Head before it when Head is set.
 type Resume struct {
 	Attempt request.AttemptID `cbor:"1,keyasint"`
 	Offset  uint64            `cbor:"2,keyasint"`
