--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -148,10 +148,15 @@
 	}
 }
 
-// grantThen grants, waits for Run and sends the messages.
+// grantThen grants, waits for Run and sends the messages. A resumption gets no
+// answer.
 func grantThen(make ...func(request.AttemptID) wire.Message) script {
 	return func(ctx context.Context, s transport.Stream, first wire.Message) {
-		offer := first.(*wire.Offer)
+		offer, ok := first.(*wire.Offer)
+		if !ok {
+			drain(ctx, s)
+			return
+		}
 		_ = s.Send(ctx, &wire.Grant{Attempt: offer.Attempt})
 		if run := awaitRun(ctx, s); run != nil {
 			sendAll(ctx, s, offer.Attempt, make...)
