--- a/internal/router/auth.go
+++ b/internal/router/auth.go
@@ -15,8 +15,8 @@
 
 // authenticate returns the workspace of the request's API key.
 func authenticate(idx *index, h http.Header) (*workspace.Row, *request.RefusedError) {
-	if idx.snapshot.Table == nil {
-		return nil, refuse(request.ReasonNotReady, "no workspace table is known yet")
+	if err := notReady(idx.snapshot); err != nil {
+		return nil, refuse(request.ReasonNotReady, "%v", err)
 	}
 	values := h.Values("Authorization")
 	if len(values) != 1 {
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -67,7 +67,7 @@
 		require.Equal(t, "He", text)
 	})
 	t.Run("refusal", func(t *testing.T) {
-		f := newFixture(t, nil)
+		f := newFixture(t, nil, agent("a1", "north", "north-a"))
 		_, err := newOpenAI(f.startServer(), "no key").CreateChatCompletion(t.Context(), question)
 		var refused *openai.APIError
 		require.ErrorAs(t, err, &refused)
--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -70,38 +70,23 @@
 		{name: "granted twice", streams: []script{grantThen(append([]maker{granted}, whole...)...)}, body: "abcdef", runs: 1},
 		{
 			name: "chunk lost", runs: 1, resumes: 1, body: "abcdef",
-			streams: []script{
-				grantThen(accepted, head("text/plain"), chunk(0, "ab"), chunk(4, "ef"), end(6)),
-				sends(accepted, chunk(2, "cdef"), end(6)),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), chunk(0, "ab"), chunk(4, "ef"), end(6)), sends(accepted, chunk(2, "cdef"), end(6))},
 		},
 		{
 			name: "chunk repeated", runs: 1, resumes: 1, body: "abcdef",
-			streams: []script{
-				grantThen(accepted, head("text/plain"), chunk(0, "abc"), chunk(0, "abc")),
-				sends(chunk(3, "def"), end(6)),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), chunk(0, "abc"), chunk(0, "abc")), sends(chunk(3, "def"), end(6))},
 		},
 		{
 			name: "crossed with another attempt", runs: 1, resumes: 1, body: "abcdef",
-			streams: []script{
-				grantThen(accepted, head("text/plain"), chunk(0, "ab"), wrong(chunk(2, "XX"))),
-				sends(chunk(2, "cdef"), end(6)),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), chunk(0, "ab"), wrong(chunk(2, "XX"))), sends(chunk(2, "cdef"), end(6))},
 		},
 		{
 			name: "end of another attempt", runs: 1, resumes: 1, body: "abcdef",
-			streams: []script{
-				grantThen(accepted, head("text/plain"), chunk(0, "ab"), wrong(end(2))),
-				sends(chunk(2, "cdef"), end(6)),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), chunk(0, "ab"), wrong(end(2))), sends(chunk(2, "cdef"), end(6))},
 		},
 		{
 			name: "end too early", runs: 1, resumes: 1, body: "abcdef",
-			streams: []script{
-				grantThen(accepted, head("text/plain"), chunk(0, "ab"), end(6)),
-				sends(chunk(2, "cdef"), end(6)),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), chunk(0, "ab"), end(6)), sends(chunk(2, "cdef"), end(6))},
 		},
 		{
 			name: "cut before the head", runs: 1, resumes: 1, body: "abcdef",
@@ -109,25 +94,15 @@
 		},
 		{
 			name: "cut in the middle", runs: 1, resumes: 1, body: "abcdef",
-			streams: []script{
-				grantThen(accepted, head("text/plain"), chunk(0, "abc"), lost),
-				sends(accepted, chunk(3, "def"), end(6)),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), chunk(0, "abc"), lost), sends(accepted, chunk(3, "def"), end(6))},
 		},
 		{
 			name: "silent in the middle", runs: 1, resumes: 1, body: "abcdef",
-			streams: []script{
-				grantThen(accepted, head("text/plain"), chunk(0, "abc")),
-				sends(accepted, chunk(3, "def"), end(6)),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), chunk(0, "abc")), sends(accepted, chunk(3, "def"), end(6))},
 		},
 		{
 			name: "silent, but answers anew", runs: 1, resumes: 2, body: "abcdef",
-			streams: []script{
-				grantThen(accepted),
-				sends(accepted),
-				sends(append([]maker{accepted}, whole[1:]...)...),
-			},
+			streams: []script{grantThen(accepted), sends(accepted), sends(append([]maker{accepted}, whole[1:]...)...)},
 		},
 		{
 			name: "slow, but alive", runs: 1, body: "abcdef",
@@ -135,49 +110,27 @@
 		},
 		{
 			name: "never fits", runs: 1, resumes: 4, once: true, reason: request.ReasonAnswerInvalid,
-			streams: []script{
-				grantThen(accepted, head("text/plain"), end(6)),
-				sends(accepted, end(6)),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), end(6)), sends(accepted, end(6))},
 		},
 		{
 			name: "killed after Run, repeatable", runs: 2, resumes: 1, body: "abcdef",
-			streams: []script{
-				grantThen(accepted, lost),
-				sends(fail(request.OutcomeUnknown, request.ReasonUnknownAttempt)),
-				grantThen(whole...),
-			},
+			streams: []script{grantThen(accepted, lost), sends(fail(request.OutcomeUnknown, request.ReasonUnknownAttempt)), grantThen(whole...)},
 		},
 		{
-			name: "killed after Run, not repeatable", runs: 1, resumes: 1, once: true,
-			reason: request.ReasonUnknownAttempt,
-			streams: []script{
-				grantThen(accepted, lost),
-				sends(fail(request.OutcomeUnknown, request.ReasonUnknownAttempt)),
-				grantThen(whole...),
-			},
+			name: "killed after Run, not repeatable", runs: 1, resumes: 1, once: true, reason: request.ReasonUnknownAttempt,
+			streams: []script{grantThen(accepted, lost), sends(fail(request.OutcomeUnknown, request.ReasonUnknownAttempt)), grantThen(whole...)},
 		},
 		{
 			name: "Run lost on the way, not repeatable", runs: 2, resumes: 1, once: true, body: "abcdef",
-			streams: []script{
-				grantThen(lost),
-				sends(fail(request.OutcomeNotRun, request.ReasonUnknownAttempt)),
-				grantThen(whole...),
-			},
+			streams: []script{grantThen(lost), sends(fail(request.OutcomeNotRun, request.ReasonUnknownAttempt)), grantThen(whole...)},
 		},
 		{
 			name: "crashed after the first byte", runs: 1, aborted: true, body: "abc", reason: request.ReasonTargetCrashed,
-			streams: []script{
-				grantThen(accepted, head("text/plain"), chunk(0, "abc"), fail(request.OutcomeUnknown, request.ReasonTargetCrashed)),
-				grantThen(whole...),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), chunk(0, "abc"), fail(request.OutcomeUnknown, request.ReasonTargetCrashed)), grantThen(whole...)},
 		},
 		{
 			name: "agent says not run after the head", runs: 1, once: true, reason: request.ReasonTargetFailed,
-			streams: []script{
-				grantThen(accepted, head("text/plain"), fail(request.OutcomeNotRun, request.ReasonTargetFailed)),
-				grantThen(whole...),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), fail(request.OutcomeNotRun, request.ReasonTargetFailed)), grantThen(whole...)},
 		},
 		{
 			name: "claim cannot be made", runs: 1, once: true, notRun: true, reason: request.ReasonClaimUnavailable,
@@ -188,12 +141,8 @@
 			streams: []script{grantThen(accepted, fail(request.OutcomeNotRun, request.ReasonInProgress))},
 		},
 		{
-			name: "events cut for good", runs: 1, aborted: true, resumes: 1, reason: request.ReasonUnknownAttempt,
-			body: "data: a\n\n",
-			streams: []script{
-				grantThen(accepted, head(events), chunk(0, "data: a\n\n"), lost),
-				sends(fail(request.OutcomeUnknown, request.ReasonUnknownAttempt)),
-			},
+			name: "events cut for good", runs: 1, aborted: true, resumes: 1, reason: request.ReasonUnknownAttempt, body: "data: a\n\n",
+			streams: []script{grantThen(accepted, head(events), chunk(0, "data: a\n\n"), lost), sends(fail(request.OutcomeUnknown, request.ReasonUnknownAttempt))},
 		},
 	}
 	for _, tt := range tests {
--- a/internal/router/index.go
+++ b/internal/router/index.go
@@ -7,11 +7,31 @@
 	"strings"
 	"sync/atomic"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/mastichollow/mastichollow/internal/fleet"
 	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/workspace"
 )
 
+// Errors of a snapshot from which requests cannot be served yet.
+var (
+	errNoTable = errors.New("no workspace table is known yet")
+	errNoVMs   = errors.New("no VM list is known yet")
+)
+
+// notReady returns why requests cannot be served from snapshot, or nil.
+func notReady(snapshot *fleet.Snapshot) error {
+	switch {
+	case snapshot.Table == nil:
+		return errNoTable
+	case len(snapshot.VMs) == 0:
+		return errNoVMs
+	default:
+		return nil
+	}
+}
+
 // index holds what the router looks up per request in one snapshot. It is
 // immutable.
 type index struct {
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -67,10 +67,7 @@
 	if r.stopped.Load() {
 		return errors.New("router is stopping")
 	}
-	if r.cfg.Store.Snapshot().Table == nil {
-		return errors.New("no workspace table is known yet")
-	}
-	return nil
+	return notReady(r.cfg.Store.Snapshot())
 }
 
 // Stop makes Ready fail, so that the balancer sends callers elsewhere. Requests
@@ -97,6 +94,7 @@
 	path := req.URL.Path
 	switch {
 	case path == pathModels && req.Method == http.MethodGet:
+		r.limitWrite(w)
 		listModels(e.idx, e.row).write(w)
 	case path == pathCompletions && req.Method == http.MethodPost:
 		r.serve(w, req, e, r.completionCall)
@@ -154,6 +152,7 @@
 	r.metrics.observe(c, ans, refused, began)
 	switch {
 	case refused == nil:
+		r.log.Debug("request answered", "request", e.id, "workspace", e.row.Name, "pool", c.pool, "bytes", ans.offset)
 	case ans.committed:
 		r.abort(ans, e, c, refused)
 	default:
@@ -165,6 +164,7 @@
 func (r *Router) refuse(w http.ResponseWriter, e envelope, c *call, refused *request.RefusedError) {
 	r.metrics.refusals.WithLabelValues(string(refused.Reason)).Inc()
 	r.logRefusal("request refused", e, c, refused)
+	r.limitWrite(w)
 	keyed := e.keyed
 	if c != nil {
 		keyed = c.keyed
@@ -172,6 +172,12 @@
 	newProblem(e.id, refused, keyed).write(w, retryAfter(refused))
 }
 
+// limitWrite gives the caller a time in which to take an answer. net/http keeps
+// the deadline of the answer before on the same connection.
+func (r *Router) limitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(r.cfg.Timing.Write))
+}
+
 // refuseMethod answers a request whose path knows another method.
 func (r *Router) refuseMethod(w http.ResponseWriter, req *http.Request, e envelope, allowed string) {
 	w.Header().Set("Allow", allowed)
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -168,11 +168,44 @@
 	}
 }
 
-func TestNotReadyWithoutTable(t *testing.T) {
+// TestNotReady checks that a router that knows too little or is stopping says
+// so, and does not take an unknown pool for one that does not exist.
+func TestNotReady(t *testing.T) {
 	f := newFixture(t, nil)
+	require.ErrorIs(t, f.router.Ready(), errNoVMs)
+	rec, _ := f.serve(post(pathCompletions, chatBody))
+	require.Equal(t, problemPrefix+string(request.ReasonNotReady), decodeProblem(t, rec).Type)
+	f.store.ApplyVMs([]target.VM{agent("a1", "north", "north-a")})
 	require.NoError(t, f.router.Ready())
 	f.router.Stop()
 	require.Error(t, f.router.Ready())
+	rec, _ = f.serve(post(pathCompletions, "{"))
+	require.Equal(t, "close", rec.Header().Get("Connection"))
+}
+
+// deadlineWriter notes the write deadline.
+type deadlineWriter struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+}
+
+func (d *deadlineWriter) SetWriteDeadline(at time.Time) error {
+	d.deadline = at
+	return nil
+}
+
+// TestWriteDeadlineIsRenewed checks that no answer is written under the deadline
+// of an earlier one on the same connection.
+func TestWriteDeadlineIsRenewed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, nil, agent("a1", "north", "north-a"))
+		f.fleet.set("a1", grantThen(answers("text/plain", "ok")...))
+		for _, req := range []*http.Request{post(pathCompletions, chatBody), post("/x", ""), newRequest("GET", pathModels, "")} {
+			w := &deadlineWriter{ResponseRecorder: httptest.NewRecorder()}
+			f.router.ServeHTTP(w, req)
+			require.Equal(t, DefaultTiming().Write, time.Until(w.deadline), req.URL.Path)
+		}
+	})
 }
 
 func TestLeavingAgentGetsNoOffer(t *testing.T) {
