--- a/cmd/mastichollow-router/settings.go
+++ b/cmd/mastichollow-router/settings.go
@@ -37,6 +37,7 @@
 	BodyLimit   int64         `help:"Bytes of a request body." default:"4194304"`
 	HeaderLimit int           `help:"Bytes of a request's header fields." default:"32768"`
 	PromptLimit int           `help:"Bytes of all message contents of a chat completion." default:"2097152"`
+	BodiesLimit int64         `help:"Bytes of the bodies of all requests in hand; one workspace may take a quarter." default:"67108864"`
 	SpillAfter  time.Duration `help:"Time that a request waits before agents of other regions without known free slots are asked." default:"1s"`
 	MaxRetries  int           `help:"Retries of one request." default:"3"`
 	RetryRatio  float64       `help:"Retries that a workspace earns with each request." default:"0.1"`
@@ -108,6 +109,7 @@
 	timing.RetryRatio = s.RetryRatio
 	limits := router.DefaultLimits()
 	limits.Body, limits.Header, limits.Prompt = s.BodyLimit, s.HeaderLimit, s.PromptLimit
+	limits.Bodies = s.BodiesLimit
 	return router.Config{
 		Site:   placement.Site{Region: s.Region, Domain: s.Domain},
 		Limits: limits,
--- a/cmd/mastichollow-router/start_test.go
+++ b/cmd/mastichollow-router/start_test.go
@@ -104,7 +104,7 @@
 		ID: "router-1", Domain: "d1", Region: "r1",
 		Listen: anyAddr, FleetListen: anyAddr, Admin: anyAddr, FleetKey: key,
 		TableURL: platformURL, VMsURL: platformURL, PlatformTimeout: time.Second,
-		Deadline: time.Minute, MaxDeadline: time.Hour, BodyLimit: 1 << 20, HeaderLimit: 1 << 14, PromptLimit: 1 << 20,
+		Deadline: time.Minute, MaxDeadline: time.Hour, BodyLimit: 1 << 20, HeaderLimit: 1 << 14, PromptLimit: 1 << 20, BodiesLimit: 4 << 20,
 		SpillAfter: time.Second, MaxRetries: 3, RetryRatio: 0.1, DrainDelay: tick,
 	}
 }
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -111,6 +111,7 @@
 	ReasonMethodNotAllowed Reason = "method_not_allowed"
 	ReasonAnswerInvalid    Reason = "answer_invalid"
 	ReasonCallerGone       Reason = "caller_gone"
+	ReasonOverloaded       Reason = "overloaded"
 )
 
 // RefusedError is the error of a request that was given up. Its outcome says
--- a/internal/router/call.go
+++ b/internal/router/call.go
@@ -44,6 +44,7 @@
 	costHint   int64
 	deadline   time.Time
 	run        wire.Run // without an attempt
+	held       *heldBody
 }
 
 // envelope holds what every request has, checked before its body is read.
@@ -77,13 +78,23 @@
 	return e, refused
 }
 
+// holdBody takes memory for the body: its length, or the limit when the length
+// is not known.
+func (r *Router) holdBody(e envelope, req *http.Request) (*heldBody, *request.RefusedError) {
+	size, limit := req.ContentLength, r.cfg.Limits.Body
+	if size > limit {
+		return nil, refuse(request.ReasonTooLarge, "body has %d bytes, the limit is %d", size, limit)
+	}
+	if size < 0 {
+		size = limit
+	}
+	return r.bodies.hold(e.row.ID, size)
+}
+
 // readBody reads the body within its limit. The deadline on reading needs a
 // writer that supports it, as those of net/http do.
 func (r *Router) readBody(w http.ResponseWriter, req *http.Request) ([]byte, *request.RefusedError) {
 	limit := r.cfg.Limits.Body
-	if req.ContentLength > limit {
-		return nil, refuse(request.ReasonTooLarge, "body has %d bytes, the limit is %d", req.ContentLength, limit)
-	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(time.Now().Add(r.cfg.Timing.Body))
 	body, err := io.ReadAll(http.MaxBytesReader(w, req.Body, limit))
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -22,12 +22,13 @@
 	Body    int64 // bytes of a request body
 	Header  int   // bytes of all header names and values
 	Prompt  int   // bytes of all message contents of a chat completion
+	Bodies  int64 // bytes of all bodies in hand; a workspace may take a quarter
 	Offered int   // requests of one workspace and pool that wait for a first answer
 }
 
 // DefaultLimits returns the limits used unless settings say otherwise.
 func DefaultLimits() Limits {
-	return Limits{Body: 4 << 20, Header: 32 << 10, Prompt: 2 << 20, Offered: 256}
+	return Limits{Body: 4 << 20, Header: 32 << 10, Prompt: 2 << 20, Bodies: 64 << 20, Offered: 256}
 }
 
 // Timing holds the router's timeouts.
@@ -133,6 +134,8 @@
 	check(l.Header > 0 && l.Header <= frameReserve/2,
 		"header limit of %d bytes is not within 1 to %d", l.Header, frameReserve/2)
 	check(l.Prompt > 0, "prompt limit of %d bytes is not positive", l.Prompt)
+	check(l.Bodies >= workspaceShare*l.Body,
+		"limit of %d bytes of all bodies is below %d times the body limit", l.Bodies, workspaceShare)
 	check(l.Offered > 0, "limit of %d offered requests is not positive", l.Offered)
 	check(t.Deadline > 0 && t.Deadline <= t.MaxDeadline,
 		"deadline %s is not within the greatest deadline %s", t.Deadline, t.MaxDeadline)
--- a/internal/router/execution.go
+++ b/internal/router/execution.go
@@ -80,8 +80,9 @@
 // dropBody frees the request's body once no retry can need it any more: a long
 // answer must not hold it.
 func (x *execution) dropBody() {
-	if x.ans.committed {
+	if x.ans.committed && x.c.run.Body != nil {
 		x.c.run.Body = nil
+		x.c.held.release()
 	}
 }
 
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strings"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -282,3 +283,45 @@
 		require.InDelta(t, 6, f.count("offers_total", "link", "cross_region"), 0)
 	})
 }
+
+// TestBodiesInHandAreBounded checks that a workspace that floods a router with
+// large bodies takes a quarter of the memory for them, that others still get in,
+// and that the memory is given back with the first byte of an answer.
+func TestBodiesInHandAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 1000 // of a body
+		limits := Limits{Body: size, Header: 1000, Prompt: size, Bodies: 12 * size, Offered: 100}
+		f := newFixture(t, func(c *Config) { c.Limits = limits }, agent("a1", "north", "north-a"))
+		f.fleet.set("a1", grantThen(accepted, later(accepted), head("text/plain"), chunk(0, "a"), later(end(1))))
+		f.serve(post(pathCompletions, "{"))
+		require.Zero(t, f.bodiesInHand(), "a refused request holds memory")
+		body := chatBody + strings.Repeat(" ", size-len(chatBody))
+		codes := make(chan int, 10)
+		for range cap(codes) {
+			go func() {
+				rec, _ := f.serve(post(pathCompletions, body))
+				codes <- rec.Code
+			}()
+		}
+		synctest.Wait()
+		require.Len(t, codes, 7)
+		require.Equal(t, http.StatusServiceUnavailable, <-codes)
+		require.InDelta(t, 7, f.count("refusals_total", "reason", string(request.ReasonOverloaded)), 0)
+		go f.serve(post(pathCompletions, body, "Authorization: Bearer "+otherKey))
+		synctest.Wait()
+		require.Equal(t, int64(4*size), f.bodiesInHand())
+		time.Sleep(DefaultTiming().Progress * 91 / 100) // the first bytes have come, the ends have not
+		synctest.Wait()
+		require.Zero(t, f.bodiesInHand())
+		require.Len(t, codes, 6)
+		time.Sleep(DefaultTiming().Progress)
+		synctest.Wait()
+		require.Len(t, codes, 9)
+	})
+}
+
+func (f *fixture) bodiesInHand() int64 {
+	f.router.bodies.mu.Lock()
+	defer f.router.bodies.mu.Unlock()
+	return f.router.bodies.sum
+}
--- a/internal/router/problem.go
+++ b/internal/router/problem.go
@@ -80,6 +80,7 @@
 	request.ReasonUnknownAttempt:   {http.StatusBadGateway, "Attempt is not known any more"},
 	request.ReasonRetryBudget:      {http.StatusServiceUnavailable, "Retry budget of the workspace is spent"},
 	request.ReasonAnswerInvalid:    {http.StatusBadGateway, "Answer is invalid"},
+	request.ReasonOverloaded:       {http.StatusServiceUnavailable, "Router has no memory for the request"},
 	request.ReasonCallerGone:       {499, "Caller closed the connection"},
 }
 
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,7 @@
 	metrics *metrics
 	index   indexCache
 	waiting *waitingRoom
+	bodies  *bodies
 	budget  *retryBudget
 	forget  *forgetter
 	stopped atomic.Bool
@@ -43,6 +44,7 @@
 		log:     cfg.Logger,
 		metrics: newMetrics(cfg.Registerer),
 		waiting: newWaitingRoom(cfg.Limits.Offered),
+		bodies:  newBodies(cfg.Limits.Bodies),
 		budget:  newRetryBudget(cfg.Timing.RetryRatio, cfg.Timing.RetryBurst),
 		forget:  newForgetter(cfg.Opener),
 	}
@@ -120,16 +122,24 @@
 		return
 	}
 	defer release()
+	held, refused := r.holdBody(e, req)
+	if refused != nil {
+		r.refuse(w, e, nil, refused)
+		return
+	}
+	defer held.release()
 	body, refused := r.readBody(w, req)
 	if refused != nil {
 		r.refuse(w, e, nil, refused)
 		return
 	}
+	held.shrink(int64(len(body)))
 	c, refused := check(e, req, body)
 	if refused != nil {
 		r.refuse(w, e, nil, refused)
 		return
 	}
+	c.held = held
 	if e.idx.quarantined(c.content.Fingerprint) {
 		r.refuse(w, e, c, refuse(request.ReasonQuarantined, "requests like it crashed targets"))
 		return
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -107,7 +107,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFixture(t, func(c *Config) {
-				c.Limits = Limits{Body: 2000, Header: 800, Prompt: 500, Offered: 10}
+				c.Limits = Limits{Body: 2000, Header: 800, Prompt: 500, Bodies: 8000, Offered: 10}
 			}, agent("a1", "north", "north-a"), shop("s1"))
 			f.fleet.set("a1", grantThen(answers("text/plain", "ok")...))
 			f.fleet.set("s1", grantThen(answers("text/plain", "ok")...))
