--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -202,6 +202,8 @@
 		{"home has no free slot", sends(queued(false)), true},
 		{"home refuses", sends(refusal(request.ReasonDraining)), true},
 		{"home is silent", sends(), true},
+		{"home answers another offer", sends(wrong(granted)), true},
+		{"home sends what does not belong there", sends(end(0)), true},
 		{"home is not reached", nil, true},
 		{"home runs the same request", sends(queued(true)), false},
 		{"home says that the queue is full", sends(refusal(request.ReasonQueueFull)), false},
@@ -221,6 +223,38 @@
 	}
 }
 
+// TestOneOfTwoGrantsIsTaken lets two agents grant one request: its body goes to
+// one of them, and the other learns that its grant is not used. Both have the
+// offer before either grants it.
+func TestOneOfTwoGrantsIsTaken(t *testing.T) {
+	for _, delay := range []time.Duration{time.Millisecond, time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, nil, agent("a1", "north", "north-a"), agent("a2", "north", "north-a"))
+			home, other := f.homeOf(chatBody)
+			unused := make(chan bool, 2)
+			grantAfter := func(delay time.Duration) script {
+				return func(ctx context.Context, s transport.Stream, first wire.Message) {
+					sendAll(ctx, s, firstAttempt(first), queued(false))
+					time.Sleep(delay)
+					sendAll(ctx, s, firstAttempt(first), granted)
+					if awaitRun(ctx, s) == nil {
+						unused <- true
+						return
+					}
+					sendAll(ctx, s, firstAttempt(first), accepted, later(head("text/plain")), chunk(0, "ok"), end(2))
+				}
+			}
+			f.fleet.set(home, grantAfter(delay))
+			f.fleet.set(other, grantAfter(time.Millisecond))
+			rec, _ := f.serve(post(pathCompletions, chatBody))
+			require.Equal(t, "ok", rec.Body.String())
+			require.Equal(t, 1, f.fleet.runCount())
+			require.True(t, <-unused)
+			require.NotEmpty(t, f.fleet.seen().withdrawn)
+		})
+	}
+}
+
 // TestHomeStreamStaysOpen checks that the home agent is told that its offer is
 // taken back, and sees its stream end only with the request.
 func TestHomeStreamStaysOpen(t *testing.T) {
--- a/internal/router/metrics.go
+++ b/internal/router/metrics.go
@@ -57,6 +57,7 @@
 	}
 	m.crossed = f.counter("crossed_messages_total", "Messages that belong to another attempt.").WithLabelValues()
 	m.duplicates = f.counter("duplicate_requests_total", "Requests that waited for a running one with the same content.").WithLabelValues()
+	m.showReasons()
 	for _, link := range placement.Links {
 		m.links[link] = linkMetrics{
 			offers:   m.offers.WithLabelValues(link.String()),
@@ -67,6 +68,20 @@
 	return m
 }
 
+// showReasons shows the counter of each refusal and retry reason before its
+// first event.
+func (m *metrics) showReasons() {
+	for reason := range kinds {
+		m.refusals.WithLabelValues(string(reason))
+		m.offerRefusals.WithLabelValues(string(reason))
+	}
+	for reason := range retryable {
+		for _, outcome := range []request.Outcome{request.OutcomeNotRun, request.OutcomeUnknown} {
+			m.retries.WithLabelValues(string(reason), outcome.String())
+		}
+	}
+}
+
 func (m *metrics) offered(l *leg) { m.links[l.link].offers.Inc() }
 
 func (m *metrics) offer(l *leg, result string) {
--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -12,10 +12,12 @@
 
 // progressed notes a message that fitted.
 func (y *relay) progressed(m wire.Message) {
-	y.resumes = 0
 	switch m.(type) {
 	case *wire.Head, *wire.Chunk:
 		y.misfits = 0
+		y.resumes = 0
+	case *wire.Accepted:
+		y.resumes = 0
 	}
 }
 
