--- /dev/null
+++ b/cmd/mastichollow-router/settings_test.go
@@ -0,0 +1,19 @@
+package main
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestSettingsNameEveryFault checks that all faults are named at once.
+func TestSettingsNameEveryFault(t *testing.T) {
+	s := settings{Listen: "router.example:80", FleetListen: "x", BodyLimit: -1, HeaderLimit: 1, PromptLimit: 1, Route: []string{"bad"}}
+	err := s.validate()
+	for _, fault := range []string{
+		"--id", "--domain", "--region", `--listen: "router.example:80"`, "--fleet-listen", "--admin", "--table-url", "--vms-url",
+		"--fleet-key", "--platform-timeout", "--route", "body limit", "deadline",
+	} {
+		require.ErrorContains(t, err, fault)
+	}
+}
--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -89,29 +90,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	seen := f.record
-	seen.offers = make(map[string][]*wire.Offer)
-	for addr, list := range f.record.offers {
-		seen.offers[addr] = slices.Clone(list)
-	}
+	seen.offers = maps.Clone(f.record.offers)
 	return seen
 }
 
 // runCount returns the number of requests handed over.
-func (f *fakeFleet) runCount() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.record.runs)
-}
+func (f *fakeFleet) runCount() int { return len(f.seen().runs) }
 
 // offerCount returns the number of offers sent.
 func (f *fakeFleet) offerCount() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 0
-	for _, list := range f.record.offers {
-		n += len(list)
-	}
-	return n
+	return len(slices.Concat(slices.Collect(maps.Values(f.seen().offers))...))
 }
 
 // recorder notes what an agent receives.
