--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
 	"github.com/mastichollow/mastichollow/internal/fleet"
@@ -327,35 +328,7 @@
 	return rec, false
 }
 
-// count returns the sum of a counter's samples whose labels hold want, given as
-// name and value in turn.
-func (f *fixture) count(name string, want ...string) float64 {
-	f.t.Helper()
-	families, err := f.reg.Gather()
-	require.NoError(f.t, err)
-	sum := 0.0
-	for _, family := range families {
-		if family.GetName() != "mastichollow_router_"+name {
-			continue
-		}
-		for _, m := range family.GetMetric() {
-			labels := make(map[string]string)
-			for _, l := range m.GetLabel() {
-				labels[l.GetName()] = l.GetValue()
-			}
-			if matches(labels, want) {
-				sum += m.GetCounter().GetValue()
-			}
-		}
-	}
-	return sum
-}
-
-func matches(labels map[string]string, want []string) bool {
-	for i := 0; i < len(want); i += 2 {
-		if labels[want[i]] != want[i+1] {
-			return false
-		}
-	}
-	return true
+// value returns the value of the counter with the labels.
+func value(c *prometheus.CounterVec, labels ...string) float64 {
+	return testutil.ToFloat64(c.WithLabelValues(labels...))
 }
--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -162,7 +162,7 @@
 				require.Len(t, f.fleet.seen().resumed, tt.resumes)
 				switch {
 				case aborted:
-					require.InDelta(t, 1, f.count("aborted_answers_total", "reason", string(tt.reason)), 0)
+					require.InDelta(t, 1, value(f.router.metrics.aborted, string(tt.reason)), 0)
 					requireBrokenOff(t, rec.Body.String(), tt.body, rec.Header().Get("Content-Type"))
 				case tt.reason != "":
 					p := decodeProblem(t, rec)
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -120,17 +120,17 @@
 				f.fleet.set("far", grantThen(answers("text/plain", "from afar")...))
 				began := time.Now()
 				rec, _ := f.serve(post(pathCompletions, chatBody, "X-Request-Timeout: 5"))
-				require.InDelta(t, 1, f.count("offers_total", "link", "region"), 0)
+				require.InDelta(t, 1, value(f.router.metrics.offers, "region"), 0)
 				if tt.after < 0 {
-					require.Zero(t, f.count("offers_total", "link", "cross_region"))
+					require.Zero(t, value(f.router.metrics.offers, "cross_region"))
 					return
 				}
 				require.Equal(t, "from afar", rec.Body.String())
 				require.GreaterOrEqual(t, time.Since(began), tt.after)
 				require.LessOrEqual(t, time.Since(began), tt.after+DefaultTiming().Widen)
-				require.InDelta(t, 1, f.count("offers_total", "link", "cross_region"), 0)
-				require.InDelta(t, len("from afar"), f.count("relayed_bytes_total", "link", "cross_region", "direction", "received"), 0)
-				require.InDelta(t, len(chatBody), f.count("relayed_bytes_total", "link", "cross_region", "direction", "sent"), 0)
+				require.InDelta(t, 1, value(f.router.metrics.offers, "cross_region"), 0)
+				require.InDelta(t, len("from afar"), value(f.router.metrics.bytes, "cross_region", "received"), 0)
+				require.InDelta(t, len(chatBody), value(f.router.metrics.bytes, "cross_region", "sent"), 0)
 			})
 		})
 	}
@@ -275,12 +275,12 @@
 		for second := range 4 {
 			time.Sleep(time.Second)
 			synctest.Wait()
-			require.InDelta(t, second+1, f.count("offers_total", "link", "cross_region"), 0)
+			require.InDelta(t, second+1, value(f.router.metrics.offers, "cross_region"), 0)
 		}
 		free := wire.PoolSums{Pool: testModel, Free: 2}
 		f.store.ApplyDigest(&wire.Digest{Domain: "south-a", Pools: []wire.PoolSums{free}})
 		<-done
-		require.InDelta(t, 6, f.count("offers_total", "link", "cross_region"), 0)
+		require.InDelta(t, 6, value(f.router.metrics.offers, "cross_region"), 0)
 	})
 }
 
@@ -306,7 +306,7 @@
 		synctest.Wait()
 		require.Len(t, codes, 7)
 		require.Equal(t, http.StatusServiceUnavailable, <-codes)
-		require.InDelta(t, 7, f.count("refusals_total", "reason", string(request.ReasonOverloaded)), 0)
+		require.InDelta(t, 7, value(f.router.metrics.refusals, string(request.ReasonOverloaded)), 0)
 		go f.serve(post(pathCompletions, body, "Authorization: Bearer "+otherKey))
 		synctest.Wait()
 		require.Equal(t, int64(4*size), f.bodiesInHand())
--- a/internal/router/retry_test.go
+++ b/internal/router/retry_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
 	"github.com/mastichollow/mastichollow/internal/request"
@@ -77,9 +78,9 @@
 				if retryable[reason] {
 					tries += float64(DefaultTiming().MaxRetries)
 				}
-				require.InDelta(t, tries, f.count("offer_refusals_total", "reason", string(reason)), 0)
-				require.InDelta(t, tries-1, f.count("retries_total", "reason", string(reason), "outcome", "not_run"), 0)
-				require.InDelta(t, 1, f.count("refusals_total", "reason", string(reason)), 0)
+				require.InDelta(t, tries, value(f.router.metrics.offerRefusals, string(reason)), 0)
+				require.InDelta(t, tries-1, value(f.router.metrics.retries, string(reason), "not_run"), 0)
+				require.InDelta(t, 1, value(f.router.metrics.refusals, string(reason)), 0)
 			})
 			synctest.Test(t, func(t *testing.T) {
 				f := newFixture(t, nil, agent("a1", "north", "north-a"))
@@ -91,7 +92,7 @@
 					tries += DefaultTiming().MaxRetries
 				}
 				require.Equal(t, tries, f.fleet.runCount())
-				require.InDelta(t, tries-1, f.count("retries_total", "reason", string(reason), "outcome", "unknown"), 0)
+				require.InDelta(t, tries-1, value(f.router.metrics.retries, string(reason), "unknown"), 0)
 			})
 		})
 	}
@@ -132,7 +133,7 @@
 		bound := requests + int(timing.RetryBurst+requests*timing.RetryRatio)
 		require.LessOrEqual(t, f.fleet.runCount(), bound)
 		require.Greater(t, f.fleet.runCount(), requests)
-		require.Positive(t, f.count("refusals_total", "reason", string(request.ReasonRetryBudget)))
+		require.Positive(t, value(f.router.metrics.refusals, string(request.ReasonRetryBudget)))
 	})
 }
 
@@ -258,3 +259,14 @@
 		require.Len(t, f.fleet.seen().offers[plan.Near[0].ID], 1)
 	})
 }
+
+// TestEveryReasonIsShown checks that the registry has the counter of each reason
+// before its first event.
+func TestEveryReasonIsShown(t *testing.T) {
+	f := newFixture(t, nil)
+	for name, want := range map[string]int{"refusals": len(kinds), "offer_refusals": len(kinds), "retries": 2 * len(retryable)} {
+		got, err := testutil.GatherAndCount(f.reg, "mastichollow_router_"+name+"_total")
+		require.NoError(t, err)
+		require.Equal(t, want, got, name)
+	}
+}
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -116,7 +116,7 @@
 			p := decodeProblem(t, rec)
 			require.Equal(t, problemPrefix+string(tt.reason), p.Type)
 			require.Zero(t, f.fleet.offerCount())
-			require.InDelta(t, 1, f.count("refusals_total", "reason", string(tt.reason)), 0)
+			require.InDelta(t, 1, value(f.router.metrics.refusals, string(tt.reason)), 0)
 		})
 	}
 }
