--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"testing"
 	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -36,6 +37,15 @@
 	return func(request.AttemptID) wire.Message { return m("another-attempt") }
 }
 
+// later returns a maker that sends m after a time that is shorter than the one
+// after which a stream counts as silent.
+func later(m maker) maker {
+	return func(id request.AttemptID) wire.Message {
+		time.Sleep(DefaultTiming().Progress * 9 / 10)
+		return m(id)
+	}
+}
+
 func granted(id request.AttemptID) wire.Message { return &wire.Grant{Attempt: id} }
 
 const order = "/services/shop-api/orders"
@@ -60,38 +70,23 @@
 		{name: "granted twice", streams: []script{grantThen(append([]maker{granted}, whole...)...)}, body: "abcdef", runs: 1},
 		{
 			name: "chunk lost", runs: 1, resumes: 1, body: "abcdef",
-			streams: []script{
-				grantThen(accepted, head("text/plain"), chunk(0, "ab"), chunk(4, "ef"), end(6)),
-				sends(accepted, chunk(2, "cdef"), end(6)),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), chunk(0, "ab"), chunk(4, "ef"), end(6)), sends(accepted, chunk(2, "cdef"), end(6))},
 		},
 		{
 			name: "chunk repeated", runs: 1, resumes: 1, body: "abcdef",
-			streams: []script{
-				grantThen(accepted, head("text/plain"), chunk(0, "abc"), chunk(0, "abc")),
-				sends(chunk(3, "def"), end(6)),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), chunk(0, "abc"), chunk(0, "abc")), sends(chunk(3, "def"), end(6))},
 		},
 		{
 			name: "crossed with another attempt", runs: 1, resumes: 1, body: "abcdef",
-			streams: []script{
-				grantThen(accepted, head("text/plain"), chunk(0, "ab"), wrong(chunk(2, "XX"))),
-				sends(chunk(2, "cdef"), end(6)),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), chunk(0, "ab"), wrong(chunk(2, "XX"))), sends(chunk(2, "cdef"), end(6))},
 		},
 		{
 			name: "end of another attempt", runs: 1, resumes: 1, body: "abcdef",
-			streams: []script{
-				grantThen(accepted, head("text/plain"), chunk(0, "ab"), wrong(end(2))),
-				sends(chunk(2, "cdef"), end(6)),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), chunk(0, "ab"), wrong(end(2))), sends(chunk(2, "cdef"), end(6))},
 		},
 		{
 			name: "end too early", runs: 1, resumes: 1, body: "abcdef",
-			streams: []script{
-				grantThen(accepted, head("text/plain"), chunk(0, "ab"), end(6)),
-				sends(chunk(2, "cdef"), end(6)),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), chunk(0, "ab"), end(6)), sends(chunk(2, "cdef"), end(6))},
 		},
 		{
 			name: "cut before the head", runs: 1, resumes: 1, body: "abcdef",
@@ -99,71 +94,43 @@
 		},
 		{
 			name: "cut in the middle", runs: 1, resumes: 1, body: "abcdef",
-			streams: []script{
-				grantThen(accepted, head("text/plain"), chunk(0, "abc"), lost),
-				sends(accepted, chunk(3, "def"), end(6)),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), chunk(0, "abc"), lost), sends(accepted, chunk(3, "def"), end(6))},
 		},
 		{
 			name: "silent in the middle", runs: 1, resumes: 1, body: "abcdef",
-			streams: []script{
-				grantThen(accepted, head("text/plain"), chunk(0, "abc")),
-				sends(accepted, chunk(3, "def"), end(6)),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), chunk(0, "abc")), sends(accepted, chunk(3, "def"), end(6))},
 		},
 		{
-			name: "slow, but alive", runs: 1, resumes: 2, body: "abcdef",
-			streams: []script{
-				grantThen(accepted),
-				sends(accepted),
-				sends(append([]maker{accepted}, whole[1:]...)...),
-			},
+			name: "silent, but answers anew", runs: 1, resumes: 2, body: "abcdef",
+			streams: []script{grantThen(accepted), sends(accepted), sends(append([]maker{accepted}, whole[1:]...)...)},
+		},
+		{
+			name: "slow, but alive", runs: 1, body: "abcdef",
+			streams: []script{grantThen(accepted, later(accepted), later(accepted), later(whole[1]), whole[2], whole[3])},
 		},
 		{
 			name: "never fits", runs: 1, resumes: 4, once: true, reason: request.ReasonAnswerInvalid,
-			streams: []script{
-				grantThen(accepted, head("text/plain"), end(6)),
-				sends(accepted, end(6)),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), end(6)), sends(accepted, end(6))},
 		},
 		{
 			name: "killed after Run, repeatable", runs: 2, resumes: 1, body: "abcdef",
-			streams: []script{
-				grantThen(accepted, lost),
-				sends(fail(request.OutcomeUnknown, request.ReasonUnknownAttempt)),
-				grantThen(whole...),
-			},
+			streams: []script{grantThen(accepted, lost), sends(fail(request.OutcomeUnknown, request.ReasonUnknownAttempt)), grantThen(whole...)},
 		},
 		{
-			name: "killed after Run, not repeatable", runs: 1, resumes: 1, once: true,
-			reason: request.ReasonUnknownAttempt,
-			streams: []script{
-				grantThen(accepted, lost),
-				sends(fail(request.OutcomeUnknown, request.ReasonUnknownAttempt)),
-				grantThen(whole...),
-			},
+			name: "killed after Run, not repeatable", runs: 1, resumes: 1, once: true, reason: request.ReasonUnknownAttempt,
+			streams: []script{grantThen(accepted, lost), sends(fail(request.OutcomeUnknown, request.ReasonUnknownAttempt)), grantThen(whole...)},
 		},
 		{
 			name: "Run lost on the way, not repeatable", runs: 2, resumes: 1, once: true, body: "abcdef",
-			streams: []script{
-				grantThen(lost),
-				sends(fail(request.OutcomeNotRun, request.ReasonUnknownAttempt)),
-				grantThen(whole...),
-			},
+			streams: []script{grantThen(lost), sends(fail(request.OutcomeNotRun, request.ReasonUnknownAttempt)), grantThen(whole...)},
 		},
 		{
 			name: "crashed after the first byte", runs: 1, aborted: true, body: "abc", reason: request.ReasonTargetCrashed,
-			streams: []script{
-				grantThen(accepted, head("text/plain"), chunk(0, "abc"), fail(request.OutcomeUnknown, request.ReasonTargetCrashed)),
-				grantThen(whole...),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), chunk(0, "abc"), fail(request.OutcomeUnknown, request.ReasonTargetCrashed)), grantThen(whole...)},
 		},
 		{
 			name: "agent says not run after the head", runs: 1, once: true, reason: request.ReasonTargetFailed,
-			streams: []script{
-				grantThen(accepted, head("text/plain"), fail(request.OutcomeNotRun, request.ReasonTargetFailed)),
-				grantThen(whole...),
-			},
+			streams: []script{grantThen(accepted, head("text/plain"), fail(request.OutcomeNotRun, request.ReasonTargetFailed)), grantThen(whole...)},
 		},
 		{
 			name: "claim cannot be made", runs: 1, once: true, notRun: true, reason: request.ReasonClaimUnavailable,
@@ -174,12 +141,8 @@
 			streams: []script{grantThen(accepted, fail(request.OutcomeNotRun, request.ReasonInProgress))},
 		},
 		{
-			name: "events cut for good", runs: 1, aborted: true, resumes: 1, reason: request.ReasonUnknownAttempt,
-			body: "data: a\n\n",
-			streams: []script{
-				grantThen(accepted, head(events), chunk(0, "data: a\n\n"), lost),
-				sends(fail(request.OutcomeUnknown, request.ReasonUnknownAttempt)),
-			},
+			name: "events cut for good", runs: 1, aborted: true, resumes: 1, reason: request.ReasonUnknownAttempt, body: "data: a\n\n",
+			streams: []script{grantThen(accepted, head(events), chunk(0, "data: a\n\n"), lost), sends(fail(request.OutcomeUnknown, request.ReasonUnknownAttempt))},
 		},
 	}
 	for _, tt := range tests {
@@ -199,7 +162,7 @@
 				require.Len(t, f.fleet.seen().resumed, tt.resumes)
 				switch {
 				case aborted:
-					require.InDelta(t, 1, f.count("aborted_answers_total", "reason", string(tt.reason)), 0)
+					require.InDelta(t, 1, value(f.router.metrics.aborted, string(tt.reason)), 0)
 					requireBrokenOff(t, rec.Body.String(), tt.body, rec.Header().Get("Content-Type"))
 				case tt.reason != "":
 					p := decodeProblem(t, rec)
@@ -239,6 +202,8 @@
 		{"home has no free slot", sends(queued(false)), true},
 		{"home refuses", sends(refusal(request.ReasonDraining)), true},
 		{"home is silent", sends(), true},
+		{"home answers another offer", sends(wrong(granted)), true},
+		{"home sends what does not belong there", sends(end(0)), true},
 		{"home is not reached", nil, true},
 		{"home runs the same request", sends(queued(true)), false},
 		{"home says that the queue is full", sends(refusal(request.ReasonQueueFull)), false},
@@ -258,6 +223,38 @@
 	}
 }
 
+// TestOneOfTwoGrantsIsTaken lets two agents grant one request: its body goes to
+// one of them, and the other learns that its grant is not used. Both have the
+// offer before either grants it.
+func TestOneOfTwoGrantsIsTaken(t *testing.T) {
+	for _, delay := range []time.Duration{time.Millisecond, time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			f := newFixture(t, nil, agent("a1", "north", "north-a"), agent("a2", "north", "north-a"))
+			home, other := f.homeOf(chatBody)
+			unused := make(chan bool, 2)
+			grantAfter := func(delay time.Duration) script {
+				return func(ctx context.Context, s transport.Stream, first wire.Message) {
+					sendAll(ctx, s, firstAttempt(first), queued(false))
+					time.Sleep(delay)
+					sendAll(ctx, s, firstAttempt(first), granted)
+					if awaitRun(ctx, s) == nil {
+						unused <- true
+						return
+					}
+					sendAll(ctx, s, firstAttempt(first), accepted, later(head("text/plain")), chunk(0, "ok"), end(2))
+				}
+			}
+			f.fleet.set(home, grantAfter(delay))
+			f.fleet.set(other, grantAfter(time.Millisecond))
+			rec, _ := f.serve(post(pathCompletions, chatBody))
+			require.Equal(t, "ok", rec.Body.String())
+			require.Equal(t, 1, f.fleet.runCount())
+			require.True(t, <-unused)
+			require.NotEmpty(t, f.fleet.seen().withdrawn)
+		})
+	}
+}
+
 // TestHomeStreamStaysOpen checks that the home agent is told that its offer is
 // taken back, and sees its stream end only with the request.
 func TestHomeStreamStaysOpen(t *testing.T) {
@@ -298,11 +295,16 @@
 
 // planOf returns the order of agents for a completion.
 func (f *fixture) planOf(body string) placement.Plan {
+	return newBinding(newExecution(f.router, f.callOf(body), nil)).plan()
+}
+
+// callOf returns the call of a completion.
+func (f *fixture) callOf(body string) *call {
 	f.t.Helper()
 	req := post(pathCompletions, body)
-	e, refused := f.router.checkEnvelope("id", req)
+	e, refused := f.router.checkEnvelope(request.NewID(), req)
 	require.Nil(f.t, refused)
 	c, refused := f.router.completionCall(e, req, []byte(body))
 	require.Nil(f.t, refused)
-	return newBinding(newExecution(f.router, c, nil)).plan()
+	return c
 }
