--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 export CGO_ENABLED = 1
 
-.PHONY: build demo up down test guarantees lint format
+.PHONY: build demo up down test guarantees mutants bench lint format
 
 build: ## Build the programs into bin/.
 	$(GO) build -ldflags "$(LDFLAGS)" -o bin/ ./cmd/...
@@ -34,3 +34,9 @@
 
 guarantees: ## Run the tests behind docs/GUARANTEES.md, a line for each promise.
 	GO=$(GO) scripts/guarantees.sh
+
+mutants: ## Break a copy of the code on purpose and see the proofs fail.
+	GO=$(GO) scripts/mutants.sh
+
+bench: build ## Print the measures of each policy at each size, the same on each run.
+	bin/mastichollow-bench
