--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/mastichollow/mastichollow/internal/claim"
 	"github.com/mastichollow/mastichollow/internal/engine"
@@ -24,10 +25,22 @@
 	}
 	a.settle(at, end)
 	a.metrics.ended(end)
+	a.logEnd(at, end)
 	a.attempts.finish(at)
 	at.out.finish(end.message(at.offer.Attempt, a.retryAfter(at, end)))
 }
 
+// logEnd logs how at ended.
+func (a *Agent) logEnd(at *attempt, end ending) {
+	level := hclog.Debug
+	if end.outcome != request.OutcomeCompleted {
+		level = hclog.Info
+	}
+	a.log.Log(level, "attempt ended",
+		"request", at.offer.Request, "attempt", at.offer.Attempt, "workspace", at.offer.Workspace,
+		"outcome", end.outcome, "reason", end.reason, "detail", end.detail, "service", end.service)
+}
+
 // retryAfter returns when the caller should come back after end.
 func (a *Agent) retryAfter(at *attempt, end ending) time.Duration {
 	if end.outcome != request.OutcomeNotRun {
