--- a/cmd/mastichollow-standin/main.go
+++ b/cmd/mastichollow-standin/main.go
@@ -20,7 +20,7 @@
 	Engine   engineCommand    `cmd:"" help:"Run a model engine."`
 	Service  serviceCommand   `cmd:"" help:"Run a plain service."`
 	Load     loadCommand      `cmd:"" help:"Send a load to a router or an engine on a loopback address and print a report as JSON."`
-	Version  kong.VersionFlag `help:"Print the version and exit."`
+	Version  kong.VersionFlag `help:"Print the version and exit." env:"-"`
 
 	process.LogSettings `embed:"" prefix:"log-"`
 }
--- a/cmd/mastichollow-standin/main_test.go
+++ b/cmd/mastichollow-standin/main_test.go
@@ -109,3 +109,10 @@
 		}
 	}
 }
+
+func TestVersionFlagIsNoSetting(t *testing.T) {
+	out, err := command(t.Context(), "--help").CombinedOutput()
+	require.NoError(t, err)
+	require.Contains(t, string(out), "--version")
+	require.NotContains(t, string(out), "MASTICHOLLOW_STANDIN_VERSION")
+}
