--- a/internal/experiment/agent.go
+++ b/internal/experiment/agent.go
@@ -37,6 +37,7 @@
 	leaving bool
 	reports uint64
 	homes   map[workspace.RowID]int
+	told    map[workspace.RowID]wire.Sum // as last reported
 }
 
 // offer is a request that waits at one agent.
@@ -53,6 +54,7 @@
 		ledger: fairness.NewLedgerWith(settings),
 		offers: make(map[request.AttemptID]*offer),
 		homes:  make(map[workspace.RowID]int),
+		told:   make(map[workspace.RowID]wire.Sum),
 	}
 	a.queue = fairness.NewQueue(a.ledger)
 	a.ledger.SetWeights(w.weights())
@@ -258,17 +260,34 @@
 	return list
 }
 
-// report sends the sums to the relay.
+// report sends the sums to the relay. On the wire are those that have changed;
+// the relay is given all, as it would know them from the reports before.
 func (a *agent) report() {
 	a.reports++
+	sums := a.sums()
 	r := &wire.Report{
 		Member: a.vm.ID, Incarnation: 1, Sequence: a.reports, Confirmed: 1,
-		Pools: []wire.PoolSums{a.sums()},
+		Pools: []wire.PoolSums{sums},
 	}
-	a.w.meter.sent(r, a.region, a.region)
+	sent := *r
+	sent.Pools = []wire.PoolSums{a.changed(sums)}
+	a.w.meter.sent(&sent, a.region, a.region)
 	a.w.net.control(a.region, a.region, func() { a.w.relays[a.region].take(r) })
 }
 
+// changed returns sums without the rows that are as they were reported last.
+func (a *agent) changed(sums wire.PoolSums) wire.PoolSums {
+	all := sums.Sums
+	sums.Sums = nil
+	for _, s := range all {
+		if a.told[s.Workspace] != s {
+			a.told[s.Workspace] = s
+			sums.Sums = append(sums.Sums, s)
+		}
+	}
+	return sums
+}
+
 func (a *agent) sums() wire.PoolSums {
 	p := wire.PoolSums{Pool: pool, Free: uint32(max(a.slots()-a.occupied(), 0)), Queued: uint32(a.queue.Len())}
 	figures := make(map[workspace.RowID]wire.Sum)
