--- a/internal/router/binding.go
+++ b/internal/router/binding.go
@@ -204,11 +204,9 @@
 // withdrawHome takes the offer to the home agent back, as soon as its stream is
 // open.
 func (b *binding) withdrawHome(l *leg) {
-	if !l.isOpen || l.withdrawn {
-		return
+	if l.isOpen {
+		l.withdraw()
 	}
-	l.withdrawn = true
-	l.withdraw()
 }
 
 // exhausted returns the refusal of a round in which no agent is left to ask.
--- a/internal/router/execution.go
+++ b/internal/router/execution.go
@@ -74,7 +74,12 @@
 	if refused != nil {
 		return refused
 	}
-	return newRelay(x, b, winner).run(ctx)
+	y := newRelay(x, b, winner)
+	refused = y.run(ctx)
+	if b.home != nil && b.home != winner {
+		b.home.parting.Store(y.parting(b.home.attempt))
+	}
+	return refused
 }
 
 // dropBody frees the request's body once no retry can need it any more: a long
--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -47,8 +47,9 @@
 type record struct {
 	offers    map[string][]*wire.Offer // by address
 	runs      []*wire.Run
-	withdrawn []request.AttemptID
+	withdrawn []*wire.Withdraw
 	resumed   []*wire.Resume
+	vouched   []*wire.End
 	forgotten []string
 }
 
@@ -121,7 +122,9 @@
 	case *wire.Run:
 		seen.runs = append(seen.runs, m)
 	case *wire.Withdraw:
-		seen.withdrawn = append(seen.withdrawn, m.Attempt)
+		seen.withdrawn = append(seen.withdrawn, m)
+	case *wire.End:
+		seen.vouched = append(seen.vouched, m)
 	case *wire.Resume:
 		seen.resumed = append(seen.resumed, m)
 	}
@@ -226,6 +229,11 @@
 	}
 }
 
+// crash fails an attempt whose target crashed.
+func crash(id request.AttemptID) wire.Message {
+	return &wire.Fail{Attempt: id, Reason: request.ReasonTargetCrashed, Suspect: true}
+}
+
 func refusal(reason request.Reason) maker {
 	return func(id request.AttemptID) wire.Message { return &wire.Refuse{Attempt: id, Reason: reason} }
 }
--- a/internal/router/faults_test.go
+++ b/internal/router/faults_test.go
@@ -256,34 +256,49 @@
 }
 
 // TestHomeStreamStaysOpen checks that the home agent is told that its offer is
-// taken back, and sees its stream end only with the request.
+// taken back, sees its stream end only with the request, and is told if the
+// answer was whole or the target crashed.
 func TestHomeStreamStaysOpen(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		f := newFixture(t, nil, agent("a1", "north", "north-a"), agent("a2", "north", "north-a"))
-		home, other := f.homeOf(chatBody)
-		homeEnded, release := make(chan struct{}), make(chan struct{})
-		f.fleet.set(home, func(ctx context.Context, s transport.Stream, first wire.Message) {
-			sendAll(ctx, s, firstAttempt(first), queued(false))
-			drain(ctx, s)
-			close(homeEnded)
-		})
-		f.fleet.set(other, func(ctx context.Context, s transport.Stream, first wire.Message) {
-			grantThen(func(id request.AttemptID) wire.Message {
+	for _, last := range []maker{end(2), fail(request.OutcomeUnknown, request.ReasonTargetFailed), crash} {
+		synctest.Test(t, func(t *testing.T) {
+			once := withTiming(func(t *Timing) { t.MaxRetries = 0 })
+			f := newFixture(t, once, agent("a1", "north", "north-a"), agent("a2", "north", "north-a"))
+			home, other := f.homeOf(chatBody)
+			homeEnded, release := make(chan struct{}), make(chan struct{})
+			f.fleet.set(home, func(ctx context.Context, s transport.Stream, first wire.Message) {
+				sendAll(ctx, s, firstAttempt(first), queued(false))
+				drain(ctx, s)
+				close(homeEnded)
+			})
+			f.fleet.set(other, grantThen(accepted, head("text/plain"), chunk(0, "ok"), func(id request.AttemptID) wire.Message {
 				<-release
-				return accepted(id)
-			}, head("text/plain"), end(0))(ctx, s, first)
+				return last(id)
+			}))
+			go f.serve(post(pathCompletions, chatBody))
+			synctest.Wait()
+			seen := f.fleet.seen()
+			id := seen.offers[home][0].Attempt
+			want := record{withdrawn: []*wire.Withdraw{{Attempt: id}}}
+			require.Equal(t, want.withdrawn, seen.withdrawn)
+			select {
+			case <-homeEnded:
+				t.Fatal("the home agent's stream ended before the request")
+			default:
+			}
+			close(release)
+			<-homeEnded
+			switch m := last("").(type) {
+			case *wire.End:
+				want.vouched = []*wire.End{{Attempt: id, Total: 2}}
+			case *wire.Fail:
+				if m.Suspect {
+					want.withdrawn = append(want.withdrawn, &wire.Withdraw{Attempt: id, Suspect: true})
+				}
+			}
+			require.Equal(t, want.withdrawn, f.fleet.seen().withdrawn)
+			require.Equal(t, want.vouched, f.fleet.seen().vouched)
 		})
-		go f.serve(post(pathCompletions, chatBody))
-		synctest.Wait()
-		require.Len(t, f.fleet.seen().withdrawn, 1)
-		select {
-		case <-homeEnded:
-			t.Fatal("the home agent's stream ended before the request")
-		default:
-		}
-		close(release)
-		<-homeEnded
-	})
+	}
 }
 
 // homeOf returns the home agent of a completion among two agents, and the other
--- a/internal/router/leg.go
+++ b/internal/router/leg.go
@@ -35,13 +35,15 @@
 	ended  bool       // no more is sent; guarded by sendMu
 	cancel context.CancelFunc
 	// quiet keeps the agent from being told when the leg is given up.
-	quiet atomic.Bool
+	quiet     atomic.Bool
+	withdrawn atomic.Bool
+	// parting, if any, is sent before the stream closes.
+	parting atomic.Pointer[wire.Message]
 
 	// Fields of the request's goroutine.
-	round     int
-	isOpen    bool
-	closed    bool // its attempt is settled; later events mean nothing
-	withdrawn bool
+	round  int
+	isOpen bool
+	closed bool // its attempt is settled; later events mean nothing
 }
 
 // send sends m to the agent.
@@ -54,8 +56,11 @@
 	return l.stream.Send(ctx, m)
 }
 
-// withdraw takes the leg's attempt back.
+// withdraw takes the leg's attempt back, once.
 func (l *leg) withdraw() {
+	if !l.withdrawn.CompareAndSwap(false, true) {
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
 	defer cancel()
 	_ = l.send(ctx, &wire.Withdraw{Attempt: l.attempt})
@@ -70,6 +75,17 @@
 	_ = l.stream.CloseSend()
 }
 
+// part sends the parting message.
+func (l *leg) part() {
+	m := l.parting.Load()
+	if m == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), withdrawTimeout)
+	defer cancel()
+	_ = l.send(ctx, *m)
+}
+
 // abandon closes the stream and leaves the attempt as it is.
 func (l *leg) abandon() {
 	l.quiet.Store(true)
@@ -116,6 +132,7 @@
 	if !over {
 		l.withdraw()
 	}
+	l.part()
 	l.endSending()
 }
 
--- a/internal/router/relay.go
+++ b/internal/router/relay.go
@@ -19,6 +19,8 @@
 	leg     *leg
 	resumes int // since the last message that fitted
 	misfits int // messages that did not fit since the answer last grew
+	whole   bool
+	crashed bool // the target crashed while the attempt ran
 }
 
 func newRelay(x *execution, b *binding, winner *leg) *relay {
@@ -124,7 +126,8 @@
 		return false, nil, err
 	case *wire.End:
 		err := ans.end(m)
-		return err == nil, nil, err
+		y.whole = err == nil
+		return y.whole, nil, err
 	case *wire.Refuse:
 		return false, y.failed(refusalOf(m), false), nil
 	case *wire.Fail:
@@ -140,11 +143,27 @@
 	if y.x.ans.head != nil || refused.Outcome == request.OutcomeCompleted {
 		refused.Outcome = request.OutcomeUnknown
 	}
+	y.crashed = suspect
 	y.x.suspect = y.x.suspect || suspect
 	y.x.markFailed(y.leg.agent.ID)
 	return refused
 }
 
+// parting returns what the home agent has to know of an attempt that ran
+// elsewhere: that it ended with a whole answer, or that it ran at a crash.
+func (y *relay) parting(home request.AttemptID) *wire.Message {
+	var m wire.Message
+	switch {
+	case y.whole:
+		m = &wire.End{Attempt: home, Total: y.x.ans.offset}
+	case y.crashed:
+		m = &wire.Withdraw{Attempt: home, Suspect: true}
+	default:
+		return nil
+	}
+	return &m
+}
+
 // failureOf translates an agent's Fail.
 func failureOf(m *wire.Fail) *request.RefusedError {
 	return &request.RefusedError{
--- a/internal/router/retry_test.go
+++ b/internal/router/retry_test.go
@@ -201,9 +201,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		f := newFixture(t, nil, agent("a1", "north", "north-a"))
 		f.fleet.set("a1", inTurn(
-			grantThen(accepted, func(id request.AttemptID) wire.Message {
-				return &wire.Fail{Attempt: id, Reason: request.ReasonTargetCrashed, Suspect: true}
-			}),
+			grantThen(accepted, crash),
 			grantThen(answers("text/plain", "ok")...),
 		))
 		rec, _ := f.serve(post(pathCompletions, chatBody))
--- a/internal/wire/messages.go
+++ b/internal/wire/messages.go
@@ -157,6 +157,10 @@
 }
 
 // End ends an answer. Without it an answer is not whole.
+//
+// On the stream of a home offer that it has withdrawn, the router sends End when
+// the request ended with a whole answer elsewhere: the fingerprint did not crash
+// its target.
 type End struct {
 	Attempt request.AttemptID `cbor:"1,keyasint"`
 	Total   uint64            `cbor:"2,keyasint"` // bytes of the body
