--- a/cmd/mastichollow-demo/main.go
+++ b/cmd/mastichollow-demo/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"time"
 
@@ -31,6 +32,7 @@
 	LettersKey string           `help:"API key of the workspace that writes letters." default:"demo-letters"`
 	ShopKey    string           `help:"API key of the workspace of the shop." default:"demo-shop"`
 	Drain      string           `help:"VM ID of the agent beside the first engine." default:"letters-1"`
+	Shares     bool             `help:"Measure how two backlogged workspaces share the fleet of scripts/shares.sh, beside the model."`
 	Version    kong.VersionFlag `help:"Print the version and exit."`
 }
 
@@ -51,9 +53,20 @@
 		},
 	})
 	ctx, stop := process.SignalContext()
+	if cl.Shares {
+		defer stop()
+		printShares(d.Shares(ctx))
+		return
+	}
 	checks := d.Run(ctx)
 	stop()
 	if !demo.Print(os.Stdout, checks) {
 		os.Exit(1)
 	}
 }
+
+func printShares(programs, model demo.Measured) {
+	fmt.Printf("%-10s %18s %12s\n", "", "fairness gap, s", "utilisation")
+	fmt.Printf("%-10s %18.2f %12.3f\n", "programs", programs.Gap, programs.Utilisation)
+	fmt.Printf("%-10s %18.2f %12.3f\n", "model", model.Gap, model.Utilisation)
+}
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -6,7 +6,9 @@
 #   scripts/fleet.sh up DIR      start; state and logs go to DIR
 #   scripts/fleet.sh down DIR    stop the processes that up started, by ID
 #
-# MASTICHOLLOW_BASE_PORT is the first of about 60 ports (default 27100).
+# MASTICHOLLOW_BASE_PORT is the first of about 60 ports (default 27100);
+# MASTICHOLLOW_ENGINE_ARGS and MASTICHOLLOW_AGENT_ARGS are further arguments of
+# the engines and of the letter agents.
 set -euo pipefail
 
 readonly action=${1:?up or down} dir=${2:?directory}
@@ -59,7 +61,7 @@
 # start_agent ID DOMAIN POOL KIND TARGET LISTEN ADMIN
 start_agent() {
   start "$1" mastichollow-agent --id "$1" --domain "d$2" --region "r$2" --pool "$3" --kind "$4" \
-    --target-url "http://$5" --listen "$6" --admin "$7" --slots 4
+    --target-url "http://$5" --listen "$6" --admin "$7" --slots 4 "${@:8}"
 }
 
 up() {
@@ -77,13 +79,15 @@
 
   start platform mastichollow-standin platform --listen "$(addr 0)" --admin-listen "$(addr 1)" --vms "$dir/vms.json"
   for d in 1 2 3; do
-    start "engine-$d" mastichollow-standin engine --listen "$(addr $((2 + d)))" --admin-listen "$(addr $((6 + d)))"
+    start "engine-$d" mastichollow-standin engine --listen "$(addr $((2 + d)))" --admin-listen "$(addr $((6 + d)))" \
+      ${MASTICHOLLOW_ENGINE_ARGS:-}
   done
   start service mastichollow-standin service --listen "$(addr 10)" --admin-listen "$(addr 14)"
   wait_for "http://$(addr 0)/vms"
   "$bin/mastichollowctl" table apply --against 0 "$root/examples/workspaces.csv" >"$dir/apply.out"
   for d in 1 2 3; do
-    start_agent "letters-$d" "$d" letter-writer model "$(addr $((2 + d)))" "$(addr $((30 + d)))" "$(addr $((50 + d)))"
+    start_agent "letters-$d" "$d" letter-writer model "$(addr $((2 + d)))" "$(addr $((30 + d)))" "$(addr $((50 + d)))" \
+      ${MASTICHOLLOW_AGENT_ARGS:-}
     start_agent "shop-$d" "$d" shop-api service "$(addr 10)" "$(addr $((40 + d)))" "$(addr $((53 + d)))"
     start "router-$d" mastichollow-router --id "router-$d" --domain "d$d" --region "r$d" \
       --listen "$(addr $((16 + d)))" --fleet-listen "$(addr $((20 + d)))" --admin "$(addr $((56 + d)))"
