--- a/internal/agent/crash.go
+++ b/internal/agent/crash.go
@@ -5,6 +5,8 @@
 	"sync"
 	"time"
 
+	"github.com/google/uuid"
+
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/suspect"
 	"github.com/mastichollow/mastichollow/internal/wire"
@@ -132,6 +134,7 @@
 	for _, p := range prints {
 		a.suspects.put(p, false) // before any slot falls free
 	}
+	accusation := uuid.NewString()
 	a.background.Go(func() {
 		defer close(c.accused)
 		if a.cfg.Suspects == nil {
@@ -139,18 +142,17 @@
 		}
 		var calls sync.WaitGroup
 		for _, p := range prints {
-			calls.Go(func() { a.accuseOne(p) })
+			calls.Go(func() { a.accuseOne(p, accusation) })
 		}
 		calls.Wait()
 	})
 }
 
-// accuseOne accuses one fingerprint. Each has a call of its own, since an
-// accusation that is repeated counts as a second crash.
-func (a *Agent) accuseOne(p suspect.Fingerprint) {
+// accuseOne accuses one fingerprint.
+func (a *Agent) accuseOne(p suspect.Fingerprint, accusation string) {
 	a.persist("accuse", func(ctx context.Context) error {
 		a.suspects.put(p, false)
-		return a.cfg.Suspects.Accuse(ctx, []suspect.Fingerprint{p})
+		return a.cfg.Suspects.Accuse(ctx, p, accusation)
 	})
 }
 
--- a/internal/suspect/suspect.go
+++ b/internal/suspect/suspect.go
@@ -32,8 +32,9 @@
 
 // Registry keeps the suspects of the fleet.
 type Registry interface {
-	// Accuse records that the fingerprints ran at a crash of a target.
-	Accuse(ctx context.Context, fingerprints []Fingerprint) error
+	// Accuse records that the fingerprint ran at a crash of a target. The
+	// accusation names the crash: one that is repeated counts once.
+	Accuse(ctx context.Context, f Fingerprint, accusation string) error
 	// Try opens a trial: on nil the caller, and no one else, may run the
 	// suspect alone as attempt.
 	Try(ctx context.Context, f Fingerprint, attempt request.AttemptID) error
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -38,6 +38,8 @@
 	State   state             `cbor:"1,keyasint"`
 	Attempt request.AttemptID `cbor:"2,keyasint,omitempty"` // on trial
 	Since   int64             `cbor:"3,keyasint"`           // Unix seconds
+	// Accusation is the last one that counted.
+	Accusation string `cbor:"4,keyasint,omitempty"`
 }
 
 // quarantined reports whether the fingerprint may not run any more at now.
@@ -74,20 +76,23 @@
 	return r
 }
 
-// Accuse implements Registry. A fingerprint that is accused again ran at two
+// Accuse implements Registry. A fingerprint with a second accusation ran at two
 // crashes and is quarantined.
-func (r *TableRegistry) Accuse(ctx context.Context, fingerprints []Fingerprint) error {
-	var failed error
-	for _, f := range fingerprints {
-		err := r.change(ctx, f, "accused", func(old *record) (*record, error) {
-			if old == nil {
-				return &record{State: stateSuspect}, nil
-			}
-			return &record{State: stateQuarantined}, nil
-		})
-		failed = errors.CombineErrors(failed, err)
+func (r *TableRegistry) Accuse(ctx context.Context, f Fingerprint, accusation string) error {
+	err := r.change(ctx, f, "accused", func(old *record) (*record, error) {
+		switch {
+		case old == nil:
+			return &record{State: stateSuspect, Accusation: accusation}, nil
+		case old.Accusation == accusation:
+			return nil, errNothing
+		default:
+			return &record{State: stateQuarantined, Accusation: accusation}, nil
+		}
+	})
+	if errors.Is(err, errNothing) {
+		return nil
 	}
-	return failed
+	return err
 }
 
 // Try implements Registry.
@@ -189,6 +194,9 @@
 		if err != nil {
 			return err
 		}
+		if wanted != nil && wanted.Accusation == "" && old != nil {
+			wanted.Accusation = old.Accusation
+		}
 		last = r.write(ctx, key, wanted, version)
 		if last == nil {
 			r.changes.WithLabelValues(kind).Inc()
--- a/internal/suspect/table_test.go
+++ b/internal/suspect/table_test.go
@@ -24,7 +24,8 @@
 		do   func(*TableRegistry) error
 		want error
 	}
-	accuse := func(r *TableRegistry) error { return r.Accuse(context.Background(), []Fingerprint{print1}) }
+	accuse := func(r *TableRegistry) error { return r.Accuse(context.Background(), print1, "crash 1") }
+	again := func(r *TableRegistry) error { return r.Accuse(context.Background(), print1, "crash 2") }
 	try := func(a request.AttemptID) func(*TableRegistry) error {
 		return func(r *TableRegistry) error { return r.Try(context.Background(), print1, a) }
 	}
@@ -41,7 +42,9 @@
 		"acquitted":                         {{accuse, nil}, {try("a"), nil}, {acquit, nil}, {try("b"), nil}},
 		"convicted":                         {{accuse, nil}, {try("a"), nil}, {convict, nil}, {try("b"), ErrQuarantined}},
 		"abandoned":                         {{accuse, nil}, {try("a"), nil}, {abandon, nil}, {try("b"), nil}},
-		"two crashes without a trial":       {{accuse, nil}, {accuse, nil}, {try("a"), ErrQuarantined}},
+		"two crashes without a trial":       {{accuse, nil}, {again, nil}, {try("a"), ErrQuarantined}},
+		"one accusation counts once":        {{accuse, nil}, {accuse, nil}, {try("a"), nil}},
+		"nor does it count during a trial":  {{accuse, nil}, {try("a"), nil}, {accuse, nil}, {abandon, nil}, {accuse, nil}, {try("b"), nil}},
 		"a trial that never ends convicts":  {{accuse, nil}, {try("a"), nil}, {wait, nil}, {try("b"), ErrQuarantined}},
 		"acquittal of another's trial":      {{accuse, nil}, {try("b"), nil}, {acquit, nil}, {try("c"), ErrOnTrial}},
 		"acquittal does not lift a verdict": {{accuse, nil}, {try("a"), nil}, {convict, nil}, {acquit, nil}, {try("b"), ErrQuarantined}},
@@ -72,7 +75,7 @@
 	for _, c := range cases {
 		t.Run(c.name, func(t *testing.T) {
 			r, table := newTestRegistry()
-			require.NoError(t, r.Accuse(t.Context(), []Fingerprint{print1}))
+			require.NoError(t, r.Accuse(t.Context(), print1, "crash"))
 			left := c.times
 			table.SetFault(func(op, _ string) standin.Fault {
 				if op != "commit" || left == 0 {
@@ -91,10 +94,27 @@
 	}
 }
 
+// TestAccusationWithLostAnswerCountsOnce loses the answer of the write.
+func TestAccusationWithLostAnswerCountsOnce(t *testing.T) {
+	r, table := newTestRegistry()
+	lost := false
+	table.SetFault(func(op, _ string) standin.Fault {
+		if op != "commit" || lost {
+			return standin.FaultNone
+		}
+		lost = true
+		return standin.FaultAnswerLost
+	})
+	require.NoError(t, r.Accuse(t.Context(), print1, "crash"))
+	require.True(t, lost)
+	require.NoError(t, r.Try(t.Context(), print1, "a"))
+}
+
 func TestListNamesSuspectsAndVerdicts(t *testing.T) {
 	r, _ := newTestRegistry()
 	print2 := Fingerprint{2}
-	require.NoError(t, r.Accuse(t.Context(), []Fingerprint{print1, print2}))
+	require.NoError(t, r.Accuse(t.Context(), print1, "crash"))
+	require.NoError(t, r.Accuse(t.Context(), print2, "crash"))
 	require.NoError(t, r.Try(t.Context(), print2, "a"))
 	require.NoError(t, r.Convict(t.Context(), print2, "a"))
 	listed, err := r.List(t.Context())
