--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -58,6 +58,7 @@
 	}
 	ledger := fairness.NewLedgerWith(fairness.Settings{Own: cfg.Domain})
 	limits := limit.NewConcurrency(cfg.Domain)
+	suspects := newSuspects(cfg.Store)
 	a := &Agent{
 		cfg:      cfg,
 		log:      cfg.Logger,
@@ -65,15 +66,15 @@
 		ledger:   ledger,
 		sched:    newScheduler(ledger, limits, cfg.Slots, cfg.Slots-cfg.InteractiveSlots),
 		limits:   limits,
-		holds:    newHolds(),
+		holds:    newHolds(suspects.has),
 		attempts: newAttempts(cfg.Limits.Keep, cfg.Limits.KeepBytes),
-		suspects: newSuspects(cfg.Store),
+		suspects: suspects,
 		fence:    new(fence),
 		health:   new(health),
 		table:    newTableIndex(cfg.Store, ledger, limits),
 	}
 	a.base, a.cancel = context.WithCancel(context.Background())
-	a.sched.isSuspect = a.suspects.has
+	a.sched.isSuspect = suspects.has
 	a.sched.onBusy = func(d time.Duration) { a.metrics.busy.Add(d.Seconds()) }
 	registerLoad(cfg.Registerer, a.sched)
 	return a, nil
--- a/internal/agent/holds.go
+++ b/internal/agent/holds.go
@@ -14,10 +14,16 @@
 // attempt. Since a request's home agent is offered it first and keeps the
 // stream until it ends, this bounds how many targets one request that crashes
 // its target, resent through many routers, reaches before it is a suspect.
+//
+// A fingerprint whose request has ended whole once does not crash its target
+// and is held by any number of requests, until it becomes a suspect.
 type holds struct {
 	mu      sync.Mutex
 	byPrint map[string]*hold
 	waiting map[workspace.RowID]int
+	proven  generations
+	// isSuspect reports whether a fingerprint ran at a crash of a target.
+	isSuspect func(fingerprint []byte) bool
 }
 
 // hold is the holding of one fingerprint.
@@ -34,8 +40,12 @@
 	ready     chan struct{} // closed once the fingerprint is held for owner
 }
 
-func newHolds() *holds {
-	return &holds{byPrint: make(map[string]*hold), waiting: make(map[workspace.RowID]int)}
+func newHolds(isSuspect func(fingerprint []byte) bool) *holds {
+	return &holds{
+		byPrint:   make(map[string]*hold),
+		waiting:   make(map[workspace.RowID]int),
+		isSuspect: isSuspect,
+	}
 }
 
 // acquire holds fingerprint for owner. When another request holds it, it
@@ -52,7 +62,7 @@
 		held = &hold{owner: owner}
 		h.byPrint[string(fingerprint)] = held
 	}
-	if held.owner == owner {
+	if held.owner == owner || h.isProven(fingerprint) {
 		held.refs++
 		return nil
 	}
@@ -96,6 +106,33 @@
 	})
 }
 
+// prove notes that a request with fingerprint has ended whole: all that wait
+// for it may go on.
+func (h *holds) prove(fingerprint []byte) {
+	if len(fingerprint) == 0 {
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.proven.add(string(fingerprint))
+	held := h.byPrint[string(fingerprint)]
+	if held == nil {
+		return
+	}
+	for _, t := range held.tickets {
+		held.refs++
+		h.leave(t.workspace)
+		close(t.ready)
+	}
+	held.tickets = nil
+}
+
+// isProven reports whether any number of requests may hold fingerprint. h.mu is
+// held.
+func (h *holds) isProven(fingerprint []byte) bool {
+	return h.proven.has(string(fingerprint)) && !h.isSuspect(fingerprint)
+}
+
 // cancel gives up t, which waits for or has just got fingerprint.
 func (h *holds) cancel(fingerprint []byte, t *ticket) {
 	h.mu.Lock()
--- a/internal/agent/holds_test.go
+++ b/internal/agent/holds_test.go
@@ -88,7 +88,7 @@
 }
 
 func TestCancelledTicketHandsOn(t *testing.T) {
-	h := newHolds()
+	h := newHolds(func([]byte) bool { return false })
 	print := []byte("f")
 	require.Nil(t, h.acquire(print, "a", 1))
 	second := h.acquire(print, "b", 1)
@@ -113,3 +113,28 @@
 		other.run().whole()
 	})
 }
+
+// TestProvenFingerprintsRunAtOnce lets equal requests run side by side once one
+// of them has ended whole, unless they become suspects.
+func TestProvenFingerprintsRunAtOnce(t *testing.T) {
+	suspect := false
+	h := newHolds(func([]byte) bool { return suspect })
+	print := []byte("f")
+	require.Nil(t, h.acquire(print, "a", 1))
+	waiting := []*ticket{h.acquire(print, "b", 1), h.acquire(print, "c", 1)}
+	h.prove(print)
+	for _, w := range waiting {
+		<-w.ready
+	}
+	require.Zero(t, h.waitingOf(1))
+	require.Nil(t, h.acquire(print, "d", 1))
+	suspect = true
+	e := h.acquire(print, "e", 1)
+	require.NotNil(t, e, "a suspect waits until all that hold it have ended")
+	for range 4 {
+		h.release(print)
+	}
+	<-e.ready
+	h.release(print)
+	require.Empty(t, h.byPrint)
+}
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -141,8 +141,13 @@
 	stop := context.AfterFunc(a.base, cancel)
 	defer stop()
 	closed := in.drain(ctx, func(m wire.Message) {
-		if w, ok := m.(*wire.Withdraw); ok && w.Suspect {
-			a.suspects.put(at.offer.Fingerprint, false)
+		switch m := m.(type) {
+		case *wire.Withdraw:
+			if m.Suspect {
+				a.suspects.put(at.offer.Fingerprint, false)
+			}
+		case *wire.End: // the request has ended whole elsewhere
+			a.holds.prove(at.offer.Fingerprint)
 		}
 	})
 	if !closed {
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -24,6 +24,9 @@
 		end = a.runInSlot(at)
 	}
 	a.settle(at, end)
+	if end.outcome == request.OutcomeCompleted {
+		a.holds.prove(at.offer.Fingerprint)
+	}
 	a.metrics.ended(end)
 	a.logEnd(at, end)
 	a.attempts.finish(at)
