--- a/internal/transport/stream.go
+++ b/internal/transport/stream.go
@@ -15,6 +15,9 @@
 
 const streamAbandoned quic.StreamErrorCode = 1
 
+// maxKeptBuffer is the largest send buffer that a stream keeps, in bytes.
+const maxKeptBuffer = 16 << 10
+
 // past is a deadline that has gone by.
 var past = time.Unix(1, 0)
 
@@ -51,7 +54,9 @@
 	if err != nil {
 		return err
 	}
-	s.buf = frame
+	if cap(frame) <= maxKeptBuffer {
+		s.buf = frame
+	}
 	stop := context.AfterFunc(ctx, func() { _ = s.stream.SetWriteDeadline(past) })
 	defer stop()
 	if _, err := s.stream.Write(frame); err != nil {
