--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -140,9 +140,9 @@
 	d.service, err = standin.NewService("127.0.0.1:0", o.service)
 	require.NoError(f.t, err)
 	f.serve(d.engine.Host(), d.service.Host())
-	d.lettersAddr, d.lettersAdmin = freeUDP(f.t), freeTCP(f.t)
+	d.lettersAddr, d.lettersAdmin = freeAddr(f.t), freeAddr(f.t)
 	d.letters = f.addAgent(d, o, "letters-"+d.name, letters, target.KindModel, d.engine.Host().URL(), d.lettersAddr, d.lettersAdmin)
-	d.shopAddr, d.shopAdmin = freeUDP(f.t), freeTCP(f.t)
+	d.shopAddr, d.shopAdmin = freeAddr(f.t), freeAddr(f.t)
 	d.shop = f.addAgent(d, o, "shop-"+d.name, shop, target.KindService, d.service.Host().URL(), d.shopAddr, d.shopAdmin)
 	f.addRouter(d)
 }
@@ -164,8 +164,8 @@
 }
 
 func (f *fleet) addRouter(d *domain) {
-	id, addr, fleetAddr := "router-"+d.name, freeTCP(f.t), freeUDP(f.t)
-	d.routerURL, d.routerAdmin = "http://"+addr, freeTCP(f.t)
+	id, addr, fleetAddr := "router-"+d.name, freeAddr(f.t), freeAddr(f.t)
+	d.routerURL, d.routerAdmin = "http://"+addr, freeAddr(f.t)
 	f.vms = append(f.vms, target.VM{
 		ID: id, Addr: fleetAddr, Role: target.RoleRouter, Region: d.name, Domain: d.name, State: target.StateLive,
 	})
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -1,11 +1,13 @@
 package e2e
 
 import (
+	"fmt"
 	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -124,17 +126,33 @@
 	return resp.StatusCode
 }
 
-// freeTCP and freeUDP return an address on loopback that nothing listens on.
-func freeTCP(t *testing.T) string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
-}
+// Ports of the programs lie below those that the kernel gives to clients, so
+// that none is taken between the choice and the program's start.
+const (
+	firstPort = 15000
+	lastPort  = 25000
+)
 
-func freeUDP(t *testing.T) string {
-	c, err := net.ListenPacket("udp", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer func() { _ = c.Close() }()
-	return c.LocalAddr().String()
+var nextPort atomic.Int32
+
+// freeAddr returns an address on loopback that nothing listens on, by TCP or
+// UDP. Each is returned once.
+func freeAddr(t *testing.T) string {
+	t.Helper()
+	for {
+		port := firstPort + int(nextPort.Add(1))
+		require.Less(t, port, lastPort, "no port is left")
+		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			continue
+		}
+		c, err := net.ListenPacket("udp", addr)
+		_ = l.Close()
+		if err != nil {
+			continue
+		}
+		_ = c.Close()
+		return addr
+	}
 }
