--- a/cmd/mastichollow-demo/main.go
+++ b/cmd/mastichollow-demo/main.go
@@ -4,6 +4,7 @@
 package main
 
 import (
+	"context"
 	"fmt"
 	"os"
 	"time"
@@ -53,18 +54,22 @@
 		},
 	})
 	ctx, stop := process.SignalContext()
-	if cl.Shares {
-		defer stop()
-		printShares(d.Shares(ctx))
-		return
-	}
-	checks := d.Run(ctx)
+	held := run(ctx, d, cl.Shares)
 	stop()
-	if !demo.Print(os.Stdout, checks) {
+	if !held {
 		os.Exit(1)
 	}
 }
 
+// run measures the shares, or runs the checks and reports whether all held.
+func run(ctx context.Context, d *demo.Demo, shares bool) bool {
+	if shares {
+		printShares(d.Shares(ctx))
+		return true
+	}
+	return demo.Print(os.Stdout, d.Run(ctx))
+}
+
 func printShares(programs, model demo.Measured) {
 	fmt.Printf("%-10s %18s %12s\n", "", "fairness gap, s", "utilisation")
 	fmt.Printf("%-10s %18.2f %12.3f\n", "programs", programs.Gap, programs.Utilisation)
