--- a/internal/experiment/router.go
+++ b/internal/experiment/router.go
@@ -18,6 +18,7 @@
 	widen         = 100 * time.Millisecond
 	spillAfter    = time.Second
 	offersPerStep = 3
+	maxDoublings  = 8
 )
 
 // call is one request.
@@ -36,6 +37,8 @@
 	bound    bool // granted, or given up
 	lost     bool // its router restarted
 	asked    map[int]bool
+	steps    int
+	spilled  int // agents asked in other regions without free slots
 	order    placement.Plan
 	planned  time.Duration // when order was made
 	done     func()
@@ -83,34 +86,40 @@
 	r.w.net.send(r.region, a.region, func() { a.push(c, true) })
 }
 
-// step offers c to more agents while it waits.
+// step offers c to more agents while it waits. Each step asks twice as many as
+// the one before, after twice the pause.
 func (r *router) step(c *call) {
 	if c.bound || c.lost {
 		return
 	}
-	if len(c.asked) >= len(r.w.agents) {
-		r.w.after(time.Second, func() { r.step(c) })
-		return
-	}
 	plan := r.plan(c)
-	room := offersPerStep - r.askAll(c, plan.Near, offersPerStep)
-	r.askAll(c, r.far(c, plan.Far), room)
-	r.w.after(widen, func() { r.step(c) })
+	room := offersPerStep << min(c.steps, maxDoublings)
+	room -= r.askAll(c, plan.Near, room)
+	r.askFar(c, plan.Far, room)
+	c.steps++
+	r.w.after(r.pause(c), func() { r.step(c) })
+}
+
+// pause is the time until the next step; no multiple of spillAfter is missed.
+func (r *router) pause(c *call) time.Duration {
+	toSpill := spillAfter - (r.w.now-c.arrived)%spillAfter
+	return min(widen<<min(c.steps-1, maxDoublings), toSpill)
 }
 
-// far returns the agents of other regions that c may be offered to.
-func (r *router) far(c *call, agents []target.VM) []target.VM {
+// askFar offers c in other regions: where slots are free, and otherwise to one
+// agent for each spillAfter that it has waited.
+func (r *router) askFar(c *call, agents []target.VM, room int) {
 	if r.w.scenario.NoSpill {
-		return nil
-	}
-	if r.w.now-c.arrived >= spillAfter {
-		return agents
+		return
 	}
 	n := 0
 	for n < len(agents) && r.hasFree(agents[n].Domain) {
 		n++
 	}
-	return agents[:n]
+	added := r.askAll(c, agents[:n], room)
+	waited := int((r.w.now - c.arrived) / spillAfter)
+	room = min(room-added, waited-c.spilled)
+	c.spilled += r.askAll(c, agents[n:], room)
 }
 
 func (r *router) askAll(c *call, vms []target.VM, room int) int {
