--- a/cmd/mastichollow-router/settings.go
+++ b/cmd/mastichollow-router/settings.go
@@ -1,36 +1,22 @@
 package main
 
 import (
-	"net"
-	"net/url"
-	"slices"
-	"strings"
 	"time"
 
-	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastichollow/mastichollow/internal/placement"
-	"github.com/mastichollow/mastichollow/internal/process"
+	"github.com/mastichollow/mastichollow/internal/process/member"
+	check "github.com/mastichollow/mastichollow/internal/process/settings"
 	"github.com/mastichollow/mastichollow/internal/router"
-	"github.com/mastichollow/mastichollow/internal/target"
-	"github.com/mastichollow/mastichollow/internal/transport"
 )
 
 // settings are the flags and environment variables of the program.
 type settings struct {
-	ID          string `help:"VM ID." placeholder:"ID"`
-	Domain      string `help:"Failure domain of the VM." placeholder:"NAME"`
-	Region      string `help:"Region of the VM." placeholder:"NAME"`
+	member.Settings
+
 	Listen      string `help:"Address of the listener for callers (HTTP)." placeholder:"IP:PORT"`
 	FleetListen string `help:"Address of the fleet listener (UDP)." placeholder:"IP:PORT"`
-	Advertise   string `help:"Address by which others reach the fleet listener; the fleet listen address if empty." placeholder:"IP:PORT"`
-	Admin       string `help:"Address of the admin listener (TCP): /metrics, /healthz, /readyz." placeholder:"IP:PORT"`
-	FleetKey    string `help:"Fleet key, or several joined by commas: the first signs, all are accepted." placeholder:"KEY"`
-
-	TableURL        string        `name:"table-url" help:"Base URL of the platform's table service." placeholder:"URL"`
-	VMsURL          string        `name:"vms-url" help:"Base URL of the platform's VM list." placeholder:"URL"`
-	PlatformTimeout time.Duration `help:"Longest call to the platform." default:"2s"`
 
 	Deadline    time.Duration `help:"Time for a request that names none in X-Request-Timeout." default:"10m"`
 	MaxDeadline time.Duration `help:"Longest time that a caller may ask for." default:"1h"`
@@ -44,58 +30,25 @@
 	Route       []string      `help:"Exception to RFC 9110: service:METHOD:/path-prefix:repeatable or service:METHOD:/path-prefix:once. May be given more than once." placeholder:"ROUTE"`
 	DrainDelay  time.Duration `help:"Time between the failure of /readyz and the end of accepting connections at a stop." default:"2s"`
 
-	Version kong.VersionFlag `help:"Print the version and exit." env:"-"`
-
-	Log process.LogSettings `embed:"" prefix:"log-"`
-
 	routes []router.Route
 }
 
 // validate names every fault of the settings at once and parses the routes.
 func (s *settings) validate() error {
-	var faults []error
-	fault := func(flag string, err error) {
-		if err != nil {
-			faults = append(faults, errors.Wrapf(err, "--%s", flag))
-		}
-	}
-	for flag, value := range map[string]string{"id": s.ID, "domain": s.Domain, "region": s.Region} {
-		fault(flag, checkName(value))
-	}
-	for flag, value := range map[string]string{"listen": s.Listen, "fleet-listen": s.FleetListen, "admin": s.Admin} {
-		fault(flag, checkAddr(value))
-	}
-	if s.Advertise != "" {
-		fault("advertise", checkAddr(s.Advertise))
-	}
-	fault("table-url", checkURL(s.TableURL))
-	fault("vms-url", checkURL(s.VMsURL))
-	_, err := transport.ParseKeys(s.FleetKey)
-	fault("fleet-key", err)
-	if s.PlatformTimeout <= 0 {
-		fault("platform-timeout", errors.Newf("%s is not positive", s.PlatformTimeout))
-	}
+	var f check.Faults
+	s.Check(&f)
+	check.CheckEach(&f, check.Addr, map[string]string{"listen": s.Listen, "fleet-listen": s.FleetListen})
 	if s.DrainDelay < 0 {
-		fault("drain-delay", errors.Newf("%s is negative", s.DrainDelay))
+		f.Check("drain-delay", errors.Newf("%s is negative", s.DrainDelay))
 	}
 	s.routes = s.routes[:0]
 	for _, text := range s.Route {
 		route, err := router.ParseRoute(text)
-		fault("route", err)
+		f.Check("route", err)
 		s.routes = append(s.routes, route)
 	}
-	faults = append(faults, s.routerFaults()...)
-	slices.SortFunc(faults, func(a, b error) int { return strings.Compare(a.Error(), b.Error()) })
-	return errors.Join(faults...)
-}
-
-// routerFaults returns the faults that the router finds in its limits and
-// timeouts.
-func (s *settings) routerFaults() []error {
-	if err := s.routerConfig().CheckLimits(); err != nil {
-		return []error{err}
-	}
-	return nil
+	f.Add(s.routerConfig().CheckLimits())
+	return f.Join()
 }
 
 // routerConfig returns the part of the router's configuration that follows from
@@ -117,45 +70,3 @@
 		Routes: s.routes,
 	}
 }
-
-// vm describes this VM to the fleet.
-func (s *settings) vm(listen string) target.VM {
-	addr := s.Advertise
-	if addr == "" {
-		addr = listen
-	}
-	return target.VM{
-		ID:     s.ID,
-		Addr:   addr,
-		Role:   target.RoleRouter,
-		Region: s.Region,
-		Domain: s.Domain,
-		State:  target.StateLive,
-	}
-}
-
-func checkName(value string) error {
-	if value == "" {
-		return errors.New("is missing")
-	}
-	return nil
-}
-
-func checkAddr(value string) error {
-	host, _, err := net.SplitHostPort(value)
-	if err != nil {
-		return errors.Newf("%q is not an address IP:PORT", value)
-	}
-	if net.ParseIP(host) == nil {
-		return errors.Newf("%q does not begin with an IP number", value)
-	}
-	return nil
-}
-
-func checkURL(value string) error {
-	u, err := url.Parse(value)
-	if err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-		return errors.Newf("%q is not an http or https URL", value)
-	}
-	return nil
-}
--- a/cmd/mastichollow-router/start.go
+++ b/cmd/mastichollow-router/start.go
@@ -2,23 +2,16 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
-	"github.com/prometheus/client_golang/prometheus"
-	"golang.org/x/sync/errgroup"
 
-	"github.com/mastichollow/mastichollow/internal/fleet"
-	"github.com/mastichollow/mastichollow/internal/platform"
-	"github.com/mastichollow/mastichollow/internal/process"
+	"github.com/mastichollow/mastichollow/internal/process/member"
 	"github.com/mastichollow/mastichollow/internal/router"
-	"github.com/mastichollow/mastichollow/internal/suspect"
-	"github.com/mastichollow/mastichollow/internal/transport"
-	"github.com/mastichollow/mastichollow/internal/wire"
+	"github.com/mastichollow/mastichollow/internal/target"
 )
 
 // Times towards callers.
@@ -33,11 +26,8 @@
 
 // parts are the long-lived objects of the program.
 type parts struct {
-	log        hclog.Logger
-	endpoint   *transport.Endpoint
-	node       *fleet.Node
+	member     *member.Member
 	router     *router.Router
-	admin      *process.Admin
 	listener   net.Listener
 	server     *http.Server
 	drainDelay time.Duration
@@ -46,34 +36,26 @@
 // start builds the parts and runs them until ctx ends and the requests in hand
 // are answered.
 func start(ctx context.Context, s *settings) error {
-	p, err := build(s, s.Log.NewLogger(program), process.NewRegistry())
+	m, err := member.New(program, &s.Settings, s.FleetListen)
 	if err != nil {
 		return err
 	}
-	return p.run(ctx)
-}
-
-func build(s *settings, log hclog.Logger, reg *prometheus.Registry) (*parts, error) {
-	endpoint, err := newEndpoint(s, log, reg)
+	p, err := build(s, m)
 	if err != nil {
-		return nil, err
+		return err
 	}
-	store := fleet.NewStore()
+	m.Log.Info("router listens for callers", "listen", p.listener.Addr())
+	return m.Run(ctx, p.work())
+}
+
+func build(s *settings, m *member.Member) (*parts, error) {
 	cfg := s.routerConfig()
-	cfg.Store, cfg.Opener = store, endpoint
-	cfg.Logger, cfg.Registerer = log.Named("router"), reg
+	cfg.Store, cfg.Opener = m.Store, m.Endpoint
+	cfg.Logger, cfg.Registerer = m.Log.Named("router"), m.Registry
 	r, err := router.New(cfg)
 	if err != nil {
 		return nil, err
 	}
-	node, err := newNode(s, store, endpoint, r, log, reg)
-	if err != nil {
-		return nil, err
-	}
-	admin, err := process.NewAdmin(s.Admin, reg, r.Ready)
-	if err != nil {
-		return nil, err
-	}
 	listener, err := net.Listen("tcp", s.Listen)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening for callers on %q", s.Listen)
@@ -83,73 +65,23 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerSlack * s.HeaderLimit,
-		ErrorLog:          log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		ErrorLog:          m.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
-	return &parts{
-		log: log, endpoint: endpoint, node: node, router: r, admin: admin,
-		listener: listener, server: server, drainDelay: s.DrainDelay,
-	}, nil
+	return &parts{member: m, router: r, listener: listener, server: server, drainDelay: s.DrainDelay}, nil
 }
 
-func newEndpoint(s *settings, log hclog.Logger, reg *prometheus.Registry) (*transport.Endpoint, error) {
-	keys, err := transport.ParseKeys(s.FleetKey)
-	if err != nil {
-		return nil, err
-	}
-	return transport.NewEndpoint(transport.EndpointConfig{
-		Addr:       s.FleetListen,
-		Keys:       keys,
-		Self:       transport.Peer{Member: s.ID, Domain: s.Domain, Region: s.Region},
-		Logger:     log.Named("transport"),
-		Registerer: reg,
-	})
-}
-
-func newNode(s *settings, store *fleet.Store, endpoint *transport.Endpoint, r *router.Router, log hclog.Logger, reg *prometheus.Registry) (*fleet.Node, error) {
-	options := platform.Options{Timeout: s.PlatformTimeout}
-	return fleet.NewNode(fleet.NodeConfig{
-		Self:        s.vm(endpoint.Addr()),
-		Incarnation: rand.Uint64() | 1,
-		Store:       store,
-		Table:       platform.NewTableClient(s.TableURL, options),
-		VMs:         platform.NewVMClient(s.VMsURL, options),
-		Opener:      endpoint,
-		Report:      r.Report,
-		Suspect:     decodeSuspect,
-		Logger:      log,
-		Registerer:  reg,
-	})
-}
-
-func decodeSuspect(item platform.Item) (wire.Suspect, error) {
-	found, err := suspect.FromItem(item, time.Now())
-	return wire.Suspect{Fingerprint: found.Fingerprint, Quarantined: found.Quarantined}, err
-}
-
-// run runs the parts. When ctx ends, the requests in hand are finished while all
-// else goes on; then the rest is stopped.
-func (p *parts) run(ctx context.Context) error {
-	running, stop := context.WithCancel(context.WithoutCancel(ctx))
-	defer stop()
-	g, running := errgroup.WithContext(running)
-	g.Go(func() error { return p.admin.Run(running) })
-	g.Go(func() error { return p.node.Run(running) })
-	g.Go(func() error { return p.router.Run(running) })
-	g.Go(func() error { return p.endpoint.Run(running, transport.Mux{Control: p.node}) })
-	g.Go(p.serve)
-	p.log.Info("router runs", "listen", p.listener.Addr(), "fleet", p.endpoint.Addr(), "admin", p.admin.Addr())
-	select {
-	case <-ctx.Done():
-		p.drain(running)
-	case <-running.Done():
+func (p *parts) work() *member.Work {
+	return &member.Work{
+		Role:   target.RoleRouter,
+		Report: p.router.Report,
+		Ready:  p.router.Ready,
+		Duties: []member.Duty{p.router.Run, p.serve, p.closeServer},
+		Drain:  p.drain,
 	}
-	stop()
-	closeErr := errors.CombineErrors(p.server.Close(), p.endpoint.Close())
-	return errors.CombineErrors(g.Wait(), closeErr)
 }
 
 // serve serves callers until the server is shut down.
-func (p *parts) serve() error {
+func (p *parts) serve(context.Context) error {
 	err := p.server.Serve(p.listener)
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
@@ -157,11 +89,16 @@
 	return errors.Wrap(err, "serving callers")
 }
 
+// closeServer closes the connections that are left when all else ends.
+func (p *parts) closeServer(ctx context.Context) error {
+	<-ctx.Done()
+	return errors.Wrap(p.server.Close(), "closing the listener for callers")
+}
+
 // drain fails readiness, so that the balancer sends callers elsewhere, then
 // stops accepting and waits for the requests in hand, however long they take:
 // each has a deadline of its own.
 func (p *parts) drain(running context.Context) {
-	p.log.Info("router drains")
 	p.router.Stop()
 	timer := time.NewTimer(p.drainDelay)
 	defer timer.Stop()
@@ -170,6 +107,6 @@
 	case <-running.Done():
 	}
 	if err := p.server.Shutdown(running); err != nil {
-		p.log.Warn("drain was cut short", "error", err)
+		p.member.Log.Warn("drain was cut short", "error", err)
 	}
 }
--- a/cmd/mastichollow-standin/main.go
+++ b/cmd/mastichollow-standin/main.go
@@ -3,7 +3,6 @@
 package main
 
 import (
-	"fmt"
 	"os"
 
 	"github.com/alecthomas/kong"
@@ -12,7 +11,10 @@
 	"github.com/mastichollow/mastichollow/internal/process"
 )
 
-const program = "mastichollow-standin"
+const (
+	program     = "mastichollow-standin"
+	description = "In-memory platform and targets with faults that can be set over an admin interface."
+)
 
 // commandLine is the command line of the program.
 type commandLine struct {
@@ -32,19 +34,14 @@
 // run runs the program and returns its exit code.
 func run() int {
 	var line commandLine
-	parsed := kong.Parse(&line,
-		kong.Name(program),
-		kong.Description("In-memory platform and targets with faults that can be set over an admin interface."),
-		kong.Vars{"version": process.VersionString(program)},
-		kong.DefaultEnvars("MASTICHOLLOW_STANDIN"),
-	)
+	options := append(process.KongOptions(program, description), kong.DefaultEnvars("MASTICHOLLOW_STANDIN"))
+	parsed := kong.Parse(&line, options...)
 	ctx, stop := process.SignalContext()
 	defer stop()
 	parsed.BindTo(ctx, (*runContext)(nil))
 	parsed.BindTo(line.NewLogger(program), (*hclog.Logger)(nil))
 	if err := parsed.Run(); err != nil {
-		fmt.Fprintf(os.Stderr, "%s: %v\n", program, err)
-		return 1
+		return process.Fail(program, err)
 	}
 	return 0
 }
--- a/cmd/mastichollowctl/main.go
+++ b/cmd/mastichollowctl/main.go
@@ -4,18 +4,18 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
-	"net/url"
 	"os"
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
 
 	"github.com/mastichollow/mastichollow/internal/operator"
 	"github.com/mastichollow/mastichollow/internal/platform"
 	"github.com/mastichollow/mastichollow/internal/process"
+	"github.com/mastichollow/mastichollow/internal/process/settings"
 )
 
 const (
@@ -45,16 +45,12 @@
 
 // Validate names every fault of the settings.
 func (s platformSettings) Validate() error {
-	var faults []error
-	for flag, value := range map[string]string{"--table-url": s.TableURL, "--vms-url": s.VMsURL} {
-		if u, err := url.Parse(value); err != nil || u.Host == "" || (u.Scheme != "http" && u.Scheme != "https") {
-			faults = append(faults, fmt.Errorf("%s: %q is not an http or https URL", flag, value))
-		}
-	}
+	var f settings.Faults
+	settings.CheckEach(&f, settings.URL, map[string]string{"table-url": s.TableURL, "vms-url": s.VMsURL})
 	if s.Timeout <= 0 {
-		faults = append(faults, fmt.Errorf("--timeout: %s is not above 0", s.Timeout))
+		f.Check("timeout", errors.Newf("%s is not above 0", s.Timeout))
 	}
-	return errors.Join(faults...)
+	return f.Join()
 }
 
 func (s platformSettings) operator() *operator.Operator {
@@ -85,14 +81,11 @@
 // run runs the command that args name and returns the exit code.
 func run(ctx context.Context, args []string, out, errOut io.Writer) int {
 	exit := -1
-	parser, err := kong.New(
-		&commandLine{},
-		kong.Name(program),
-		kong.Description(description),
-		kong.Vars{"version": process.VersionString(program)},
+	options := append(process.KongOptions(program, description),
 		kong.Writers(out, errOut),
 		kong.Exit(func(code int) { exit = code }),
 	)
+	parser, err := kong.New(&commandLine{}, options...)
 	if err != nil {
 		_, _ = fmt.Fprintf(errOut, "%s: %v\n", program, err)
 		return operator.ExitError
