--- a/cmd/mastichollow-agent/start.go
+++ b/cmd/mastichollow-agent/start.go
@@ -16,7 +16,7 @@
 // parts are the long-lived objects of the program.
 type parts struct {
 	member *member.Member
-	claims *claim.TableClaimer
+	claims *claims
 	agent  *agent.Agent
 	target target.Kind
 	pool   string
@@ -37,8 +37,7 @@
 }
 
 func build(s *settings, m *member.Member) (*parts, error) {
-	c := claim.NewTableClaimer(claim.TableConfig{
-		Table:      m.Table,
+	c := newClaims(m.Table, claim.TableConfig{
 		Objects:    platform.NewObjectClient(s.ObjectsURL, s.PlatformOptions()),
 		Logger:     m.Log.Named("claim"),
 		Registerer: m.Registry,
@@ -53,7 +52,7 @@
 		Limits:           s.limits(),
 		Store:            m.Store,
 		Target:           newTarget(s),
-		Claims:           c,
+		Claims:           c.claimer,
 		Suspects:         suspect.NewTableRegistry(m.Table, m.Registry),
 		Fence:            agent.TableFence(m.Table, s.ID),
 		Logger:           m.Log.Named("agent"),
@@ -83,8 +82,8 @@
 	}
 }
 
-// work describes what the agent does as a member of the fleet. The claimer
-// runs until the agent has drained, since the requests in hand still
+// work describes what the agent does as a member of the fleet. The batcher and
+// the claimer run until the agent has drained, since the requests in hand still
 // settle their claims.
 func (p *parts) work() *member.Work {
 	return &member.Work{
@@ -94,7 +93,7 @@
 		Request: p.agent,
 		Report:  func() []wire.PoolSums { return []wire.PoolSums{p.agent.Report()} },
 		Ready:   p.agent.Ready,
-		Duties:  []member.Duty{p.claims.Run, p.agent.Run},
+		Duties:  []member.Duty{p.claims.batcher.Run, p.claims.claimer.Run, p.agent.Run},
 		Drain:   p.drain,
 	}
 }
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -109,15 +109,14 @@
 	require.Equal(t, http.StatusCreated, last.status, last)
 }
 
-// TestFrozenAgentNeverRunsAnOrderTwice freezes the agent while its order is at
-// the target, has the caller resend it elsewhere, and wakes the agent.
-func TestFrozenAgentNeverRunsAnOrderTwice(t *testing.T) {
-	t.Parallel()
-	f := newFleet(t, options{domains: 2, service: standin.ServiceConfig{Slots: 4, Time: 500 * time.Millisecond}})
+// orderAtTarget sends an order and returns the domain whose target runs it, and
+// its reply to come.
+func (f *fleet) orderAtTarget(name string) (*domain, <-chan reply) {
+	f.t.Helper()
 	first := make(chan reply, 1)
-	go func() { first <- order(t.Context(), f.domains[0].routerURL, "frozen", "frozen") }()
+	go func() { first <- order(f.t.Context(), f.domains[0].routerURL, name, name) }()
 	var holder *domain
-	eventually(t, "order is at a target", func() bool {
+	eventually(f.t, "order is at a target", func() bool {
 		for _, d := range f.domains {
 			if len(d.service.Runs()) > 0 {
 				holder = d
@@ -125,6 +124,15 @@
 		}
 		return holder != nil
 	})
+	return holder, first
+}
+
+// TestFrozenAgentNeverRunsAnOrderTwice freezes the agent while its order is at
+// the target, has the caller resend it elsewhere, and wakes the agent.
+func TestFrozenAgentNeverRunsAnOrderTwice(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, options{domains: 2, service: standin.ServiceConfig{Slots: 4, Time: 500 * time.Millisecond}})
+	holder, first := f.orderAtTarget("frozen")
 	holder.shop.freeze()
 	var resent []reply
 	for i := range 3 {
@@ -140,17 +148,7 @@
 func TestKilledAgentsOrderIsNeverRunAgain(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, options{domains: 2, service: standin.ServiceConfig{Slots: 4, Time: 300 * time.Millisecond}})
-	first := make(chan reply, 1)
-	go func() { first <- order(t.Context(), f.domains[0].routerURL, "killed", "killed") }()
-	var holder *domain
-	eventually(t, "order is at a target", func() bool {
-		for _, d := range f.domains {
-			if len(d.service.Runs()) > 0 {
-				holder = d
-			}
-		}
-		return holder != nil
-	})
+	holder, first := f.orderAtTarget("killed")
 	holder.shop.kill()
 	require.False(t, (<-first).notRun())
 	again := order(t.Context(), f.domains[1].routerURL, "killed", "killed")
@@ -158,6 +156,21 @@
 	require.Equal(t, 1, runsOf("killed", f.domains[0].service, f.domains[1].service))
 }
 
+// TestStoppedAgentKeepsTheAnswerOfItsOrder stops the agent while its order is at
+// the target: the answer is stored before the agent ends, and replayed.
+func TestStoppedAgentKeepsTheAnswerOfItsOrder(t *testing.T) {
+	t.Parallel()
+	f := newFleet(t, options{domains: 2, service: standin.ServiceConfig{Slots: 4, Time: 300 * time.Millisecond}})
+	holder, first := f.orderAtTarget("stopped")
+	holder.shop.stop()
+	placed := <-first
+	require.Equal(t, http.StatusCreated, placed.status, placed)
+	holder.shop.waitStopped()
+	again := order(t.Context(), f.domains[0].routerURL, "stopped", "stopped")
+	require.Equal(t, http.StatusCreated, again.status, again)
+	require.Equal(t, 1, runsOf("stopped", f.domains[0].service, f.domains[1].service))
+}
+
 // TestStoreOutage checks that work that needs no claim goes on while the store
 // is down, and that an order is refused at once and truthfully.
 func TestStoreOutage(t *testing.T) {
@@ -177,6 +190,10 @@
 		return order(t.Context(), d.routerURL, "up", "up").status == http.StatusCreated
 	})
 	require.Equal(t, 1, d.service.Count("up"))
+	for _, admin := range []string{d.routerAdmin, d.shopAdmin} {
+		require.Contains(t, metricsOf(t, admin), "mastichollow_platform_calls_total{", "guard of the table")
+	}
+	require.Contains(t, metricsOf(t, d.shopAdmin), "mastichollow_platform_batch_transactions_total ", "batcher of the claims")
 }
 
 // TestLostClaimAnswer loses the answer of the claim's write, after which the
--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -124,6 +124,14 @@
 	return resp.StatusCode
 }
 
+// metricsOf returns what the admin listener serves to Prometheus.
+func metricsOf(t *testing.T, admin string) string {
+	t.Helper()
+	r := send(t.Context(), http.MethodGet, "http://"+admin+"/metrics", "", "")
+	require.Equal(t, http.StatusOK, r.status, r)
+	return r.text
+}
+
 // freeTCP and freeUDP return an address on loopback that nothing listens on.
 func freeTCP(t *testing.T) string {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/platform/guarded.go
+++ b/internal/platform/guarded.go
@@ -72,6 +72,15 @@
 	}
 }
 
+// Once returns a table that makes each call at most once, for callers that
+// repeat calls themselves or must not wait. It shares the circuit breaker and
+// the counters of g.
+func (g *Guarded) Once() *Guarded {
+	once := *g
+	once.config.Retries = 0
+	return &once
+}
+
 // Get implements TableService.
 func (g *Guarded) Get(ctx context.Context, key string) (item Item, err error) {
 	err = g.call(ctx, "get", func(ctx context.Context) error {
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -1,5 +1,5 @@
 // Package member holds what each process of the fleet, router or agent,
-// consists of besides its own work: its settings, the endpoint, the
+// consists of besides its own work: its settings, the endpoint, the guarded
 // table, the fleet node, the admin listener, and the order of start and stop.
 //
 // Invariant: a duty runs until the process has drained, so that what is in hand
@@ -31,7 +31,7 @@
 	Registry *prometheus.Registry
 	Endpoint *transport.Endpoint
 	Store    *fleet.Store
-	Table    platform.TableService
+	Table    *platform.Guarded
 
 	settings *Settings
 }
@@ -76,7 +76,10 @@
 		Registry: reg,
 		Endpoint: endpoint,
 		Store:    fleet.NewStore(),
-		Table:    platform.NewTableClient(s.TableURL, s.PlatformOptions()),
+		Table: platform.NewGuarded(platform.NewTableClient(s.TableURL, s.PlatformOptions()), platform.GuardConfig{
+			Timeout:    s.PlatformTimeout,
+			Registerer: reg,
+		}),
 		settings: s,
 	}, nil
 }
