--- a/internal/e2e/process_test.go
+++ b/internal/e2e/process_test.go
@@ -126,6 +126,14 @@
 	return resp.StatusCode
 }
 
+// metricsOf returns what the admin listener serves to Prometheus.
+func metricsOf(t *testing.T, admin string) string {
+	t.Helper()
+	r := send(t.Context(), http.MethodGet, "http://"+admin+"/metrics", "", "")
+	require.Equal(t, http.StatusOK, r.status, r)
+	return r.text
+}
+
 // Ports of the programs lie below those that the kernel gives to clients, so
 // that none is taken between the choice and the program's start.
 const (
