--- a/Makefile
+++ b/Makefile
@@ -21,9 +21,10 @@
 down: ## Stop the fleet that `make up` started.
 	scripts/fleet.sh down $${TMPDIR:-/tmp}/mastichollow-fleet
 
-lint: ## Check the format and run the linter.
+lint: build ## Check the format, run the linter and compare docs/OPERATIONS.md with the programs.
 	$(LINT) fmt --diff ./...
 	$(LINT) run --allow-parallel-runners ./...
+	GO=$(GO) scripts/check-docs.sh
 
 format: ## Format the code.
 	$(LINT) fmt ./...
