--- a/internal/claim/metrics.go
+++ b/internal/claim/metrics.go
@@ -3,6 +3,8 @@
 import (
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mastichollow/mastichollow/internal/metric"
 )
 
 type metrics struct {
@@ -12,24 +14,12 @@
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
-	m := &metrics{
-		begun: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "mastichollow_claim_begun_total",
-			Help: "Claims begun, by result: made, replayed, started, key_reused or unavailable.",
-		}, []string{"result"}),
-		deferred: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "mastichollow_claim_deferred_total",
-			Help: "Answers and releases that wait for the platform.",
-		}),
-		dropped: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "mastichollow_claim_dropped_total",
-			Help: "Answers and releases given up because too many were waiting; their claims stay started.",
-		}),
-	}
-	if reg != nil {
-		reg.MustRegister(m.begun, m.deferred, m.dropped)
+	f := metric.For(reg, "mastichollow_claim")
+	return &metrics{
+		begun:    f.Counters("begun_total", "Claims begun, by result: made, replayed, started, key_reused or unavailable.", "result"),
+		deferred: f.Counter("deferred_total", "Answers and releases that wait for the platform."),
+		dropped:  f.Counter("dropped_total", "Answers and releases given up because too many were waiting; their claims stay started."),
 	}
-	return m
 }
 
 // count counts the result of a Begin.
--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -49,7 +49,7 @@
 	}
 	_, err := backoff.Retry(ctx, operation, backoff.WithMaxElapsedTime(maxSettleTime))
 	if err != nil {
-		c.logger.Warn("claim was not settled", "claim", d.key, "attempt", d.attempt, "error", err)
+		c.logger.Warn("claim was not settled", "claim", d.key.String(), "attempt", d.attempt, "error", err)
 	}
 }
 
@@ -61,7 +61,7 @@
 		c.metrics.deferred.Inc()
 	default:
 		c.metrics.dropped.Inc()
-		c.logger.Warn("claim is left unsettled: too many are waiting", "claim", d.key, "attempt", d.attempt)
+		c.logger.Warn("claim is left unsettled: too many are waiting", "claim", d.key.String(), "attempt", d.attempt)
 	}
 }
 
--- a/internal/platform/batchmetrics.go
+++ b/internal/platform/batchmetrics.go
@@ -1,6 +1,10 @@
 package platform
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mastichollow/mastichollow/internal/metric"
+)
 
 // Reasons for which a Batcher refuses a commit, as labels.
 const (
@@ -18,23 +22,12 @@
 }
 
 func newBatchMetrics() *batchMetrics {
+	f := metric.For(nil, namespace) // register exports them
 	return &batchMetrics{
-		transactions: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "mastichollow_platform_batch_transactions_total",
-			Help: "Transactions sent for groups of commits.",
-		}),
-		writes: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "mastichollow_platform_batch_writes_total",
-			Help: "Writes sent in transactions for groups of commits.",
-		}),
-		resubmitted: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "mastichollow_platform_batch_resubmitted_total",
-			Help: "Commits sent again because another commit of their transaction conflicted.",
-		}),
-		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "mastichollow_platform_batch_refused_total",
-			Help: "Commits that were not sent, by reason.",
-		}, []string{"reason"}),
+		transactions: f.Counter("batch_transactions_total", "Transactions sent for groups of commits."),
+		writes:       f.Counter("batch_writes_total", "Writes sent in transactions for groups of commits."),
+		resubmitted:  f.Counter("batch_resubmitted_total", "Commits sent again because another commit of their transaction conflicted."),
+		refused:      f.Counters("batch_refused_total", "Commits that were not sent, by reason.", "reason"),
 	}
 }
 
--- a/internal/platform/guardmetrics.go
+++ b/internal/platform/guardmetrics.go
@@ -3,8 +3,12 @@
 import (
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mastichollow/mastichollow/internal/metric"
 )
 
+const namespace = "mastichollow_platform"
+
 // Results of calls, as labels.
 const (
 	resultOK          = "ok"
@@ -31,24 +35,12 @@
 }
 
 func newGuardMetrics(reg prometheus.Registerer) *guardMetrics {
-	m := &guardMetrics{
-		calls: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "mastichollow_platform_calls_total",
-			Help: "Calls of the table service, with retries, by operation and result.",
-		}, []string{"op", "result"}),
-		retries: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "mastichollow_platform_retries_total",
-			Help: "Repeated calls of the table service by operation.",
-		}, []string{"op"}),
-		refused: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "mastichollow_platform_refused_total",
-			Help: "Calls of the table service that were not made or not repeated, by operation and reason.",
-		}, []string{"op", "reason"}),
-	}
-	if reg != nil {
-		reg.MustRegister(m.calls, m.retries, m.refused)
+	f := metric.For(reg, namespace)
+	return &guardMetrics{
+		calls:   f.Counters("calls_total", "Calls of the table service, with retries, by operation and result.", "op", "result"),
+		retries: f.Counters("retries_total", "Repeated calls of the table service by operation.", "op"),
+		refused: f.Counters("refused_total", "Calls of the table service that were not made or not repeated, by operation and reason.", "op", "reason"),
 	}
-	return m
 }
 
 // resultOf returns the label of a call's result.
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/mastichollow/mastichollow/internal/metric"
 	"github.com/mastichollow/mastichollow/internal/platform"
 	"github.com/mastichollow/mastichollow/internal/request"
 )
@@ -60,18 +61,12 @@
 // NewTableRegistry returns a registry over the table service. A nil registerer
 // leaves the metrics unexported.
 func NewTableRegistry(table platform.TableService, reg prometheus.Registerer) *TableRegistry {
-	r := &TableRegistry{
+	return &TableRegistry{
 		table: table,
 		now:   time.Now,
-		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "mastichollow_suspect_changes_total",
-			Help: "Changes of suspects, by kind: accused, tried, acquitted, convicted or abandoned.",
-		}, []string{"change"}),
+		changes: metric.For(reg, "mastichollow_suspect").Counters("changes_total",
+			"Changes of suspects, by kind: accused, tried, acquitted, convicted or abandoned.", "change"),
 	}
-	if reg != nil {
-		reg.MustRegister(r.changes)
-	}
-	return r
 }
 
 // Accuse implements Registry. A fingerprint that is accused again ran at two
--- a/internal/transport/metrics.go
+++ b/internal/transport/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/mastichollow/mastichollow/internal/metric"
 	"github.com/mastichollow/mastichollow/internal/wire"
 )
 
@@ -23,6 +24,8 @@
 	kindRequest = "request"
 )
 
+const namespace = "mastichollow_transport"
+
 type metrics struct {
 	sent        *prometheus.CounterVec
 	received    *prometheus.CounterVec
@@ -37,39 +40,19 @@
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
+	f := metric.For(reg, namespace)
 	m := &metrics{
-		meters: make(map[*packetMeter]struct{}),
-		sent: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "mastichollow_transport_sent_bytes_total",
-			Help: "Bytes of frames sent, by class of link and kind of message.",
-		}, []string{"link", "kind"}),
-		received: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "mastichollow_transport_received_bytes_total",
-			Help: "Bytes of frames received, by class of link and kind of message.",
-		}, []string{"link", "kind"}),
-		refused: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "mastichollow_transport_peers_refused_total",
-			Help: "Handshakes refused because the peer does not hold the fleet's key.",
-		}),
-		dials: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "mastichollow_transport_dials_total",
-			Help: "Connections dialled, by result.",
-		}, []string{"result"}),
-		lost: prometheus.NewCounter(prometheus.CounterOpts{
-			Name: "mastichollow_transport_connections_lost_total",
-			Help: "Dialled connections that were lost or given up as silent.",
-		}),
-		connections: prometheus.NewGauge(prometheus.GaugeOpts{
-			Name: "mastichollow_transport_connections",
-			Help: "Open connections.",
-		}),
-		packetBytes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "mastichollow_transport_packet_bytes_total",
-			Help: "Bytes of QUIC packets, by class of link and direction.",
-		}, []string{"link", "direction"}),
+		meters:      make(map[*packetMeter]struct{}),
+		sent:        f.Counters("sent_bytes_total", "Bytes of frames sent, by class of link and kind of message.", "link", "kind"),
+		received:    f.Counters("received_bytes_total", "Bytes of frames received, by class of link and kind of message.", "link", "kind"),
+		refused:     f.Counter("peers_refused_total", "Handshakes refused because the peer does not hold the fleet's key."),
+		dials:       f.Counters("dials_total", "Connections dialled, by result.", "result"),
+		lost:        f.Counter("connections_lost_total", "Dialled connections that were lost or given up as silent."),
+		connections: f.Gauge("connections", "Open connections."),
+		packetBytes: metric.For(nil, namespace).Counters("packet_bytes_total", "Bytes of QUIC packets, by class of link and direction.", "link", "direction"),
 	}
 	if reg != nil {
-		reg.MustRegister(m.sent, m.received, m.refused, m.dials, m.lost, m.connections, packetCollector{m})
+		reg.MustRegister(packetCollector{m})
 	}
 	return m
 }
