--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -15,6 +15,8 @@
 	maxDeferred = 1024
 	// maxSettleTime bounds the tries of one settlement.
 	maxSettleTime = time.Hour
+	// stopTime bounds the last tries of all settlements when Run ends.
+	stopTime = 5 * time.Second
 )
 
 // deferred is the final word of an attempt on its claim: its answer, or that
@@ -26,20 +28,27 @@
 	answer      *Answer // nil: release
 }
 
-// Run settles claims that could not be settled at once, until ctx ends.
+// Run settles claims that could not be settled at once, until ctx ends. What
+// waits then is tried once more, so that an agent that stops shortly after an
+// outage loses no answers.
 func (c *TableClaimer) Run(ctx context.Context) error {
 	for {
 		select {
 		case <-ctx.Done():
+			c.settleRest(ctx)
 			return nil
 		case d := <-c.later:
-			c.retry(ctx, d)
+			if !c.retry(ctx, d) {
+				c.settleRest(ctx, d)
+				return nil
+			}
 		}
 	}
 }
 
-// retry repeats a settlement with growing pauses.
-func (c *TableClaimer) retry(ctx context.Context, d deferred) {
+// retry repeats a settlement with growing pauses. It returns false when ctx
+// ended before the settlement did.
+func (c *TableClaimer) retry(ctx context.Context, d deferred) bool {
 	operation := func() (struct{}, error) {
 		err := c.settle(ctx, d)
 		if err != nil && !isTransient(err) {
@@ -48,6 +57,32 @@
 		return struct{}{}, err
 	}
 	_, err := backoff.Retry(ctx, operation, backoff.WithMaxElapsedTime(maxSettleTime))
+	if err != nil && ctx.Err() != nil {
+		return false
+	}
+	c.unsettled(d, err)
+	return true
+}
+
+// settleRest tries first and all that waits once, within stopTime.
+func (c *TableClaimer) settleRest(ctx context.Context, first ...deferred) {
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), stopTime)
+	defer cancel()
+	for _, d := range first {
+		c.unsettled(d, c.settle(ctx, d))
+	}
+	for {
+		select {
+		case d := <-c.later:
+			c.unsettled(d, c.settle(ctx, d))
+		default:
+			return
+		}
+	}
+}
+
+// unsettled logs a settlement that was given up. A nil error is none.
+func (c *TableClaimer) unsettled(d deferred, err error) {
 	if err != nil {
 		c.logger.Warn("claim was not settled", "claim", d.key, "attempt", d.attempt, "error", err)
 	}
