--- a/internal/platform/batchmetrics.go
+++ b/internal/platform/batchmetrics.go
@@ -22,7 +22,7 @@
 }
 
 func newBatchMetrics() *batchMetrics {
-	f := metric.For(nil, namespace) // register exports them
+	f := metric.For(nil, "mastichollow_platform") // register exports them
 	return &batchMetrics{
 		transactions: f.Counter("batch_transactions_total", "Transactions sent for groups of commits."),
 		writes:       f.Counter("batch_writes_total", "Writes sent in transactions for groups of commits."),
--- a/internal/platform/guardmetrics.go
+++ b/internal/platform/guardmetrics.go
@@ -7,8 +7,6 @@
 	"github.com/mastichollow/mastichollow/internal/metric"
 )
 
-const namespace = "mastichollow_platform"
-
 // Results of calls, as labels.
 const (
 	resultOK          = "ok"
@@ -35,7 +33,7 @@
 }
 
 func newGuardMetrics(reg prometheus.Registerer) *guardMetrics {
-	f := metric.For(reg, namespace)
+	f := metric.For(reg, "mastichollow_platform")
 	return &guardMetrics{
 		calls:   f.Counters("calls_total", "Calls of the table service, with retries, by operation and result.", "op", "result"),
 		retries: f.Counters("retries_total", "Repeated calls of the table service by operation.", "op"),
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -63,11 +63,11 @@
 // NewTableRegistry returns a registry over the table service. A nil registerer
 // leaves the metrics unexported.
 func NewTableRegistry(table platform.TableService, reg prometheus.Registerer) *TableRegistry {
+	f := metric.For(reg, "mastichollow_suspect")
 	return &TableRegistry{
-		table: table,
-		now:   time.Now,
-		changes: metric.For(reg, "mastichollow_suspect").Counters("changes_total",
-			"Changes of suspects, by kind: accused, tried, acquitted, convicted or abandoned.", "change"),
+		table:   table,
+		now:     time.Now,
+		changes: f.Counters("changes_total", "Changes of suspects, by kind: accused, tried, acquitted, convicted or abandoned.", "change"),
 	}
 }
 
--- a/internal/transport/metrics.go
+++ b/internal/transport/metrics.go
@@ -24,8 +24,6 @@
 	kindRequest = "request"
 )
 
-const namespace = "mastichollow_transport"
-
 type metrics struct {
 	sent        *prometheus.CounterVec
 	received    *prometheus.CounterVec
@@ -40,7 +38,8 @@
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
-	f := metric.For(reg, namespace)
+	f := metric.For(reg, "mastichollow_transport")
+	unregistered := metric.For(nil, "mastichollow_transport")
 	m := &metrics{
 		meters:      make(map[*packetMeter]struct{}),
 		sent:        f.Counters("sent_bytes_total", "Bytes of frames sent, by class of link and kind of message.", "link", "kind"),
@@ -49,7 +48,7 @@
 		dials:       f.Counters("dials_total", "Connections dialled, by result.", "result"),
 		lost:        f.Counter("connections_lost_total", "Dialled connections that were lost or given up as silent."),
 		connections: f.Gauge("connections", "Open connections."),
-		packetBytes: metric.For(nil, namespace).Counters("packet_bytes_total", "Bytes of QUIC packets, by class of link and direction.", "link", "direction"),
+		packetBytes: unregistered.Counters("packet_bytes_total", "Bytes of QUIC packets, by class of link and direction.", "link", "direction"),
 	}
 	if reg != nil {
 		reg.MustRegister(packetCollector{m})
--- a/scripts/check-docs.sh
+++ b/scripts/check-docs.sh
@@ -113,7 +113,8 @@
 sources() { git ls-files --cached --others --exclude-standard 'internal/*.go' 'cmd/*.go' | grep -v '_test\.go$'; }
 
 # metrics: name|labels of each metric of the code. Names are literals in Opts, or
-# the first argument of the makers of the router and of the agent.
+# the first argument of a maker: those of the router and of the agent, and those
+# of package metric, whose namespace is the literal argument of For.
 metrics() {
   # shellcheck disable=SC2046
   awk '
@@ -137,6 +138,12 @@
     }
     /Name: +"mastichollow_/ { split($0, part, "\""); name = part[2]; next }
     name != "" && /^\t*}(\)|, \[\]string)/ { print name "|" labels($0); name = "" }
+    FNR == 1 { namespace = "" }
+    match($0, /metric\.For\([^"]*"/) {
+      rest = substr($0, RSTART + RLENGTH)
+      namespace = substr(rest, 1, index(rest, "\"") - 1)
+    }
+    namespace != "" && match($0, /(f|unregistered)\.(Counters?|Gauge)\("/) { made(namespace "_") }
     FILENAME ~ /^internal\/router\// && match($0, /f\.(counter|gauge|histogram)\("/) { made("mastichollow_router_") }
     FILENAME ~ /^internal\/agent\// && match($0, /[ \t](counter|vector|gauge)\("/) { made("mastichollow_agent_") }
   ' $(sources)
@@ -147,7 +154,7 @@
   local file
   while read -r file; do
     case $file in
-    internal/router/metrics.go | internal/agent/metrics.go | internal/process/process.go) continue ;;
+    internal/router/metrics.go | internal/agent/metrics.go | internal/metric/metric.go | internal/process/process.go) continue ;;
     esac
     if (($(grep -cE '(Counter|Gauge|Histogram|Summary)Opts\{' "$file") != $(grep -cE 'Name: +"mastichollow_[a-z_]+"' "$file"))); then
       echo "$file: makes a metric whose name is no literal; scripts/check-docs.sh cannot read it" >&2
