--- a/cmd/mastichollow-agent/settings.go
+++ b/cmd/mastichollow-agent/settings.go
@@ -10,8 +10,8 @@
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
-// interactiveShare is the part of the slots, one in so many, that stays free of
-// batch work by default.
+// interactiveShare is the number of slots for which there is one more for
+// interactive work by default.
 const interactiveShare = 8
 
 // settings are the flags and environment variables of the program.
@@ -22,8 +22,8 @@
 
 	Pool             string `help:"Model or service that the target offers." placeholder:"NAME"`
 	Kind             string `help:"Kind of the target: model or service." default:"model"`
-	Slots            int    `help:"Requests that run on the target at once." default:"8"`
-	InteractiveSlots int    `help:"Slots that stay free of batch work; -1: an eighth of the slots." default:"-1"`
+	Slots            int    `help:"Requests at which the target produces all it can." default:"8"`
+	InteractiveSlots int    `help:"Slots beyond --slots that take interactive work only; -1: an eighth of the slots, one at least." default:"-1"`
 
 	TargetURL  string `name:"target-url" help:"Base URL of the target." placeholder:"URL"`
 	ObjectsURL string `name:"objects-url" help:"Base URL of the platform's object store." placeholder:"URL"`
@@ -46,10 +46,10 @@
 	f.Check("kind", checkKind(s.Kind))
 	f.Check("slots", check.AtLeast(s.Slots, 1))
 	if s.InteractiveSlots == -1 {
-		s.InteractiveSlots = s.Slots / interactiveShare
+		s.InteractiveSlots = max(s.Slots/interactiveShare, 1)
 	}
-	if s.InteractiveSlots < 0 || s.InteractiveSlots >= max(s.Slots, 1) {
-		f.Check("interactive-slots", errors.Newf("%d is not between 0 and %d", s.InteractiveSlots, s.Slots-1))
+	if s.InteractiveSlots < 0 {
+		f.Check("interactive-slots", errors.Newf("%d is below -1", s.InteractiveSlots))
 	}
 	check.CheckEach(&f, check.Positive, map[string]time.Duration{
 		"hold": s.Hold, "begin-timeout": s.BeginTimeout, "progress": s.Progress, "keep": s.Keep,
--- a/cmd/mastichollow-agent/start.go
+++ b/cmd/mastichollow-agent/start.go
@@ -47,7 +47,7 @@
 		Domain:           s.Domain,
 		Pool:             s.Pool,
 		Kind:             target.Kind(s.Kind),
-		Slots:            s.Slots,
+		Slots:            s.Slots + s.InteractiveSlots,
 		InteractiveSlots: s.InteractiveSlots,
 		Limits:           s.limits(),
 		Store:            m.Store,
