--- a/internal/fleet/bench_test.go
+++ b/internal/fleet/bench_test.go
@@ -33,11 +33,14 @@
 func benchReports(workspaces int) []*wire.Report {
 	const count = 64
 	reports := make([]*wire.Report, count)
-	var before *poolSums
+	p := newPacker()
 	for i := range reports {
-		sums := benchSums(workspaces, i+1)
-		reports[i] = &wire.Report{Member: "south-agent-0", Incarnation: 1 << 60, Confirmed: 1 << 20, Pools: diff(before, sums)}
-		before = sums
+		reports[i] = &wire.Report{
+			Sequence:  uint64(i + 1),
+			Confirmed: 1 << 20,
+			Full:      i == 0,
+			Packed:    p.pack(benchSums(workspaces, i+1)),
+		}
 	}
 	return reports
 }
@@ -73,17 +76,21 @@
 			}
 			frames[i] = frame
 		}
-		tl := newTally()
+		tl, u := newTally(), newUnpacker()
 		now := time.Now()
-		sequence := uint64(0)
-		for b.Loop() {
-			sequence++
+		for sequence := uint64(0); b.Loop(); sequence++ {
 			m, err := wire.Decode(wire.TypeReport, frames[sequence%uint64(len(frames))][5:])
 			if err != nil {
 				b.Fatal(err)
 			}
 			r := m.(*wire.Report)
-			r.Sequence = sequence
+			if r.Full {
+				u = newUnpacker()
+			}
+			if r.Pools, err = u.unpack(r.Packed); err != nil {
+				b.Fatal(err)
+			}
+			r.Sequence = sequence + 1
 			tl.add(r, now)
 		}
 		b.ReportMetric(frameLen(b, reports[1]), "bytes/report")
@@ -97,9 +104,9 @@
 		const members = 20
 		tl := newTally()
 		for i := range members {
-			r := benchReports(workspaces)[0]
-			r.Member, r.Sequence = fmt.Sprint(i), 1
-			tl.add(r, time.Now())
+			tl.add(&wire.Report{
+				Member: fmt.Sprint(i), Sequence: 1, Pools: diff(nil, benchSums(workspaces, 1)),
+			}, time.Now())
 		}
 		for b.Loop() {
 			tl.digest()
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -58,6 +58,7 @@
 	hasConfirmed bool
 	sent         sentConfig
 	reported     reportState
+	reports      *unpacker            // of the member's reports
 	vms          map[string]target.VM // list that the peer sent
 	joined       map[originKey]uint64 // step of the fan that the peer has
 	unpackers    map[originKey]*unpacker
@@ -80,7 +81,7 @@
 
 // reportState is what the relay knows of this member.
 type reportState struct {
-	sums      *poolSums
+	packer    *packer
 	confirmed uint64
 	full      time.Time // of the last full report
 }
@@ -194,8 +195,7 @@
 		}
 	case *wire.Report:
 		if l.kind == toMember {
-			n.handleReport(l, m)
-			return nil
+			return n.handleReport(l, m)
 		}
 	}
 	return errors.Wrapf(ErrProtocol, "message of type %d from %q", m.Type(), l.peer.ID)
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -38,7 +38,13 @@
 		}
 	}
 	if own != nil {
-		own.add(n.newReport(confirmed, diff(nil, sums)), now)
+		own.add(&wire.Report{
+			Member:      n.cfg.Self.ID,
+			Incarnation: n.cfg.Incarnation,
+			Sequence:    n.reports,
+			Confirmed:   confirmed,
+			Pools:       diff(nil, sums),
+		}, now)
 	}
 }
 
@@ -46,32 +52,16 @@
 // or nothing. n.mu is held.
 func (n *Node) reportTo(l *link, sums *poolSums, confirmed uint64, now time.Time) {
 	last := &l.reported
-	var before *poolSums
-	if now.Sub(last.full) < n.periods.FullReport {
-		before = last.sums
+	full := last.packer == nil || now.Sub(last.full) >= n.periods.FullReport
+	if full {
+		last.packer, last.full = newPacker(), now
 	}
-	pools := diff(before, sums)
-	if before != nil && len(pools) == 0 && confirmed == last.confirmed {
+	packed := last.packer.pack(sums)
+	if !full && len(packed) == 0 && confirmed == last.confirmed {
 		return
 	}
-	if before == nil {
-		last.full = now
-	}
-	last.sums, last.confirmed = sums, confirmed
-	r := n.newReport(confirmed, pools)
-	r.Full = before == nil
-	l.send(r)
-}
-
-// newReport returns a report of this process. n.mu is held.
-func (n *Node) newReport(confirmed uint64, pools []wire.PoolSums) *wire.Report {
-	return &wire.Report{
-		Member:      n.cfg.Self.ID,
-		Incarnation: n.cfg.Incarnation,
-		Sequence:    n.reports,
-		Confirmed:   confirmed,
-		Pools:       pools,
-	}
+	last.confirmed = confirmed
+	l.send(&wire.Report{Sequence: n.reports, Confirmed: confirmed, Full: full, Packed: packed})
 }
 
 // handleDigest records the sums of a failure domain.
@@ -91,6 +81,9 @@
 		return err
 	}
 	n.cfg.Store.ApplyDigest(d)
+	if l.kind != toRelay {
+		wake(n.forward)
+	}
 	return nil
 }
 
@@ -139,5 +132,5 @@
 	if c.Table != nil {
 		l.sent.table = max(l.sent.table, c.Table.Version)
 	}
-	n.wake()
+	wake(n.changed)
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -19,9 +19,10 @@
 
 // Periods are the times that govern a node. A zero field takes its default.
 type Periods struct {
-	Report     time.Duration // between reports of a member; 1 s
+	Report     time.Duration // between reports of a member; 0.5 s
 	FullReport time.Duration // between full reports; 30 s
-	Digest     time.Duration // between digests of a relay; 1 s
+	Digest     time.Duration // between digests of a relay to its members; 0.5 s
+	Peer       time.Duration // between digests to relays of other failure domains; 1 s
 	Poll       time.Duration // between reads of the platform by a relay; 1 s
 	Direct     time.Duration // between reads by a member without a relay, ± half; 5 s
 	Call       time.Duration // timeout of one call of the platform; 2 s
@@ -39,9 +40,10 @@
 			*d = v
 		}
 	}
-	set(&p.Report, time.Second)
+	set(&p.Report, 500*time.Millisecond)
 	set(&p.FullReport, 30*time.Second)
-	set(&p.Digest, time.Second)
+	set(&p.Digest, 500*time.Millisecond)
+	set(&p.Peer, time.Second)
 	set(&p.Poll, time.Second)
 	set(&p.Direct, 5*time.Second)
 	set(&p.Call, 2*time.Second)
@@ -91,18 +93,22 @@
 	metrics *metrics
 	poller  *poller
 	changed chan struct{} // holds a value when members may lack configuration
+	forward chan struct{} // holds a value when members lack sums of other domains
 
 	isStale atomic.Bool // the platform has not been read for a while
 	dials   sync.WaitGroup
 
-	mu      sync.Mutex
-	links   map[*link]struct{}
-	dialled map[string]dialState // by VM ID and kind of link
-	tallies map[string]*tally    // by failure domain
-	applied map[string]*poolSums // own totals in the store, by failure domain
-	fans    map[originKey]*fan
-	reports uint64 // sequence of the last report
-	digests uint64 // sequence of the last own digest
+	sumUpMu sync.Mutex // taken before mu
+
+	mu         sync.Mutex
+	links      map[*link]struct{}
+	dialled    map[string]dialState // by VM ID and kind of link
+	tallies    map[string]*tally    // by failure domain
+	applied    map[string]*poolSums // own totals in the store, by failure domain
+	memberFans fans
+	peerFans   fans
+	reports    uint64 // sequence of the last report
+	digests    uint64 // sequence of the last own digest
 }
 
 // NewNode returns a node or an error that names every fault of cfg.
@@ -114,16 +120,18 @@
 		cfg.Logger = hclog.NewNullLogger()
 	}
 	n := &Node{
-		cfg:     cfg,
-		periods: cfg.Periods.withDefaults(),
-		log:     cfg.Logger.Named("fleet"),
-		metrics: newMetrics(cfg.Registerer),
-		changed: make(chan struct{}, 1),
-		links:   make(map[*link]struct{}),
-		dialled: make(map[string]dialState),
-		tallies: make(map[string]*tally),
-		applied: make(map[string]*poolSums),
-		fans:    make(map[originKey]*fan),
+		cfg:        cfg,
+		periods:    cfg.Periods.withDefaults(),
+		log:        cfg.Logger.Named("fleet"),
+		metrics:    newMetrics(cfg.Registerer),
+		changed:    make(chan struct{}, 1),
+		forward:    make(chan struct{}, 1),
+		links:      make(map[*link]struct{}),
+		dialled:    make(map[string]dialState),
+		tallies:    make(map[string]*tally),
+		applied:    make(map[string]*poolSums),
+		memberFans: make(fans),
+		peerFans:   make(fans),
 	}
 	n.poller = newPoller(cfg, n.periods, n.metrics, n.log)
 	return n, nil
@@ -151,7 +159,7 @@
 func (n *Node) Run(ctx context.Context) error {
 	g, ctx := errgroup.WithContext(ctx)
 	for _, duty := range []func(context.Context){
-		n.runPolls, n.runDials, n.runReports, n.runDigests, n.runConfigs, n.runStatus,
+		n.runPolls, n.runDials, n.runReports, n.runDigests, n.runPeerDigests, n.runForwards, n.runConfigs, n.runStatus,
 	} {
 		g.Go(func() error {
 			duty(ctx)
@@ -202,7 +210,7 @@
 	if hello != nil {
 		n.applyHello(l, hello)
 	}
-	n.wake()
+	wake(n.changed)
 }
 
 func (n *Node) removeLink(l *link) {
@@ -259,10 +267,10 @@
 	return 0
 }
 
-// wake lets the configuration be sent to the members that lack it.
-func (n *Node) wake() {
+// wake puts a value into c unless it holds one.
+func wake(c chan<- struct{}) {
 	select {
-	case n.changed <- struct{}{}:
+	case c <- struct{}{}:
 	default:
 	}
 }
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -16,6 +16,7 @@
 const (
 	inForceBound = 5 * time.Second
 	leavingBound = 3 * time.Second
+	sumsAge      = 1600 * time.Millisecond // a report, a digest between domains, and the test's own step
 )
 
 // threeRegions starts three regions of two routers and two agents with a table
@@ -62,7 +63,7 @@
 		}
 		n.nodes["south-agent-0"].setSums("letter-writer", wire.Sum{Workspace: 7, Service: 1000, Running: 2})
 		n.nodes["south-agent-1"].setSums("letter-writer", wire.Sum{Workspace: 7, Service: 500, Running: 1})
-		eventually(t, 4*time.Second, "sums everywhere", func() bool {
+		eventually(t, sumsAge, "sums everywhere", func() bool {
 			for id, node := range n.without() {
 				if service(node, "south-d1", 7) != before[id]+1500 {
 					return false
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -201,7 +201,7 @@
 func (n *Node) noteStale() {
 	stale := n.poller.stale(time.Now())
 	if n.isStale.Swap(stale) != stale {
-		n.wake()
+		wake(n.changed)
 	}
 	n.metrics.version.Set(float64(n.version()))
 	value := 0.0
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -11,12 +11,20 @@
 )
 
 // handleReport adds a member's report to the tally of its failure domain.
-func (n *Node) handleReport(l *link, r *wire.Report) {
+func (n *Node) handleReport(l *link, r *wire.Report) error {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if l.reports == nil || r.Full {
+		l.reports = newUnpacker()
+	}
+	var err error
+	if r.Pools, err = l.reports.unpack(r.Packed); err != nil {
+		return err
+	}
 	r.Member, r.Incarnation = l.peer.ID, l.incarnation
 	n.tally(l.peer.Domain).add(r, time.Now())
 	l.confirmed, l.hasConfirmed = r.Confirmed, true
+	return nil
 }
 
 // tally returns the tally of domain. n.mu is held.
@@ -29,12 +37,31 @@
 	return t
 }
 
-// runDigests adds up the reports and sends the sums on.
+// runDigests adds up the reports and sends members the sums.
 func (n *Node) runDigests(ctx context.Context) {
 	for pause(ctx, n.periods.Digest) {
-		if n.relaying() {
-			n.sumUp(time.Now())
-			n.sendDigests()
+		n.sumUp(time.Now())
+		n.sendDigests(n.memberFans, toMember)
+	}
+}
+
+// runPeerDigests adds up the reports and sends relays of other failure domains
+// the sums.
+func (n *Node) runPeerDigests(ctx context.Context) {
+	for pause(ctx, n.periods.Peer) {
+		n.sumUp(time.Now())
+		n.sendDigests(n.peerFans, toPeer, fromPeer)
+	}
+}
+
+// runForwards sends members the sums of other failure domains as they come.
+func (n *Node) runForwards(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.forward:
+			n.sendDigests(n.memberFans, toMember)
 		}
 	}
 }
@@ -42,6 +69,8 @@
 // sumUp puts the sums of the failure domains that this process adds up into
 // the store.
 func (n *Node) sumUp(now time.Time) {
+	n.sumUpMu.Lock() // own digests reach the store in their order
+	defer n.sumUpMu.Unlock()
 	for _, d := range n.ownDigests(now) {
 		n.cfg.Store.ApplyDigest(d)
 	}
@@ -50,7 +79,9 @@
 func (n *Node) ownDigests(now time.Time) []*wire.Digest {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	n.tally(n.cfg.Self.Domain)
+	if n.active(n.cfg.Store.Snapshot()) {
+		n.tally(n.cfg.Self.Domain)
+	}
 	var digests []*wire.Digest
 	for domain, t := range n.tallies {
 		t.forget(now.Add(-tallyMemory))
@@ -88,20 +119,24 @@
 
 // sendDigests sends members the sums of all failure domains, and relays of
 // other domains those of this process's own and of those that report to it.
-func (n *Node) sendDigests() {
+func (n *Node) sendDigests(fans fans, kinds ...linkKind) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	old := n.fans
-	n.fans = make(map[originKey]*fan, len(old))
+	links := n.linksOf(kinds...)
+	if len(links) == 0 {
+		return
+	}
+	old := maps.Clone(fans)
+	clear(fans)
 	n.cfg.Store.eachOrigin(func(domain string, src *originSums) {
 		key := originKey{domain, src.origin}
 		f := old[key]
 		if f == nil {
 			f = &fan{packer: newPacker()}
 		}
-		n.fans[key] = f
+		fans[key] = f
 		f.advance(src)
-		for l := range n.links {
+		for _, l := range links {
 			if n.sends(l, domain) {
 				n.sendDigest(l, key, f)
 			}
@@ -109,6 +144,17 @@
 	})
 }
 
+// linksOf returns the links of the given kinds. n.mu is held.
+func (n *Node) linksOf(kinds ...linkKind) []*link {
+	var links []*link
+	for l := range n.links {
+		if slices.Contains(kinds, l.kind) {
+			links = append(links, l)
+		}
+	}
+	return links
+}
+
 // sends reports whether l gets the digests of domain. n.mu is held.
 func (n *Node) sends(l *link, domain string) bool {
 	switch l.kind {
@@ -141,6 +187,9 @@
 	l.send(d)
 }
 
+// fans are the fans of all origins for links of the same kind.
+type fans map[originKey]*fan
+
 // fan packs the sums of one origin once for all links.
 type fan struct {
 	packer   *packer
--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -166,10 +166,7 @@
 func (s *Store) publish(next *Snapshot) {
 	s.snapshot.Store(next)
 	for _, c := range s.watchers {
-		select {
-		case c <- struct{}{}:
-		default:
-		}
+		wake(c)
 	}
 }
 
--- a/internal/fleet/traffic_test.go
+++ b/internal/fleet/traffic_test.go
@@ -24,25 +24,26 @@
 	backlogged     = 15 // workspaces
 	unitsPerSecond = 700
 	trafficTime    = 60 * time.Second
+	serveStep      = 100 * time.Millisecond
 )
 
 // serveBacklog lets every agent of n serve all workspaces for d.
 func serveBacklog(n *network, d time.Duration, workspaces int) {
 	sums := make([]wire.Sum, workspaces)
-	for second := range int(d / time.Second) {
+	for step := range int(d / serveStep) {
 		for i := range sums {
 			sums[i].Workspace = workspace.RowID(i + 1)
-			sums[i].Service += unitsPerSecond + uint64(i)
-			sums[i].Started += uint64((second + i) % 2)
-			sums[i].Running = uint32((second + i) % 3)
-			sums[i].Queued = uint32(200 + second%5)
+			sums[i].Service += unitsPerSecond * uint64(serveStep) / uint64(time.Second)
+			sums[i].Started += uint64((step + i) % 10 / 9)
+			sums[i].Running = uint32((step + i) % 3)
+			sums[i].Queued = uint32(200 + step%5)
 		}
 		for id, node := range n.without() {
 			if strings.Contains(id, "agent") {
 				node.setSums("letter-writer", append([]wire.Sum(nil), sums...)...)
 			}
 		}
-		time.Sleep(time.Second)
+		time.Sleep(serveStep)
 	}
 }
 
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -75,15 +75,19 @@
 	Sums   []Sum  `cbor:"4,keyasint,omitempty"` // those that changed since the last report; all in a full one
 }
 
-// Report goes from a member to the relays of its failure domain.
+// Report goes from a member to the relays of its failure domain. On a stream
+// Pools goes as Packed, and Member and Incarnation are those of the Hello.
 type Report struct {
-	Member      string     `cbor:"1,keyasint"`
-	Incarnation uint64     `cbor:"2,keyasint"`
+	Member      string     `cbor:"1,keyasint,omitempty"`
+	Incarnation uint64     `cbor:"2,keyasint,omitempty"`
 	Sequence    uint64     `cbor:"3,keyasint"`
 	Confirmed   uint64     `cbor:"4,keyasint"` // table version in force at the member
 	Pools       []PoolSums `cbor:"5,keyasint,omitempty"`
 	// Full says that Pools has all sums: those that it lacks are zero.
 	Full bool `cbor:"6,keyasint,omitempty"`
+	// Packed holds Pools as differences to the reports before it on the same
+	// stream, from the last full one on, in the encoding of package fleet.
+	Packed []byte `cbor:"7,keyasint,omitempty"`
 }
 
 // Digest carries the sums of one failure domain, from the relay that added
