--- a/cmd/mastichollow-demo/main.go
+++ b/cmd/mastichollow-demo/main.go
@@ -4,6 +4,8 @@
 package main
 
 import (
+	"context"
+	"fmt"
 	"os"
 	"time"
 
@@ -31,6 +33,7 @@
 	LettersKey string           `help:"API key of the workspace that writes letters." default:"demo-letters"`
 	ShopKey    string           `help:"API key of the workspace of the shop." default:"demo-shop"`
 	Drain      string           `help:"VM ID of the agent beside the first engine." default:"letters-1"`
+	Shares     bool             `help:"Measure how two backlogged workspaces share the fleet of scripts/shares.sh, beside the model."`
 	Version    kong.VersionFlag `help:"Print the version and exit."`
 }
 
@@ -51,9 +54,24 @@
 		},
 	})
 	ctx, stop := process.SignalContext()
-	checks := d.Run(ctx)
+	held := run(ctx, d, cl.Shares)
 	stop()
-	if !demo.Print(os.Stdout, checks) {
+	if !held {
 		os.Exit(1)
 	}
 }
+
+// run measures the shares, or runs the checks and reports whether all held.
+func run(ctx context.Context, d *demo.Demo, shares bool) bool {
+	if shares {
+		printShares(d.Shares(ctx))
+		return true
+	}
+	return demo.Print(os.Stdout, d.Run(ctx))
+}
+
+func printShares(programs, model demo.Measured) {
+	fmt.Printf("%-10s %18s %12s\n", "", "fairness gap, s", "utilisation")
+	fmt.Printf("%-10s %18.2f %12.3f\n", "programs", programs.Gap, programs.Utilisation)
+	fmt.Printf("%-10s %18.2f %12.3f\n", "model", model.Gap, model.Utilisation)
+}
--- a/internal/agent/crash_test.go
+++ b/internal/agent/crash_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/mastichollow/mastichollow/internal/engine"
 	"github.com/mastichollow/mastichollow/internal/request"
+	"github.com/mastichollow/mastichollow/internal/suspect"
 	"github.com/mastichollow/mastichollow/internal/wire"
 )
 
@@ -107,7 +108,7 @@
 
 func testCrashBound(t *testing.T, busy int) {
 	synctest.Test(t, func(t *testing.T) {
-		registry := newFakeSuspects()
+		registry := newTestRegistry()
 		var agents []*rig
 		for range 6 {
 			r := newRig(t, func(c *Config) { c.Suspects = registry })
@@ -142,9 +143,7 @@
 			crashes += r.target.crashes
 		}
 		require.Equal(t, 2, crashes)
-		quarantined, _, _ := registry.state(string(poison))
-		require.True(t, quarantined)
-		require.Equal(t, 1, registry.count(), "the innocent ones are acquitted")
+		require.Equal(t, map[string]bool{string(poison): true}, registry.list(t), "the innocent ones are acquitted")
 	})
 }
 
@@ -159,14 +158,50 @@
 		}, time.Now())
 		c := r.offer(func(o *wire.Offer) { o.Fingerprint = []byte("f") }).run()
 		synctest.Wait()
-		_, _, trial := r.registry.state("f")
-		require.Equal(t, c.id, trial)
+		require.True(t, r.registry.onTrial("f"))
 		refusal := expect[*wire.Refuse](r.offer(func(o *wire.Offer) { o.Fingerprint = []byte("q") }))
 		require.Equal(t, request.ReasonQuarantined, refusal.Reason)
 		c.whole()
 	})
 }
 
+// TestHomeLearnsOfSuspect tells the home agent of a crash elsewhere.
+func TestHomeLearnsOfSuspect(t *testing.T) {
+	print := func(o *wire.Offer) { o.Home, o.Fingerprint = true, []byte("f") }
+	tests := []struct {
+		name string
+		tell func(*rig)
+	}{
+		{"by the stream of the request's first round", func(r *rig) {
+			c := r.offer(print)
+			expect[*wire.Grant](c)
+			c.send(&wire.Withdraw{Attempt: c.id})
+			c.send(&wire.Withdraw{Attempt: c.id, Suspect: true})
+			expect[*wire.Refuse](c)
+			_ = c.s.CloseSend()
+			<-c.done
+		}},
+		{"by the offer of the next round", func(r *rig) {
+			c := r.offer(func(o *wire.Offer) { print(o); o.Suspect = true })
+			expect[*wire.Grant](c)
+			_ = c.s.CloseSend()
+			<-c.done
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newRig(t, nil)
+				defer r.stop()
+				tt.tell(r)
+				r.offer(print).run()
+				synctest.Wait()
+				require.True(t, r.registry.onTrial("f"))
+			})
+		})
+	}
+}
+
 // TestDuplicatesOfUnlistedSuspect are not sent to agents that do not know the
 // suspect yet, also before it is clear that the target crashed.
 func TestDuplicatesOfUnlistedSuspect(t *testing.T) {
@@ -190,7 +225,7 @@
 		r := newRig(t, nil)
 		defer r.stop()
 		before := r.offer(nil).run()
-		suspected := r.offer(func(o *wire.Offer) { o.Fingerprint, o.Suspect = []byte("f"), true })
+		suspected := r.offer(func(o *wire.Offer) { o.Fingerprint, o.Suspect, o.Home = []byte("f"), true, true })
 		expect[*wire.Queued](suspected)
 		after := r.offer(nil)
 		expect[*wire.Queued](after)
@@ -198,17 +233,37 @@
 		suspected.run()
 		synctest.Wait()
 		require.Equal(t, 1, r.target.busy())
-		_, _, trial := r.registry.state("f")
-		require.Equal(t, suspected.id, trial)
+		require.True(t, r.registry.onTrial("f"))
 		require.Equal(t, "hello world", suspected.whole())
-		_, known, trial := r.registry.state("f")
-		require.False(t, known)
-		require.Empty(t, trial)
+		require.Empty(t, r.registry.list(t))
 		require.Equal(t, "hello world", after.run().whole())
 	})
 }
 
+// TestSuspectFromElsewhereWaits lets others run for a time before the target is
+// drained for a suspect whose home is another agent.
+func TestSuspectFromElsewhereWaits(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		defer r.stop()
+		answers(nil, step{after: 10 * time.Second, data: "x"})(r)
+		r.offer(nil).run()
+		begun := time.Now()
+		suspected := r.offer(func(o *wire.Offer) { o.Fingerprint, o.Suspect = []byte("f"), true })
+		expect[*wire.Queued](suspected)
+		time.Sleep(suspectPatience - time.Second)
+		r.offer(nil).run()
+		time.Sleep(2 * time.Second)
+		late := r.offer(nil)
+		expect[*wire.Queued](late)
+		suspected.run().whole()
+		require.Equal(t, suspectPatience+19*time.Second, time.Since(begun).Truncate(time.Second), "after both, and alone")
+		late.run().whole()
+	})
+}
+
 func TestTrialOutcomes(t *testing.T) {
+	print := suspect.Fingerprint("f")
 	tests := []struct {
 		name        string
 		setup       func(*rig)
@@ -216,33 +271,37 @@
 		known       bool // the fingerprint stays a suspect
 		quarantined bool
 		ran         int
+		tried       bool // by another attempt
 	}{
-		{"whole answer", func(*rig) {}, "", false, false, 1},
-		{"not sent", answers(engine.ErrNotSent), request.ReasonTargetDown, true, false, 1},
-		{"cut without a crash", answers(nil, step{err: engine.ErrTruncated}), request.ReasonTargetFailed, true, false, 1},
+		{"whole answer", func(*rig) {}, "", false, false, 1, false},
+		{"not sent", answers(engine.ErrNotSent), request.ReasonTargetDown, true, false, 1, false},
+		{"cut without a crash", answers(nil, step{err: engine.ErrTruncated}), request.ReasonTargetFailed, true, false, 1, false},
 		{"crash", func(r *rig) {
 			answers(nil, step{after: time.Second, err: engine.ErrTruncated})(r)
 			time.AfterFunc(500*time.Millisecond, func() { r.target.set("start-2", false) })
-		}, request.ReasonTargetCrashed, true, true, 1},
-		{"on trial elsewhere", func(r *rig) { r.registry.trials["f"] = "other" }, request.ReasonSuspect, true, false, 0},
-		{"quarantined elsewhere", func(r *rig) { r.registry.known["f"] = true }, request.ReasonQuarantined, true, true, 0},
-		{"registry is unavailable", func(r *rig) { r.registry.unavailable = true }, request.ReasonSuspect, true, false, 0},
+		}, request.ReasonTargetCrashed, true, true, 1, false},
+		{"on trial elsewhere", func(r *rig) { _ = r.registry.Try(context.Background(), print, "other") }, request.ReasonSuspect, true, false, 0, true},
+		{"quarantined elsewhere", func(r *rig) { _ = r.registry.Accuse(context.Background(), print, "another crash") }, request.ReasonQuarantined, true, true, 0, false},
+		{"registry is unavailable", func(r *rig) { r.registry.setUnavailable(true) }, request.ReasonSuspect, true, false, 0, false},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				r := newRig(t, nil)
 				defer r.stop()
-				r.registry.known["f"] = false
+				require.NoError(t, r.registry.Accuse(context.Background(), print, "crash"))
 				tt.setup(r)
 				c := r.offer(func(o *wire.Offer) { o.Fingerprint, o.Suspect = []byte("f"), true }).run()
 				_, last := c.answer()
 				require.Equal(t, tt.want, reasonOf(last))
 				require.Equal(t, tt.ran, r.target.ran(c.id))
-				quarantined, known, trial := r.registry.state("f")
+				r.registry.setUnavailable(false)
+				quarantined, known := r.registry.list(t)["f"]
 				require.Equal(t, tt.known, known)
 				require.Equal(t, tt.quarantined, quarantined)
-				require.NotEqual(t, c.id, trial, "the trial has ended")
+				if known {
+					require.Equal(t, tt.tried, r.registry.onTrial("f"))
+				}
 			})
 		})
 	}
@@ -273,7 +332,7 @@
 			require.True(t, ok)
 			require.True(t, fail.Suspect)
 			require.Equal(t, request.OutcomeUnknown, fail.Outcome)
-			require.Equal(t, 2, r.registry.count())
+			require.Len(t, r.registry.list(t), 2)
 		}
 		require.Equal(t, request.ReasonTargetDown, expect[*wire.Refuse](queued).Reason)
 		_, last := waiting.answer()
@@ -284,3 +343,30 @@
 		require.NoError(t, r.Ready())
 	})
 }
+
+// TestAccusationIsRepeated keeps a suspect while the platform is out.
+func TestAccusationIsRepeated(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r := newRig(t, nil)
+		defer r.stop()
+		crashOn(r)
+		r.registry.setUnavailable(true)
+		c := r.offer(func(o *wire.Offer) { o.Fingerprint = poison })
+		_, last := c.deliver(poison, false)
+		require.True(t, last.(*wire.Fail).Suspect)
+		_ = c.s.CloseSend()
+		<-c.done
+		r.target.set("start-2", false)
+		time.Sleep(2 * time.Second)
+		again := r.offer(func(o *wire.Offer) { o.Fingerprint = poison }).run()
+		_, last = again.answer()
+		require.Equal(t, request.ReasonSuspect, reasonOf(last), "no trial without the platform")
+		time.Sleep(20 * time.Minute)
+		require.True(t, r.suspects.has(poison), "the agent itself remembers it so long")
+		r.registry.setUnavailable(false)
+		time.Sleep(time.Minute)
+		require.Contains(t, r.registry.list(t), string(poison))
+		require.Equal(t, 1, r.target.count())
+		require.Positive(t, r.counter(r.metrics.retries, "accuse"))
+	})
+}
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
 
 	"github.com/mastichollow/mastichollow/internal/claim"
 	"github.com/mastichollow/mastichollow/internal/engine"
@@ -23,11 +24,26 @@
 		end = a.runInSlot(at)
 	}
 	a.settle(at, end)
+	if end.outcome == request.OutcomeCompleted {
+		a.holds.prove(at.offer.Fingerprint)
+	}
 	a.metrics.ended(end)
+	a.logEnd(at, end)
 	a.attempts.finish(at)
 	at.out.finish(end.message(at.offer.Attempt, a.retryAfter(at, end)))
 }
 
+// logEnd logs how at ended.
+func (a *Agent) logEnd(at *attempt, end ending) {
+	level := hclog.Debug
+	if end.outcome != request.OutcomeCompleted {
+		level = hclog.Info
+	}
+	a.log.Log(level, "attempt ended",
+		"request", at.offer.Request, "attempt", at.offer.Attempt, "workspace", at.offer.Workspace,
+		"outcome", end.outcome, "reason", end.reason, "detail", end.detail, "service", end.service)
+}
+
 // retryAfter returns when the caller should come back after end.
 func (a *Agent) retryAfter(at *attempt, end ending) time.Duration {
 	if end.outcome != request.OutcomeNotRun {
@@ -61,11 +77,11 @@
 func (a *Agent) runInSlot(at *attempt) ending {
 	end := a.execute(at)
 	if a.cfg.Kind == target.KindService {
-		due, total := a.sched.chargeableOf(at, time.Now())
-		a.charge(at.offer.Workspace, due)
-		end.service = total
+		due, paid := a.sched.chargeTimeOf(at, time.Now())
+		a.metrics.service.Add(float64(due))
+		end.service = paid
 	}
-	a.sched.finish(at)
+	a.sched.finish(at, end.outcome == request.OutcomeCompleted)
 	return end
 }
 
@@ -165,7 +181,7 @@
 	end := ending{outcome: request.OutcomeCompleted}
 	for {
 		frame, err := answer.Next(at.ctx)
-		a.charge(at.offer.Workspace, frame.Units)
+		a.charge(at, frame.Units)
 		end.service += frame.Units
 		if errors.Is(err, io.EOF) {
 			at.stored = rec.answer()
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -56,6 +56,9 @@
 // begin sends call once and returns the head of its answer. The guard ends the
 // answer; the end of ctx does so only until begin returns.
 func (c *client) begin(ctx context.Context, call Call) (*http.Response, *guard, error) {
+	if err := ctx.Err(); err != nil {
+		return nil, nil, errors.Mark(err, ErrNotSent)
+	}
 	g := newGuard(c.options.Progress)
 	defer g.watch(ctx)()
 	limit := time.AfterFunc(c.options.BeginTimeout, func() { g.cancel(ErrStalled) })
@@ -106,9 +109,13 @@
 	return req, nil
 }
 
+// leaveIdle closes the idle connections. When one connection has gone silent,
+// others may have too.
+func (c *client) leaveIdle() { c.pooled.CloseIdleConnections() }
+
 // failed translates the error of a call whose answer did not begin.
 func (c *client) failed(g *guard, tracker *httpsend.Tracker, err error) error {
-	c.pooled.CloseIdleConnections()
+	c.leaveIdle()
 	switch {
 	case !tracker.Sent():
 		return errors.Mark(err, ErrNotSent)
--- a/internal/router/config.go
+++ b/internal/router/config.go
@@ -22,12 +22,13 @@
 	Body    int64 // bytes of a request body
 	Header  int   // bytes of all header names and values
 	Prompt  int   // bytes of all message contents of a chat completion
+	Bodies  int64 // bytes of all bodies in hand; a workspace may take a quarter
 	Offered int   // requests of one workspace and pool that wait for a first answer
 }
 
 // DefaultLimits returns the limits used unless settings say otherwise.
 func DefaultLimits() Limits {
-	return Limits{Body: 4 << 20, Header: 32 << 10, Prompt: 2 << 20, Offered: 256}
+	return Limits{Body: 4 << 20, Header: 32 << 10, Prompt: 2 << 20, Bodies: 64 << 20, Offered: 256}
 }
 
 // Timing holds the router's timeouts.
@@ -38,7 +39,7 @@
 	HomePatience   time.Duration // for the home agent's answer before others are asked
 	Widen          time.Duration // between two steps of asking further agents
 	SpillAfter     time.Duration // of waiting before other regions are asked
-	Progress       time.Duration // without a message before a running attempt is resumed on a new connection; above the time after which an agent gives up a silent target
+	Progress       time.Duration // without a message, several heartbeats of an agent, before an attempt is resumed
 	Body           time.Duration // to read a request's body
 	Write          time.Duration // for the caller to take a piece of the answer
 	RetryBackoff   time.Duration // first pause before a retry
@@ -60,7 +61,7 @@
 		HomePatience:   50 * time.Millisecond,
 		Widen:          100 * time.Millisecond,
 		SpillAfter:     time.Second,
-		Progress:       40 * time.Second,
+		Progress:       3 * time.Second,
 		Body:           30 * time.Second,
 		Write:          time.Minute,
 		RetryBackoff:   50 * time.Millisecond,
@@ -133,6 +134,8 @@
 	check(l.Header > 0 && l.Header <= frameReserve/2,
 		"header limit of %d bytes is not within 1 to %d", l.Header, frameReserve/2)
 	check(l.Prompt > 0, "prompt limit of %d bytes is not positive", l.Prompt)
+	check(l.Bodies >= workspaceShare*l.Body,
+		"limit of %d bytes of all bodies is below %d times the body limit", l.Bodies, workspaceShare)
 	check(l.Offered > 0, "limit of %d offered requests is not positive", l.Offered)
 	check(t.Deadline > 0 && t.Deadline <= t.MaxDeadline,
 		"deadline %s is not within the greatest deadline %s", t.Deadline, t.MaxDeadline)
--- a/internal/router/fake_test.go
+++ b/internal/router/fake_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"encoding/hex"
+	"maps"
 	"net/http"
 	"net/http/httptest"
 	"slices"
@@ -13,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
 	"github.com/stretchr/testify/require"
 
 	"github.com/mastichollow/mastichollow/internal/fleet"
@@ -45,8 +47,9 @@
 type record struct {
 	offers    map[string][]*wire.Offer // by address
 	runs      []*wire.Run
-	withdrawn []request.AttemptID
+	withdrawn []*wire.Withdraw
 	resumed   []*wire.Resume
+	vouched   []*wire.End
 	forgotten []string
 }
 
@@ -89,29 +92,16 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	seen := f.record
-	seen.offers = make(map[string][]*wire.Offer)
-	for addr, list := range f.record.offers {
-		seen.offers[addr] = slices.Clone(list)
-	}
+	seen.offers = maps.Clone(f.record.offers)
 	return seen
 }
 
 // runCount returns the number of requests handed over.
-func (f *fakeFleet) runCount() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return len(f.record.runs)
-}
+func (f *fakeFleet) runCount() int { return len(f.seen().runs) }
 
 // offerCount returns the number of offers sent.
 func (f *fakeFleet) offerCount() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	n := 0
-	for _, list := range f.record.offers {
-		n += len(list)
-	}
-	return n
+	return len(slices.Concat(slices.Collect(maps.Values(f.seen().offers))...))
 }
 
 // recorder notes what an agent receives.
@@ -132,7 +122,9 @@
 	case *wire.Run:
 		seen.runs = append(seen.runs, m)
 	case *wire.Withdraw:
-		seen.withdrawn = append(seen.withdrawn, m.Attempt)
+		seen.withdrawn = append(seen.withdrawn, m)
+	case *wire.End:
+		seen.vouched = append(seen.vouched, m)
 	case *wire.Resume:
 		seen.resumed = append(seen.resumed, m)
 	}
@@ -148,10 +140,15 @@
 	}
 }
 
-// grantThen grants, waits for Run and sends the messages.
+// grantThen grants, waits for Run and sends the messages. A resumption gets no
+// answer.
 func grantThen(make ...func(request.AttemptID) wire.Message) script {
 	return func(ctx context.Context, s transport.Stream, first wire.Message) {
-		offer := first.(*wire.Offer)
+		offer, ok := first.(*wire.Offer)
+		if !ok {
+			drain(ctx, s)
+			return
+		}
 		_ = s.Send(ctx, &wire.Grant{Attempt: offer.Attempt})
 		if run := awaitRun(ctx, s); run != nil {
 			sendAll(ctx, s, offer.Attempt, make...)
@@ -232,6 +229,11 @@
 	}
 }
 
+// crash fails an attempt whose target crashed.
+func crash(id request.AttemptID) wire.Message {
+	return &wire.Fail{Attempt: id, Reason: request.ReasonTargetCrashed, Suspect: true}
+}
+
 func refusal(reason request.Reason) maker {
 	return func(id request.AttemptID) wire.Message { return &wire.Refuse{Attempt: id, Reason: reason} }
 }
@@ -334,35 +336,7 @@
 	return rec, false
 }
 
-// count returns the sum of a counter's samples whose labels hold want, given as
-// name and value in turn.
-func (f *fixture) count(name string, want ...string) float64 {
-	f.t.Helper()
-	families, err := f.reg.Gather()
-	require.NoError(f.t, err)
-	sum := 0.0
-	for _, family := range families {
-		if family.GetName() != "mastichollow_router_"+name {
-			continue
-		}
-		for _, m := range family.GetMetric() {
-			labels := make(map[string]string)
-			for _, l := range m.GetLabel() {
-				labels[l.GetName()] = l.GetValue()
-			}
-			if matches(labels, want) {
-				sum += m.GetCounter().GetValue()
-			}
-		}
-	}
-	return sum
-}
-
-func matches(labels map[string]string, want []string) bool {
-	for i := 0; i < len(want); i += 2 {
-		if labels[want[i]] != want[i+1] {
-			return false
-		}
-	}
-	return true
+// value returns the value of the counter with the labels.
+func value(c *prometheus.CounterVec, labels ...string) float64 {
+	return testutil.ToFloat64(c.WithLabelValues(labels...))
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -24,6 +24,7 @@
 	metrics *metrics
 	index   indexCache
 	waiting *waitingRoom
+	bodies  *bodies
 	budget  *retryBudget
 	forget  *forgetter
 	stopped atomic.Bool
@@ -43,6 +44,7 @@
 		log:     cfg.Logger,
 		metrics: newMetrics(cfg.Registerer),
 		waiting: newWaitingRoom(cfg.Limits.Offered),
+		bodies:  newBodies(cfg.Limits.Bodies),
 		budget:  newRetryBudget(cfg.Timing.RetryRatio, cfg.Timing.RetryBurst),
 		forget:  newForgetter(cfg.Opener),
 	}
@@ -67,10 +69,7 @@
 	if r.stopped.Load() {
 		return errors.New("router is stopping")
 	}
-	if r.cfg.Store.Snapshot().Table == nil {
-		return errors.New("no workspace table is known yet")
-	}
-	return nil
+	return notReady(r.cfg.Store.Snapshot())
 }
 
 // Stop makes Ready fail, so that the balancer sends callers elsewhere. Requests
@@ -97,6 +96,7 @@
 	path := req.URL.Path
 	switch {
 	case path == pathModels && req.Method == http.MethodGet:
+		r.limitWrite(w)
 		listModels(e.idx, e.row).write(w)
 	case path == pathCompletions && req.Method == http.MethodPost:
 		r.serve(w, req, e, r.completionCall)
@@ -122,16 +122,24 @@
 		return
 	}
 	defer release()
+	held, refused := r.holdBody(e, req)
+	if refused != nil {
+		r.refuse(w, e, nil, refused)
+		return
+	}
+	defer held.release()
 	body, refused := r.readBody(w, req)
 	if refused != nil {
 		r.refuse(w, e, nil, refused)
 		return
 	}
+	held.shrink(int64(len(body)))
 	c, refused := check(e, req, body)
 	if refused != nil {
 		r.refuse(w, e, nil, refused)
 		return
 	}
+	c.held = held
 	if e.idx.quarantined(c.content.Fingerprint) {
 		r.refuse(w, e, c, refuse(request.ReasonQuarantined, "requests like it crashed targets"))
 		return
@@ -154,6 +162,7 @@
 	r.metrics.observe(c, ans, refused, began)
 	switch {
 	case refused == nil:
+		r.log.Debug("request answered", "request", e.id, "workspace", e.row.Name, "pool", c.pool, "bytes", ans.offset)
 	case ans.committed:
 		r.abort(ans, e, c, refused)
 	default:
@@ -165,11 +174,18 @@
 func (r *Router) refuse(w http.ResponseWriter, e envelope, c *call, refused *request.RefusedError) {
 	r.metrics.refusals.WithLabelValues(string(refused.Reason)).Inc()
 	r.logRefusal("request refused", e, c, refused)
+	r.limitWrite(w)
 	keyed := e.keyed
 	if c != nil {
 		keyed = c.keyed
 	}
-	newProblem(e.id, refused, keyed).write(w, refused.RetryAfter)
+	newProblem(e.id, refused, keyed).write(w, retryAfter(refused))
+}
+
+// limitWrite gives the caller a time in which to take an answer. net/http keeps
+// the deadline of the answer before on the same connection.
+func (r *Router) limitWrite(w http.ResponseWriter) {
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(r.cfg.Timing.Write))
 }
 
 // refuseMethod answers a request whose path knows another method.
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -107,7 +107,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFixture(t, func(c *Config) {
-				c.Limits = Limits{Body: 2000, Header: 800, Prompt: 500, Offered: 10}
+				c.Limits = Limits{Body: 2000, Header: 800, Prompt: 500, Bodies: 8000, Offered: 10}
 			}, agent("a1", "north", "north-a"), shop("s1"))
 			f.fleet.set("a1", grantThen(answers("text/plain", "ok")...))
 			f.fleet.set("s1", grantThen(answers("text/plain", "ok")...))
@@ -116,7 +116,7 @@
 			p := decodeProblem(t, rec)
 			require.Equal(t, problemPrefix+string(tt.reason), p.Type)
 			require.Zero(t, f.fleet.offerCount())
-			require.InDelta(t, 1, f.count("refusals_total", "reason", string(tt.reason)), 0)
+			require.InDelta(t, 1, value(f.router.metrics.refusals, string(tt.reason)), 0)
 		})
 	}
 }
@@ -168,11 +168,44 @@
 	}
 }
 
-func TestNotReadyWithoutTable(t *testing.T) {
+// TestNotReady checks that a router that knows too little or is stopping says
+// so, and does not take an unknown pool for one that does not exist.
+func TestNotReady(t *testing.T) {
 	f := newFixture(t, nil)
+	require.ErrorIs(t, f.router.Ready(), errNoVMs)
+	rec, _ := f.serve(post(pathCompletions, chatBody))
+	require.Equal(t, problemPrefix+string(request.ReasonNotReady), decodeProblem(t, rec).Type)
+	f.store.ApplyVMs([]target.VM{agent("a1", "north", "north-a")})
 	require.NoError(t, f.router.Ready())
 	f.router.Stop()
 	require.Error(t, f.router.Ready())
+	rec, _ = f.serve(post(pathCompletions, "{"))
+	require.Equal(t, "close", rec.Header().Get("Connection"))
+}
+
+// deadlineWriter notes the write deadline.
+type deadlineWriter struct {
+	*httptest.ResponseRecorder
+	deadline time.Time
+}
+
+func (d *deadlineWriter) SetWriteDeadline(at time.Time) error {
+	d.deadline = at
+	return nil
+}
+
+// TestWriteDeadlineIsRenewed checks that no answer is written under the deadline
+// of an earlier one on the same connection.
+func TestWriteDeadlineIsRenewed(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := newFixture(t, nil, agent("a1", "north", "north-a"))
+		f.fleet.set("a1", grantThen(answers("text/plain", "ok")...))
+		for _, req := range []*http.Request{post(pathCompletions, chatBody), post("/x", ""), newRequest("GET", pathModels, "")} {
+			w := &deadlineWriter{ResponseRecorder: httptest.NewRecorder()}
+			f.router.ServeHTTP(w, req)
+			require.Equal(t, DefaultTiming().Write, time.Until(w.deadline), req.URL.Path)
+		}
+	})
 }
 
 func TestLeavingAgentGetsNoOffer(t *testing.T) {
