--- a/internal/claim/settle.go
+++ b/internal/claim/settle.go
@@ -84,7 +84,7 @@
 // unsettled logs a settlement that was given up. A nil error is none.
 func (c *TableClaimer) unsettled(d deferred, err error) {
 	if err != nil {
-		c.logger.Warn("claim was not settled", "claim", d.key, "attempt", d.attempt, "error", err)
+		c.logger.Warn("claim was not settled", "claim", d.key.String(), "attempt", d.attempt, "error", err)
 	}
 }
 
@@ -96,7 +96,7 @@
 		c.metrics.deferred.Inc()
 	default:
 		c.metrics.dropped.Inc()
-		c.logger.Warn("claim is left unsettled: too many are waiting", "claim", d.key, "attempt", d.attempt)
+		c.logger.Warn("claim is left unsettled: too many are waiting", "claim", d.key.String(), "attempt", d.attempt)
 	}
 }
 
--- a/internal/suspect/table.go
+++ b/internal/suspect/table.go
@@ -10,6 +10,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/mastichollow/mastichollow/internal/metric"
 	"github.com/mastichollow/mastichollow/internal/platform"
 	"github.com/mastichollow/mastichollow/internal/request"
 )
@@ -38,6 +39,8 @@
 	State   state             `cbor:"1,keyasint"`
 	Attempt request.AttemptID `cbor:"2,keyasint,omitempty"` // on trial
 	Since   int64             `cbor:"3,keyasint"`           // Unix seconds
+	// Accusation is the last one that counted.
+	Accusation string `cbor:"4,keyasint,omitempty"`
 }
 
 // quarantined reports whether the fingerprint may not run any more at now.
@@ -60,34 +63,31 @@
 // NewTableRegistry returns a registry over the table service. A nil registerer
 // leaves the metrics unexported.
 func NewTableRegistry(table platform.TableService, reg prometheus.Registerer) *TableRegistry {
-	r := &TableRegistry{
+	return &TableRegistry{
 		table: table,
 		now:   time.Now,
-		changes: prometheus.NewCounterVec(prometheus.CounterOpts{
-			Name: "mastichollow_suspect_changes_total",
-			Help: "Changes of suspects, by kind: accused, tried, acquitted, convicted or abandoned.",
-		}, []string{"change"}),
+		changes: metric.For(reg, "mastichollow_suspect").Counters("changes_total",
+			"Changes of suspects, by kind: accused, tried, acquitted, convicted or abandoned.", "change"),
 	}
-	if reg != nil {
-		reg.MustRegister(r.changes)
-	}
-	return r
 }
 
-// Accuse implements Registry. A fingerprint that is accused again ran at two
+// Accuse implements Registry. A fingerprint with a second accusation ran at two
 // crashes and is quarantined.
-func (r *TableRegistry) Accuse(ctx context.Context, fingerprints []Fingerprint) error {
-	var failed error
-	for _, f := range fingerprints {
-		err := r.change(ctx, f, "accused", func(old *record) (*record, error) {
-			if old == nil {
-				return &record{State: stateSuspect}, nil
-			}
-			return &record{State: stateQuarantined}, nil
-		})
-		failed = errors.CombineErrors(failed, err)
+func (r *TableRegistry) Accuse(ctx context.Context, f Fingerprint, accusation string) error {
+	err := r.change(ctx, f, "accused", func(old *record) (*record, error) {
+		switch {
+		case old == nil:
+			return &record{State: stateSuspect, Accusation: accusation}, nil
+		case old.Accusation == accusation:
+			return nil, errNothing
+		default:
+			return &record{State: stateQuarantined, Accusation: accusation}, nil
+		}
+	})
+	if errors.Is(err, errNothing) {
+		return nil
 	}
-	return failed
+	return err
 }
 
 // Try implements Registry.
@@ -189,6 +189,9 @@
 		if err != nil {
 			return err
 		}
+		if wanted != nil && wanted.Accusation == "" && old != nil {
+			wanted.Accusation = old.Accusation
+		}
 		last = r.write(ctx, key, wanted, version)
 		if last == nil {
 			r.changes.WithLabelValues(kind).Inc()
