--- a/cmd/mastichollow-demo/main.go
+++ b/cmd/mastichollow-demo/main.go
@@ -33,6 +33,8 @@
 	LettersKey string           `help:"API key of the workspace that writes letters." default:"demo-letters"`
 	ShopKey    string           `help:"API key of the workspace of the shop." default:"demo-shop"`
 	Drain      string           `help:"VM ID of the agent beside the first engine." default:"letters-1"`
+	Agents     []string         `help:"Base URLs of the admin listeners of the model's agents." env:"MASTICHOLLOW_DEMO_AGENTS"`
+	Members    []string         `help:"Base URLs of the admin listeners of all routers and agents." env:"MASTICHOLLOW_DEMO_MEMBERS"`
 	Shares     bool             `help:"Measure how two backlogged workspaces share the fleet of scripts/shares.sh, beside the model."`
 	Version    kong.VersionFlag `help:"Print the version and exit."`
 }
@@ -48,6 +50,8 @@
 		LettersKey: cl.LettersKey,
 		ShopKey:    cl.ShopKey,
 		Drain:      cl.Drain,
+		Agents:     cl.Agents,
+		Members:    cl.Members,
 		Operator: &operator.Operator{
 			Table: platform.NewTableClient(cl.TableURL, options),
 			VMs:   platform.NewVMClient(cl.VMsURL, options),
@@ -64,14 +68,19 @@
 // run measures the shares, or runs the checks and reports whether all held.
 func run(ctx context.Context, d *demo.Demo, shares bool) bool {
 	if shares {
-		printShares(d.Shares(ctx))
-		return true
+		programs, model, err := d.Shares(ctx)
+		printShares(programs, model, err)
+		return err == nil
 	}
 	return demo.Print(os.Stdout, d.Run(ctx))
 }
 
-func printShares(programs, model demo.Measured) {
-	fmt.Printf("%-10s %18s %12s\n", "", "fairness gap, s", "utilisation")
-	fmt.Printf("%-10s %18.2f %12.3f\n", "programs", programs.Gap, programs.Utilisation)
-	fmt.Printf("%-10s %18.2f %12.3f\n", "model", model.Gap, model.Utilisation)
+func printShares(programs, model demo.Measured, err error) {
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	fmt.Printf("%-10s %16s %12s %20s\n", "", "fairness gap, s", "utilisation", "region pair, B/s")
+	for name, m := range map[string]demo.Measured{"programs": programs, "model": model} {
+		fmt.Printf("%-10s %16.2f %12.3f %20.0f\n", name, m.Gap, m.Utilisation, m.RegionPair)
+	}
 }
--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -23,6 +23,8 @@
 	LettersKey string   // API key of a workspace that may call the model
 	ShopKey    string   // API key of a workspace that may call the service
 	Drain      string   // VM ID of the agent beside the first engine
+	Agents     []string // base URLs of the admin listeners of the model's agents
+	Members    []string // base URLs of the admin listeners of all routers and agents
 	Operator   *operator.Operator
 }
 
--- a/internal/demo/models.go
+++ b/internal/demo/models.go
@@ -15,7 +15,7 @@
 )
 
 const (
-	model         = "letter-writer"
+	letterModel   = "letter-writer"
 	letterTokens  = 60
 	answerTokens  = 8
 	eventPrefix   = "data: "
@@ -35,7 +35,7 @@
 // letterBody returns a chat completion request.
 func letterBody(prompt string, tokens int, stream bool) string {
 	body, err := json.Marshal(map[string]any{
-		"model":      model,
+		"model":      letterModel,
 		"stream":     stream,
 		"max_tokens": tokens,
 		"messages":   []map[string]string{{"role": "user", "content": prompt}},
--- a/internal/demo/shares.go
+++ b/internal/demo/shares.go
@@ -18,6 +18,7 @@
 // The fleet of scripts/shares.sh, for the model.
 const (
 	sharesRegions = 3
+	sharesPairs   = sharesRegions * (sharesRegions - 1) / 2
 	sharesSlots   = 4     // of each of three agents
 	sharesSpeed   = 500.0 // tokens/s of a slot
 	sharesCallers = 24    // letters under way for each workspace
@@ -40,17 +41,20 @@
 
 // Measured is what a run of Shares found. Gap is the range of the difference
 // between the weighted services of the two workspaces after the warm-up, in
-// seconds of the fleet's capacity.
+// seconds of the fleet's capacity; Utilisation the share of the slots' time in
+// which they were busy; RegionPair the control traffic between two regions,
+// both ways, in bytes/s: frames in the programs, packets in the model.
 type Measured struct {
 	Gap         float64
 	Utilisation float64
+	RegionPair  float64
 }
 
 // Shares keeps two workspaces of weights 3 and 1 backlogged, the first through
 // one router and the other through the rest, and measures how the fleet shares
 // its slots, in the programs and in the model.
-func (d *Demo) Shares(ctx context.Context) (programs, model Measured) {
-	ctx, cancel := context.WithTimeout(ctx, sharesLength)
+func (d *Demo) Shares(ctx context.Context) (programs, model Measured, err error) {
+	running, cancel := context.WithTimeout(ctx, sharesLength)
 	defer cancel()
 	claimants := []*claimant{
 		{key: d.cfg.LettersKey, weight: 3, routers: d.cfg.Routers[:1]},
@@ -60,12 +64,38 @@
 	for i, c := range claimants {
 		for n := range sharesCallers {
 			rng := rand.New(rand.NewPCG(uint64(i), uint64(n)))
-			callers.Go(func() { d.keepWriting(ctx, c, c.routers[n%len(c.routers)], rng) })
+			callers.Go(func() { d.keepWriting(running, c, c.routers[n%len(c.routers)], rng) })
 		}
 	}
-	programs = sample(ctx, claimants)
+	time.Sleep(sharesWarmUp)
+	before, err := d.measureCounters(ctx)
+	if err != nil {
+		return programs, model, err
+	}
+	programs.Gap = sampleGap(running, claimants)
+	after, err := d.measureCounters(ctx)
 	callers.Wait()
-	return programs, playModel()
+	seconds := after.at.Sub(before.at).Seconds()
+	programs.Utilisation = (after.busy - before.busy) / (seconds * sharesRegions * sharesSlots)
+	programs.RegionPair = (after.control - before.control) / (seconds * sharesPairs)
+	return programs, playModel(), err
+}
+
+// counters are readings of the fleet's counters.
+type counters struct {
+	at      time.Time
+	busy    float64 // seconds of slots
+	control float64 // bytes sent between regions
+}
+
+func (d *Demo) measureCounters(ctx context.Context) (counters, error) {
+	busy, err := d.total(ctx, d.cfg.Agents, "mastichollow_agent_slot_busy_seconds_total", nil)
+	if err != nil {
+		return counters{}, err
+	}
+	control, err := d.total(ctx, d.cfg.Members, "mastichollow_transport_sent_bytes_total",
+		map[string]string{"link": "cross_region", "kind": "control"})
+	return counters{at: time.Now(), busy: busy, control: control}, err
 }
 
 // keepWriting asks for one letter after the other until ctx ends.
@@ -94,35 +124,35 @@
 	}
 }
 
-// sample follows the claimants until ctx ends.
-func sample(ctx context.Context, claimants []*claimant) Measured {
+// sampleGap follows the claimants until ctx ends.
+func sampleGap(ctx context.Context, claimants []*claimant) float64 {
 	ticker := time.NewTicker(sharesSample)
 	defer ticker.Stop()
 	began := time.Now()
+	first := tokensOf(claimants)
 	lowest, highest := math.Inf(1), math.Inf(-1)
-	var warm, last int64
-	var warmAt, lastAt time.Time
 	for {
 		select {
 		case <-ctx.Done():
-			rate := float64(last-warm) / lastAt.Sub(warmAt).Seconds()
-			capacity := sharesRegions * sharesSlots * sharesSpeed
-			return Measured{Gap: (highest - lowest) / rate, Utilisation: rate / capacity}
-		case now := <-ticker.C:
-			if now.Sub(began) < sharesWarmUp {
-				continue
-			}
+			rate := float64(tokensOf(claimants)-first) / time.Since(began).Seconds()
+			return (highest - lowest) / rate
+		case <-ticker.C:
 			a, b := claimants[0], claimants[1]
 			difference := float64(a.tokens.Load())/a.weight - float64(b.tokens.Load())/b.weight
 			lowest, highest = min(lowest, difference), max(highest, difference)
-			last, lastAt = a.tokens.Load()+b.tokens.Load(), now
-			if warmAt.IsZero() {
-				warm, warmAt = last, now
-			}
 		}
 	}
 }
 
+// tokensOf returns the tokens of all claimants.
+func tokensOf(claimants []*claimant) int64 {
+	n := int64(0)
+	for _, c := range claimants {
+		n += c.tokens.Load()
+	}
+	return n
+}
+
 // playModel plays the same run in the model.
 func playModel() Measured {
 	fleet := experiment.Deployment{
@@ -134,5 +164,5 @@
 		},
 	}
 	r := experiment.Run(fleet, experiment.Scenario{Name: "steady", Length: sharesLength}, experiment.Chosen())
-	return Measured{Gap: r.Gap, Utilisation: r.Utilisation}
+	return Measured{Gap: r.Gap, Utilisation: r.Utilisation, RegionPair: r.RegionRate}
 }
--- a/scripts/fleet.sh
+++ b/scripts/fleet.sh
@@ -108,6 +108,8 @@
 export MASTICHOLLOW_DEMO_ROUTERS=http://$(addr 17),http://$(addr 18),http://$(addr 19)
 export MASTICHOLLOW_DEMO_ENGINES=http://$(addr 7),http://$(addr 8),http://$(addr 9)
 export MASTICHOLLOW_DEMO_SERVICE=http://$(addr 14)
+export MASTICHOLLOW_DEMO_AGENTS=http://$(addr 51),http://$(addr 52),http://$(addr 53)
+export MASTICHOLLOW_DEMO_MEMBERS=$(for d in {51..59}; do printf 'http://%s,' "$(addr "$d")"; done | sed 's/,$//')
 EOF
 }
 
