--- a/internal/fleet/store.go
+++ b/internal/fleet/store.go
@@ -2,10 +2,20 @@
 // table in force, the VMs, and the sums and loads of the failure domains, and
 // keeps it up to date through relays.
 //
+// Problem: hundreds of processes have to know the same configuration within
+// seconds and each other's sums within about one, while the platform, a region
+// or any process is out of reach, and no process coordinates the others.
+//
 // Invariants: the table's version never goes back; a VM that was seen leaving
 // stays leaving under its ID; the relays of a failure domain follow from the
 // VM list alone, so no election is held, and two relays or a wrong one cost
-// only traffic.
+// only traffic, since all that they pass on is versioned or grow-only.
+//
+// Rejected: a lease on the configuration, which would stop the fleet in every
+// long outage of the platform; relays that pass on merged sums, which grew on
+// their way round a loop of relays.
+//
+// Locks are taken in this order: Node.sumUpMu, Node.mu, one of the store's.
 package fleet
 
 import (
