--- a/cmd/mastichollowctl/main_test.go
+++ b/cmd/mastichollowctl/main_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/mastichollow/mastichollow/internal/operator"
 	"github.com/mastichollow/mastichollow/internal/standin"
+	"github.com/mastichollow/mastichollow/internal/standin/standintest"
 	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/workspace"
 )
@@ -28,16 +29,7 @@
 func newCtl(t *testing.T) *ctl {
 	p, err := standin.NewPlatform("127.0.0.1:0")
 	require.NoError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = standin.RunAll(ctx, p.Host())
-	}()
-	t.Cleanup(func() {
-		cancel()
-		<-done
-	})
+	standintest.Run(t, p.Host())
 	url := "http://" + p.Host().Addr()
 	t.Setenv("MASTICHOLLOW_TABLE_URL", url)
 	t.Setenv("MASTICHOLLOW_VMS_URL", url)
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -25,6 +25,13 @@
 	return n
 }
 
+// begun sends a long letter and waits until its answer has begun.
+func (f *fleet) begun(router, prompt string) *letter {
+	l := write(f.t.Context(), router, prompt, longLetter)
+	<-l.first
+	return l
+}
+
 func TestRequestsOfEachKindPassThroughSeparateProcesses(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, options{})
@@ -60,8 +67,7 @@
 	t.Parallel()
 	f := newFleet(t, options{})
 	d := f.domains[0]
-	l := write(t.Context(), d.routerURL, "long", longLetter)
-	<-l.first
+	l := f.begun(d.routerURL, "long")
 	f.platform.SetFaults(standin.Faults{Down: true}) // the store may be down meanwhile
 	d.router.stop()
 	eventually(t, "router says that it is not ready", func() bool { return readyStatus(d.routerAdmin) != http.StatusOK })
@@ -73,8 +79,7 @@
 func TestKilledAgentShowsNoShortAnswer(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, options{domains: 2})
-	l := write(t.Context(), f.domains[0].routerURL, "killed", longLetter)
-	<-l.first
+	l := f.begun(f.domains[0].routerURL, "killed")
 	for _, d := range f.domains {
 		if len(d.engine.Runs()) > 0 {
 			d.letters.kill()
@@ -89,8 +94,7 @@
 func TestKilledRouterShowsNoShortAnswer(t *testing.T) {
 	t.Parallel()
 	f := newFleet(t, options{})
-	l := write(t.Context(), f.domains[0].routerURL, "killed", longLetter)
-	<-l.first
+	l := f.begun(f.domains[0].routerURL, "killed")
 	f.domains[0].router.kill()
 	r := <-l.reply
 	require.False(t, r.whole, r)
@@ -213,8 +217,7 @@
 	t.Parallel()
 	f := newFleet(t, options{domains: 2})
 	f.platform.SetFaults(standin.Faults{VMFreeze: true}) // the VM list lags for good
-	l := write(t.Context(), f.domains[0].routerURL, "running", longLetter)
-	<-l.first
+	l := f.begun(f.domains[0].routerURL, "running")
 	_, err := f.operator.Mark(t.Context(), "letters-d1", workspace.MarkLeaving, false)
 	require.NoError(t, err)
 	f.waitInForce()
@@ -277,8 +280,7 @@
 		links[id] = link
 		return link.Addr()
 	}})
-	l := write(t.Context(), f.domains[0].routerURL, "silent", longLetter)
-	<-l.first
+	l := f.begun(f.domains[0].routerURL, "silent")
 	links["letters-d1"].Silence()
 	l.requireWhole(t)
 }
@@ -290,8 +292,7 @@
 	t.Parallel()
 	f := newFleet(t, options{args: []string{"--progress", "2s"}})
 	d := f.domains[0]
-	l := write(t.Context(), d.routerURL, "silent", longLetter)
-	<-l.first
+	l := f.begun(d.routerURL, "silent")
 	d.engine.SetFaults(standin.Faults{Silence: true})
 	r := <-l.reply
 	require.False(t, r.whole, r)
@@ -302,8 +303,7 @@
 	t.Parallel()
 	f := newFleet(t, options{})
 	d := f.domains[0]
-	l := write(t.Context(), d.routerURL, "signals", longLetter)
-	<-l.first
+	l := f.begun(d.routerURL, "signals")
 	d.letters.signal(syscall.SIGTERM)
 	d.letters.signal(syscall.SIGINT)
 	l.requireWhole(t)
--- a/internal/e2e/fleet_test.go
+++ b/internal/e2e/fleet_test.go
@@ -1,7 +1,6 @@
 package e2e
 
 import (
-	"context"
 	"fmt"
 	"testing"
 	"time"
@@ -11,6 +10,7 @@
 	"github.com/mastichollow/mastichollow/internal/operator"
 	"github.com/mastichollow/mastichollow/internal/platform"
 	"github.com/mastichollow/mastichollow/internal/standin"
+	"github.com/mastichollow/mastichollow/internal/standin/standintest"
 	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/transport"
 	"github.com/mastichollow/mastichollow/internal/workspace"
@@ -65,7 +65,7 @@
 	p, err := standin.NewPlatform("127.0.0.1:0")
 	require.NoError(t, err)
 	f.platform = p
-	f.serve(p.Host())
+	standintest.Run(f.t, p.Host())
 	url := p.Host().URL()
 	f.env = []string{
 		"MASTICHOLLOW_FLEET_KEY=" + transport.NewKey(),
@@ -110,20 +110,6 @@
 	require.NoError(f.t, f.operator.WaitInForce(f.t.Context(), current.Version, patience, func([]string) {}))
 }
 
-// serve runs a stand-in until the test ends.
-func (f *fleet) serve(hosts ...*standin.Host) {
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go func() {
-		defer close(done)
-		_ = standin.RunAll(ctx, hosts...)
-	}()
-	f.t.Cleanup(func() {
-		cancel()
-		<-done
-	})
-}
-
 func (f *fleet) addDomain(n int, o options) {
 	f.t.Helper()
 	d := &domain{name: fmt.Sprintf("d%d", n)}
@@ -139,7 +125,7 @@
 	}
 	d.service, err = standin.NewService("127.0.0.1:0", o.service)
 	require.NoError(f.t, err)
-	f.serve(d.engine.Host(), d.service.Host())
+	standintest.Run(f.t, d.engine.Host(), d.service.Host())
 	d.lettersAddr, d.lettersAdmin = freeAddr(f.t), freeAddr(f.t)
 	d.letters = f.addAgent(d, o, "letters-"+d.name, letters, target.KindModel, d.engine.Host().URL(), d.lettersAddr, d.lettersAdmin)
 	d.shopAddr, d.shopAdmin = freeAddr(f.t), freeAddr(f.t)
--- a/internal/engine/raw_test.go
+++ b/internal/engine/raw_test.go
@@ -1,13 +1,11 @@
 package engine_test
 
 import (
-	"bufio"
 	"context"
 	"io"
 	"net"
 	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -17,41 +15,9 @@
 
 	"github.com/mastichollow/mastichollow/internal/engine"
 	"github.com/mastichollow/mastichollow/internal/engine/enginetest"
+	"github.com/mastichollow/mastichollow/internal/httpsend/httpsendtest"
 )
 
-// rawTarget answers each request with the same bytes and closes.
-type rawTarget struct {
-	*pipes
-	answer string
-	calls  atomic.Int64
-}
-
-func newRawTarget(t *testing.T, answer string) *rawTarget {
-	r := &rawTarget{pipes: newPipes(), answer: answer}
-	go func() {
-		for {
-			conn, err := r.Accept()
-			if err != nil {
-				return
-			}
-			r.serve(conn)
-		}
-	}()
-	t.Cleanup(func() { r.Close() })
-	return r
-}
-
-func (r *rawTarget) serve(conn net.Conn) {
-	defer conn.Close()
-	req, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, req.Body)
-	r.calls.Add(1)
-	_, _ = io.WriteString(conn, r.answer)
-}
-
 func TestClientsTakeOnlyAnswersThatAreProvenWhole(t *testing.T) {
 	const (
 		events  = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
@@ -89,8 +55,9 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
-				target := newRawTarget(t, c.answer)
-				client := c.client("http://target", engine.Options{Dial: target.dial, MaxWhole: 1000, MaxEvent: 1000})
+				listener := newPipes()
+				target := httpsendtest.NewRaw(t, listener, c.answer)
+				client := c.client("http://target", engine.Options{Dial: listener.dial, MaxWhole: 1000, MaxEvent: 1000})
 				answer, err := client.Do(t.Context(), engine.Call{Method: c.method, Path: "/"})
 				require.NoError(t, err)
 				defer answer.Close()
@@ -98,7 +65,7 @@
 				body, err := readAll(t, answer)
 				require.Equal(t, c.body, body)
 				require.True(t, errors.Is(err, c.err), "error %v, want %v", err, c.err)
-				require.Equal(t, int64(1), target.calls.Load(), "calls sent")
+				require.Equal(t, int64(1), target.Calls.Load(), "calls sent")
 			})
 		})
 	}
--- a/internal/experiment/bytes_test.go
+++ b/internal/experiment/bytes_test.go
@@ -46,38 +46,35 @@
 			encoder := fleet.NewEncoder("r1")
 			sums := sumsOf(rows)
 			encoder.Encode([]wire.PoolSums{sums})
-			bytes := 0
-			b.ReportAllocs()
-			for n := 0; b.Loop(); n++ {
-				grow(&sums, n)
-				frame, err := wire.Append(nil, encoder.Encode([]wire.PoolSums{sums}))
-				require.NoError(b, err)
-				bytes += len(frame)
-			}
-			b.ReportMetric(float64(bytes)/float64(b.N), "B")
-			b.ReportMetric(float64(bytes)/float64(b.N*rows), "B/row")
-			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*rows), "ns/row")
+			measureSums(b, &sums, func(int) wire.Message { return encoder.Encode([]wire.PoolSums{sums}) })
 		})
 	}
 }
 
+// measureSums reports the bytes and the time of the messages that message
+// makes of growing sums, one for each n.
+func measureSums(b *testing.B, sums *wire.PoolSums, message func(n int) wire.Message) {
+	bytes, rows := 0, len(sums.Sums)
+	b.ReportAllocs()
+	for n := 0; b.Loop(); n++ {
+		grow(sums, n)
+		frame, err := wire.Append(nil, message(n))
+		require.NoError(b, err)
+		bytes += len(frame)
+	}
+	b.ReportMetric(float64(bytes)/float64(b.N), "B")
+	b.ReportMetric(float64(bytes)/float64(b.N*rows), "B/row")
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*rows), "ns/row")
+}
+
 // BenchmarkReportBytes reports the bytes of an agent's report.
 func BenchmarkReportBytes(b *testing.B) {
 	for _, rows := range []int{8, 15, 470} {
 		b.Run(fmt.Sprint("workspaces=", rows), func(b *testing.B) {
 			sums := sumsOf(rows)
-			bytes := 0
-			b.ReportAllocs()
-			for n := 0; b.Loop(); n++ {
-				grow(&sums, n)
-				report := wire.Report{Member: "agent-1", Incarnation: 1 << 60, Sequence: uint64(n), Pools: []wire.PoolSums{sums}}
-				frame, err := wire.Append(nil, &report)
-				require.NoError(b, err)
-				bytes += len(frame)
-			}
-			b.ReportMetric(float64(bytes)/float64(b.N), "B")
-			b.ReportMetric(float64(bytes)/float64(b.N*rows), "B/row")
-			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*rows), "ns/row")
+			measureSums(b, &sums, func(n int) wire.Message {
+				return &wire.Report{Member: "agent-1", Incarnation: 1 << 60, Sequence: uint64(n), Pools: []wire.PoolSums{sums}}
+			})
 		})
 	}
 }
--- a/internal/platform/batcher_test.go
+++ b/internal/platform/batcher_test.go
@@ -25,10 +25,21 @@
 
 // commitAll lets a caller commit each of commits at once.
 func commitAll(ctx context.Context, b *platform.Batcher, commits ...[]platform.Write) []result {
+	return commitEach(ctx, b, func() {}, commits)
+}
+
+// commitInTurn lets callers commit within one tick in the order of commits.
+func commitInTurn(ctx context.Context, b *platform.Batcher, commits ...[]platform.Write) []result {
+	return commitEach(ctx, b, synctest.Wait, commits)
+}
+
+// commitEach lets a caller commit each of commits and calls pause after each.
+func commitEach(ctx context.Context, b *platform.Batcher, pause func(), commits [][]platform.Write) []result {
 	results := make([]result, len(commits))
 	var callers sync.WaitGroup
 	for i, writes := range commits {
 		callers.Go(func() { results[i].version, results[i].err = b.Commit(ctx, writes...) })
+		pause()
 	}
 	callers.Wait()
 	return results
@@ -40,12 +51,17 @@
 func withBatcher(t *testing.T, maxWrites int, check func(*testing.T, *standin.Table, *platform.Batcher)) {
 	synctest.Test(t, func(t *testing.T) {
 		table := standin.NewTable()
-		b := platform.NewBatcher(table, tick, maxWrites)
-		go func() { _ = b.Run(t.Context()) }()
-		check(t, table, b)
+		check(t, table, runBatcher(t, table, maxWrites))
 	})
 }
 
+// runBatcher runs a batcher for table until the test ends.
+func runBatcher(t *testing.T, table platform.TableService, maxWrites int) *platform.Batcher {
+	b := platform.NewBatcher(table, tick, maxWrites)
+	go func() { _ = b.Run(t.Context()) }()
+	return b
+}
+
 func wantWrites(t *testing.T, table *standin.Table, want uint64) {
 	t.Helper()
 	_, writes := table.Calls()
@@ -131,18 +147,6 @@
 	}
 }
 
-// commitInTurn lets callers commit within one tick in the order of commits.
-func commitInTurn(ctx context.Context, b *platform.Batcher, commits ...[]platform.Write) []result {
-	results := make([]result, len(commits))
-	var callers sync.WaitGroup
-	for i, writes := range commits {
-		callers.Go(func() { results[i].version, results[i].err = b.Commit(ctx, writes...) })
-		synctest.Wait()
-	}
-	callers.Wait()
-	return results
-}
-
 func TestBatcherRunsCommitsOfOneKeyInTurn(t *testing.T) {
 	const version = 1 // of the key before the commits
 	update := []platform.Write{{Key: "key", If: version}}
@@ -195,8 +199,7 @@
 		table := standin.NewTable()
 		_, err := table.Commit(t.Context(), create("taken")...)
 		require.NoError(t, err)
-		b := platform.NewBatcher(unnamed{table}, tick, 10)
-		go func() { _ = b.Run(t.Context()) }()
+		b := runBatcher(t, unnamed{table}, 10)
 		results := commitAll(t.Context(), b, create("a"), create("taken"), create("b"))
 		require.NoError(t, results[0].err)
 		require.ErrorIs(t, results[1].err, platform.ErrConflict)
@@ -242,8 +245,7 @@
 func TestBatcherSaysUncertainOfASentCommit(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		table := slowTable{standin.NewTable()}
-		b := platform.NewBatcher(table, tick, 10)
-		go func() { _ = b.Run(t.Context()) }()
+		b := runBatcher(t, table, 10)
 		ctx, cancel := context.WithTimeout(t.Context(), 2*tick)
 		defer cancel()
 		_, err := b.Commit(ctx, create("a")...)
--- a/internal/platform/batcherproperty_test.go
+++ b/internal/platform/batcherproperty_test.go
@@ -152,8 +152,7 @@
 	for seed := range uint64(seeds) {
 		synctest.Test(t, func(t *testing.T) {
 			j := newJournal(seed)
-			b := platform.NewBatcher(j, tick, 12)
-			go func() { _ = b.Run(t.Context()) }()
+			b := runBatcher(t, j, 12)
 			var running sync.WaitGroup
 			for i := range callers {
 				running.Go(func() {
--- a/internal/platform/client_test.go
+++ b/internal/platform/client_test.go
@@ -1,63 +1,34 @@
 package platform_test
 
 import (
-	"bufio"
 	"context"
-	"io"
 	"net"
-	"net/http"
 	"strings"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/mastichollow/mastichollow/internal/httpsend/httpsendtest"
 	"github.com/mastichollow/mastichollow/internal/platform"
 )
 
 // patient keeps the verdicts from depending on the machine's speed.
 var patient = platform.Options{Timeout: time.Minute, MaxAnswer: 1 << 10}
 
-// canned answers each request on a connection of its own with the same bytes.
+// canned is a server that gives each request the same answer.
 type canned struct {
-	net.Listener
-	calls    atomic.Int64
-	received func() // called when a request has come
+	*httpsendtest.Raw
+	url string
 }
 
 func newCanned(t *testing.T, answer string) *canned {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	c := &canned{Listener: l, received: func() {}}
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			conn, err := l.Accept()
-			if err != nil {
-				return
-			}
-			c.answer(conn, answer)
-		}
-	}()
-	return c
+	return &canned{Raw: httpsendtest.NewRaw(t, l, answer), url: "http://" + l.Addr().String()}
 }
 
-func (c *canned) answer(conn net.Conn, answer string) {
-	defer conn.Close()
-	req, err := http.ReadRequest(bufio.NewReader(conn))
-	if err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, req.Body)
-	c.calls.Add(1)
-	c.received()
-	_, _ = io.WriteString(conn, answer)
-}
-
-func (c *canned) url() string { return "http://" + c.Addr().String() }
-
 func TestTableClientTranslatesAnswers(t *testing.T) {
 	const (
 		ok       = "HTTP/1.1 200 OK\r\nContent-Length: "
@@ -89,15 +60,15 @@
 		t.Run(name, func(t *testing.T) {
 			server := newCanned(t, c.answer)
 			// A client for each call, since the server closes its connections.
-			client := func() *platform.TableClient { return platform.NewTableClient(server.url(), patient) }
+			client := func() *platform.TableClient { return platform.NewTableClient(server.url, patient) }
 			_, err := client().Get(t.Context(), "a")
 			requireMark(t, err, c.get)
 			_, err = client().List(t.Context(), "a")
 			requireMark(t, err, c.list)
-			before := server.calls.Load()
+			before := server.Calls.Load()
 			_, err = client().Commit(t.Context(), platform.Write{Key: "a"})
 			requireMark(t, err, c.commit)
-			require.Equal(t, int64(1), server.calls.Load()-before, "commits sent")
+			require.Equal(t, int64(1), server.Calls.Load()-before, "commits sent")
 		})
 	}
 }
@@ -132,15 +103,15 @@
 func TestTableClientCallsACommitGivenUpAfterSendingUncertain(t *testing.T) {
 	ctx, cancel := context.WithCancel(t.Context())
 	server := newCanned(t, "")
-	server.received = func() { cancel(); <-t.Context().Done() }
-	_, err := platform.NewTableClient(server.url(), patient).Commit(ctx, platform.Write{Key: "a"})
+	server.Received = func() { cancel(); <-t.Context().Done() }
+	_, err := platform.NewTableClient(server.url, patient).Commit(ctx, platform.Write{Key: "a"})
 	requireMark(t, err, platform.ErrUncertain)
 }
 
 func TestTableClientBoundsTheTimeOfACall(t *testing.T) {
 	server := newCanned(t, "")
-	server.received = func() { <-t.Context().Done() }
-	table := platform.NewTableClient(server.url(), platform.Options{Timeout: 20 * time.Millisecond})
+	server.Received = func() { <-t.Context().Done() }
+	table := platform.NewTableClient(server.url, platform.Options{Timeout: 20 * time.Millisecond})
 	_, err := table.Get(t.Context(), "a")
 	requireMark(t, err, platform.ErrUnavailable)
 }
--- a/internal/platform/contract_test.go
+++ b/internal/platform/contract_test.go
@@ -7,28 +7,14 @@
 	"github.com/mastichollow/mastichollow/internal/platform"
 	"github.com/mastichollow/mastichollow/internal/platform/platformtest"
 	"github.com/mastichollow/mastichollow/internal/standin"
+	"github.com/mastichollow/mastichollow/internal/standin/standintest"
 )
 
-// newSubject returns a stand-in table behind decorators.
-func newSubject(decorate func(platform.TableService) platform.TableService) platformtest.Table {
-	table := standin.NewTable()
-	faults := map[platformtest.Fault]standin.Fault{
-		platformtest.Down:        standin.FaultDown,
-		platformtest.AnswerLost:  standin.FaultAnswerLost,
-		platformtest.RequestLost: standin.FaultRequestLost,
-	}
-	return platformtest.Table{
-		TableService: decorate(table),
-		SetFault: func(f platformtest.Fault) {
-			table.SetFault(func(string, string) standin.Fault { return faults[f] })
-		},
-	}
-}
-
 // runDecorated runs the contract of a table service on decorated stand-ins.
 func runDecorated(t *testing.T, decorate func(*testing.T, platform.TableService) platform.TableService) {
 	platformtest.RunTableInBubble(t, func(t *testing.T) platformtest.Table {
-		return newSubject(func(table platform.TableService) platform.TableService { return decorate(t, table) })
+		table := standin.NewTable()
+		return platformtest.Table{TableService: decorate(t, table), SetFault: standintest.SetFault(table.SetFault)}
 	})
 }
 
@@ -40,9 +26,7 @@
 }
 
 func batched(t *testing.T, table platform.TableService) platform.TableService {
-	b := platform.NewBatcher(table, tick, 64)
-	go func() { _ = b.Run(t.Context()) }()
-	return b
+	return runBatcher(t, table, 64)
 }
 
 const tick = 20 * time.Millisecond
--- a/internal/platform/guarded_test.go
+++ b/internal/platform/guarded_test.go
@@ -27,10 +27,17 @@
 	})
 }
 
-func TestGuardedRepeatsWhatHadNoEffect(t *testing.T) {
+// withGuarded runs check on a guarded stand-in table and its counters.
+func withGuarded(t *testing.T, config platform.GuardConfig, check func(*testing.T, *standin.Table, *platform.Guarded, prometheus.Gatherer)) {
 	synctest.Test(t, func(t *testing.T) {
-		table := standin.NewTable()
-		g := platform.NewGuarded(table, platform.GuardConfig{})
+		reg, table := prometheus.NewRegistry(), standin.NewTable()
+		config.Registerer = reg
+		check(t, table, platform.NewGuarded(table, config), reg)
+	})
+}
+
+func TestGuardedRepeatsWhatHadNoEffect(t *testing.T) {
+	withGuarded(t, platform.GuardConfig{}, func(t *testing.T, table *standin.Table, g *platform.Guarded, _ prometheus.Gatherer) {
 		countdown(table, 2, standin.FaultDown)
 		version, err := g.Commit(t.Context(), platform.Write{Key: "a"})
 		require.NoError(t, err)
@@ -42,9 +49,7 @@
 }
 
 func TestGuardedNeverRepeatsAnUncertainCommit(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		table := standin.NewTable()
-		g := platform.NewGuarded(table, platform.GuardConfig{})
+	withGuarded(t, platform.GuardConfig{}, func(t *testing.T, table *standin.Table, g *platform.Guarded, _ prometheus.Gatherer) {
 		countdown(table, 1, standin.FaultAnswerLost)
 		_, err := g.Commit(t.Context(), platform.Write{Key: "a"})
 		require.ErrorIs(t, err, platform.ErrUncertain)
@@ -54,9 +59,7 @@
 }
 
 func TestGuardedBreakerOpensAndCloses(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		table := standin.NewTable()
-		g := platform.NewGuarded(table, platform.GuardConfig{Failures: 3, Open: time.Second, Retries: -1})
+	withGuarded(t, platform.GuardConfig{Failures: 3, Open: time.Second, Retries: -1}, func(t *testing.T, table *standin.Table, g *platform.Guarded, _ prometheus.Gatherer) {
 		countdown(table, 4, standin.FaultDown)
 		get := func() error { _, err := g.List(t.Context(), ""); return err }
 		for range 3 {
@@ -94,10 +97,7 @@
 }
 
 func TestGuardedCountsEachReason(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		reg := prometheus.NewRegistry()
-		table := standin.NewTable()
-		g := platform.NewGuarded(table, platform.GuardConfig{Registerer: reg, Retries: 1, Failures: 3})
+	withGuarded(t, platform.GuardConfig{Retries: 1, Failures: 3}, func(t *testing.T, table *standin.Table, g *platform.Guarded, reg prometheus.Gatherer) {
 		countdown(table, 1, standin.FaultAnswerLost)
 		_, err := g.Commit(t.Context(), platform.Write{Key: "a"})
 		require.Error(t, err)
@@ -122,10 +122,7 @@
 }
 
 func TestGuardedCountsGivenUpRetries(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		reg := prometheus.NewRegistry()
-		table := standin.NewTable()
-		g := platform.NewGuarded(table, platform.GuardConfig{Registerer: reg, Retries: 2, Failures: neverOpen})
+	withGuarded(t, platform.GuardConfig{Retries: 2, Failures: neverOpen}, func(t *testing.T, table *standin.Table, g *platform.Guarded, reg prometheus.Gatherer) {
 		table.SetFault(func(string, string) standin.Fault { return standin.FaultDown })
 		for range 6 { // the burst of retries is used up in the sixth call
 			_, err := g.Get(t.Context(), "a")
@@ -144,10 +141,8 @@
 }
 
 func TestGuardedBoundsRetriesToAShareOfTheCalls(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		table := standin.NewTable()
+	withGuarded(t, platform.GuardConfig{Failures: neverOpen}, func(t *testing.T, table *standin.Table, g *platform.Guarded, _ prometheus.Gatherer) {
 		table.SetFault(func(string, string) standin.Fault { return standin.FaultDown })
-		g := platform.NewGuarded(table, platform.GuardConfig{Failures: neverOpen})
 		const calls = 1000
 		for range calls {
 			_, err := g.Get(t.Context(), "a")
--- a/internal/platform/platformtest/mutants_test.go
+++ b/internal/platform/platformtest/mutants_test.go
@@ -11,6 +11,7 @@
 	"github.com/mastichollow/mastichollow/internal/platform"
 	"github.com/mastichollow/mastichollow/internal/platform/platformtest"
 	"github.com/mastichollow/mastichollow/internal/standin"
+	"github.com/mastichollow/mastichollow/internal/standin/standintest"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
@@ -190,7 +191,7 @@
 	} {
 		t.Run(name, func(t *testing.T) {
 			table := standin.NewTable()
-			subject := platformtest.Table{TableService: mutant.make(table), SetFault: setFault(table.SetFault)}
+			subject := platformtest.Table{TableService: mutant.make(table), SetFault: standintest.SetFault(table.SetFault)}
 			require.Error(t, check(t, platformtest.TableCases(), mutant.fails, subject))
 		})
 	}
@@ -207,18 +208,6 @@
 	return nil
 }
 
-// setFault lets every call of a stand-in meet the same fault.
-func setFault(set func(func(op, key string) standin.Fault)) func(platformtest.Fault) {
-	faults := map[platformtest.Fault]standin.Fault{
-		platformtest.Down:        standin.FaultDown,
-		platformtest.AnswerLost:  standin.FaultAnswerLost,
-		platformtest.RequestLost: standin.FaultRequestLost,
-	}
-	return func(f platformtest.Fault) {
-		set(func(string, string) standin.Fault { return faults[f] })
-	}
-}
-
 // emptyWhenDown is a VM list that shows no VMs while it is down.
 type emptyWhenDown struct{ *standin.VMs }
 
@@ -244,7 +233,7 @@
 
 func TestObjectContractFindsMutants(t *testing.T) {
 	objects := standin.NewObjects()
-	subject := platformtest.Objects{ObjectStore: forgetful{objects}, SetFault: setFault(objects.SetFault)}
+	subject := platformtest.Objects{ObjectStore: forgetful{objects}, SetFault: standintest.SetFault(objects.SetFault)}
 	for _, name := range []string{
 		"any object is kept",
 		"down: calls are unavailable and have no effect",
--- a/internal/standin/contract_test.go
+++ b/internal/standin/contract_test.go
@@ -12,32 +12,21 @@
 	"github.com/mastichollow/mastichollow/internal/platform"
 	"github.com/mastichollow/mastichollow/internal/platform/platformtest"
 	"github.com/mastichollow/mastichollow/internal/standin"
+	"github.com/mastichollow/mastichollow/internal/standin/standintest"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
-// setFault lets every call of a stand-in meet the same fault.
-func setFault(set func(func(op, key string) standin.Fault)) func(platformtest.Fault) {
-	faults := map[platformtest.Fault]standin.Fault{
-		platformtest.Down:        standin.FaultDown,
-		platformtest.AnswerLost:  standin.FaultAnswerLost,
-		platformtest.RequestLost: standin.FaultRequestLost,
-	}
-	return func(f platformtest.Fault) {
-		set(func(string, string) standin.Fault { return faults[f] })
-	}
-}
-
 func TestTableContract(t *testing.T) {
 	platformtest.RunTable(t, func(*testing.T) platformtest.Table {
 		table := standin.NewTable()
-		return platformtest.Table{TableService: table, SetFault: setFault(table.SetFault)}
+		return platformtest.Table{TableService: table, SetFault: standintest.SetFault(table.SetFault)}
 	})
 }
 
 func TestObjectContract(t *testing.T) {
 	platformtest.RunObjects(t, func(*testing.T) platformtest.Objects {
 		objects := standin.NewObjects()
-		return platformtest.Objects{ObjectStore: objects, SetFault: setFault(objects.SetFault)}
+		return platformtest.Objects{ObjectStore: objects, SetFault: standintest.SetFault(objects.SetFault)}
 	})
 }
 
@@ -55,13 +44,7 @@
 
 // start serves host until the test ends.
 func start(t *testing.T, host *standin.Host) string {
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- host.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		require.NoError(t, <-ended)
-	})
+	standintest.Run(t, host)
 	return host.URL()
 }
 
--- a/internal/standin/load/load_test.go
+++ b/internal/standin/load/load_test.go
@@ -1,7 +1,6 @@
 package load
 
 import (
-	"context"
 	"net/http"
 	"net/http/httptest"
 	"sync/atomic"
@@ -11,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/mastichollow/mastichollow/internal/standin"
+	"github.com/mastichollow/mastichollow/internal/standin/standintest"
 )
 
 // valid returns a valid load of count requests to url.
@@ -24,13 +24,7 @@
 func startEngine(t *testing.T) *standin.Engine {
 	e, err := standin.NewEngine("127.0.0.1:0", standin.ModelConfig{Slots: 64})
 	require.NoError(t, err)
-	ctx, cancel := context.WithCancel(context.Background())
-	ended := make(chan error, 1)
-	go func() { ended <- e.Run(ctx) }()
-	t.Cleanup(func() {
-		cancel()
-		require.NoError(t, <-ended)
-	})
+	standintest.Run(t, e.Host())
 	return e
 }
 
