--- a/internal/fleet/faults_test.go
+++ b/internal/fleet/faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -177,3 +178,28 @@
 		require.Greater(t, best, 2*standby, "the second relay sends heartbeats alone")
 	})
 }
+
+// TestRegionWithoutARouterIsServedByAnother marks the routers of a region as
+// leaving: its agents still get tables, confirm them, and pass their sums on.
+func TestRegionWithoutARouterIsServedByAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := threeRegions(t)
+		time.Sleep(10 * time.Second)
+		n.setState("south-router-0", target.StateLeaving)
+		n.setState("south-router-1", target.StateLeaving)
+		time.Sleep(10 * time.Second)
+		version := n.commit("second")
+		left := n.without("south-router-0", "south-router-1")
+		eventually(t, inForceBound, "second table in force", inForce(left, version))
+		eventually(t, inForceBound, "agents of the region have confirmed", func() bool {
+			return !slices.ContainsFunc(pendingIDs(n, version), func(id string) bool {
+				return strings.HasPrefix(id, "south-agent-")
+			})
+		})
+		before := service(left["north-agent-0"], "south-d1", 7)
+		n.nodes["south-agent-0"].setSums("letter-writer", wire.Sum{Workspace: 7, Service: 1000})
+		eventually(t, 2*sumsAge, "sums of the region", func() bool {
+			return service(left["north-agent-0"], "south-d1", 7) == before+1000
+		})
+	})
+}
--- a/internal/fleet/rendezvous.go
+++ b/internal/fleet/rendezvous.go
@@ -35,25 +35,29 @@
 }
 
 // RelayOrder returns the live routers that may relay for domain, the first
-// choice first: the routers of the domain, or those of its region when the
-// domain has none.
+// choice first: the routers of the domain, those of its region when the domain
+// has none, or those of all regions when the region has none either.
 func (s *Snapshot) RelayOrder(domain, region string) []target.VM {
-	var near, far []target.VM
+	var inDomain, inRegion, elsewhere []target.VM
 	for _, vm := range s.VMs {
 		if vm.Role != target.RoleRouter || s.State(vm) != target.StateLive {
 			continue
 		}
 		switch {
 		case vm.Domain == domain:
-			near = append(near, vm)
+			inDomain = append(inDomain, vm)
 		case vm.Region == region:
-			far = append(far, vm)
+			inRegion = append(inRegion, vm)
+		default:
+			elsewhere = append(elsewhere, vm)
 		}
 	}
-	if len(near) > 0 {
-		return Rank(domain, near)
+	for _, routers := range [][]target.VM{inDomain, inRegion} {
+		if len(routers) > 0 {
+			return Rank(domain, routers)
+		}
 	}
-	return Rank(domain, far)
+	return Rank(domain, elsewhere)
 }
 
 // Relays returns the relays of domain.
