--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -110,15 +110,21 @@
 		return m.Endpoint.Run(running, transport.Mux{Request: w.Request, Control: node})
 	})
 	m.Log.Info("member runs", "role", w.Role, "fleet", m.Endpoint.Addr(), "admin", admin.Addr())
+	m.drain(ctx, running, w)
+	stop()
+	closeErr := m.Endpoint.Close()
+	return errors.CombineErrors(g.Wait(), closeErr)
+}
+
+// drain waits until ctx ends and the process has drained, or until running has
+// ended because a duty failed.
+func (m *Member) drain(ctx, running context.Context, w *Work) {
 	select {
 	case <-ctx.Done():
 		m.Log.Info("member drains", "role", w.Role)
 		w.Drain(running)
 	case <-running.Done():
 	}
-	stop()
-	closeErr := m.Endpoint.Close()
-	return errors.CombineErrors(g.Wait(), closeErr)
 }
 
 func (m *Member) newNode(w *Work) (*fleet.Node, error) {
