--- a/internal/fleet/digest.go
+++ b/internal/fleet/digest.go
@@ -12,34 +12,33 @@
 func (n *Node) sendDigests(fans fans, kinds ...linkKind) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	links := n.linksOf(kinds...)
-	if len(links) == 0 {
+	byPool := n.linksOf(kinds...)
+	if len(byPool) == 0 {
 		return
 	}
 	old := maps.Clone(fans)
 	clear(fans)
 	n.cfg.Store.eachOrigin(func(domain string, src *originSums) {
-		key := originKey{domain, src.origin}
-		f := old[key]
-		if f == nil {
-			f = &fan{packer: newPacker()}
-		}
-		fans[key] = f
-		f.advance(src)
-		for _, l := range links {
-			if n.sends(l, domain) {
-				n.sendDigest(l, key, f)
+		for pool, links := range byPool {
+			key := fanKey{originKey{domain, src.origin}, pool}
+			f := old.advance(key, src)
+			fans[key] = f
+			for _, l := range links {
+				if n.sends(l, domain) {
+					n.sendDigest(l, key, f)
+				}
 			}
 		}
 	})
 }
 
-// linksOf returns the links of the given kinds. n.mu is held.
-func (n *Node) linksOf(kinds ...linkKind) []*link {
-	var links []*link
+// linksOf returns the links of the given kinds by the pool whose sums they get.
+// n.mu is held.
+func (n *Node) linksOf(kinds ...linkKind) map[string][]*link {
+	links := make(map[string][]*link)
 	for l := range n.links {
 		if slices.Contains(kinds, l.kind) {
-			links = append(links, l)
+			links[l.pool] = append(links[l.pool], l)
 		}
 	}
 	return links
@@ -58,7 +57,7 @@
 }
 
 // sendDigest sends l what it lacks of the sums of f. n.mu is held.
-func (n *Node) sendDigest(l *link, key originKey, f *fan) {
+func (n *Node) sendDigest(l *link, key fanKey, f *fan) {
 	had := l.joined[key]
 	l.joined[key] = f.step
 	if had == f.step {
@@ -78,7 +77,17 @@
 }
 
 // fans are the fans of all origins for links of the same kind.
-type fans map[originKey]*fan
+type fans map[fanKey]*fan
+
+// advance returns the fan of key with what has changed at src packed.
+func (fs fans) advance(key fanKey, src *originSums) *fan {
+	f := fs[key]
+	if f == nil {
+		f = &fan{packer: newPacker()}
+	}
+	f.advance(src, key.pool)
+	return f
+}
 
 // fan packs the sums of one origin once for all links.
 type fan struct {
@@ -88,13 +97,13 @@
 	packed   []byte // the last change
 }
 
-// advance packs what has changed.
-func (f *fan) advance(src *originSums) {
+// advance packs what has changed in pool, or in all when it is empty.
+func (f *fan) advance(src *originSums, pool string) {
 	if src.sequence != 0 && src.sequence == f.sequence {
 		return
 	}
 	f.sequence = src.sequence
-	if packed := f.packer.pack(src.sums); len(packed) > 0 {
+	if packed := f.packer.pack(src.sums.of(pool)); len(packed) > 0 {
 		f.packed = packed
 		f.step++
 	}
--- a/internal/fleet/link.go
+++ b/internal/fleet/link.go
@@ -52,6 +52,7 @@
 	// ----
 	incarnation  uint64 // of the peer; 0 until its Hello
 	standby      bool   // no digests are sent to the member
+	pool         string // the member gets the sums of this pool only; empty: all
 	quiet        bool   // the relay was asked to send no digests
 	stale        bool   // the peer cannot read the platform
 	confirmed    uint64 // table version in force at the member
@@ -60,7 +61,7 @@
 	reported     reportState
 	reports      *unpacker            // of the member's reports
 	vms          map[string]target.VM // list that the peer sent
-	joined       map[originKey]uint64 // step of the fan that the peer has
+	joined       map[fanKey]uint64    // step of the fan that the peer has
 	unpackers    map[originKey]*unpacker
 }
 
@@ -70,6 +71,13 @@
 	origin
 }
 
+// fanKey names the sums of one origin as some links get them: those of one
+// pool, or all.
+type fanKey struct {
+	originKey
+	pool string
+}
+
 // sentConfig is what the peer knows of the configuration.
 type sentConfig struct {
 	table    uint64
@@ -95,7 +103,7 @@
 		out:       make(chan wire.Message, linkDepth),
 		heard:     make(chan struct{}, 1),
 		cancel:    func(error) {},
-		joined:    make(map[originKey]uint64),
+		joined:    make(map[fanKey]uint64),
 		unpackers: make(map[originKey]*unpacker),
 	}
 }
--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -243,6 +243,7 @@
 		Domain:      n.cfg.Self.Domain,
 		Relay:       relay,
 		Version:     n.version(),
+		Pool:        n.cfg.Self.Pool,
 	}
 }
 
@@ -257,6 +258,7 @@
 	l.incarnation = hello.Incarnation
 	l.sent.table = max(l.sent.table, hello.Version)
 	l.standby = hello.Standby
+	l.pool = hello.Pool
 }
 
 // version returns the table version in force, 0: none.
--- a/internal/fleet/node_test.go
+++ b/internal/fleet/node_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"strings"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -53,6 +54,24 @@
 	})
 }
 
+// TestAgentsGetTheSumsOfTheirPoolOnly lets an agent report two pools: routers
+// get both, agents that of their target.
+func TestAgentsGetTheSumsOfTheirPoolOnly(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := threeRegions(t)
+		time.Sleep(10 * time.Second)
+		for _, pool := range []string{"letter-writer", "shop-api"} {
+			n.nodes["south-agent-0"].setSums(pool, wire.Sum{Workspace: 7, Service: 1000})
+			time.Sleep(sumsAge)
+		}
+		for id, node := range n.without("south-agent-0") {
+			_, other := node.store.Load("south-d1", "shop-api")
+			require.Equal(t, strings.Contains(id, "router"), other, id)
+			require.NotZero(t, service(node, "south-d1", 7), id)
+		}
+	})
+}
+
 func TestSumsReachEveryNode(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		n := threeRegions(t)
--- a/internal/fleet/sums.go
+++ b/internal/fleet/sums.go
@@ -25,6 +25,23 @@
 	return &poolSums{rows: make(map[rowKey]wire.Sum), loads: make(map[string]Load)}
 }
 
+// of returns the sums of pool, or s itself when pool is empty.
+func (s *poolSums) of(pool string) *poolSums {
+	if pool == "" {
+		return s
+	}
+	only := newPoolSums()
+	if load, ok := s.loads[pool]; ok {
+		only.loads[pool] = load
+	}
+	for key, row := range s.rows {
+		if key.pool == pool {
+			only.rows[key] = row
+		}
+	}
+	return only
+}
+
 // set adds the figures of pools.
 func (s *poolSums) set(pools []wire.PoolSums) {
 	for _, p := range pools {
--- a/internal/wire/control.go
+++ b/internal/wire/control.go
@@ -53,6 +53,9 @@
 	// Standby asks the relay to send no digests; a later Hello on the same
 	// stream may ask for them.
 	Standby bool `cbor:"7,keyasint,omitempty"`
+	// Pool is the pool of the member's target, whose sums alone it gets. Empty:
+	// it gets all.
+	Pool string `cbor:"8,keyasint,omitempty"`
 }
 
 // Sum is what one workspace has got at one source. Service and Started only
