--- a/internal/fleet/node.go
+++ b/internal/fleet/node.go
@@ -22,7 +22,7 @@
 	Report     time.Duration // between reports of a member; 0.5 s
 	FullReport time.Duration // between full reports; 30 s
 	Digest     time.Duration // between digests of a relay to its members; 0.5 s
-	Peer       time.Duration // between digests to relays of other failure domains; 1 s
+	Peer       time.Duration // between digests to relays of other failure domains; 2 s
 	Poll       time.Duration // between reads of the platform by a relay; 1 s
 	Direct     time.Duration // between reads by a member without a relay, ± half; 5 s
 	Call       time.Duration // timeout of one call of the platform; 2 s
@@ -43,7 +43,7 @@
 	set(&p.Report, 500*time.Millisecond)
 	set(&p.FullReport, 30*time.Second)
 	set(&p.Digest, 500*time.Millisecond)
-	set(&p.Peer, time.Second)
+	set(&p.Peer, 2*time.Second)
 	set(&p.Poll, time.Second)
 	set(&p.Direct, 5*time.Second)
 	set(&p.Call, 2*time.Second)
