--- a/internal/demo/demo.go
+++ b/internal/demo/demo.go
@@ -10,6 +10,7 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/mastichollow/mastichollow/internal/caller"
 	"github.com/mastichollow/mastichollow/internal/operator"
 )
 
@@ -40,14 +41,21 @@
 
 // Demo runs the steps.
 type Demo struct {
-	cfg    Config
-	client *http.Client
-	checks []Check
+	cfg     Config
+	letters caller.Caller
+	shop    caller.Caller
+	client  *http.Client // for metrics
+	checks  []Check
 }
 
 // New returns a demo of the fleet that cfg names.
 func New(cfg Config) *Demo {
-	return &Demo{cfg: cfg, client: &http.Client{Timeout: callTimeout}}
+	return &Demo{
+		cfg:     cfg,
+		letters: caller.Caller{Key: cfg.LettersKey, Timeout: callTimeout},
+		shop:    caller.Caller{Key: cfg.ShopKey, Timeout: callTimeout},
+		client:  &http.Client{Timeout: callTimeout},
+	}
 }
 
 // Run runs all steps and returns what was expected and seen.
--- a/internal/demo/drain.go
+++ b/internal/demo/drain.go
@@ -45,8 +45,8 @@
 	for n := range lettersEach {
 		router := d.cfg.Routers[(caller+n)%len(d.cfg.Routers)]
 		prompt := fmt.Sprintf("Letter %d of caller %d.", n, caller)
-		text, want, err := d.letter(ctx, router, prompt, loadTokens)
-		if err == nil && text == want {
+		l := d.letters.Write(ctx, router, prompt, loadTokens)
+		if r := <-l.Reply; r.Whole && r.Text == l.Want {
 			whole.Add(1)
 		} else {
 			cut.Add(1)
--- a/internal/demo/scrape.go
+++ b/internal/demo/scrape.go
@@ -10,7 +10,7 @@
 	"github.com/prometheus/common/model"
 )
 
-// total returns the sum of a counter over the processes with the given admin
+// total returns the sum of a counter or gauge over the processes with the given admin
 // addresses (base URLs), of the series that have all the labels.
 func (d *Demo) total(ctx context.Context, admins []string, name string, labels map[string]string) (float64, error) {
 	sum := 0.0
@@ -21,7 +21,7 @@
 		}
 		for _, m := range families[name].GetMetric() {
 			if hasLabels(m, labels) {
-				sum += m.GetCounter().GetValue()
+				sum += m.GetCounter().GetValue() + m.GetGauge().GetValue()
 			}
 		}
 	}
--- a/internal/demo/shares.go
+++ b/internal/demo/shares.go
@@ -1,17 +1,17 @@
 package demo
 
 import (
-	"bufio"
 	"context"
 	"fmt"
 	"math"
 	"math/rand/v2"
-	"net/http"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastichollow/mastichollow/internal/caller"
 	"github.com/mastichollow/mastichollow/internal/experiment"
 )
 
@@ -33,7 +33,7 @@
 
 // claimant is one of the two workspaces of the run.
 type claimant struct {
-	key     string
+	caller.Caller
 	weight  float64
 	routers []string
 	tokens  atomic.Int64
@@ -57,8 +57,8 @@
 	running, cancel := context.WithTimeout(ctx, sharesLength)
 	defer cancel()
 	claimants := []*claimant{
-		{key: d.cfg.LettersKey, weight: 3, routers: d.cfg.Routers[:1]},
-		{key: d.cfg.ShopKey, weight: 1, routers: d.cfg.Routers[1:]},
+		{Caller: d.letters, weight: 3, routers: d.cfg.Routers[:1]},
+		{Caller: d.shop, weight: 1, routers: d.cfg.Routers[1:]},
 	}
 	var callers sync.WaitGroup
 	for i, c := range claimants {
@@ -68,59 +68,51 @@
 		}
 	}
 	time.Sleep(sharesWarmUp)
-	before, err := d.measureCounters(ctx)
+	began := time.Now()
+	before, err := d.controlBytes(ctx)
 	if err != nil {
 		return programs, model, err
 	}
+	callers.Go(func() { programs.Utilisation, err = d.sampleBusy(running) })
 	programs.Gap = sampleGap(running, claimants)
-	after, err := d.measureCounters(ctx)
 	callers.Wait()
-	seconds := after.at.Sub(before.at).Seconds()
-	programs.Utilisation = (after.busy - before.busy) / (seconds * sharesRegions * sharesSlots)
-	programs.RegionPair = (after.control - before.control) / (seconds * sharesPairs)
-	return programs, playModel(), err
+	after, controlErr := d.controlBytes(ctx)
+	programs.RegionPair = (after - before) / (time.Since(began).Seconds() * sharesPairs)
+	return programs, playModel(), errors.CombineErrors(err, controlErr)
 }
 
-// counters are readings of the fleet's counters.
-type counters struct {
-	at      time.Time
-	busy    float64 // seconds of slots
-	control float64 // bytes sent between regions
+// controlBytes returns the bytes of control frames sent between regions so far.
+func (d *Demo) controlBytes(ctx context.Context) (float64, error) {
+	return d.total(ctx, d.cfg.Members, "mastichollow_transport_sent_bytes_total",
+		map[string]string{"link": "cross_region", "kind": "control"})
 }
 
-func (d *Demo) measureCounters(ctx context.Context) (counters, error) {
-	busy, err := d.total(ctx, d.cfg.Agents, "mastichollow_agent_slot_busy_seconds_total", nil)
-	if err != nil {
-		return counters{}, err
+// sampleBusy returns the mean share of the slots that are busy until ctx ends.
+func (d *Demo) sampleBusy(ctx context.Context) (float64, error) {
+	ticker := time.NewTicker(sharesSample)
+	defer ticker.Stop()
+	sum, samples := 0.0, 0.0
+	for {
+		select {
+		case <-ctx.Done():
+			return sum / samples / (sharesRegions * sharesSlots), nil
+		case <-ticker.C:
+			busy, err := d.total(context.WithoutCancel(ctx), d.cfg.Agents, "mastichollow_agent_slots_busy", nil)
+			if err != nil {
+				return 0, err
+			}
+			sum += busy
+			samples++
+		}
 	}
-	control, err := d.total(ctx, d.cfg.Members, "mastichollow_transport_sent_bytes_total",
-		map[string]string{"link": "cross_region", "kind": "control"})
-	return counters{at: time.Now(), busy: busy, control: control}, err
 }
 
 // keepWriting asks for one letter after the other until ctx ends.
 func (d *Demo) keepWriting(ctx context.Context, c *claimant, router string, rng *rand.Rand) {
 	for ctx.Err() == nil {
 		prompt := fmt.Sprintf("Letter %x.", rng.Uint64())
-		body := letterBody(prompt, minLetter+rng.IntN(maxLetter-minLetter), true)
-		resp, err := d.post(ctx, router+"/v1/chat/completions", c.key, body, map[string]string{"Priority": "u=5"})
-		if err != nil {
-			continue
-		}
-		if resp.StatusCode == http.StatusOK {
-			countTokens(resp, c)
-		}
-		resp.Body.Close()
-	}
-}
-
-// countTokens counts the events of an answer as they come.
-func countTokens(resp *http.Response, c *claimant) {
-	lines := bufio.NewScanner(resp.Body)
-	for lines.Scan() {
-		if strings.Contains(lines.Text(), `"content"`) {
-			c.tokens.Add(1)
-		}
+		body := caller.CompletionBody(prompt, minLetter+rng.IntN(maxLetter-minLetter), true)
+		c.Stream(ctx, router, body, map[string]string{"Priority": "u=5"}, func() { c.tokens.Add(1) })
 	}
 }
 
