--- a/internal/standin/faults.go
+++ b/internal/standin/faults.go
@@ -132,3 +132,16 @@
 func (b *FaultBox) delay() {
 	time.Sleep(time.Duration(b.Get().SlowMS) * time.Millisecond)
 }
+
+// FirstCalls returns a choice of faults for the SetFault of a table: the first n
+// calls of op, of any kind when op is empty, meet fault.
+func FirstCalls(n int, op string, fault Fault) func(op, key string) Fault {
+	left := n
+	return func(called, _ string) Fault {
+		if left == 0 || (op != "" && called != op) {
+			return FaultNone
+		}
+		left--
+		return fault
+	}
+}
--- a/internal/standin/standintest/standintest.go
+++ b/internal/standin/standintest/standintest.go
@@ -22,6 +22,15 @@
 	})
 }
 
+// Forward returns a link to server (IP:port) that ends with the test.
+func Forward(t testing.TB, server string) *standin.Forwarder {
+	t.Helper()
+	f, err := standin.NewForwarder(server)
+	require.NoError(t, err)
+	t.Cleanup(func() { _ = f.Close() })
+	return f
+}
+
 // SetFault returns a function that lets every call of a stand-in, whose faults
 // set sets, meet the same fault.
 func SetFault(set func(func(op, key string) standin.Fault)) func(platformtest.Fault) {
