--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -176,15 +176,23 @@
 	require.Equal(t, 1, runsOf("frozen", f.domains[0].service, f.domains[1].service))
 }
 
-func TestKilledAgentsOrderIsNeverRunAgain(t *testing.T) {
-	t.Parallel()
-	f := newFleet(t, options{domains: 2, service: standin.ServiceConfig{Slots: 4, Time: 300 * time.Millisecond}})
-	holder, first := f.orderAtTarget("killed")
-	holder.shop.Kill()
-	require.False(t, (<-first).Problem().NotRun)
-	again := me.Order(t.Context(), f.domains[1].routerURL, "killed", "killed")
-	require.False(t, again.Problem().NotRun, "%s", again)
-	require.Equal(t, 1, runsOf("killed", f.domains[0].service, f.domains[1].service))
+func TestKilledOrderIsNeverRunAgain(t *testing.T) {
+	kills := map[string]func(*domain){
+		"agent":  func(d *domain) { d.shop.Kill() },
+		"target": func(d *domain) { d.service.SetFaults(standin.Faults{Crash: true, RestartMS: 100}) },
+	}
+	for name, kill := range kills {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFleet(t, options{domains: 2, service: standin.ServiceConfig{Slots: 4, Time: 300 * time.Millisecond}})
+			holder, first := f.orderAtTarget("killed")
+			kill(holder)
+			require.False(t, (<-first).Problem().NotRun)
+			again := me.Order(t.Context(), f.domains[1].routerURL, "killed", "killed")
+			require.False(t, again.Problem().NotRun, "%s", again)
+			require.Equal(t, 1, len(f.domains[0].service.Runs())+len(f.domains[1].service.Runs()))
+		})
+	}
 }
 
 // TestStoppedAgentKeepsTheAnswerOfItsOrder stops the agent while its order is at
