--- a/internal/experiment/bytes_test.go
+++ b/internal/experiment/bytes_test.go
@@ -114,20 +114,25 @@
 	b.ReportMetric(float64(bytes)/float64(n), "B/entry")
 }
 
-// BenchmarkPlan measures the order of the agents for one request.
+// BenchmarkPlan measures the choice of the home agent of a request and the order
+// of all agents.
 func BenchmarkPlan(b *testing.B) {
 	for _, n := range []int{20, 200, 1429} {
-		b.Run(fmt.Sprint("agents=", n), func(b *testing.B) {
-			d := Muistopurkki()
-			d.Agents = n
-			w := newWorld(d, Scenario{}, Chosen())
-			r := w.routers[0]
-			vms := w.live()
-			site := placement.Site{Region: regionName(0), Domain: regionName(0)}
-			b.ReportAllocs()
-			for i := uint64(0); b.Loop(); i++ {
-				placement.Make(vms, site, placement.Content{Fingerprint: binary.BigEndian.AppendUint64(nil, i)}, r.hasFree)
-			}
-		})
+		d := Muistopurkki()
+		d.Agents = n
+		w := newWorld(d, Scenario{}, Chosen())
+		vms, r := w.live(), w.routers[0]
+		site := placement.Site{Region: regionName(0), Domain: regionName(0)}
+		for name, plan := range map[string]func(placement.Content){
+			"home": func(c placement.Content) { placement.Home(vms, site, c) },
+			"all":  func(c placement.Content) { placement.Make(vms, site, c, r.hasFree) },
+		} {
+			b.Run(fmt.Sprintf("%s/agents=%d", name, n), func(b *testing.B) {
+				b.ReportAllocs()
+				for i := uint64(0); b.Loop(); i++ {
+					plan(placement.Content{Fingerprint: binary.BigEndian.AppendUint64(nil, i)})
+				}
+			})
+		}
 	}
 }
--- a/internal/router/binding.go
+++ b/internal/router/binding.go
@@ -28,6 +28,7 @@
 	spilled   int // offers to other regions without known free slots
 	ticket    *ticket
 	last      *request.RefusedError
+	order     agentOrder
 }
 
 func newBinding(x *execution) *binding {
--- a/internal/router/spread.go
+++ b/internal/router/spread.go
@@ -10,8 +10,13 @@
 	"github.com/mastichollow/mastichollow/internal/wire"
 )
 
-// maxDoublings bounds the growth of steps.
-const maxDoublings = 8
+const (
+	// maxDoublings bounds the growth of steps.
+	maxDoublings = 8
+	// orderAge is how long the order of agents is kept: less than the age of
+	// the loads that it follows.
+	orderAge = time.Second
+)
 
 // askHome offers the call to its home agent.
 func (b *binding) askHome(ctx context.Context) {
@@ -98,9 +103,22 @@
 	return nil
 }
 
-// plan orders the agents that are live now.
+// agentOrder is the order of the agents of one snapshot for one call.
+type agentOrder struct {
+	plan placement.Plan
+	of   *index // nil: none was made
+	made time.Time
+}
+
+// plan orders the agents that are live now. An order is kept for orderAge, since
+// it costs more than the offers of a step when the pool has many agents.
 func (b *binding) plan() placement.Plan {
-	return placement.Make(b.agents(), b.x.r.cfg.Site, b.x.c.content, b.hasFree)
+	now, idx := time.Now(), b.x.r.index.get()
+	if b.order.of != idx || now.Sub(b.order.made) >= orderAge {
+		plan := placement.Make(b.agents(), b.x.r.cfg.Site, b.x.c.content, b.hasFree)
+		b.order = agentOrder{plan: plan, of: idx, made: now}
+	}
+	return b.order.plan
 }
 
 // ask opens a stream with an offer to vm.
