--- a/scripts/path.sh
+++ b/scripts/path.sh
@@ -1,6 +1,10 @@
 #!/usr/bin/env bash
 # Measures the path through router and agent beside direct calls of the same
-# engine, one after the other: about 1,000 streams open at once, 32 tokens each.
+# engine, one after the other, with about 1,000 streams open at once.
+#
+#   MASTICHOLLOW_PATH_RATE      requests/s (default 500)
+#   MASTICHOLLOW_PATH_TOKENS    tokens of an answer (default 32)
+#   MASTICHOLLOW_PATH_DURATION  time in which requests are sent (default 15s)
 set -euo pipefail
 cd "$(dirname "$0")/.."
 dir=$(mktemp -d)
@@ -10,12 +14,14 @@
 scripts/fleet.sh up "$dir"
 # shellcheck disable=SC1091
 source "$dir/env"
+# About 1,000 streams are open: rate times tokens times the interval.
+readonly rate=${MASTICHOLLOW_PATH_RATE:-500} tokens=${MASTICHOLLOW_PATH_TOKENS:-32} duration=${MASTICHOLLOW_PATH_DURATION:-15s}
 readonly router=${MASTICHOLLOW_DEMO_ROUTERS%%,*}
 readonly base=${MASTICHOLLOW_BASE_PORT:-27100}
 readonly engine=http://127.0.0.1:$((base + 3))
 load() {
-  bin/mastichollow-standin load --url "$1" --model letter-writer --rate 500 --duration 15s --count 20000 --open 3000 \
-    --max-tokens 32 --stream --workspace "demo-letters=3" --log-level error
+  bin/mastichollow-standin load --url "$1" --model letter-writer --rate "$rate" --duration "$duration" --count 20000 --open 3000 \
+    --max-tokens "$tokens" --stream --workspace "demo-letters=3" --log-level error
 }
 # cost ADMIN: processor seconds, resident bytes and control bytes sent so far.
 cost() {
