--- a/cmd/mastichollowctl/main_test.go
+++ b/cmd/mastichollowctl/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"fmt"
 	"os"
 	"path/filepath"
 	"regexp"
@@ -76,6 +77,17 @@
 	require.Contains(t, c.run(operator.ExitOK, "table", "export"), "shop,,3,")
 }
 
+// TestTableOfTheDesignSize applies the number of workspaces to design for.
+func TestTableOfTheDesignSize(t *testing.T) {
+	c := newCtl(t)
+	var rows []string
+	for i := range 4700 {
+		rows = append(rows, fmt.Sprintf("ws-%04d,%s,1,0,0,100,letter-writer", i, workspace.HashKey(fmt.Sprint(i))))
+	}
+	c.run(operator.ExitOK, "table", "apply", "--against", "0", c.file(rows...))
+	require.Equal(t, header+strings.Join(rows, "\n")+"\n", c.run(operator.ExitOK, "table", "export"))
+}
+
 func TestVMCommands(t *testing.T) {
 	c := newCtl(t)
 	c.platform.VMs.Set([]target.VM{
--- a/internal/e2e/faults_test.go
+++ b/internal/e2e/faults_test.go
@@ -28,14 +28,6 @@
 	os.Exit(processtest.Main(m, "../../cmd/mastichollow-router", "../../cmd/mastichollow-agent"))
 }
 
-// metricsOf returns what the admin listener serves to Prometheus.
-func metricsOf(t *testing.T, admin string) string {
-	t.Helper()
-	r := me.Send(t.Context(), http.MethodGet, "http://"+admin+"/metrics", "", "")
-	require.Equal(t, http.StatusOK, r.Status, r)
-	return r.Text
-}
-
 // requireWhole checks that the caller got the whole answer to its own request.
 func requireWhole(t *testing.T, l *caller.Letter) {
 	t.Helper()
@@ -230,10 +222,13 @@
 		return me.Order(t.Context(), d.routerURL, "up", "up").Status == http.StatusCreated
 	})
 	require.Equal(t, 1, d.service.Count("up"))
-	for _, admin := range []string{d.routerAdmin, d.shopAdmin} {
-		require.Contains(t, metricsOf(t, admin), "mastichollow_platform_calls_total{", "guard of the table")
+	for _, served := range [][2]string{
+		{d.routerAdmin, "mastichollow_platform_calls_total{"},
+		{d.shopAdmin, "mastichollow_platform_calls_total{"},
+		{d.shopAdmin, "mastichollow_platform_batch_transactions_total "},
+	} {
+		require.Contains(t, me.Send(t.Context(), http.MethodGet, "http://"+served[0]+"/metrics", "", "").Text, served[1])
 	}
-	require.Contains(t, metricsOf(t, d.shopAdmin), "mastichollow_platform_batch_transactions_total ", "batcher of the claims")
 }
 
 // TestLostClaimAnswer loses the answer of the claim's write, after which the
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -13,7 +13,9 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// MaxFrame is the largest frame accepted, in bytes.
+// MaxFrame is the largest frame accepted, in bytes. It has room for the largest
+// workspace table, of workspace.MaxRows rows of about 140 bytes, and for the
+// largest body of a request with its header.
 const MaxFrame = 8 << 20
 
 const (
@@ -38,6 +40,9 @@
 // Type is the type byte of a frame.
 type Type uint8
 
+// decMode bounds what one message may hold, whoever sent it: no indefinite
+// lengths, no keys twice, and fewer elements than a frame has bytes. The largest
+// arrays are the rows of a table and the VMs of a list.
 var decMode = mustDecMode()
 
 func mustDecMode() cbor.DecMode {
--- a/internal/workspace/rules.go
+++ b/internal/workspace/rules.go
@@ -10,8 +10,13 @@
 
 // Limits of the table.
 const (
-	MaxRows        = 1 << 12
-	MaxMarks       = 1 << 12
+	// MaxRows is the largest number of workspaces; 4,700 are to be designed
+	// for.
+	MaxRows = 1 << 14
+	// MaxMarks is the largest number of marked VMs; 12,600 are to be designed
+	// for.
+	MaxMarks = 1 << 14
+
 	MaxRecent      = 64      // change IDs that a table remembers
 	MaxKeys        = 64      // API keys of one workspace
 	MaxPools       = 256     // pools of one workspace
