--- a/internal/fairness/fleet_test.go
+++ b/internal/fairness/fleet_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"github.com/mastichollow/mastichollow/internal/fairness"
+	_ "github.com/mastichollow/mastichollow/internal/fixedseed"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/workspace"
 )
--- a/internal/fleet/config_test.go
+++ b/internal/fleet/config_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	_ "github.com/mastichollow/mastichollow/internal/fixedseed"
 	"github.com/mastichollow/mastichollow/internal/platform"
 	"github.com/mastichollow/mastichollow/internal/standin"
 	"github.com/mastichollow/mastichollow/internal/target"
--- a/internal/operator/machine_test.go
+++ b/internal/operator/machine_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	_ "github.com/mastichollow/mastichollow/internal/fixedseed"
 	"github.com/mastichollow/mastichollow/internal/workspace"
 )
 
--- a/internal/workspace/change_test.go
+++ b/internal/workspace/change_test.go
@@ -6,6 +6,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	_ "github.com/mastichollow/mastichollow/internal/fixedseed"
 )
 
 func TestRowIDsAreNeverUsedAgain(t *testing.T) {
