--- a/internal/transport/endpoint.go
+++ b/internal/transport/endpoint.go
@@ -50,7 +50,6 @@
 // Lock order: Endpoint.mu before dialed.mu.
 type Endpoint struct {
 	self    Peer
-	logger  hclog.Logger
 	metrics *metrics
 	tls     *tls.Config
 	quic    *quic.Config
@@ -68,8 +67,15 @@
 
 // NewEndpoint binds the listening socket. Run accepts streams on it.
 func NewEndpoint(cfg EndpointConfig) (*Endpoint, error) {
+	logger := cfg.Logger
+	if logger == nil {
+		logger = hclog.NewNullLogger()
+	}
 	m := newMetrics(cfg.Registerer)
-	tlsConfig, err := cfg.Keys.tlsConfig(cfg.Self, m.refused.Inc)
+	tlsConfig, err := cfg.Keys.tlsConfig(cfg.Self, func(err error) {
+		m.refused.Inc()
+		logger.Debug("handshake refused", "error", err)
+	})
 	if err != nil {
 		return nil, err
 	}
@@ -77,13 +83,8 @@
 	if err != nil {
 		return nil, err
 	}
-	logger := cfg.Logger
-	if logger == nil {
-		logger = hclog.NewNullLogger()
-	}
 	e := &Endpoint{
 		self:    cfg.Self,
-		logger:  logger,
 		metrics: m,
 		tls:     tlsConfig,
 		quic:    quicConfig(),
--- a/internal/transport/keys.go
+++ b/internal/transport/keys.go
@@ -132,7 +132,7 @@
 
 // tlsConfig returns the configuration for dialling and listening. Sessions are
 // not resumed, so that every connection shows its certificate.
-func (k *Keys) tlsConfig(self Peer, refused func()) (*tls.Config, error) {
+func (k *Keys) tlsConfig(self Peer, refused func(error)) (*tls.Config, error) {
 	cert, err := k.certificate(self)
 	if err != nil {
 		return nil, err
@@ -140,7 +140,7 @@
 	verify := func(state tls.ConnectionState) error {
 		err := k.verify(state)
 		if err != nil {
-			refused()
+			refused(err)
 		}
 		return err
 	}
