Serve callers on the users' platform through a gate on the entry VMs

Cause: nothing of the fleet spoke the platform's protocol.

The gate is a program of its own: it places requests by rendezvous hash over the shared prompt parts, within limits on the fleet-wide load that gates report to each other, and sends them straight to the targets. platform/ decodes the settings, the table, the list of targets and the header fields once.

Ruled out for now: agents beside the targets, which would add a hop; to be weighed by trials.

--- /dev/null
+++ b/cmd/mastichollow-gate/main.go
@@ -0,0 +1,22 @@
+// Command mastichollow-gate takes the requests of callers on an entry VM of the
+// users' platform and has targets answer them.
+package main
+
+import (
+	"context"
+	"os"
+
+	"github.com/mastichollow/mastichollow/internal/process"
+)
+
+const (
+	program     = "mastichollow-gate"
+	description = "Entry of the fleet on the users' platform: places the requests of callers on targets and passes the answers on."
+)
+
+func main() {
+	var f flags
+	os.Exit(process.Main(program, description, &f, f.validate, func(ctx context.Context) error {
+		return start(ctx, &f)
+	}))
+}
--- /dev/null
+++ b/cmd/mastichollow-gate/server.go
@@ -0,0 +1,101 @@
+package main
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mastichollow/mastichollow/internal/gate"
+	"github.com/mastichollow/mastichollow/internal/process"
+	"github.com/mastichollow/mastichollow/platform"
+)
+
+const (
+	// headerTimeout and idleTimeout are above what tables allow callers (3 s,
+	// 15 s), so that a caller's request never meets the close of its connection.
+	headerTimeout = 10 * time.Second
+	idleTimeout   = 90 * time.Second
+	// headerBytes is above what tables allow callers (16 KiB).
+	headerBytes = 64 << 10
+	// noticeTime is how long the balancer may still send callers to a gate that
+	// is not ready: two questions, one a second.
+	noticeTime = 3 * time.Second
+	// stopMargin is left of the grace period for the end of the process.
+	stopMargin = 700 * time.Millisecond
+	drainPoll  = 50 * time.Millisecond
+)
+
+// server serves callers and the balancer.
+type server struct {
+	gate           *gate.Gate
+	log            hclog.Logger
+	callers, ready net.Listener
+	http           *http.Server
+	asked          *http.Server
+}
+
+// listen opens the listeners.
+func listen(s *platform.Settings, g *gate.Gate, _ *flags, log hclog.Logger) (*server, error) {
+	callers, err := net.Listen("tcp4", s.Callers)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listening for callers on %s", s.Callers)
+	}
+	ready, err := net.Listen("tcp4", s.Ready)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listening for the balancer on %s", s.Ready)
+	}
+	quiet := log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
+	return &server{
+		gate: g, log: log, callers: callers, ready: ready,
+		http: &http.Server{
+			Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+			MaxHeaderBytes: headerBytes, ErrorLog: quiet,
+		},
+		asked: &http.Server{Handler: platform.ReadyHandler(g.Ready), ReadHeaderTimeout: headerTimeout, ErrorLog: quiet},
+	}, nil
+}
+
+func (s *server) serve() {
+	go func() { s.report("balancer", s.asked.Serve(s.ready)) }()
+	s.report("callers", s.http.Serve(s.callers))
+}
+
+func (s *server) report(who string, err error) {
+	if !errors.Is(err, http.ErrServerClosed) {
+		s.log.Error("listener ended", "for", who, "error", err)
+	}
+}
+
+// admin serves metrics. A gate without them still serves callers.
+func (s *server) admin(reg *prometheus.Registry, addr string) {
+	admin, err := process.NewAdmin(addr, reg, s.gate.Ready)
+	if err != nil {
+		s.log.Error("metrics are not served", "error", err)
+		return
+	}
+	s.report("metrics", admin.Run(context.Background()))
+}
+
+// drain lets callers go: the balancer first, then each connection after its
+// next answer, within the grace period.
+func (s *server) drain(grace time.Duration) {
+	s.log.Info("draining", "in_hand", s.gate.InHand(), "grace_ms", grace.Milliseconds())
+	s.gate.Drain()
+	start := time.Now()
+	for time.Since(start) < grace-stopMargin {
+		if time.Since(start) >= noticeTime && s.gate.InHand() == 0 {
+			break
+		}
+		time.Sleep(drainPoll)
+	}
+	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace-stopMargin/2))
+	defer cancel()
+	if err := s.http.Shutdown(ctx); err != nil {
+		s.log.Warn("requests cut at the end of the grace period", "in_hand", s.gate.InHand(), "error", err)
+	}
+}
--- /dev/null
+++ b/cmd/mastichollow-gate/start.go
@@ -0,0 +1,121 @@
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+	"runtime/debug"
+	"strconv"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
+	"github.com/hashicorp/go-hclog"
+
+	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/clock"
+	"github.com/mastichollow/mastichollow/internal/eventlog"
+	"github.com/mastichollow/mastichollow/internal/gate"
+	"github.com/mastichollow/mastichollow/internal/peers"
+	"github.com/mastichollow/mastichollow/internal/process"
+	"github.com/mastichollow/mastichollow/internal/process/settings"
+	"github.com/mastichollow/mastichollow/internal/target"
+	"github.com/mastichollow/mastichollow/internal/upstream"
+	"github.com/mastichollow/mastichollow/platform"
+)
+
+const (
+	// dialTimeout bounds the connection to a target: a round trip between
+	// regions takes 16 ms, a lost opening packet is sent again after 1 s, and
+	// another target costs less.
+	dialTimeout = 300 * time.Millisecond
+	// memoryShare of the machine's memory is the aim of the garbage collector.
+	memoryShare = 0.6
+	// bodiesShare of the machine's memory may hold bodies of requests.
+	bodiesShare = 0.2
+)
+
+// flags are the command line.
+type flags struct {
+	Version     kong.VersionFlag `help:"Print the version and exit."`
+	Boot        string           `help:"Path of the platform's settings file." required:""`
+	MetricsPort int              `help:"Port for /metrics, /healthz and /readyz on the machine's address." default:"9464"`
+	LogLevel    string           `help:"Least level of log lines: trace, debug, info, warn or error." default:"info" enum:"trace,debug,info,warn,error"`
+}
+
+func (f *flags) validate() error {
+	var faults settings.Faults
+	faults.Check("boot", settings.Name(f.Boot))
+	if f.MetricsPort < 1 || f.MetricsPort > 65535 {
+		faults.Check("metrics-port", errors.Newf("%d is not a port", f.MetricsPort))
+	}
+	return faults.Join()
+}
+
+// start runs the gate until ctx ends, and then until its callers are served.
+func start(ctx context.Context, f *flags) error {
+	s, err := platform.LoadSettings(f.Boot)
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(int64(memoryShare * float64(s.MemoryBytes)))
+	reg := process.NewRegistry()
+	events := eventlog.New(os.Stdout, reg)
+	log := events.Logger(program, hclog.LevelFromString(f.LogLevel))
+
+	// Duties outlive the signal, so that requests in hand are still served.
+	duties, stop := context.WithCancel(context.Background())
+	defer stop()
+	go events.Run(duties)
+
+	steady, boot := clock.Steady(), clock.Boot()
+	controller := admission.NewController(admission.Config{
+		Site:  admission.Site{Region: s.Region, Domain: s.Domain, Regions: s.Regions},
+		Retry: admission.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
+	})
+	born := time.Now().UnixMilli()
+	exchange, err := peers.Listen(peers.Config{
+		Node: s.Node, Region: s.Region, Listen: s.Peers, Start: born, Now: steady, Log: log.Named("peers"),
+	}, controller, reg)
+	if err != nil {
+		return err
+	}
+	table := gate.NewConfiguration(boot)
+	directory := target.NewDirectory()
+	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, Now: steady}, nil)
+	g := gate.New(gate.Config{
+		KeyAge: s.KeyAge(), DenyAge: s.DenyAge(), BodiesBytes: int64(bodiesShare * float64(s.MemoryBytes)),
+		Now: steady, Log: log.Named("gate"),
+	}, platform.Codec{}, table, directory, controller, pool, reg)
+	watcher := &platform.Watcher{
+		Store: platform.NewStore(s.Store), Settings: s, Table: table, Directory: directory,
+		Controller: controller, Peers: exchange, Boot: boot, Steady: steady, Start: born,
+		Log: log.Named("platform"), Gone: pool.Forget,
+	}
+	server, err := listen(s, g, f, log)
+	if err != nil {
+		return err
+	}
+	log.Info("started", "node", s.Node, "domain", s.Domain, "version", process.Version, "callers", s.Callers, "store", s.Store)
+	go watcher.Run(duties, reg)
+	go exchange.Run(duties)
+	go pool.Run(duties)
+	go server.serve()
+	go server.admin(reg, net.JoinHostPort(hostOf(s.Ready), strconv.Itoa(f.MetricsPort)))
+	go watchSettings(duties, f.Boot, s, watcher.Store, log)
+
+	<-ctx.Done()
+	server.drain(s.Grace)
+	log.Info("stopped", "in_hand", g.InHand())
+	stop()
+	events.Wait()
+	return nil
+}
+
+func hostOf(addr string) string {
+	host, _, err := net.SplitHostPort(addr)
+	if err != nil {
+		return addr // checked with the settings
+	}
+	return host
+}
--- /dev/null
+++ b/internal/admission/controller.go
@@ -0,0 +1,318 @@
+package admission
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/mastichollow/mastichollow/internal/request"
+	"github.com/mastichollow/mastichollow/internal/target"
+)
+
+const (
+	// readTokensPerMS is the speed at which an engine reads prompts when it
+	// does nothing else, from the sheets of both deployments.
+	readTokensPerMS = 48.2
+	// affinityWidth is the number of targets on which the requests of one
+	// shared prompt are placed. Wider spreading loses more cached parts than it
+	// gains in places.
+	affinityWidth = 2
+	// ownRunning and spareRunning bound the requests in an engine's hands, as
+	// parts of its batch: for workspaces below their share and for those above.
+	// Past them the steps get so long that streams miss their pauses.
+	ownRunning   = 0.62
+	spareRunning = 0.5
+	// ownWait and spareWait bound the predicted wait for the first token, as
+	// parts of the time that is left to the goal.
+	ownWait   = 0.6
+	spareWait = 0.3
+	// memoryShare is the part of an engine's memory that requests in hand may
+	// fill; the rest keeps shared prompt parts.
+	memoryShare = 0.8
+	// cacheShare is the part of an engine's memory that is taken to keep shared
+	// prompt parts.
+	cacheShare = 0.5
+	// plainQueue is how many requests a plain service may hold, as a multiple
+	// of its slots: those that run and two rounds that wait.
+	plainQueue = 3
+	// generatedWeight is the work of a generated token in that of a read one.
+	generatedWeight = 2
+	// levelInterval is how often the fleet's shares are worked out anew.
+	levelInterval = 100 * time.Millisecond
+)
+
+// Request is what the policy knows of a request.
+type Request struct {
+	Workspace string
+	Service   string
+	// Slots is the batch of the service's engines, 0 for a plain service.
+	Slots int
+	// CacheTokens is the memory of the service's engines.
+	CacheTokens int
+	Parts       []Part
+	Prompt      int // tokens to read
+	Output      int // tokens to generate, an estimate
+	// Goal is the time that is left to the first event; 0: no goal.
+	Goal time.Duration
+	// Hash spreads requests without a shared prompt.
+	Hash        uint64
+	Fingerprint Fingerprint
+	// Repeat is set when the request was placed before.
+	Repeat bool
+	// Exclude holds the targets that had it.
+	Exclude []string
+}
+
+func (r *Request) work() float64 { return float64(r.Prompt + generatedWeight*r.Output) }
+
+// Decision is a placement or a refusal, with the inputs that led to it.
+type Decision struct {
+	Target    target.Instance
+	Lease     *Lease
+	Refused   request.Reason // empty: placed
+	Load      Load           // of the target, or of the first choice
+	Missing   int            // prompt tokens that the target is taken to read
+	OverShare bool
+}
+
+// Config configures a Controller.
+type Config struct {
+	Site  Site
+	Retry RetryBudget
+}
+
+// Controller places requests and knows the load of the fleet. It is safe for
+// concurrent use.
+type Controller struct {
+	config Config
+
+	mu       sync.Mutex
+	loads    *loads
+	shares   *shares
+	caches   map[string]*cache
+	health   *health
+	suspects *suspects
+	retries  map[string]*retries
+	gates    int // that share the budget of retries
+	capacity float64
+	levelAt  time.Duration
+	level    float64
+	usage    map[string]Usage
+}
+
+// NewController returns a controller that knows of no load.
+func NewController(config Config) *Controller {
+	return &Controller{
+		config:   config,
+		loads:    newLoads(),
+		shares:   newShares(),
+		caches:   make(map[string]*cache),
+		health:   newHealth(),
+		suspects: newSuspects(),
+		retries:  make(map[string]*retries),
+		gates:    1,
+		level:    -1,
+		levelAt:  -levelInterval,
+		usage:    make(map[string]Usage),
+	}
+}
+
+// SetCapacity sets what all engines produce, in tokens of work a second; 0: not
+// known, so that no shares are enforced.
+func (c *Controller) SetCapacity(tokensPerSecond float64) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.capacity = tokensPerSecond
+}
+
+// Admit places a request on one of targets or refuses it.
+func (c *Controller) Admit(now time.Duration, req *Request, targets []target.Instance) Decision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if !req.Repeat {
+		c.config.Retry.request(c.retriesOf(req.Service), now)
+	}
+	if c.suspects.quarantined(now, req.Fingerprint) {
+		return Decision{Refused: request.ReasonQuarantined}
+	}
+	usable := c.usable(now, req, targets)
+	if len(usable) == 0 {
+		return Decision{Refused: request.ReasonNoTarget}
+	}
+	if req.Slots == 0 {
+		return c.placePlain(now, req, usable)
+	}
+	return c.placeEngine(now, req, usable)
+}
+
+func (c *Controller) retriesOf(service string) *retries {
+	r := c.retries[service]
+	if r == nil {
+		r = &retries{}
+		c.retries[service] = r
+	}
+	return r
+}
+
+// usable leaves out targets that had the request and those that fail, but
+// never more than maxEjectedShare of the latter.
+func (c *Controller) usable(now time.Duration, req *Request, targets []target.Instance) []target.Instance {
+	var sound, ejected []target.Instance
+	for _, in := range targets {
+		switch {
+		case slices.Contains(req.Exclude, in.ID):
+		case c.health.usable(now, in.ID):
+			sound = append(sound, in)
+		default:
+			ejected = append(ejected, in)
+		}
+	}
+	allowed := int(maxEjectedShare * float64(len(targets)))
+	for i := 0; i < len(ejected) && len(ejected)-i > allowed; i++ {
+		sound = append(sound, ejected[i])
+	}
+	return sound
+}
+
+// placePlain takes the nearest target with a free slot, else the one with the
+// shortest queue.
+func (c *Controller) placePlain(now time.Duration, req *Request, usable []target.Instance) Decision {
+	best, bestCost := -1, 0.0
+	for i, in := range usable {
+		slots := max(in.Slots, 1)
+		load := c.loads.of(in.ID)
+		if load.Running >= plainQueue*slots {
+			continue
+		}
+		cost := float64(load.Running) / float64(slots)
+		if cost < 1 {
+			cost = 0.1*cost + 0.3*float64(c.config.Site.distance(in))
+		}
+		if best < 0 || cost < bestCost {
+			best, bestCost = i, cost
+		}
+	}
+	if best < 0 {
+		return Decision{Refused: request.ReasonOverloaded, Load: c.loads.of(usable[0].ID)}
+	}
+	return c.place(now, req, usable[best], 0, false)
+}
+
+// placeEngine takes the first of the few targets that keep the shared prompt
+// and have room.
+func (c *Controller) placeEngine(now time.Duration, req *Request, usable []target.Instance) Decision {
+	c.refreshLevel(now)
+	if !req.Repeat {
+		c.shares.add(now, req.Workspace, Usage{Asked: req.work()})
+	}
+	over := c.level >= 0 && c.usage[req.Workspace].Served+req.work() > c.level
+	ranked := rank(affinity(req.Parts, req.Hash), c.nearest(usable))
+	var first Decision
+	for i, in := range ranked[:min(affinityWidth, len(ranked))] {
+		load := c.loads.of(in.ID)
+		missing := c.cacheOf(in.ID, req).missing(req.Parts)
+		if i == 0 {
+			first = Decision{Refused: request.ReasonOverloaded, Target: in, Load: load, Missing: missing, OverShare: over}
+		}
+		if fits(req, load, missing, over) {
+			return c.place(now, req, in, missing, over)
+		}
+	}
+	return first
+}
+
+// nearest returns the targets of the own region, or all if it has none.
+func (c *Controller) nearest(usable []target.Instance) []target.Instance {
+	var near []target.Instance
+	for _, in := range usable {
+		if c.config.Site.distance(in) < 2 {
+			near = append(near, in)
+		}
+	}
+	if len(near) == 0 {
+		return usable
+	}
+	return near
+}
+
+func fits(req *Request, load Load, missing int, over bool) bool {
+	running, wait := ownRunning, ownWait
+	if over {
+		running, wait = spareRunning, spareWait
+	}
+	if float64(load.Running) >= running*float64(req.Slots) {
+		return false
+	}
+	if req.CacheTokens > 0 && float64(load.Held+req.Prompt+req.Output) > memoryShare*float64(req.CacheTokens) && load.Running > 0 {
+		return false
+	}
+	predicted := time.Duration(float64(load.Reading+missing) / readTokensPerMS * float64(time.Millisecond))
+	return req.Goal <= 0 || load.Running == 0 || predicted <= time.Duration(wait*float64(req.Goal))
+}
+
+func (c *Controller) cacheOf(id string, req *Request) *cache {
+	kept := c.caches[id]
+	if kept == nil {
+		kept = newCache(int(cacheShare * float64(req.CacheTokens)))
+		c.caches[id] = kept
+	}
+	return kept
+}
+
+func (c *Controller) refreshLevel(now time.Duration) {
+	if now-c.levelAt < levelInterval {
+		return
+	}
+	c.levelAt = now
+	c.loads.refresh(now)
+	c.usage = c.shares.fleet(now)
+	c.level = -1
+	if c.capacity <= 0 {
+		return
+	}
+	asked := make([]float64, 0, len(c.usage))
+	for _, u := range c.usage {
+		asked = append(asked, u.Asked)
+	}
+	c.level = waterLevel(asked, c.capacity*shareWindow.Seconds())
+}
+
+func (c *Controller) place(now time.Duration, req *Request, in target.Instance, missing int, over bool) Decision {
+	before := c.loads.of(in.ID)
+	lease := &Lease{
+		controller:  c,
+		target:      in,
+		fingerprint: req.Fingerprint,
+		load:        Load{Running: 1, Reading: missing, Held: req.Prompt + req.Output},
+	}
+	c.loads.add(in.ID, lease.load)
+	if req.Slots > 0 {
+		c.cacheOf(in.ID, req).use(req.Parts)
+		served := Usage{Served: req.work()}
+		c.shares.add(now, req.Workspace, served)
+		u := c.usage[req.Workspace]
+		u.Served += served.Served
+		c.usage[req.Workspace] = u
+	}
+	return Decision{Target: in, Lease: lease, Load: before, Missing: missing, OverShare: over}
+}
+
+// TakeRetry reports whether the fleet's budget allows one more send of a
+// request of the service, and takes it.
+func (c *Controller) TakeRetry(now time.Duration, service string) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.config.Retry.take(c.retriesOf(service), now, c.gates)
+}
+
+// Forget drops what is known about targets that are no longer live.
+func (c *Controller) Forget(live func(id string) bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.health.keep(live)
+	for id := range c.caches {
+		if !live(id) {
+			delete(c.caches, id)
+		}
+	}
+}
--- /dev/null
+++ b/internal/admission/report.go
@@ -0,0 +1,45 @@
+package admission
+
+import "time"
+
+// Report is what a gate tells its peers.
+type Report struct {
+	Loads    map[string]Load
+	Usage    map[string]Usage
+	Suspects map[Fingerprint][]string
+}
+
+// Report returns the state of this gate.
+func (c *Controller) Report(now time.Duration) Report {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return Report{Loads: c.loads.local(), Usage: c.shares.local(now), Suspects: c.suspects.list(now)}
+}
+
+// Merge takes the report of a peer.
+func (c *Controller) Merge(now time.Duration, node string, r Report) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.loads.setPeer(now, node, r.Loads)
+	c.shares.setPeer(now, node, r.Usage)
+	for f, targets := range r.Suspects {
+		for _, id := range targets {
+			c.suspects.add(now, f, id)
+		}
+	}
+}
+
+// SetGates sets the number of gates that are at work.
+func (c *Controller) SetGates(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.gates = max(n, 1)
+}
+
+// Level returns the share of each workspace over the window, in tokens of
+// work; negative if all that is asked fits.
+func (c *Controller) Level() float64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.level
+}
--- /dev/null
+++ b/internal/gate/call.go
@@ -0,0 +1,231 @@
+package gate
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/request"
+	"github.com/mastichollow/mastichollow/internal/route"
+)
+
+const (
+	// defaultDeadline applies when neither the caller nor the route bounds the
+	// wait; it is the longest of the deployments' sheets.
+	defaultDeadline = 15 * time.Second
+	// defaultOutput is the output that is assumed of a stream that says nothing
+	// of it, in tokens.
+	defaultOutput = 256
+	// minTime is the time below which a request cannot be served: two trips
+	// between regions and one step of an engine.
+	minTime = 50 * time.Millisecond
+)
+
+// call is one request of a caller on its way through the gate.
+type call struct {
+	gate    *Gate
+	w       http.ResponseWriter
+	r       *http.Request
+	meta    Meta
+	started time.Time // of the wall clock with its steady part
+	arrived time.Duration
+
+	table     *route.Table
+	age       time.Duration
+	route     *route.Route
+	service   *route.Service
+	workspace string
+	body      []byte
+	deadline  time.Time
+	timeout   time.Time // of the route; zero: none
+	sent      int       // sends to targets that may have reached them
+	tried     []string  // IDs of targets
+	policy    admission.Request
+
+	status    int // that the caller got
+	firstByte time.Duration
+	lastID    string // of the last event that was passed on
+	begun     bool   // the caller has the head of an answer
+	ran       bool   // a target may have run the request
+	release   func() // frees what the current answer holds
+}
+
+func (g *Gate) newCall(w http.ResponseWriter, r *http.Request) *call {
+	return &call{
+		gate: g, w: w, r: r,
+		meta:    g.codec.Decode(r.Header),
+		started: time.Now(),
+		arrived: g.config.Now(),
+	}
+}
+
+// prepare finds the route and workspace of the request and reads its body.
+func (c *call) prepare() *refusal {
+	c.table, c.age = c.gate.table.Current()
+	if c.table == nil {
+		return unavailable(request.ReasonNotReady, retryLater)
+	}
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	c.route = c.table.Match(c.r.Host, path)
+	if c.route == nil {
+		return c.deny(http.StatusNotFound, request.ReasonNotFound)
+	}
+	if refused := c.authenticate(); refused != nil {
+		return refused
+	}
+	if refused := c.readBody(); refused != nil {
+		return refused
+	}
+	c.setDeadline()
+	c.describe()
+	return nil
+}
+
+// deny refuses for good what the table does not allow, unless the table is so
+// old that a newer one may allow it.
+func (c *call) deny(status int, reason request.Reason) *refusal {
+	if c.age > c.gate.config.DenyAge {
+		return unavailable(request.ReasonNotReady, retryLater, "denied_as", reason)
+	}
+	return denied(status, reason)
+}
+
+func (c *call) authenticate() *refusal {
+	if !c.table.HasWorkspaces() || c.route.Public {
+		return nil
+	}
+	if c.age > c.gate.config.KeyAge {
+		return unavailable(request.ReasonNotReady, retryLater, "detail", "table too old for keys")
+	}
+	ws := c.table.Authenticate(c.meta.Key)
+	if ws == nil {
+		return c.deny(http.StatusUnauthorized, request.ReasonUnauthorized)
+	}
+	c.workspace = ws.Name
+	return nil
+}
+
+// readBody reads the whole body, since it may have to be sent twice.
+func (c *call) readBody() *refusal {
+	limit := c.table.Limits().BodyBytes
+	if limit > 0 && c.r.ContentLength > limit {
+		return denied(http.StatusRequestEntityTooLarge, request.ReasonTooLarge)
+	}
+	if c.gate.bodies.Load()+max(c.r.ContentLength, 0) > c.gate.config.BodiesBytes {
+		return unavailable(request.ReasonOverloaded, retryLater, "detail", "bodies in hand")
+	}
+	body, err := c.read(limit)
+	if errors.Is(err, errBodyTooLarge) {
+		return denied(http.StatusRequestEntityTooLarge, request.ReasonTooLarge)
+	}
+	if err != nil {
+		return denied(http.StatusBadRequest, request.ReasonMalformed, "error", err.Error())
+	}
+	c.gate.bodies.Add(int64(len(body)))
+	c.body = body
+	return nil
+}
+
+var errBodyTooLarge = errors.New("body is larger than the table allows")
+
+func (c *call) read(limit int64) ([]byte, error) {
+	if c.r.ContentLength == 0 {
+		return nil, nil
+	}
+	if c.r.ContentLength > 0 {
+		body := make([]byte, c.r.ContentLength)
+		_, err := io.ReadFull(c.r.Body, body)
+		return body, errors.Wrap(err, "reading the body")
+	}
+	if limit <= 0 {
+		limit = c.gate.config.BodiesBytes
+	}
+	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
+	if err == nil && int64(len(body)) > limit {
+		return nil, errBodyTooLarge
+	}
+	return body, errors.Wrap(err, "reading the body")
+}
+
+func (c *call) setDeadline() {
+	wait := c.meta.Patience
+	if wait <= 0 {
+		wait = defaultDeadline
+	}
+	c.deadline = c.started.Add(wait)
+	if c.route.Timeout <= 0 {
+		return
+	}
+	c.timeout = c.started.Add(c.route.Timeout)
+	if c.timeout.Before(c.deadline) {
+		c.deadline = c.timeout
+	}
+}
+
+// describe fills in what the policy knows of the request.
+func (c *call) describe() {
+	c.policy = admission.Request{
+		Workspace:   c.workspace,
+		Service:     c.route.Pick(float64(c.hash("pick")>>11) / (1 << 53)),
+		Parts:       c.meta.Parts,
+		Prompt:      c.meta.Prompt,
+		Goal:        c.route.Goal,
+		Hash:        c.hash("place"),
+		Fingerprint: c.fingerprint(),
+	}
+	c.service = c.table.Service(c.policy.Service)
+	if c.service != nil && c.route.Affine {
+		c.policy.Slots = c.service.Slots
+		c.policy.CacheTokens = c.service.CacheTokens
+	}
+	c.policy.Output = c.meta.LengthHint
+	if c.policy.Output <= 0 && c.route.Streaming {
+		c.policy.Output = defaultOutput
+	}
+	if c.meta.MaxOutput > 0 {
+		c.policy.Output = min(max(c.policy.Output, 1), c.meta.MaxOutput)
+	}
+}
+
+func (c *call) hash(purpose string) uint64 { return xxhash.Sum64String(purpose + c.meta.ID) }
+
+// fingerprint hashes what stays the same when the request comes again.
+func (c *call) fingerprint() admission.Fingerprint {
+	d := xxhash.New()
+	for _, part := range []string{c.r.Method, c.r.Host, c.r.RequestURI, c.meta.Key} {
+		_, _ = d.WriteString(part)
+		_, _ = d.Write([]byte{0})
+	}
+	_, _ = d.Write(c.body)
+	return admission.Fingerprint(d.Sum64())
+}
+
+// refuse answers the caller itself.
+func (c *call) refuse(f *refusal) {
+	c.gate.metrics.refusals.WithLabelValues(string(f.reason)).Inc()
+	c.status = f.status
+	f.write(c.w)
+	c.logEnd(string(f.reason), f.detail...)
+}
+
+// logEnd writes the line that says how the request ended.
+func (c *call) logEnd(outcome string, detail ...any) {
+	c.gate.metrics.requests.WithLabelValues(statusLabel(c.status)).Inc()
+	args := []any{
+		"request", c.meta.ID, "outcome", outcome, "status", c.status,
+		"ms", time.Since(c.started).Milliseconds(), "first_ms", c.firstByte.Milliseconds(),
+		"age_ms", c.age.Milliseconds(), "sends", c.sent,
+	}
+	if c.table != nil {
+		args = append(args, "version", c.table.Version())
+	}
+	if c.route != nil {
+		args = append(args, "route", c.route.Name, "workspace", c.workspace)
+	}
+	c.gate.config.Log.Info("request ended", append(args, detail...)...)
+}
--- /dev/null
+++ b/internal/gate/gate.go
@@ -0,0 +1,91 @@
+package gate
+
+import (
+	"context"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/target"
+	"github.com/mastichollow/mastichollow/internal/upstream"
+)
+
+// Config configures a Gate.
+type Config struct {
+	// KeyAge is the age of the table from which keys are not taken any more: a
+	// key may have been revoked since.
+	KeyAge time.Duration
+	// DenyAge is the age of the table from which nobody is refused for good on
+	// its word: the route or key may have been added since.
+	DenyAge time.Duration
+	// BodiesBytes bounds the bodies of all requests in hand.
+	BodiesBytes int64
+	Now         func() time.Duration // goes forward only
+	Log         hclog.Logger
+}
+
+// Gate answers callers. It is an http.Handler.
+type Gate struct {
+	config     Config
+	codec      Codec
+	table      *Configuration
+	directory  *target.Directory
+	controller *admission.Controller
+	pool       *upstream.Pool
+	metrics    *metrics
+	bodies     atomic.Int64
+	inHand     atomic.Int64
+	draining   atomic.Bool
+}
+
+// New returns a gate.
+func New(config Config, codec Codec, table *Configuration, directory *target.Directory,
+	controller *admission.Controller, pool *upstream.Pool, reg prometheus.Registerer,
+) *Gate {
+	return &Gate{
+		config: config, codec: codec, table: table, directory: directory,
+		controller: controller, pool: pool, metrics: newMetrics(reg),
+	}
+}
+
+// Ready returns nil if the gate can serve, or the reason why not.
+func (g *Gate) Ready() error {
+	if g.draining.Load() {
+		return errDraining
+	}
+	if table, _ := g.table.Current(); table == nil {
+		return errNoTable
+	}
+	if g.directory.Current().Len() == 0 {
+		return errNoTargets
+	}
+	return nil
+}
+
+// Drain makes the gate not ready and has callers leave their connections.
+func (g *Gate) Drain() { g.draining.Store(true) }
+
+// InHand returns the number of requests in hand.
+func (g *Gate) InHand() int { return int(g.inHand.Load()) }
+
+// ServeHTTP implements http.Handler.
+func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.inHand.Add(1)
+	defer g.inHand.Add(-1)
+	if g.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	c := g.newCall(w, r)
+	if refusal := c.prepare(); refusal != nil {
+		c.refuse(refusal)
+		return
+	}
+	defer g.bodies.Add(-int64(len(c.body)))
+	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
+	defer cancel()
+	c.run(ctx)
+}
--- /dev/null
+++ b/internal/gate/metrics.go
@@ -0,0 +1,43 @@
+package gate
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promauto"
+
+	"github.com/mastichollow/mastichollow/internal/metric"
+)
+
+// latencyBuckets go from a plain answer in the failure domain (ms) to the
+// longest time that callers wait (15 s).
+var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5, 10, 15}
+
+type metrics struct {
+	requests  *prometheus.CounterVec
+	refusals  *prometheus.CounterVec
+	retries   *prometheus.CounterVec
+	results   *prometheus.CounterVec
+	resumed   prometheus.Counter
+	firstByte *prometheus.HistogramVec
+	whole     *prometheus.HistogramVec
+}
+
+func newMetrics(reg prometheus.Registerer) *metrics {
+	f := metric.For(reg, "mastichollow_gate")
+	return &metrics{
+		requests: f.Counters("requests_total", "Requests by the status that the caller got; 0: none.", "status"),
+		refusals: f.Counters("refusals_total", "Requests that the gate answered itself, by reason.", "reason"),
+		retries:  f.Counters("retries_total", "Sends to a further target, by why the one before ended.", "reason"),
+		results:  f.Counters("sends_total", "Sends to targets, by how they ended.", "result"),
+		resumed:  f.Counter("resumed_streams_total", "Streams that went on at another target."),
+		firstByte: promauto.With(reg).NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "mastichollow_gate_first_byte_seconds",
+			Help:    "Time to the first byte of the answer.",
+			Buckets: latencyBuckets,
+		}, []string{"service"}),
+		whole: promauto.With(reg).NewHistogramVec(prometheus.HistogramOpts{
+			Name:    "mastichollow_gate_answer_seconds",
+			Help:    "Time to the end of the answer.",
+			Buckets: latencyBuckets,
+		}, []string{"service"}),
+	}
+}
--- /dev/null
+++ b/internal/gate/pass.go
@@ -0,0 +1,150 @@
+package gate
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/route"
+)
+
+// copyBuffer is the buffer for bodies that are no streams of events, in bytes.
+const copyBuffer = 16 << 10
+
+// hopByHop fields concern one connection alone.
+var hopByHop = map[string]bool{
+	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
+	"Proxy-Connection": true, "Te": true, "Trailer": true, "Transfer-Encoding": true, "Upgrade": true,
+	"Content-Length": true,
+}
+
+// IsHopByHop reports whether the field, in canonical form, concerns one
+// connection alone.
+func IsHopByHop(name string) bool { return hopByHop[name] }
+
+// pass passes a target's answer on to the caller.
+func (c *call) pass(ctx context.Context, d admission.Decision, o outcome) outcome {
+	a := o.answer
+	defer a.Body.Close()
+	control := http.NewResponseController(c.w)
+	// Without a deadline, a caller that reads nothing would hold the target's
+	// answer for ever.
+	_ = control.SetWriteDeadline(c.deadline)
+	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+
+	stream := c.route.Streaming && a.Status == http.StatusOK
+	if !c.begun {
+		c.passHead(a.Status, a.Header, a.Length)
+	}
+	var err error
+	if stream {
+		err = c.passEvents(control, d, a.Body)
+	} else {
+		d.Lease.Began()
+		c.firstByte = time.Since(c.started)
+		err = c.passBody(a.Body)
+	}
+	if err == nil {
+		c.passed(a.Status)
+		o.done = true
+		return o
+	}
+	return c.passFailed(ctx, stream, err)
+}
+
+// passHead writes the status and fields of the answer.
+func (c *call) passHead(status int, fields http.Header, length int64) {
+	h := c.w.Header()
+	for name, values := range fields {
+		if !hopByHop[name] {
+			h[name] = values
+		}
+	}
+	if _, typed := fields["Content-Type"]; !typed {
+		h["Content-Type"] = nil // keeps net/http from guessing one
+	}
+	if length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(length, 10))
+	}
+	c.status = status
+	c.begun = true
+	c.w.WriteHeader(status)
+}
+
+// errCaller marks failures to write to the caller.
+var errCaller = errors.New("caller does not take the answer")
+
+func (c *call) passBody(body io.Reader) error {
+	buf := make([]byte, copyBuffer)
+	for {
+		n, err := body.Read(buf)
+		if n > 0 {
+			if _, werr := c.w.Write(buf[:n]); werr != nil {
+				return errors.Mark(werr, errCaller)
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// passEvents passes whole events on as they arrive.
+func (c *call) passEvents(control *http.ResponseController, d admission.Decision, body io.Reader) error {
+	if err := control.Flush(); err != nil {
+		return errors.Mark(err, errCaller)
+	}
+	events := newEvents(body, c.lastID)
+	for {
+		chunk, err := events.next()
+		if len(chunk) > 0 {
+			if c.firstByte == 0 {
+				c.firstByte = time.Since(c.started)
+				c.gate.metrics.firstByte.WithLabelValues(c.policy.Service).Observe(c.firstByte.Seconds())
+			}
+			d.Lease.Began()
+			if _, werr := c.w.Write(chunk); werr != nil {
+				return errors.Mark(werr, errCaller)
+			}
+			if werr := control.Flush(); werr != nil {
+				return errors.Mark(werr, errCaller)
+			}
+			c.lastID = events.last
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+// passed notes an answer that the caller has whole.
+func (c *call) passed(status int) {
+	c.gate.metrics.whole.WithLabelValues(c.policy.Service).Observe(time.Since(c.started).Seconds())
+	c.logEnd("answered", "service", c.policy.Service, "target", c.tried[len(c.tried)-1])
+	_ = status
+}
+
+// passFailed decides what becomes of an answer that broke off.
+func (c *call) passFailed(ctx context.Context, stream bool, err error) outcome {
+	o := outcome{result: admission.ResultLost, ran: true, err: err}
+	if errors.Is(err, errCaller) || c.r.Context().Err() != nil || ctx.Err() != nil {
+		o.result = admission.ResultWithdrawn
+		return o
+	}
+	if stream && c.route.Repetition == route.Resumable && c.mayRepeat(ctx, o) {
+		c.gate.metrics.resumed.Inc()
+		o.repeat = true
+	}
+	return o
+}
--- /dev/null
+++ b/internal/gate/refusal.go
@@ -0,0 +1,64 @@
+package gate
+
+import (
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/mastichollow/mastichollow/internal/request"
+)
+
+// Reasons for which the gate is not ready.
+var (
+	errDraining  = errors.New("gate is draining")
+	errNoTable   = errors.New("no table is known yet")
+	errNoTargets = errors.New("no targets are known yet")
+)
+
+const (
+	// retrySoon is the pause for callers whose goal can still be met: a target
+	// reads the prompts that wait there (goals of 0.5 to 1.2 s) in about that
+	// time.
+	retrySoon = 200 * time.Millisecond
+	// retryLater is the pause for workspaces above their share, of which a
+	// quarter of the share window passes meanwhile.
+	retryLater = time.Second
+	// retrySpread spreads returns over the pause and half of it again.
+	retrySpread = 0.5
+)
+
+// refusal is an answer of the gate's own.
+type refusal struct {
+	status     int
+	reason     request.Reason
+	retryAfter time.Duration // 0: none
+	detail     []any         // inputs of the decision, as pairs for the log
+}
+
+func unavailable(reason request.Reason, retryAfter time.Duration, detail ...any) *refusal {
+	return &refusal{http.StatusServiceUnavailable, reason, retryAfter, detail}
+}
+
+func denied(status int, reason request.Reason, detail ...any) *refusal {
+	return &refusal{status, reason, 0, detail}
+}
+
+// failed is the answer for a request that may have run.
+func failed(status int, reason request.Reason, detail ...any) *refusal {
+	return &refusal{status, reason, 0, detail}
+}
+
+func (f *refusal) write(w http.ResponseWriter) {
+	if f.retryAfter > 0 {
+		spread := 1 + retrySpread*rand.Float64()
+		w.Header().Set("Retry-After", strconv.FormatFloat(f.retryAfter.Seconds()*spread, 'f', 2, 64))
+	}
+	w.Header().Set("Content-Type", "application/json")
+	body := `{"reason":"` + string(f.reason) + `"}` + "\n"
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(f.status)
+	_, _ = w.Write([]byte(body))
+}
--- /dev/null
+++ b/internal/upstream/conn.go
@@ -0,0 +1,58 @@
+package upstream
+
+import (
+	"bufio"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	readBufferSize  = 4096
+	writeBufferSize = 4096
+)
+
+// conn is a connection to a target that carries one call at a time.
+type conn struct {
+	raw       net.Conn
+	addr      string
+	reader    *bufio.Reader
+	written   atomic.Bool // a byte of the current call may have left
+	reused    bool
+	idleSince time.Duration
+	expires   time.Duration
+}
+
+func newConn(raw net.Conn, addr string) *conn {
+	return &conn{raw: raw, addr: addr, reader: bufio.NewReaderSize(raw, readBufferSize)}
+}
+
+// Write implements io.Writer and notes that bytes may have left.
+func (c *conn) Write(p []byte) (int, error) {
+	c.written.Store(true)
+	return c.raw.Write(p)
+}
+
+// quiet reports whether the idle connection is open and has received nothing.
+func (c *conn) quiet() bool {
+	if c.reader.Buffered() > 0 {
+		return false
+	}
+	sc, ok := c.raw.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	raw, err := sc.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = n <= 0 && (err == syscall.EAGAIN || err == syscall.EWOULDBLOCK)
+		return true
+	})
+	return err == nil && quiet
+}
