--- a/cmd/mastichollow-gate/server.go
+++ b/cmd/mastichollow-gate/server.go
@@ -23,8 +23,9 @@
 	// headerBytes is above what tables allow callers (16 KiB).
 	headerBytes = 64 << 10
 	// noticeTime is how long the balancer may still send callers to a gate that
-	// is not ready: two questions, one a second.
-	noticeTime = 3 * time.Second
+	// is not ready: two questions, one a second. Later requests are refused, for
+	// the longest streams would be cut.
+	noticeTime = 2500 * time.Millisecond
 	// stopMargin is left of the grace period for the end of the process.
 	stopMargin = 700 * time.Millisecond
 	drainPoll  = 50 * time.Millisecond
@@ -87,10 +88,10 @@
 	s.log.Info("draining", "in_hand", s.gate.InHand(), "grace_ms", grace.Milliseconds())
 	s.gate.Drain()
 	start := time.Now()
-	for time.Since(start) < grace-stopMargin {
-		if time.Since(start) >= noticeTime && s.gate.InHand() == 0 {
-			break
-		}
+	time.Sleep(min(noticeTime, grace/2))
+	s.gate.Close()
+	s.http.SetKeepAlivesEnabled(false)
+	for time.Since(start) < grace-stopMargin && s.gate.InHand() > 0 {
 		time.Sleep(drainPoll)
 	}
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace-stopMargin/2))
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -17,15 +17,20 @@
 	// shared prompt are placed. Wider spreading loses more cached parts than it
 	// gains in places.
 	affinityWidth = 2
+	// spillWidth is the number of targets of all regions that are tried besides.
+	spillWidth = 2
 	// ownRunning and spareRunning bound the requests in an engine's hands, as
 	// parts of its batch: for workspaces below their share and for those above.
 	// Past them the steps get so long that streams miss their pauses.
 	ownRunning   = 0.62
-	spareRunning = 0.5
+	spareRunning = 0.25
 	// ownWait and spareWait bound the predicted wait for the first token, as
 	// parts of the time that is left to the goal.
 	ownWait   = 0.6
-	spareWait = 0.3
+	spareWait = 0.1
+	// ownReading bounds the own prompt tokens that count in that wait: requests
+	// with the longest prompts are late by themselves and are still served.
+	ownReading = 8000
 	// memoryShare is the part of an engine's memory that requests in hand may
 	// fill; the rest keeps shared prompt parts.
 	memoryShare = 0.8
@@ -206,9 +211,8 @@
 		c.shares.add(now, req.Workspace, Usage{Asked: req.work()})
 	}
 	over := c.level >= 0 && c.usage[req.Workspace].Served+req.work() > c.level
-	ranked := rank(affinity(req.Parts, req.Hash), c.nearest(usable))
 	var first Decision
-	for i, in := range ranked[:min(affinityWidth, len(ranked))] {
+	for i, in := range c.choices(req, usable) {
 		load := c.loads.of(in.ID)
 		missing := c.cacheOf(in.ID, req).missing(req.Parts)
 		if i == 0 {
@@ -221,6 +225,23 @@
 	return first
 }
 
+// choices returns the few targets that a request may go to, the best first:
+// those of the own region, then those of all.
+func (c *Controller) choices(req *Request, usable []target.Instance) []target.Instance {
+	key := affinity(req.Parts, req.Hash)
+	near := rank(key, c.nearest(usable))
+	choices := near[:min(affinityWidth, len(near))]
+	for _, in := range rank(key, usable) {
+		if len(choices) >= affinityWidth+spillWidth {
+			break
+		}
+		if !slices.ContainsFunc(choices, func(x target.Instance) bool { return x.ID == in.ID }) {
+			choices = append(choices, in)
+		}
+	}
+	return choices
+}
+
 // nearest returns the targets of the own region, or all if it has none.
 func (c *Controller) nearest(usable []target.Instance) []target.Instance {
 	var near []target.Instance
@@ -246,7 +267,8 @@
 	if req.CacheTokens > 0 && float64(load.Held+req.Prompt+req.Output) > memoryShare*float64(req.CacheTokens) && load.Running > 0 {
 		return false
 	}
-	predicted := time.Duration(float64(load.Reading+missing) / readTokensPerMS * float64(time.Millisecond))
+	ahead := load.Reading + min(missing, ownReading)
+	predicted := time.Duration(float64(ahead) / readTokensPerMS * float64(time.Millisecond))
 	return req.Goal <= 0 || load.Running == 0 || predicted <= time.Duration(wait*float64(req.Goal))
 }
 
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -67,6 +67,9 @@
 // prepare finds the route and workspace of the request and reads its body.
 func (c *call) prepare() *refusal {
 	c.table, c.age = c.gate.table.Current()
+	if c.gate.closed.Load() {
+		return unavailable(request.ReasonDraining, retryElsewhere)
+	}
 	if c.table == nil {
 		return unavailable(request.ReasonNotReady, retryLater)
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -40,6 +40,7 @@
 	bodies     atomic.Int64
 	inHand     atomic.Int64
 	draining   atomic.Bool
+	closed     atomic.Bool
 }
 
 // New returns a gate.
@@ -69,6 +70,10 @@
 // Drain makes the gate not ready and has callers leave their connections.
 func (g *Gate) Drain() { g.draining.Store(true) }
 
+// Close makes the gate refuse new requests, which could not end before the
+// process does. Those in hand go on.
+func (g *Gate) Close() { g.closed.Store(true) }
+
 // InHand returns the number of requests in hand.
 func (g *Gate) InHand() int { return int(g.inHand.Load()) }
 
--- a/internal/gate/pass.go
+++ b/internal/gate/pass.go
@@ -11,10 +11,13 @@
 
 	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/route"
+	"github.com/mastichollow/mastichollow/internal/upstream"
 )
 
-// copyBuffer is the buffer for bodies that are no streams of events, in bytes.
-const copyBuffer = 16 << 10
+// wholeBody is the size up to which an answer that is no stream of events is
+// read whole before its head goes out, in bytes. One that breaks off meanwhile
+// can still be replaced by that of another target. Plain answers are below 5 kB.
+const wholeBody = 16 << 10
 
 // hopByHop fields concern one connection alone.
 var hopByHop = map[string]bool{
@@ -37,24 +40,40 @@
 	_ = control.SetWriteDeadline(c.deadline)
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 
-	stream := c.route.Streaming && a.Status == http.StatusOK
-	if !c.begun {
-		c.passHead(a.Status, a.Header, a.Length)
-	}
 	var err error
-	if stream {
+	if c.route.Streaming && a.Status == http.StatusOK {
+		if !c.begun {
+			c.passHead(a.Status, a.Header, a.Length)
+		}
 		err = c.passEvents(control, d, a.Body)
 	} else {
-		d.Lease.Began()
-		c.firstByte = time.Since(c.started)
-		err = c.passBody(a.Body)
+		err = c.passPlain(a)
 	}
 	if err == nil {
-		c.passed(a.Status)
+		c.passed()
 		o.done = true
 		return o
 	}
-	return c.passFailed(ctx, stream, err)
+	return c.passFailed(ctx, err)
+}
+
+// passPlain passes an answer that is no stream of events on.
+func (c *call) passPlain(a *upstream.Answer) error {
+	buf := make([]byte, wholeBody)
+	n, err := io.ReadFull(a.Body, buf)
+	whole := errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) && !errors.Is(err, upstream.ErrLost)
+	if err != nil && !whole {
+		return err
+	}
+	c.firstByte = time.Since(c.started)
+	c.passHead(a.Status, a.Header, a.Length)
+	if _, err := c.w.Write(buf[:n]); err != nil {
+		return errors.Mark(err, errCaller)
+	}
+	if whole {
+		return nil
+	}
+	return c.passBody(a.Body, buf)
 }
 
 // passHead writes the status and fields of the answer.
@@ -79,8 +98,7 @@
 // errCaller marks failures to write to the caller.
 var errCaller = errors.New("caller does not take the answer")
 
-func (c *call) passBody(body io.Reader) error {
-	buf := make([]byte, copyBuffer)
+func (c *call) passBody(body io.Reader, buf []byte) error {
 	for {
 		n, err := body.Read(buf)
 		if n > 0 {
@@ -129,22 +147,26 @@
 }
 
 // passed notes an answer that the caller has whole.
-func (c *call) passed(status int) {
+func (c *call) passed() {
 	c.gate.metrics.whole.WithLabelValues(c.policy.Service).Observe(time.Since(c.started).Seconds())
 	c.logEnd("answered", "service", c.policy.Service, "target", c.tried[len(c.tried)-1])
-	_ = status
 }
 
 // passFailed decides what becomes of an answer that broke off.
-func (c *call) passFailed(ctx context.Context, stream bool, err error) outcome {
+func (c *call) passFailed(ctx context.Context, err error) outcome {
 	o := outcome{result: admission.ResultLost, ran: true, err: err}
 	if errors.Is(err, errCaller) || c.r.Context().Err() != nil || ctx.Err() != nil {
 		o.result = admission.ResultWithdrawn
 		return o
 	}
-	if stream && c.route.Repetition == route.Resumable && c.mayRepeat(ctx, o) {
+	switch {
+	case !c.begun:
+		// Nothing has gone out: the request may be repeated like any other.
+	case c.route.Repetition == route.Resumable && c.mayRepeat(ctx, o):
 		c.gate.metrics.resumed.Inc()
 		o.repeat = true
+	default:
+		o.final = true
 	}
 	return o
 }
--- a/internal/gate/refusal.go
+++ b/internal/gate/refusal.go
@@ -26,6 +26,9 @@
 	// retryLater is the pause for workspaces above their share, of which a
 	// quarter of the share window passes meanwhile.
 	retryLater = time.Second
+	// retryElsewhere is the pause for callers of a gate that ends: the balancer
+	// sends their next connection to another one.
+	retryElsewhere = 20 * time.Millisecond
 	// retrySpread spreads returns over the pause and half of it again.
 	retrySpread = 0.5
 )
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -51,7 +51,9 @@
 	done bool
 	// repeat: the budget for one more send has been taken.
 	repeat bool
-	err    error
+	// final: no other target may go on, since part of the answer is out.
+	final bool
+	err   error
 }
 
 // run sends the request to targets until one answers or nothing more may be
@@ -73,7 +75,7 @@
 			return
 		}
 		c.ran = c.ran || o.ran
-		if !o.repeat && !c.mayRepeat(ctx, o) {
+		if o.final || !o.repeat && !c.mayRepeat(ctx, o) {
 			c.fail(ctx, o)
 			return
 		}
