--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -23,11 +23,11 @@
 	// parts of its batch: for workspaces below their share and for those above.
 	// Past them the steps get so long that streams miss their pauses.
 	ownRunning   = 0.62
-	spareRunning = 0.25
+	spareRunning = 0.45
 	// ownWait and spareWait bound the predicted wait for the first token, as
 	// parts of the time that is left to the goal.
 	ownWait   = 0.6
-	spareWait = 0.1
+	spareWait = 0.25
 	// ownReading bounds the own prompt tokens that count in that wait: requests
 	// with the longest prompts are late by themselves and are still served.
 	ownReading = 8000
@@ -210,7 +210,8 @@
 	if !req.Repeat {
 		c.shares.add(now, req.Workspace, Usage{Asked: req.work()})
 	}
-	over := c.level >= 0 && c.usage[req.Workspace].Served+req.work() > c.level
+	limit := c.limitFor(req)
+	over := limit.excess > 1
 	var first Decision
 	for i, in := range c.choices(req, usable) {
 		load := c.loads.of(in.ID)
@@ -218,7 +219,7 @@
 		if i == 0 {
 			first = Decision{Refused: request.ReasonOverloaded, Target: in, Load: load, Missing: missing, OverShare: over}
 		}
-		if fits(req, load, missing, over) {
+		if limit.fits(req, load, missing) {
 			return c.place(now, req, in, missing, over)
 		}
 	}
@@ -256,12 +257,29 @@
 	return near
 }
 
-func fits(req *Request, load Load, missing int, over bool) bool {
-	running, wait := ownRunning, ownWait
-	if over {
-		running, wait = spareRunning, spareWait
+// limit bounds the load of a target beside which a request is placed.
+type limit struct {
+	running float64 // part of the batch
+	wait    float64 // part of the time to the goal
+	// excess is what the workspace has with this request, in shares.
+	excess float64
+}
+
+// limitFor gives workspaces below their share the whole room. Those above it
+// get what is spare, the less the more they have, so that they come out even.
+func (c *Controller) limitFor(req *Request) limit {
+	if c.level < 0 {
+		return limit{running: ownRunning, wait: ownWait}
+	}
+	excess := (c.usage[req.Workspace].Served + req.work()) / max(c.level, 1)
+	if excess <= 1 {
+		return limit{running: ownRunning, wait: ownWait, excess: excess}
 	}
-	if float64(load.Running) >= running*float64(req.Slots) {
+	return limit{running: spareRunning / excess, wait: spareWait / excess, excess: excess}
+}
+
+func (l limit) fits(req *Request, load Load, missing int) bool {
+	if float64(load.Running) >= l.running*float64(req.Slots) {
 		return false
 	}
 	if req.CacheTokens > 0 && float64(load.Held+req.Prompt+req.Output) > memoryShare*float64(req.CacheTokens) && load.Running > 0 {
@@ -269,7 +287,7 @@
 	}
 	ahead := load.Reading + min(missing, ownReading)
 	predicted := time.Duration(float64(ahead) / readTokensPerMS * float64(time.Millisecond))
-	return req.Goal <= 0 || load.Running == 0 || predicted <= time.Duration(wait*float64(req.Goal))
+	return req.Goal <= 0 || load.Running == 0 || predicted <= time.Duration(l.wait*float64(req.Goal))
 }
 
 func (c *Controller) cacheOf(id string, req *Request) *cache {
