--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -23,11 +23,11 @@
 	// parts of its batch: for workspaces below their share and for those above.
 	// Past them the steps get so long that streams miss their pauses.
 	ownRunning   = 0.62
-	spareRunning = 0.45
+	spareRunning = 0.3
 	// ownWait and spareWait bound the predicted wait for the first token, as
 	// parts of the time that is left to the goal.
 	ownWait   = 0.6
-	spareWait = 0.25
+	spareWait = 0.12
 	// ownReading bounds the own prompt tokens that count in that wait: requests
 	// with the longest prompts are late by themselves and are still served.
 	ownReading = 8000
