Take the wait rule back, let spare room fall with the square of the excess

Cause kept: a workspace with short prompts above its share came out three times ahead of one with long ones.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -28,6 +28,9 @@
 	// parts of the time that is left to the goal.
 	ownWait   = 0.6
 	spareWait = 0.12
+	// ownReading bounds the own prompt tokens that count in that wait: requests
+	// with the longest prompts are late by themselves and are still served.
+	ownReading = 8000
 	// memoryShare is the part of an engine's memory that requests in hand may
 	// fill; the rest keeps shared prompt parts.
 	memoryShare = 0.8
@@ -272,7 +275,7 @@
 	if excess <= 1 {
 		return limit{running: ownRunning, wait: ownWait, excess: excess}
 	}
-	return limit{running: spareRunning / excess, wait: spareWait / excess, excess: excess}
+	return limit{running: spareRunning / (excess * excess), wait: spareWait / excess, excess: excess}
 }
 
 func (l limit) fits(req *Request, load Load, missing int) bool {
@@ -282,19 +285,9 @@
 	if req.CacheTokens > 0 && float64(load.Held+req.Prompt+req.Output) > memoryShare*float64(req.CacheTokens) && load.Running > 0 {
 		return false
 	}
-	if req.Goal <= 0 || load.Running == 0 {
-		return true
-	}
-	// The own prompt takes its time wherever it is read. What is left of the
-	// goal may go to the prompts that wait there; the longest prompts, which
-	// are late by themselves, are still served.
-	left := max(req.Goal-readTime(missing), req.Goal/4)
-	return readTime(load.Reading) <= time.Duration(l.wait*float64(left))
-}
-
-// readTime is the time in which an engine that does nothing else reads tokens.
-func readTime(tokens int) time.Duration {
-	return time.Duration(float64(tokens) / readTokensPerMS * float64(time.Millisecond))
+	ahead := load.Reading + min(missing, ownReading)
+	predicted := time.Duration(float64(ahead) / readTokensPerMS * float64(time.Millisecond))
+	return req.Goal <= 0 || load.Running == 0 || predicted <= time.Duration(l.wait*float64(req.Goal))
 }
 
 func (c *Controller) cacheOf(id string, req *Request) *cache {
