--- /dev/null
+++ b/internal/admission/controller_test.go
@@ -0,0 +1,219 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/request"
+	"github.com/mastichollow/mastichollow/internal/target"
+)
+
+func engines(n int) []target.Instance {
+	all := make([]target.Instance, n)
+	for i := range all {
+		all[i] = target.Instance{ID: fmt.Sprintf("e%d", i), Service: "letters", Domain: "d", Slots: 64}
+	}
+	return all
+}
+
+func newTestController() *Controller {
+	return NewController(Config{
+		Site:  Site{Region: "r", Domain: "d", Regions: map[string]string{"d": "r", "far": "s"}},
+		Retry: RetryBudget{Ratio: 0.2, Slack: 10, Window: 10 * time.Second},
+	})
+}
+
+func letter(workspace string, shared uint64, n int) *Request {
+	return &Request{
+		Workspace: workspace, Service: "letters", Slots: 64, CacheTokens: 400_000,
+		Parts:  []Part{{Hash: shared, Tokens: 5000}, {Hash: uint64(1_000_000 + n), Tokens: 1000}},
+		Prompt: 6000, Output: 300, Goal: time.Second, Hash: uint64(n), Fingerprint: Fingerprint(n),
+	}
+}
+
+func TestRequestsWithOneSharedPromptMeet(t *testing.T) {
+	c := newTestController()
+	seen := make(map[string]int)
+	for n := range 50 {
+		d := c.Admit(0, letter("w", 7, n), engines(12))
+		require.Empty(t, d.Refused)
+		seen[d.Target.ID]++
+		d.Lease.Began()
+		d.Lease.End(0, ResultDone, nil)
+	}
+	require.Len(t, seen, 1)
+}
+
+func TestSharedPromptIsReadOnceAtATarget(t *testing.T) {
+	c := newTestController()
+	first := c.Admit(0, letter("w", 7, 1), engines(1))
+	require.Equal(t, 6000, first.Missing)
+	second := c.Admit(0, letter("w", 7, 2), engines(1))
+	require.Equal(t, 1000, second.Missing)
+}
+
+func TestNoTargetIsOverfilled(t *testing.T) {
+	c := newTestController()
+	all := engines(3)
+	perTarget := make(map[string]int)
+	refused := 0
+	for n := range 1000 {
+		d := c.Admit(0, letter("w", uint64(n), n), all)
+		if d.Refused != "" {
+			require.Equal(t, request.ReasonOverloaded, d.Refused)
+			refused++
+			continue
+		}
+		d.Lease.Began()
+		perTarget[d.Target.ID]++
+	}
+	require.Positive(t, refused)
+	for id, n := range perTarget {
+		require.LessOrEqual(t, n, 40, "%s: 0.62 of 64 slots", id)
+	}
+}
+
+func TestPeersLoadCounts(t *testing.T) {
+	c := newTestController()
+	c.Merge(0, "peer", Report{Loads: map[string]Load{"e0": {Running: 64}}})
+	require.Equal(t, request.ReasonOverloaded, c.Admit(time.Second, letter("w", 7, 1), engines(1)).Refused)
+	require.Empty(t, c.Admit(10*time.Second, letter("w", 7, 1), engines(1)).Refused, "the peer fell silent")
+}
+
+func TestEndedRequestsLeaveNoLoad(t *testing.T) {
+	c := newTestController()
+	for n, result := range []Result{ResultDone, ResultRejected, ResultFailed, ResultLost, ResultWithdrawn} {
+		d := c.Admit(time.Duration(n)*time.Hour, letter("w", 7, n), engines(1))
+		require.Empty(t, d.Refused, result)
+		d.Lease.End(0, result, engines(1))
+		d.Lease.End(0, result, engines(1)) // a second end changes nothing
+		d.Lease.Began()
+		require.Empty(t, c.Report(0).Loads, result)
+	}
+}
+
+func TestUnreachableTargetIsLeftOutForAWhile(t *testing.T) {
+	c := newTestController()
+	all := engines(4)
+	d := c.Admit(0, letter("w", 7, 1), all)
+	bad := d.Target.ID
+	d.Lease.End(0, ResultUnreachable, all)
+	require.NotEqual(t, bad, c.Admit(firstEjection/2, letter("w", 7, 2), all).Target.ID)
+	require.Equal(t, bad, c.Admit(firstEjection, letter("w", 7, 3), all).Target.ID)
+}
+
+func TestOutlierIsLeftOutButNotAWholeServiceThatFails(t *testing.T) {
+	c := newTestController()
+	all := engines(4)
+	fail := func(in target.Instance, result Result) bool {
+		lease := &Lease{controller: c, target: in, load: Load{Running: 1}}
+		return lease.End(0, result, all)
+	}
+	left := false
+	for range 30 {
+		left = fail(all[0], ResultFailed) || left
+		fail(all[1], ResultDone)
+		fail(all[2], ResultDone)
+		fail(all[3], ResultDone)
+	}
+	require.True(t, left)
+
+	c = newTestController()
+	for range 200 {
+		for _, in := range all {
+			require.False(t, fail(in, ResultFailed))
+		}
+	}
+}
+
+func TestNeverMoreThanHalfOfTheTargetsAreLeftOut(t *testing.T) {
+	c := newTestController()
+	all := engines(4)
+	for _, in := range all {
+		(&Lease{controller: c, target: in, load: Load{Running: 1}}).End(0, ResultUnreachable, all)
+	}
+	require.Len(t, c.usable(0, letter("w", 1, 1), all), 2)
+}
+
+func TestPlainServiceTakesTheNearestFreeTarget(t *testing.T) {
+	c := newTestController()
+	near := target.Instance{ID: "near", Service: "orders", Domain: "d", Slots: 2}
+	far := target.Instance{ID: "away", Service: "orders", Domain: "far", Slots: 2}
+	order := func() Decision { return c.Admit(0, &Request{Service: "orders"}, []target.Instance{far, near}) }
+	require.Equal(t, "near", order().Target.ID)
+	require.Equal(t, "near", order().Target.ID)
+	require.Equal(t, "away", order().Target.ID, "near is full")
+	for range 9 {
+		require.Empty(t, order().Refused)
+	}
+	require.Equal(t, request.ReasonOverloaded, order().Refused, "3 times the slots of both")
+}
+
+func TestRetriesStayWithinTheBudgetOfAllGates(t *testing.T) {
+	c := newTestController()
+	c.SetGates(2)
+	for n := range 100 {
+		c.Admit(0, &Request{Service: "orders", Hash: uint64(n)}, nil)
+	}
+	taken := 0
+	for range 100 {
+		if c.TakeRetry(0, "orders") {
+			taken++
+		}
+	}
+	require.LessOrEqual(t, taken, 25, "0.2 of 100 requests and half of the slack of 10")
+	require.Greater(t, taken, 10)
+	require.False(t, c.TakeRetry(9*time.Second, "orders"), "the window still holds them")
+}
+
+func TestRequestThatCrashesTargetsIsQuarantined(t *testing.T) {
+	c := newTestController()
+	all := engines(8)
+	crash := func(n int) string {
+		d := c.Admit(time.Duration(n)*time.Second, letter("w", 7, 1), all)
+		if d.Refused != "" {
+			return string(d.Refused)
+		}
+		bystander := &Lease{controller: c, target: d.Target, fingerprint: Fingerprint(1000 + n), load: Load{Running: 1}}
+		c.loads.add(d.Target.ID, bystander.load)
+		now := time.Duration(n) * time.Second
+		d.Lease.End(now, ResultLost, all)
+		bystander.End(now, ResultLost, all)
+		all = removeID(all, d.Target.ID)
+		return ""
+	}
+	require.Empty(t, crash(0))
+	require.Empty(t, crash(1))
+	require.Empty(t, crash(2))
+	require.Equal(t, string(request.ReasonQuarantined), crash(3))
+	require.Empty(t, c.Admit(5*time.Second, letter("w", 7, 1000), all).Refused, "a bystander of one crash goes on")
+
+	other := newTestController()
+	other.Merge(4*time.Second, "peer", c.Report(4*time.Second))
+	require.Equal(t, request.ReasonQuarantined, other.Admit(5*time.Second, letter("w", 7, 1), engines(3)).Refused)
+	require.Empty(t, c.Admit(time.Hour, letter("w", 7, 1), engines(3)).Refused, "it is forgotten in the end")
+}
+
+func removeID(all []target.Instance, id string) []target.Instance {
+	var rest []target.Instance
+	for _, in := range all {
+		if in.ID != id {
+			rest = append(rest, in)
+		}
+	}
+	return rest
+}
+
+func TestOneLostAnswerIsNoCrash(t *testing.T) {
+	c := newTestController()
+	all := engines(8)
+	for n := range 20 {
+		now := time.Duration(n) * time.Second
+		d := c.Admit(now, letter("w", 7, 1), all)
+		require.Empty(t, d.Refused)
+		d.Lease.End(now, ResultLost, all)
+	}
+}
--- /dev/null
+++ b/internal/upstream/pool_test.go
@@ -0,0 +1,277 @@
+package upstream
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/stretchr/testify/require"
+)
+
+const idHeader = "X-Id"
+
+// script answers each request on a connection; it gets the connection, the
+// number of the request on it and the request's identifier.
+type script func(c net.Conn, n int, id string)
+
+// serve runs a target on loopback that answers by script.
+func serve(t *testing.T, s script) string {
+	t.Helper()
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go serveConn(c, s)
+		}
+	}()
+	return l.Addr().String()
+}
+
+func serveConn(c net.Conn, s script) {
+	defer c.Close()
+	r := bufio.NewReader(c)
+	for n := 0; ; n++ {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		s(c, n, req.Header.Get(idHeader))
+	}
+}
+
+func reply(id, body string) string {
+	return fmt.Sprintf("HTTP/1.1 200 OK\r\n%s: %s\r\nContent-Length: %d\r\n\r\n%s", idHeader, id, len(body), body)
+}
+
+func newTestPool() (*Pool, *int) {
+	dialed := 0
+	start := time.Now()
+	p := NewPool(Config{DialTimeout: time.Second, Now: func() time.Duration { return time.Since(start) }}, func() { dialed++ })
+	return p, &dialed
+}
+
+func do(p *Pool, addr, id string) (string, error) {
+	return doWith(context.Background(), p, Call{
+		Addr: addr, Method: http.MethodPost, URI: "/a?b=c", Host: "h.example",
+		Header: http.Header{idHeader: {id}}, Body: []byte("x"), IDHeader: idHeader, MaxIdle: time.Minute,
+	})
+}
+
+func doWith(ctx context.Context, p *Pool, call Call) (string, error) {
+	a, err := p.Do(ctx, call)
+	if err != nil {
+		return "", err
+	}
+	defer a.Body.Close()
+	data, err := io.ReadAll(a.Body)
+	return string(data), err
+}
+
+func TestConnectionIsKept(t *testing.T) {
+	addr := serve(t, func(c net.Conn, _ int, id string) { _, _ = io.WriteString(c, reply(id, "for "+id)) })
+	p, dialed := newTestPool()
+	for _, id := range []string{"1", "2", "3"} {
+		got, err := do(p, addr, id)
+		require.NoError(t, err)
+		require.Equal(t, "for "+id, got)
+	}
+	require.Equal(t, 1, *dialed)
+}
+
+func TestExtraAnswersReachNobody(t *testing.T) {
+	for name, s := range map[string]script{
+		"at once": func(c net.Conn, _ int, id string) { _, _ = io.WriteString(c, reply(id, "for "+id)+reply(id, "extra")) },
+		"late, before the next answer": func(c net.Conn, n int, id string) {
+			if n > 0 {
+				_, _ = io.WriteString(c, reply("1", "extra"))
+			}
+			_, _ = io.WriteString(c, reply(id, "for "+id))
+		},
+		"garbage after the answer": func(c net.Conn, _ int, id string) { _, _ = io.WriteString(c, reply(id, "for "+id)+"garbage\r\n\r\n") },
+	} {
+		addr := serve(t, s)
+		p, _ := newTestPool()
+		for _, id := range []string{"1", "2", "3"} {
+			got, err := do(p, addr, id)
+			require.NoError(t, err, name)
+			require.Equal(t, "for "+id, got, name)
+		}
+	}
+}
+
+func TestGarbageIsNoAnswer(t *testing.T) {
+	for name, bytes := range map[string]string{
+		"text":             "hello\r\n\r\n",
+		"another's answer": reply("9", "x") + "rest",
+		"cut head":         "HTTP/1.1 200 OK\r\nX-Id: 1\r\n",
+		"nothing":          "",
+	} {
+		addr := serve(t, func(c net.Conn, _ int, _ string) {
+			_, _ = io.WriteString(c, bytes)
+			c.Close()
+		})
+		p, _ := newTestPool()
+		_, err := do(p, addr, "1")
+		require.Error(t, err, name)
+		require.True(t, errors.Is(err, ErrLost), name)
+		require.False(t, errors.Is(err, ErrNotSent), name)
+	}
+}
+
+func TestAnswerWithoutIdentifierIsTakenOnNewConnectionsOnly(t *testing.T) {
+	addr := serve(t, func(c net.Conn, n int, id string) {
+		if n == 0 && id == "1" {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\na")
+			return
+		}
+		_, _ = io.WriteString(c, "HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n")
+	})
+	p, _ := newTestPool()
+	got, err := do(p, addr, "1")
+	require.NoError(t, err)
+	require.Equal(t, "a", got)
+	_, err = do(p, addr, "2")
+	require.True(t, errors.Is(err, ErrLost))
+}
+
+func TestCutBodiesAreErrors(t *testing.T) {
+	head := "HTTP/1.1 200 OK\r\nX-Id: 1\r\n"
+	for name, answer := range map[string]string{
+		"length":  head + "Content-Length: 10\r\n\r\nabc",
+		"chunked": head + "Transfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n",
+	} {
+		addr := serve(t, func(c net.Conn, _ int, _ string) {
+			_, _ = io.WriteString(c, answer)
+			c.Close()
+		})
+		p, _ := newTestPool()
+		got, err := do(p, addr, "1")
+		require.Equal(t, "abc", got, name)
+		require.True(t, errors.Is(err, ErrLost), name)
+	}
+}
+
+func TestResetOfAnAnswerWithoutLengthIsAnError(t *testing.T) {
+	addr := serve(t, func(c net.Conn, _ int, _ string) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: 1\r\n\r\nabc")
+		time.Sleep(20 * time.Millisecond)
+		_ = c.(*net.TCPConn).SetLinger(0)
+		c.Close()
+	})
+	p, _ := newTestPool()
+	_, err := do(p, addr, "1")
+	require.Error(t, err)
+}
+
+func TestNoListenerMeansNotSent(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	l.Close()
+	p, _ := newTestPool()
+	_, err = do(p, addr, "1")
+	require.True(t, errors.Is(err, ErrNotSent))
+	require.True(t, errors.Is(err, ErrUnreachable))
+}
+
+func TestConnectionsAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	addr := serve(t, func(c net.Conn, _ int, id string) {
+		<-release
+		_, _ = io.WriteString(c, reply(id, ""))
+	})
+	p, _ := newTestPool()
+	call := Call{Addr: addr, Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{idHeader: {"1"}}, IDHeader: idHeader, MaxOpen: 1}
+	done := make(chan error, 1)
+	go func() {
+		_, err := doWith(context.Background(), p, call)
+		done <- err
+	}()
+	require.Eventually(t, func() bool {
+		p.mu.Lock()
+		defer p.mu.Unlock()
+		return p.hosts[addr] != nil && p.hosts[addr].open == 1
+	}, time.Second, time.Millisecond)
+	_, err := doWith(context.Background(), p, call)
+	require.True(t, errors.Is(err, ErrBusy))
+	require.True(t, errors.Is(err, ErrNotSent))
+	close(release)
+	require.NoError(t, <-done)
+}
+
+func TestEarlyAnswerEndsTheConnection(t *testing.T) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	rest := make(chan string, 1)
+	go func() {
+		c, err := l.Accept()
+		if err != nil {
+			return
+		}
+		defer c.Close()
+		req, err := http.ReadRequest(bufio.NewReader(c))
+		if err != nil {
+			return
+		}
+		_, _ = io.WriteString(c, reply("1", "early"))
+		time.Sleep(3 * writeGrace)
+		data, _ := io.ReadAll(req.Body)
+		rest <- string(data)
+	}()
+	p, dialed := newTestPool()
+	body := strings.Repeat("b", 16<<20) // more than the buffers of a connection take
+	call := Call{
+		Addr: l.Addr().String(), Method: http.MethodPost, URI: "/", Host: "h",
+		Header: http.Header{idHeader: {"1"}}, Body: []byte(body), IDHeader: idHeader, MaxIdle: time.Minute,
+	}
+	got, err := doWith(context.Background(), p, call)
+	require.NoError(t, err)
+	require.Equal(t, "early", got)
+	require.NotContains(t, <-rest, "POST", "nothing but the body may follow")
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	require.Empty(t, p.hosts, "the connection is not kept")
+	require.Equal(t, 1, *dialed)
+}
+
+func TestEndOfTheContextClosesTheConnection(t *testing.T) {
+	closed := make(chan struct{})
+	addr := serve(t, func(c net.Conn, _ int, id string) {
+		_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nX-Id: "+id+"\r\nTransfer-Encoding: chunked\r\n\r\n1\r\na\r\n")
+		one := make([]byte, 1)
+		_, _ = c.Read(one)
+		close(closed)
+	})
+	p, _ := newTestPool()
+	ctx, cancel := context.WithCancel(context.Background())
+	a, err := p.Do(ctx, Call{Addr: addr, Method: http.MethodGet, URI: "/", Host: "h", Header: http.Header{idHeader: {"1"}}, IDHeader: idHeader})
+	require.NoError(t, err)
+	defer a.Body.Close()
+	cancel()
+	<-closed
+	_, err = io.ReadAll(a.Body)
+	require.Error(t, err)
+}
+
+func TestIdleTimeoutOfTheTarget(t *testing.T) {
+	require.Equal(t, 4500*time.Millisecond, idleTimeout(http.Header{"Keep-Alive": {"timeout=5, max=100"}}))
+	require.Equal(t, time.Duration(0), idleTimeout(http.Header{"Keep-Alive": {"timeout=0"}}))
+	require.Equal(t, defaultIdle, idleTimeout(http.Header{}))
+	require.Equal(t, defaultIdle, idleTimeout(http.Header{"Keep-Alive": {"max=3"}}))
+}
