--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -48,8 +49,8 @@
 
 // Request is what the policy knows of a request.
 type Request struct {
-	Workspace string
-	Service   string
+	Flow
+	Service string
 	// Slots is the batch of the service's engines, 0 for a plain service.
 	Slots int
 	// CacheTokens is the memory of the service's engines.
@@ -102,7 +103,8 @@
 	capacity float64
 	levelAt  time.Duration
 	level    float64
-	usage    map[string]Usage
+	usage    map[Flow]Usage
+	asked    map[string]float64 // by workspace
 }
 
 // NewController returns a controller that knows of no load.
@@ -118,7 +120,7 @@
 		gates:    1,
 		level:    -1,
 		levelAt:  -levelInterval,
-		usage:    make(map[string]Usage),
+		usage:    make(map[Flow]Usage),
 	}
 }
 
@@ -208,7 +210,7 @@
 func (c *Controller) placeEngine(now time.Duration, req *Request, usable []target.Instance) Decision {
 	c.refreshLevel(now)
 	if !req.Repeat {
-		c.shares.add(now, req.Workspace, Usage{Asked: req.work()})
+		c.shares.add(now, req.Flow, Usage{Asked: req.work()})
 	}
 	limit := c.limitFor(req)
 	over := limit.excess > 1
@@ -265,13 +267,18 @@
 	excess float64
 }
 
-// limitFor gives workspaces below their share the whole room. Those above it
-// get what is spare, the less the more they have, so that they come out even.
+// limitFor gives workspaces below their share the whole room. The share of one
+// above it is divided over its routes as it asks for them, so that its short
+// requests don't crowd out its long ones. A flow that has more than its part
+// gets what is spare, the less the more it has, so that flows come out even.
 func (c *Controller) limitFor(req *Request) limit {
-	if c.level < 0 {
+	asked := c.asked[req.Workspace]
+	if c.level < 0 || asked <= c.level {
 		return limit{running: ownRunning, wait: ownWait}
 	}
-	excess := (c.usage[req.Workspace].Served + req.work()) / max(c.level, 1)
+	u := c.usage[req.Flow]
+	part := c.level * u.Asked / asked
+	excess := (u.Served + req.work()/2) / max(part, 1)
 	if excess <= 1 {
 		return limit{running: ownRunning, wait: ownWait, excess: excess}
 	}
@@ -310,11 +317,11 @@
 	if c.capacity <= 0 {
 		return
 	}
-	asked := make([]float64, 0, len(c.usage))
-	for _, u := range c.usage {
-		asked = append(asked, u.Asked)
+	c.asked = make(map[string]float64, len(c.usage))
+	for flow, u := range c.usage {
+		c.asked[flow.Workspace] += u.Asked
 	}
-	c.level = waterLevel(asked, c.capacity*shareWindow.Seconds())
+	c.level = waterLevel(slices.Collect(maps.Values(c.asked)), c.capacity*shareWindow.Seconds())
 }
 
 func (c *Controller) place(now time.Duration, req *Request, in target.Instance, missing int, over bool) Decision {
@@ -329,10 +336,10 @@
 	if req.Slots > 0 {
 		c.cacheOf(in.ID, req).use(req.Parts)
 		served := Usage{Served: req.work()}
-		c.shares.add(now, req.Workspace, served)
-		u := c.usage[req.Workspace]
+		c.shares.add(now, req.Flow, served)
+		u := c.usage[req.Flow]
 		u.Served += served.Served
-		c.usage[req.Workspace] = u
+		c.usage[req.Flow] = u
 	}
 	return Decision{Target: in, Lease: lease, Load: before, Missing: missing, OverShare: over}
 }
