--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -49,8 +48,8 @@
 
 // Request is what the policy knows of a request.
 type Request struct {
-	Flow
-	Service string
+	Workspace string
+	Service   string
 	// Slots is the batch of the service's engines, 0 for a plain service.
 	Slots int
 	// CacheTokens is the memory of the service's engines.
@@ -103,8 +102,7 @@
 	capacity float64
 	levelAt  time.Duration
 	level    float64
-	usage    map[Flow]Usage
-	asked    map[string]float64 // by workspace
+	usage    map[string]Usage
 }
 
 // NewController returns a controller that knows of no load.
@@ -120,7 +118,7 @@
 		gates:    1,
 		level:    -1,
 		levelAt:  -levelInterval,
-		usage:    make(map[Flow]Usage),
+		usage:    make(map[string]Usage),
 	}
 }
 
@@ -210,7 +208,7 @@
 func (c *Controller) placeEngine(now time.Duration, req *Request, usable []target.Instance) Decision {
 	c.refreshLevel(now)
 	if !req.Repeat {
-		c.shares.add(now, req.Flow, Usage{Asked: req.work()})
+		c.shares.add(now, req.Workspace, Usage{Asked: req.work()})
 	}
 	limit := c.limitFor(req)
 	over := limit.excess > 1
@@ -267,18 +265,13 @@
 	excess float64
 }
 
-// limitFor gives workspaces below their share the whole room. The share of one
-// above it is divided over its routes as it asks for them, so that its short
-// requests don't crowd out its long ones. A flow that has more than its part
-// gets what is spare, the less the more it has, so that flows come out even.
+// limitFor gives workspaces below their share the whole room. Those above it
+// get what is spare, the less the more they have, so that they come out even.
 func (c *Controller) limitFor(req *Request) limit {
-	asked := c.asked[req.Workspace]
-	if c.level < 0 || asked <= c.level {
+	if c.level < 0 {
 		return limit{running: ownRunning, wait: ownWait}
 	}
-	u := c.usage[req.Flow]
-	part := c.level * u.Asked / asked
-	excess := (u.Served + req.work()/2) / max(part, 1)
+	excess := (c.usage[req.Workspace].Served + req.work()) / max(c.level, 1)
 	if excess <= 1 {
 		return limit{running: ownRunning, wait: ownWait, excess: excess}
 	}
@@ -317,11 +310,11 @@
 	if c.capacity <= 0 {
 		return
 	}
-	c.asked = make(map[string]float64, len(c.usage))
-	for flow, u := range c.usage {
-		c.asked[flow.Workspace] += u.Asked
+	asked := make([]float64, 0, len(c.usage))
+	for _, u := range c.usage {
+		asked = append(asked, u.Asked)
 	}
-	c.level = waterLevel(slices.Collect(maps.Values(c.asked)), c.capacity*shareWindow.Seconds())
+	c.level = waterLevel(asked, c.capacity*shareWindow.Seconds())
 }
 
 func (c *Controller) place(now time.Duration, req *Request, in target.Instance, missing int, over bool) Decision {
@@ -336,10 +329,10 @@
 	if req.Slots > 0 {
 		c.cacheOf(in.ID, req).use(req.Parts)
 		served := Usage{Served: req.work()}
-		c.shares.add(now, req.Flow, served)
-		u := c.usage[req.Flow]
+		c.shares.add(now, req.Workspace, served)
+		u := c.usage[req.Workspace]
 		u.Served += served.Served
-		c.usage[req.Flow] = u
+		c.usage[req.Workspace] = u
 	}
 	return Decision{Target: in, Lease: lease, Load: before, Missing: missing, OverShare: over}
 }
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -28,7 +28,7 @@
 
 func letter(workspace string, shared uint64, n int) *Request {
 	return &Request{
-		Flow: Flow{workspace, "r"}, Service: "letters", Slots: 64, CacheTokens: 400_000,
+		Workspace: workspace, Service: "letters", Slots: 64, CacheTokens: 400_000,
 		Parts:  []Part{{Hash: shared, Tokens: 5000}, {Hash: uint64(1_000_000 + n), Tokens: 1000}},
 		Prompt: 6000, Output: 300, Goal: time.Second, Hash: uint64(n), Fingerprint: Fingerprint(n),
 	}
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -5,7 +5,7 @@
 // Report is what a gate tells its peers.
 type Report struct {
 	Loads    map[string]Load
-	Usage    map[Flow]Usage
+	Usage    map[string]Usage
 	Suspects map[Fingerprint][]string
 }
 
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -11,26 +11,21 @@
 
 const shareBuckets = 8
 
-// Flow is the requests of one workspace on one route.
-type Flow struct {
-	Workspace, Route string
-}
-
-// Usage is what a flow asked for and got over the share window, in tokens of
-// work.
+// Usage is what a workspace asked for and got over the share window, in tokens
+// of work.
 type Usage struct {
 	Asked, Served float64
 }
 
-// shares counts the work of flows at this gate and at its peers.
+// shares counts the work of workspaces at this gate and at its peers.
 type shares struct {
-	own   map[Flow]*window
+	own   map[string]*window
 	peers map[string]peerUsage
 }
 
 type peerUsage struct {
 	at    time.Duration
-	usage map[Flow]Usage
+	usage map[string]Usage
 }
 
 // window sums usage over the last shareWindow in buckets.
@@ -64,49 +59,49 @@
 }
 
 func newShares() *shares {
-	return &shares{own: make(map[Flow]*window), peers: make(map[string]peerUsage)}
+	return &shares{own: make(map[string]*window), peers: make(map[string]peerUsage)}
 }
 
-func (s *shares) add(now time.Duration, f Flow, u Usage) {
-	w := s.own[f]
+func (s *shares) add(now time.Duration, workspace string, u Usage) {
+	w := s.own[workspace]
 	if w == nil {
 		w = &window{}
-		s.own[f] = w
+		s.own[workspace] = w
 	}
 	w.add(now, u)
 }
 
-// local returns the usage at this gate alone and forgets idle flows.
-func (s *shares) local(now time.Duration) map[Flow]Usage {
-	all := make(map[Flow]Usage, len(s.own))
-	for f, w := range s.own {
+// local returns the usage at this gate alone and forgets idle workspaces.
+func (s *shares) local(now time.Duration) map[string]Usage {
+	all := make(map[string]Usage, len(s.own))
+	for ws, w := range s.own {
 		u := w.sum(now)
 		if u.Asked <= 0 {
-			delete(s.own, f)
+			delete(s.own, ws)
 			continue
 		}
-		all[f] = u
+		all[ws] = u
 	}
 	return all
 }
 
-func (s *shares) setPeer(now time.Duration, node string, usage map[Flow]Usage) {
+func (s *shares) setPeer(now time.Duration, node string, usage map[string]Usage) {
 	s.peers[node] = peerUsage{at: now, usage: usage}
 }
 
 // fleet returns the usage over all gates that were heard of lately.
-func (s *shares) fleet(now time.Duration) map[Flow]Usage {
+func (s *shares) fleet(now time.Duration) map[string]Usage {
 	all := s.local(now)
 	for node, p := range s.peers {
 		if now-p.at > peerLifetime {
 			delete(s.peers, node)
 			continue
 		}
-		for f, u := range p.usage {
-			sum := all[f]
+		for ws, u := range p.usage {
+			sum := all[ws]
 			sum.Asked += u.Asked
 			sum.Served += u.Served
-			all[f] = sum
+			all[ws] = sum
 		}
 	}
 	return all
--- a/internal/admission/share_test.go
+++ b/internal/admission/share_test.go
@@ -41,16 +41,16 @@
 
 func TestUsageLeavesTheWindow(t *testing.T) {
 	s := newShares()
-	s.add(time.Second, Flow{"a", "r"}, Usage{Asked: 10, Served: 4})
-	s.add(3*time.Second, Flow{"a", "r"}, Usage{Asked: 5})
-	require.Equal(t, Usage{Asked: 15, Served: 4}, s.local(4 * time.Second)[Flow{"a", "r"}])
-	require.Equal(t, Usage{Asked: 5}, s.local(6 * time.Second)[Flow{"a", "r"}])
+	s.add(time.Second, "a", Usage{Asked: 10, Served: 4})
+	s.add(3*time.Second, "a", Usage{Asked: 5})
+	require.Equal(t, Usage{Asked: 15, Served: 4}, s.local(4 * time.Second)["a"])
+	require.Equal(t, Usage{Asked: 5}, s.local(6 * time.Second)["a"])
 	require.Empty(t, s.local(20*time.Second))
 }
 
 func TestSilentPeersDoNotCount(t *testing.T) {
 	s := newShares()
-	s.setPeer(0, "p", map[Flow]Usage{{"a", "r"}: {Asked: 7, Served: 7}})
-	require.InDelta(t, 7, s.fleet(time.Second)[Flow{"a", "r"}].Asked, 0)
+	s.setPeer(0, "p", map[string]Usage{"a": {Asked: 7, Served: 7}})
+	require.InDelta(t, 7, s.fleet(time.Second)["a"].Asked, 0)
 	require.Empty(t, s.fleet(peerLifetime+time.Second))
 }
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -173,7 +173,7 @@
 // describe fills in what the policy knows of the request.
 func (c *call) describe() {
 	c.policy = admission.Request{
-		Flow:        admission.Flow{Workspace: c.workspace, Route: c.route.Name},
+		Workspace:   c.workspace,
 		Service:     c.route.Pick(float64(c.hash("pick")>>11) / (1 << 53)),
 		Parts:       c.meta.Parts,
 		Prompt:      c.meta.Prompt,
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -52,12 +52,12 @@
 
 // message is one report on the wire.
 type message struct {
-	Node     string                         `cbor:"1,keyasint"`
-	Start    int64                          `cbor:"2,keyasint"` // Unix ms of the sender's start
-	Sequence uint64                         `cbor:"3,keyasint"`
-	Loads    map[string][3]int              `cbor:"4,keyasint"`
-	Usage    map[string]map[string][2]int64 `cbor:"5,keyasint"` // by workspace and route
-	Suspects map[uint64][]string            `cbor:"6,keyasint,omitempty"`
+	Node     string              `cbor:"1,keyasint"`
+	Start    int64               `cbor:"2,keyasint"` // Unix ms of the sender's start
+	Sequence uint64              `cbor:"3,keyasint"`
+	Loads    map[string][3]int   `cbor:"4,keyasint"`
+	Usage    map[string][2]int64 `cbor:"5,keyasint"`
+	Suspects map[uint64][]string `cbor:"6,keyasint,omitempty"`
 }
 
 // Config configures an Exchange.
@@ -198,19 +198,14 @@
 		Start:    e.config.Start,
 		Sequence: e.sequence,
 		Loads:    make(map[string][3]int, len(report.Loads)),
-		Usage:    make(map[string]map[string][2]int64),
+		Usage:    make(map[string][2]int64, len(report.Usage)),
 	}
 	e.mu.Unlock()
 	for id, l := range report.Loads {
 		m.Loads[id] = [3]int{l.Running, l.Reading, l.Held}
 	}
-	for flow, u := range report.Usage {
-		routes := m.Usage[flow.Workspace]
-		if routes == nil {
-			routes = make(map[string][2]int64)
-			m.Usage[flow.Workspace] = routes
-		}
-		routes[flow.Route] = [2]int64{int64(u.Asked), int64(u.Served)}
+	for ws, u := range report.Usage {
+		m.Usage[ws] = [2]int64{int64(u.Asked), int64(u.Served)}
 	}
 	if len(report.Suspects) > 0 {
 		m.Suspects = make(map[uint64][]string, len(report.Suspects))
@@ -257,16 +252,14 @@
 	}
 	r := admission.Report{
 		Loads:    make(map[string]admission.Load, len(m.Loads)),
-		Usage:    make(map[admission.Flow]admission.Usage, len(m.Usage)),
+		Usage:    make(map[string]admission.Usage, len(m.Usage)),
 		Suspects: make(map[admission.Fingerprint][]string, len(m.Suspects)),
 	}
 	for id, l := range m.Loads {
 		r.Loads[id] = admission.Load{Running: max(l[0], 0), Reading: max(l[1], 0), Held: max(l[2], 0)}
 	}
-	for ws, routes := range m.Usage {
-		for name, u := range routes {
-			r.Usage[admission.Flow{Workspace: ws, Route: name}] = admission.Usage{Asked: float64(max(u[0], 0)), Served: float64(max(u[1], 0))}
-		}
+	for ws, u := range m.Usage {
+		r.Usage[ws] = admission.Usage{Asked: float64(max(u[0], 0)), Served: float64(max(u[1], 0))}
 	}
 	for f, targets := range m.Suspects {
 		r.Suspects[admission.Fingerprint(f)] = targets
