--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -287,7 +287,7 @@
 	}
 	ahead := load.Reading + min(missing, ownReading)
 	predicted := time.Duration(float64(ahead) / readTokensPerMS * float64(time.Millisecond))
-	return req.Goal <= 0 || load.Running == 0 || predicted <= time.Duration(l.wait*float64(req.Goal))
+	return req.Goal <= 0 || load.Reading == 0 || predicted <= time.Duration(l.wait*float64(req.Goal))
 }
 
 func (c *Controller) cacheOf(id string, req *Request) *cache {
