--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
@@ -31,6 +32,9 @@
 	// ownReading bounds the own prompt tokens that count in that wait: requests
 	// with the longest prompts are late by themselves and are still served.
 	ownReading = 8000
+	// spareSteepness is how fast spare room falls with what a workspace has above
+	// its share: at twice the share a sixteenth is left.
+	spareSteepness = 4
 	// memoryShare is the part of an engine's memory that requests in hand may
 	// fill; the rest keeps shared prompt parts.
 	memoryShare = 0.8
@@ -275,7 +279,8 @@
 	if excess <= 1 {
 		return limit{running: ownRunning, wait: ownWait, excess: excess}
 	}
-	return limit{running: spareRunning / (excess * excess), wait: spareWait / excess, excess: excess}
+	room := 1 / math.Pow(excess, spareSteepness)
+	return limit{running: spareRunning * room, wait: spareWait * room, excess: excess}
 }
 
 func (l limit) fits(req *Request, load Load, missing int) bool {
@@ -287,7 +292,7 @@
 	}
 	ahead := load.Reading + min(missing, ownReading)
 	predicted := time.Duration(float64(ahead) / readTokensPerMS * float64(time.Millisecond))
-	return req.Goal <= 0 || load.Reading == 0 || predicted <= time.Duration(l.wait*float64(req.Goal))
+	return req.Goal <= 0 || load.Running == 0 || predicted <= time.Duration(l.wait*float64(req.Goal))
 }
 
 func (c *Controller) cacheOf(id string, req *Request) *cache {
