Make refusals cheap, keep late gates out of the balancer's rotation

Ruled out: the store (its trouble begins 5 s later), the network. Lines are written in batches. A gate is not ready while its table is too old or it runs late. The caller's connection is looked at before the send.

--- a/cmd/mastichollow-gate/server.go
+++ b/cmd/mastichollow-gate/server.go
@@ -55,7 +55,7 @@
 		gate: g, log: log, callers: callers, ready: ready,
 		http: &http.Server{
 			Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-			MaxHeaderBytes: headerBytes, ErrorLog: quiet,
+			MaxHeaderBytes: headerBytes, ErrorLog: quiet, ConnContext: gate.ConnContext,
 		},
 		asked: &http.Server{Handler: platform.ReadyHandler(g.Ready), ReadHeaderTimeout: headerTimeout, ErrorLog: quiet},
 	}, nil
--- a/cmd/mastichollow-gate/start.go
+++ b/cmd/mastichollow-gate/start.go
@@ -85,7 +85,7 @@
 	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, Now: steady}, nil)
 	g := gate.New(gate.Config{
 		KeyAge: s.KeyAge(), DenyAge: s.DenyAge(), BodiesBytes: int64(bodiesShare * float64(s.MemoryBytes)),
-		Now: steady, Log: log.Named("gate"),
+		Now: steady, Events: events,
 	}, platform.Codec{}, table, directory, controller, pool, reg)
 	watcher := &platform.Watcher{
 		Store: platform.NewStore(s.Store), Settings: s, Table: table, Directory: directory,
@@ -100,6 +100,7 @@
 	go watcher.Run(duties, reg)
 	go exchange.Run(duties)
 	go pool.Run(duties)
+	go g.Run(duties)
 	go server.serve()
 	go server.admin(reg, net.JoinHostPort(hostOf(s.Ready), strconv.Itoa(f.MetricsPort)))
 	go watchSettings(duties, f.Boot, s, watcher.Store, log)
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
@@ -33,8 +35,12 @@
 	// with the longest prompts are late by themselves and are still served.
 	ownReading = 8000
 	// spareSteepness is how fast spare room falls with what a workspace has above
-	// its share: at twice the share a sixteenth is left.
-	spareSteepness = 4
+	// its share: at twice the share a quarter is left.
+	spareSteepness = 2
+	// mostAhead is how far a workspace above its share may be ahead of another
+	// one, as a multiple. The platform takes twice as unfair; gates learn of each
+	// other's work some hundred ms late.
+	mostAhead = 2.2
 	// memoryShare is the part of an engine's memory that requests in hand may
 	// fill; the rest keeps shared prompt parts.
 	memoryShare = 0.8
@@ -106,6 +112,7 @@
 	capacity float64
 	levelAt  time.Duration
 	level    float64
+	behind   float64 // least served of the workspaces above their share
 	usage    map[string]Usage
 }
 
@@ -144,14 +151,11 @@
 	if c.suspects.quarantined(now, req.Fingerprint) {
 		return Decision{Refused: request.ReasonQuarantined}
 	}
-	usable := c.usable(now, req, targets)
-	if len(usable) == 0 {
-		return Decision{Refused: request.ReasonNoTarget}
-	}
+	avoid := c.avoid(now, req, targets)
 	if req.Slots == 0 {
-		return c.placePlain(now, req, usable)
+		return c.placePlain(now, req, targets, avoid)
 	}
-	return c.placeEngine(now, req, usable)
+	return c.placeEngine(now, req, targets, avoid)
 }
 
 func (c *Controller) retriesOf(service string) *retries {
@@ -163,34 +167,40 @@
 	return r
 }
 
-// usable leaves out targets that had the request and those that fail, but
-// never more than maxEjectedShare of the latter.
-func (c *Controller) usable(now time.Duration, req *Request, targets []target.Instance) []target.Instance {
-	var sound, ejected []target.Instance
-	for _, in := range targets {
-		switch {
-		case slices.Contains(req.Exclude, in.ID):
-		case c.health.usable(now, in.ID):
-			sound = append(sound, in)
-		default:
-			ejected = append(ejected, in)
-		}
-	}
-	allowed := int(maxEjectedShare * float64(len(targets)))
-	for i := 0; i < len(ejected) && len(ejected)-i > allowed; i++ {
-		sound = append(sound, ejected[i])
-	}
-	return sound
+// avoided says which targets a request may not go to: those that had it, and
+// those that fail, unless so many fail that leaving them out helps nobody.
+type avoided struct {
+	exclude []string
+	health  *health
+	now     time.Duration
+	failing bool
+}
+
+func (c *Controller) avoid(now time.Duration, req *Request, targets []target.Instance) avoided {
+	a := avoided{exclude: req.Exclude, health: c.health, now: now}
+	out := c.health.leftOut(now, targets)
+	a.failing = out > 0 && float64(out) <= maxEjectedShare*float64(len(targets))
+	return a
+}
+
+func (a *avoided) has(in *target.Instance) bool {
+	return slices.Contains(a.exclude, in.ID) || a.failing && !a.health.usable(a.now, in.ID)
 }
 
 // placePlain takes the nearest target with a free slot, else the one with the
 // shortest queue.
-func (c *Controller) placePlain(now time.Duration, req *Request, usable []target.Instance) Decision {
+func (c *Controller) placePlain(now time.Duration, req *Request, targets []target.Instance, avoid avoided) Decision {
 	best, bestCost := -1, 0.0
-	for i, in := range usable {
+	refused := Decision{Refused: request.ReasonNoTarget}
+	for i := range targets {
+		in := &targets[i]
+		if avoid.has(in) {
+			continue
+		}
 		slots := max(in.Slots, 1)
 		load := c.loads.of(in.ID)
 		if load.Running >= plainQueue*slots {
+			refused = Decision{Refused: request.ReasonOverloaded, Target: *in, Load: load}
 			continue
 		}
 		cost := float64(load.Running) / float64(slots)
@@ -202,22 +212,24 @@
 		}
 	}
 	if best < 0 {
-		return Decision{Refused: request.ReasonOverloaded, Load: c.loads.of(usable[0].ID)}
+		return refused
 	}
-	return c.place(now, req, usable[best], 0, false)
+	return c.place(now, req, targets[best], 0, false)
 }
 
 // placeEngine takes the first of the few targets that keep the shared prompt
 // and have room.
-func (c *Controller) placeEngine(now time.Duration, req *Request, usable []target.Instance) Decision {
+func (c *Controller) placeEngine(now time.Duration, req *Request, targets []target.Instance, avoid avoided) Decision {
 	c.refreshLevel(now)
 	if !req.Repeat {
 		c.shares.add(now, req.Workspace, Usage{Asked: req.work()})
 	}
 	limit := c.limitFor(req)
 	over := limit.excess > 1
-	var first Decision
-	for i, in := range c.choices(req, usable) {
+	first := Decision{Refused: request.ReasonNoTarget, OverShare: over}
+	choices := c.choices(req, targets, avoid)
+	for i, index := range choices.indexes[:choices.n] {
+		in := targets[index]
 		load := c.loads.of(in.ID)
 		missing := c.cacheOf(in.ID, req).missing(req.Parts)
 		if i == 0 {
@@ -232,32 +244,26 @@
 
 // choices returns the few targets that a request may go to, the best first:
 // those of the own region, then those of all.
-func (c *Controller) choices(req *Request, usable []target.Instance) []target.Instance {
+func (c *Controller) choices(req *Request, targets []target.Instance, avoid avoided) best {
 	key := affinity(req.Parts, req.Hash)
-	near := rank(key, c.nearest(usable))
-	choices := near[:min(affinityWidth, len(near))]
-	for _, in := range rank(key, usable) {
-		if len(choices) >= affinityWidth+spillWidth {
-			break
+	var near, all best
+	for i := range targets {
+		in := &targets[i]
+		if avoid.has(in) {
+			continue
 		}
-		if !slices.ContainsFunc(choices, func(x target.Instance) bool { return x.ID == in.ID }) {
-			choices = append(choices, in)
+		score := mix(key ^ xxhash.Sum64String(in.ID))
+		all.add(score, i, affinityWidth+spillWidth)
+		if c.config.Site.distance(in) < otherRegion {
+			near.add(score, i, affinityWidth)
 		}
 	}
-	return choices
-}
-
-// nearest returns the targets of the own region, or all if it has none.
-func (c *Controller) nearest(usable []target.Instance) []target.Instance {
-	var near []target.Instance
-	for _, in := range usable {
-		if c.config.Site.distance(in) < 2 {
-			near = append(near, in)
+	for i := 0; i < all.n && near.n < len(near.indexes); i++ {
+		if index := all.indexes[i]; !near.has(index) {
+			near.indexes[near.n] = index
+			near.n++
 		}
 	}
-	if len(near) == 0 {
-		return usable
-	}
 	return near
 }
 
@@ -279,6 +285,9 @@
 	if excess <= 1 {
 		return limit{running: ownRunning, wait: ownWait, excess: excess}
 	}
+	if c.usage[req.Workspace].Served > mostAhead*max(c.level, c.behind) {
+		return limit{excess: excess}
+	}
 	room := 1 / math.Pow(excess, spareSteepness)
 	return limit{running: spareRunning * room, wait: spareWait * room, excess: excess}
 }
@@ -320,6 +329,19 @@
 		asked = append(asked, u.Asked)
 	}
 	c.level = waterLevel(asked, c.capacity*shareWindow.Seconds())
+	c.behind = leastServed(c.usage, c.level)
+}
+
+// leastServed returns what the workspace got that is furthest behind among those
+// that ask for more than their share.
+func leastServed(usage map[string]Usage, level float64) float64 {
+	least := math.Inf(1)
+	for _, u := range usage {
+		if u.Asked > level {
+			least = min(least, u.Served)
+		}
+	}
+	return least
 }
 
 func (c *Controller) place(now time.Duration, req *Request, in target.Instance, missing int, over bool) Decision {
--- a/internal/admission/health.go
+++ b/internal/admission/health.go
@@ -1,6 +1,11 @@
 package admission
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/mastichollow/mastichollow/internal/target"
+)
 
 const (
 	// firstEjection and longestEjection bound how long a target that cannot be
@@ -53,9 +58,23 @@
 	return t == nil || now >= t.until
 }
 
+// leftOut returns how many of targets are left out.
+func (h *health) leftOut(now time.Duration, targets []target.Instance) int {
+	out := 0
+	for id, t := range h.targets {
+		if now < t.until && slices.ContainsFunc(targets, func(in target.Instance) bool { return in.ID == id }) {
+			out++
+		}
+	}
+	return out
+}
+
 // succeeded notes an answer of any kind that the target meant to give.
 func (h *health) succeeded(id string) {
-	t := h.of(id)
+	t := h.targets[id]
+	if t == nil {
+		return // nothing ever failed there
+	}
 	t.failures *= 1 - failureMemory
 	t.unreached = 0
 	if t.failures < outlierRate/2 {
@@ -92,17 +111,17 @@
 }
 
 // mean returns the mean failure rate of targets.
-func (h *health) mean(ids []string) float64 {
-	if len(ids) == 0 {
+func (h *health) mean(targets []target.Instance) float64 {
+	if len(targets) == 0 {
 		return 0
 	}
 	sum := 0.0
-	for _, id := range ids {
-		if t := h.targets[id]; t != nil {
+	for i := range targets {
+		if t := h.targets[targets[i].ID]; t != nil {
 			sum += t.failures
 		}
 	}
-	return sum / float64(len(ids))
+	return sum / float64(len(targets))
 }
 
 // keep forgets all targets but those that live.
--- a/internal/admission/lease.go
+++ b/internal/admission/lease.go
@@ -81,9 +81,5 @@
 }
 
 func (c *Controller) meanFailures(peers []target.Instance) float64 {
-	ids := make([]string, len(peers))
-	for i, in := range peers {
-		ids[i] = in.ID
-	}
-	return c.health.mean(ids)
+	return c.health.mean(peers)
 }
--- a/internal/admission/place.go
+++ b/internal/admission/place.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"cmp"
 	"encoding/binary"
 	"slices"
 
@@ -23,15 +22,21 @@
 	Regions map[string]string
 }
 
-// distance orders targets by the price of the way to them.
-func (s Site) distance(in target.Instance) int {
+// Distances of targets, by the price of the way to them.
+const (
+	ownDomain = iota
+	ownRegion
+	otherRegion
+)
+
+func (s Site) distance(in *target.Instance) int {
 	switch {
 	case in.Domain == s.Domain:
-		return 0
+		return ownDomain
 	case s.Regions[in.Domain] == s.Region:
-		return 1
+		return ownRegion
 	default:
-		return 2
+		return otherRegion
 	}
 }
 
@@ -48,22 +53,37 @@
 	return xxhash.Sum64(buf)
 }
 
-// rank orders targets by rendezvous hash: each key has an order of its own, and
-// a target that leaves changes the first choice of its own keys alone.
-func rank(key uint64, targets []target.Instance) []target.Instance {
-	type scored struct {
-		score uint64
-		index int
-	}
-	scores := make([]scored, len(targets))
-	buf := binary.LittleEndian.AppendUint64(make([]byte, 0, 64), key)
-	for i := range targets {
-		scores[i] = scored{xxhash.Sum64(append(buf[:8], targets[i].ID...)), i}
+// mix spreads the bits of a rendezvous score (the finalizer of splitmix64).
+func mix(x uint64) uint64 {
+	x ^= x >> 30
+	x *= 0xbf58476d1ce4e5b9
+	x ^= x >> 27
+	x *= 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
+// best keeps the few targets with the highest rendezvous scores: each key has
+// an order of its own, and a target that leaves changes the first choice of its
+// own keys alone.
+type best struct {
+	scores  [affinityWidth + spillWidth]uint64
+	indexes [affinityWidth + spillWidth]int
+	n       int
+}
+
+// add offers a target; at most keep of them stay.
+func (b *best) add(score uint64, index, keep int) {
+	at := b.n
+	for at > 0 && b.scores[at-1] < score {
+		at--
 	}
-	slices.SortFunc(scores, func(a, b scored) int { return cmp.Compare(b.score, a.score) })
-	ranked := make([]target.Instance, len(targets))
-	for i, s := range scores {
-		ranked[i] = targets[s.index]
+	if at >= keep {
+		return
 	}
-	return ranked
+	b.n = min(b.n+1, keep)
+	copy(b.scores[at+1:b.n], b.scores[at:b.n-1])
+	copy(b.indexes[at+1:b.n], b.indexes[at:b.n-1])
+	b.scores[at], b.indexes[at] = score, index
 }
+
+func (b *best) has(index int) bool { return slices.Contains(b.indexes[:b.n], index) }
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -32,6 +32,10 @@
 	queueLines = 1024
 	// closeTimeout bounds the wait for the last lines at a stop.
 	closeTimeout = 200 * time.Millisecond
+	// gatherTime is how long lines are gathered before they are written in one
+	// call: a kill loses no more than that.
+	gatherTime  = 20 * time.Millisecond
+	gatherBytes = 32 << 10
 )
 
 // Log writes lines to an output in the background.
@@ -64,60 +68,84 @@
 
 // Write implements io.Writer for one line. It never blocks and never fails.
 func (l *Log) Write(line []byte) (int, error) {
-	if !l.limiter.Allow() || !l.enqueue(line) {
-		l.dropped.Inc()
-		l.mu.Lock()
-		l.missing++
-		l.mu.Unlock()
+	if l.limiter.Allow() {
+		l.enqueue(append([]byte(nil), line...))
+	} else {
+		l.drop()
 	}
 	return len(line), nil
 }
 
-func (l *Log) enqueue(line []byte) bool {
+// enqueue takes over the line.
+func (l *Log) enqueue(line []byte) {
 	select {
-	case l.lines <- append([]byte(nil), line...):
-		return true
+	case l.lines <- line:
 	default:
-		return false
+		l.drop()
 	}
 }
 
+func (l *Log) drop() {
+	l.dropped.Inc()
+	l.mu.Lock()
+	l.missing++
+	l.mu.Unlock()
+}
+
 // Run writes lines until ctx ends, and then those that are left, as far as the
 // output takes them.
 func (l *Log) Run(ctx context.Context) {
 	defer close(l.stopped)
+	timer := time.NewTimer(0)
+	<-timer.C
 	for {
 		select {
 		case line := <-l.lines:
+			timer.Reset(gatherTime)
+			select {
+			case <-timer.C:
+			case <-ctx.Done():
+			}
 			l.write(line)
 		case <-ctx.Done():
-			l.flush()
+			l.write(nil)
 			return
 		}
 	}
 }
 
-func (l *Log) flush() {
+// write writes the line and all that wait, in few calls. It has nowhere to
+// report a failure of the output to.
+func (l *Log) write(line []byte) {
+	buf := append(l.missed(), line...)
 	for {
 		select {
-		case line := <-l.lines:
-			l.write(line)
+		case next := <-l.lines:
+			buf = append(buf, next...)
+			if len(buf) < gatherBytes {
+				continue
+			}
+			_, _ = l.out.Write(buf)
+			buf = buf[:0]
 		default:
+			if len(buf) > 0 {
+				_, _ = l.out.Write(buf)
+			}
 			return
 		}
 	}
 }
 
-// write has nowhere to report a failure of the output to.
-func (l *Log) write(line []byte) {
+// missed returns a line that tells of dropped ones, if any.
+func (l *Log) missed() []byte {
 	l.mu.Lock()
 	missing := l.missing
 	l.missing = 0
 	l.mu.Unlock()
-	if missing > 0 {
-		_, _ = fmt.Fprintf(l.out, `{"@level":"warn","@message":"log lines dropped","count":%d}`+"\n", missing)
+	if missing == 0 {
+		return nil
 	}
-	_, _ = l.out.Write(line)
+	return fmt.Appendf(nil, `{"@level":"warn","@message":"log lines dropped","count":%d}`+"\n", missing)
 }
 
 // Wait waits until Run has ended, for a short while at most.
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -10,10 +10,14 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/eventlog"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/route"
 )
 
+// logModule names the gate in log lines.
+const logModule = "gate"
+
 const (
 	// defaultDeadline applies when neither the caller nor the route bounds the
 	// wait; it is the longest of the deployments' sheets.
@@ -93,7 +97,7 @@
 // old that a newer one may allow it.
 func (c *call) deny(status int, reason request.Reason) *refusal {
 	if c.age > c.gate.config.DenyAge {
-		return unavailable(request.ReasonNotReady, retryLater, "denied_as", reason)
+		return unavailable(request.ReasonNotReady, retryLater, eventlog.Text("denied_as", string(reason)))
 	}
 	return denied(status, reason)
 }
@@ -103,7 +107,7 @@
 		return nil
 	}
 	if c.age > c.gate.config.KeyAge {
-		return unavailable(request.ReasonNotReady, retryLater, "detail", "table too old for keys")
+		return unavailable(request.ReasonNotReady, retryLater, eventlog.Text("detail", "table too old for keys"))
 	}
 	ws := c.table.Authenticate(c.meta.Key)
 	if ws == nil {
@@ -120,14 +124,14 @@
 		return denied(http.StatusRequestEntityTooLarge, request.ReasonTooLarge)
 	}
 	if c.gate.bodies.Load()+max(c.r.ContentLength, 0) > c.gate.config.BodiesBytes {
-		return unavailable(request.ReasonOverloaded, retryLater, "detail", "bodies in hand")
+		return unavailable(request.ReasonOverloaded, retryLater, eventlog.Text("detail", "bodies in hand"))
 	}
 	body, err := c.read(limit)
 	if errors.Is(err, errBodyTooLarge) {
 		return denied(http.StatusRequestEntityTooLarge, request.ReasonTooLarge)
 	}
 	if err != nil {
-		return denied(http.StatusBadRequest, request.ReasonMalformed, "error", err.Error())
+		return denied(http.StatusBadRequest, request.ReasonMalformed, eventlog.Text("error", err.Error()))
 	}
 	c.gate.bodies.Add(int64(len(body)))
 	c.body = body
@@ -217,18 +221,18 @@
 }
 
 // logEnd writes the line that says how the request ended.
-func (c *call) logEnd(outcome string, detail ...any) {
+func (c *call) logEnd(outcome string, detail ...eventlog.Field) {
 	c.gate.metrics.requests.WithLabelValues(statusLabel(c.status)).Inc()
-	args := []any{
-		"request", c.meta.ID, "outcome", outcome, "status", c.status,
-		"ms", time.Since(c.started).Milliseconds(), "first_ms", c.firstByte.Milliseconds(),
-		"age_ms", c.age.Milliseconds(), "sends", c.sent,
-	}
+	fields := make([]eventlog.Field, 0, 20)
+	fields = append(fields,
+		eventlog.Text("request", c.meta.ID), eventlog.Text("outcome", outcome), eventlog.Int("status", c.status),
+		eventlog.Millis("ms", time.Since(c.started)), eventlog.Millis("first_ms", c.firstByte),
+		eventlog.Int("sends", c.sent), eventlog.Millis("table_age_ms", c.age))
 	if c.table != nil {
-		args = append(args, "version", c.table.Version())
+		fields = append(fields, eventlog.Int("version", c.table.Version()))
 	}
 	if c.route != nil {
-		args = append(args, "route", c.route.Name, "workspace", c.workspace)
+		fields = append(fields, eventlog.Text("route", c.route.Name), eventlog.Text("workspace", c.workspace))
 	}
-	c.gate.config.Log.Info("request ended", append(args, detail...)...)
+	c.gate.config.Events.Event(logModule, "request ended", append(fields, detail...)...)
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -2,14 +2,15 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/eventlog"
 	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/upstream"
 )
@@ -25,7 +26,7 @@
 	// BodiesBytes bounds the bodies of all requests in hand.
 	BodiesBytes int64
 	Now         func() time.Duration // goes forward only
-	Log         hclog.Logger
+	Events      *eventlog.Log
 }
 
 // Gate answers callers. It is an http.Handler.
@@ -41,6 +42,7 @@
 	inHand     atomic.Int64
 	draining   atomic.Bool
 	closed     atomic.Bool
+	lag        lag
 }
 
 // New returns a gate.
@@ -58,15 +60,25 @@
 	if g.draining.Load() {
 		return errDraining
 	}
-	if table, _ := g.table.Current(); table == nil {
+	table, age := g.table.Current()
+	if table == nil {
 		return errNoTable
 	}
+	if table.HasWorkspaces() && age > g.config.KeyAge {
+		return errOldTable
+	}
+	if g.lag.high() {
+		return errLag
+	}
 	if g.directory.Current().Len() == 0 {
 		return errNoTargets
 	}
 	return nil
 }
 
+// Run watches the gate's own speed until ctx ends.
+func (g *Gate) Run(ctx context.Context) { g.lag.run(ctx, g.config.Now) }
+
 // Drain makes the gate not ready and has callers leave their connections.
 func (g *Gate) Drain() { g.draining.Store(true) }
 
@@ -77,6 +89,14 @@
 // InHand returns the number of requests in hand.
 func (g *Gate) InHand() int { return int(g.inHand.Load()) }
 
+type connKey struct{}
+
+// ConnContext keeps a caller's connection for its requests; it is meant for
+// http.Server.
+func ConnContext(ctx context.Context, c net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, c)
+}
+
 // ServeHTTP implements http.Handler.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inHand.Add(1)
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -4,12 +4,14 @@
 	"context"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 
 	"github.com/mastichollow/mastichollow/internal/route"
+	"github.com/mastichollow/mastichollow/internal/socket"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
@@ -303,3 +305,53 @@
 	require.Equal(t, 503, got.status)
 	require.Len(t, f.arrivals(), 1)
 }
+
+func TestRequestOfACallerThatLeftIsNotSent(t *testing.T) {
+	f := newFleet(t, routeOf(once), good("whole"))
+	conn, far := tcpPair(t)
+	far.Close()
+	require.Eventually(t, func() bool { return socket.Look(conn) == socket.Closed }, time.Second, time.Millisecond)
+	req := httptest.NewRequest(http.MethodPost, "/p/", nil)
+	req.Host = "h.example"
+	req.Header.Set("Id", "1")
+	req.Header.Set("Key", "k")
+	req = req.WithContext(ConnContext(req.Context(), conn))
+	require.Panics(t, func() { f.gate.ServeHTTP(httptest.NewRecorder(), req) }, "the connection is given up")
+	require.Empty(t, f.arrivals())
+	require.Zero(t, f.gate.InHand())
+}
+
+func tcpPair(t *testing.T) (near, far net.Conn) {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	far, err = net.Dial("tcp4", l.Addr().String())
+	require.NoError(t, err)
+	near, err = l.Accept()
+	require.NoError(t, err)
+	t.Cleanup(func() { near.Close() })
+	return near, far
+}
+
+func TestGateIsNotReadyWhenItCouldServeNobody(t *testing.T) {
+	f := newFleet(t, routeOf(once), good("whole"))
+	require.NoError(t, f.gate.Ready())
+	f.age = 5*time.Second + 1
+	require.Error(t, f.gate.Ready(), "its table is too old to take keys")
+	f.age = 0
+	for range 20 {
+		f.gate.lag.add(lagInterval + 3*lagLimit)
+	}
+	require.Error(t, f.gate.Ready(), "it runs late")
+	for range 40 {
+		f.gate.lag.add(lagInterval)
+	}
+	require.NoError(t, f.gate.Ready())
+	f.gate.lag.add(10 * time.Second)
+	f.gate.lag.add(lagInterval)
+	f.gate.lag.add(lagInterval)
+	f.gate.lag.add(lagInterval)
+	f.gate.lag.add(lagInterval)
+	f.gate.lag.add(lagInterval)
+	require.NoError(t, f.gate.Ready(), "one pause is forgiven")
+}
--- a/internal/gate/pass.go
+++ b/internal/gate/pass.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/eventlog"
 	"github.com/mastichollow/mastichollow/internal/route"
 	"github.com/mastichollow/mastichollow/internal/upstream"
 )
@@ -149,7 +150,7 @@
 // passed notes an answer that the caller has whole.
 func (c *call) passed() {
 	c.gate.metrics.whole.WithLabelValues(c.policy.Service).Observe(time.Since(c.started).Seconds())
-	c.logEnd("answered", "service", c.policy.Service, "target", c.tried[len(c.tried)-1])
+	c.logEnd("answered", eventlog.Text("service", c.policy.Service), eventlog.Text("target", c.tried[len(c.tried)-1]))
 }
 
 // passFailed decides what becomes of an answer that broke off.
--- a/internal/gate/refusal.go
+++ b/internal/gate/refusal.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/eventlog"
 	"github.com/mastichollow/mastichollow/internal/request"
 )
 
@@ -16,6 +17,8 @@
 	errDraining  = errors.New("gate is draining")
 	errNoTable   = errors.New("no table is known yet")
 	errNoTargets = errors.New("no targets are known yet")
+	errOldTable  = errors.New("table is too old to take keys")
+	errLag       = errors.New("gate runs late")
 )
 
 const (
@@ -37,20 +40,20 @@
 type refusal struct {
 	status     int
 	reason     request.Reason
-	retryAfter time.Duration // 0: none
-	detail     []any         // inputs of the decision, as pairs for the log
+	retryAfter time.Duration    // 0: none
+	detail     []eventlog.Field // inputs of the decision
 }
 
-func unavailable(reason request.Reason, retryAfter time.Duration, detail ...any) *refusal {
+func unavailable(reason request.Reason, retryAfter time.Duration, detail ...eventlog.Field) *refusal {
 	return &refusal{http.StatusServiceUnavailable, reason, retryAfter, detail}
 }
 
-func denied(status int, reason request.Reason, detail ...any) *refusal {
+func denied(status int, reason request.Reason, detail ...eventlog.Field) *refusal {
 	return &refusal{status, reason, 0, detail}
 }
 
 // failed is the answer for a request that may have run.
-func failed(status int, reason request.Reason, detail ...any) *refusal {
+func failed(status int, reason request.Reason, detail ...eventlog.Field) *refusal {
 	return &refusal{status, reason, 0, detail}
 }
 
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -9,8 +10,10 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/eventlog"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/route"
+	"github.com/mastichollow/mastichollow/internal/socket"
 	"github.com/mastichollow/mastichollow/internal/upstream"
 )
 
@@ -59,6 +62,9 @@
 // run sends the request to targets until one answers or nothing more may be
 // tried.
 func (c *call) run(ctx context.Context) {
+	if c.callerLeft() {
+		c.abort(request.ReasonCallerGone, eventlog.Text("detail", "before the first send"))
+	}
 	why := ""
 	for placement := 0; placement < maxPlacements; placement++ {
 		d := c.place(why)
@@ -84,6 +90,14 @@
 	c.fail(ctx, outcome{result: admission.ResultUnreachable, err: errors.New("no target could be reached")})
 }
 
+// callerLeft reports whether the caller's connection is closed. The server tells
+// so too, but later: a gate that runs late finds the request and the close of
+// its connection at the same time.
+func (c *call) callerLeft() bool {
+	conn, ok := c.r.Context().Value(connKey{}).(net.Conn)
+	return ok && socket.Look(conn) == socket.Closed
+}
+
 // place asks the policy for a target. why says why the send before ended.
 func (c *call) place(why string) admission.Decision {
 	g := c.gate
@@ -103,9 +117,10 @@
 
 // refusePlacement answers a request for which the policy has no target.
 func (c *call) refusePlacement(d admission.Decision, why string) {
-	detail := []any{
-		"service", c.policy.Service, "first_choice", d.Target.ID, "running", d.Load.Running,
-		"reading", d.Load.Reading, "missing", d.Missing, "over_share", d.OverShare, "after", why,
+	detail := []eventlog.Field{
+		eventlog.Text("service", c.policy.Service), eventlog.Text("first_choice", d.Target.ID),
+		eventlog.Int("running", d.Load.Running), eventlog.Int("reading", d.Load.Reading),
+		eventlog.Int("missing", d.Missing), eventlog.Bool("over_share", d.OverShare), eventlog.Text("after", why),
 	}
 	switch {
 	case c.begun:
@@ -284,9 +299,10 @@
 	if o.result == admission.ResultDone {
 		return
 	}
-	g.config.Log.Info("send failed", "request", c.meta.ID, "target", d.Target.ID, "addr", d.Target.Addr,
-		"result", o.result.String(), "running", d.Load.Running, "reading", d.Load.Reading,
-		"ms", time.Since(c.started).Milliseconds(), "left_out", left, "may_have_run", o.ran, "error", errText(o.err))
+	g.config.Events.Event(logModule, "send failed", eventlog.Text("request", c.meta.ID),
+		eventlog.Text("target", d.Target.ID), eventlog.Text("addr", d.Target.Addr), eventlog.Text("result", o.result.String()),
+		eventlog.Int("running", d.Load.Running), eventlog.Int("reading", d.Load.Reading), eventlog.Millis("ms", time.Since(c.started)),
+		eventlog.Bool("left_out", left), eventlog.Bool("may_have_run", o.ran), eventlog.Text("error", errText(o.err)))
 }
 
 func errText(err error) string {
@@ -298,7 +314,7 @@
 
 // fail gives the caller the final answer after the last send failed.
 func (c *call) fail(ctx context.Context, o outcome) {
-	detail := []any{"error", errText(o.err)}
+	detail := []eventlog.Field{eventlog.Text("error", errText(o.err))}
 	reason := reasonOf(o.result)
 	switch {
 	case c.r.Context().Err() != nil:
@@ -331,7 +347,7 @@
 
 // abort ends the connection of a caller that already has the head of an answer
 // or is gone. It does not return.
-func (c *call) abort(reason request.Reason, detail ...any) {
+func (c *call) abort(reason request.Reason, detail ...eventlog.Field) {
 	c.gate.metrics.refusals.WithLabelValues(string(reason)).Inc()
 	c.logEnd(string(reason), detail...)
 	panic(http.ErrAbortHandler)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -4,8 +4,9 @@
 	"bufio"
 	"net"
 	"sync/atomic"
-	"syscall"
 	"time"
+
+	"github.com/mastichollow/mastichollow/internal/socket"
 )
 
 const (
@@ -39,20 +40,6 @@
 	if c.reader.Buffered() > 0 {
 		return false
 	}
-	sc, ok := c.raw.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return false
-	}
-	quiet := false
-	err = raw.Read(func(fd uintptr) bool {
-		var one [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = n <= 0 && (err == syscall.EAGAIN || err == syscall.EWOULDBLOCK)
-		return true
-	})
-	return err == nil && quiet
+	state := socket.Look(c.raw)
+	return state == socket.Quiet || state == socket.Unknown
 }
