--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -1,6 +1,7 @@
 package admission
 
 import (
+	"maps"
 	"math"
 	"slices"
 	"sync"
@@ -88,6 +89,9 @@
 	Load      Load           // of the target, or of the first choice
 	Missing   int            // prompt tokens that the target is taken to read
 	OverShare bool
+	// Excess is what the workspace has with this request, in shares; 0: all that
+	// is asked of the fleet fits.
+	Excess float64
 }
 
 // Config configures a Controller.
@@ -112,8 +116,10 @@
 	capacity float64
 	levelAt  time.Duration
 	level    float64
-	behind   float64 // least served of the workspaces above their share
-	usage    map[string]Usage
+	behind   float64          // least served of the workspaces above their share
+	usage    map[string]Usage // of the fleet, by workspace
+	own      map[string]Usage // of this gate
+	paces    map[string]*pace
 }
 
 // NewController returns a controller that knows of no load.
@@ -130,6 +136,7 @@
 		level:    -1,
 		levelAt:  -levelInterval,
 		usage:    make(map[string]Usage),
+		paces:    make(map[string]*pace),
 	}
 }
 
@@ -224,18 +231,21 @@
 	if !req.Repeat {
 		c.shares.add(now, req.Workspace, Usage{Asked: req.work()})
 	}
-	limit := c.limitFor(req)
-	over := limit.excess > 1
-	first := Decision{Refused: request.ReasonNoTarget, OverShare: over}
+	limit := c.limitFor(now, req)
+	over := limit.excess > 0 && !limit.paced
+	first := Decision{Refused: request.ReasonNoTarget, OverShare: over, Excess: limit.excess}
 	choices := c.choices(req, targets, avoid)
 	for i, index := range choices.indexes[:choices.n] {
 		in := targets[index]
 		load := c.loads.of(in.ID)
 		missing := c.cacheOf(in.ID, req).missing(req.Parts)
 		if i == 0 {
-			first = Decision{Refused: request.ReasonOverloaded, Target: in, Load: load, Missing: missing, OverShare: over}
+			first = Decision{Refused: request.ReasonOverloaded, Target: in, Load: load, Missing: missing, OverShare: over, Excess: limit.excess}
 		}
 		if limit.fits(req, load, missing) {
+			if limit.excess > 0 {
+				c.paceOf(req.Workspace).take(req.work())
+			}
 			return c.place(now, req, in, missing, over)
 		}
 	}
@@ -273,25 +283,45 @@
 	wait    float64 // part of the time to the goal
 	// excess is what the workspace has with this request, in shares.
 	excess float64
+	// paced: the request uses the workspace's share.
+	paced bool
 }
 
-// limitFor gives workspaces below their share the whole room. Those above it
+// limitFor gives workspaces below their share the whole room, and those above
+// it the whole room for what their share lets through at this gate. Beyond, they
 // get what is spare, the less the more they have, so that they come out even.
-func (c *Controller) limitFor(req *Request) limit {
-	if c.level < 0 {
+func (c *Controller) limitFor(now time.Duration, req *Request) limit {
+	u := c.usage[req.Workspace]
+	if c.level < 0 || u.Asked <= c.level {
 		return limit{running: ownRunning, wait: ownWait}
 	}
-	excess := (c.usage[req.Workspace].Served + req.work()) / max(c.level, 1)
-	if excess <= 1 {
-		return limit{running: ownRunning, wait: ownWait, excess: excess}
+	excess := (u.Served + req.work()) / max(c.level, 1)
+	if c.paceOf(req.Workspace).open(now, c.localRate(req.Workspace, u)) {
+		return limit{running: ownRunning, wait: ownWait, excess: min(excess, 1), paced: true}
 	}
-	if c.usage[req.Workspace].Served > mostAhead*max(c.level, c.behind) {
-		return limit{excess: excess}
+	if u.Served > mostAhead*max(c.level, c.behind) {
+		return limit{excess: max(excess, 1)}
 	}
+	excess = max(excess, 1)
 	room := 1 / math.Pow(excess, spareSteepness)
 	return limit{running: spareRunning * room, wait: spareWait * room, excess: excess}
 }
 
+// localRate returns this gate's part of a workspace's share, as its callers
+// come to the gates, in tokens of work a second.
+func (c *Controller) localRate(workspace string, fleet Usage) float64 {
+	return c.level / shareWindow.Seconds() * min(1, c.own[workspace].Asked/max(fleet.Asked, 1))
+}
+
+func (c *Controller) paceOf(workspace string) *pace {
+	p := c.paces[workspace]
+	if p == nil {
+		p = &pace{}
+		c.paces[workspace] = p
+	}
+	return p
+}
+
 func (l limit) fits(req *Request, load Load, missing int) bool {
 	if float64(load.Running) >= l.running*float64(req.Slots) {
 		return false
@@ -319,7 +349,9 @@
 	}
 	c.levelAt = now
 	c.loads.refresh(now)
+	c.own = c.shares.local(now)
 	c.usage = c.shares.fleet(now)
+	maps.DeleteFunc(c.paces, func(workspace string, _ *pace) bool { return c.own[workspace].Asked == 0 })
 	c.level = -1
 	if c.capacity <= 0 {
 		return
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -5,14 +5,19 @@
 	"time"
 )
 
-// shareWindow is the span over which shares are counted: that over which the
-// platform owes them (quota_window_s, 4 s).
-const shareWindow = 4 * time.Second
-
-const shareBuckets = 8
+const (
+	// shareWindow is the span over which shares are counted: that over which the
+	// platform owes them (quota_window_s, 4 s).
+	shareWindow = 4 * time.Second
+	// shareBuckets hold twice the window. Usage fades out over it: if it left the
+	// window all at once, every gate would make up for it at the same moment,
+	// before any of them hears of the others.
+	shareBuckets = 16
+	bucketSpan   = 2 * shareWindow / shareBuckets
+)
 
 // Usage is what a workspace asked for and got over the share window, in tokens
-// of work.
+// of work. Older work counts less.
 type Usage struct {
 	Asked, Served float64
 }
@@ -28,14 +33,13 @@
 	usage map[string]Usage
 }
 
-// window sums usage over the last shareWindow in buckets.
+// window sums usage in buckets, whose weight falls from 1 to 0 over twice the
+// shareWindow.
 type window struct {
 	buckets [shareBuckets]Usage
 	numbers [shareBuckets]int64
 }
 
-const bucketSpan = shareWindow / shareBuckets
-
 func (w *window) add(now time.Duration, u Usage) {
 	number := int64(now / bucketSpan)
 	i := number % shareBuckets
@@ -47,13 +51,16 @@
 }
 
 func (w *window) sum(now time.Duration) Usage {
-	oldest := int64(now/bucketSpan) - shareBuckets + 1
+	newest := int64(now / bucketSpan)
 	var total Usage
 	for i, number := range w.numbers {
-		if number >= oldest {
-			total.Asked += w.buckets[i].Asked
-			total.Served += w.buckets[i].Served
+		age := newest - number
+		if age >= shareBuckets {
+			continue
 		}
+		weight := 1 - float64(age)/shareBuckets
+		total.Asked += weight * w.buckets[i].Asked
+		total.Served += weight * w.buckets[i].Served
 	}
 	return total
 }
@@ -107,6 +114,28 @@
 	return all
 }
 
+// pace lets a workspace's share through at one gate, evenly. It may run into
+// debt with one request, so that the longest ones pass too.
+type pace struct {
+	saved float64 // tokens of work
+	at    time.Duration
+}
+
+// paceDepth is how much unused share a gate saves up for a workspace: callers
+// come in clumps, and a goal lasts about a second.
+const paceDepth = time.Second
+
+// open reports whether the share has room for one more request. rate is the
+// gate's part of the share, in tokens of work a second.
+func (p *pace) open(now time.Duration, rate float64) bool {
+	p.saved = min(p.saved+rate*(now-p.at).Seconds(), rate*paceDepth.Seconds())
+	p.at = now
+	return p.saved > 0
+}
+
+// take uses the share.
+func (p *pace) take(work float64) { p.saved -= work }
+
 // waterLevel returns the max-min share: the most that any workspace may take so
 // that all together take capacity. It is negative if all demand fits.
 func waterLevel(asked []float64, capacity float64) float64 {
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -120,7 +120,8 @@
 	detail := []eventlog.Field{
 		eventlog.Text("service", c.policy.Service), eventlog.Text("first_choice", d.Target.ID),
 		eventlog.Int("running", d.Load.Running), eventlog.Int("reading", d.Load.Reading),
-		eventlog.Int("missing", d.Missing), eventlog.Bool("over_share", d.OverShare), eventlog.Text("after", why),
+		eventlog.Int("missing", d.Missing), eventlog.Bool("over_share", d.OverShare),
+		eventlog.Int("share_percent", int(100*d.Excess)), eventlog.Text("after", why),
 	}
 	switch {
 	case c.begun:
