--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -121,6 +121,11 @@
 	at    time.Duration
 }
 
+// paces are those of one workspace at one gate.
+type paces struct {
+	share, spare pace
+}
+
 // paceDepth is how much unused share a gate saves up for a workspace: callers
 // come in clumps, and a goal lasts about a second.
 const paceDepth = time.Second
