--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -2,7 +2,6 @@
 
 import (
 	"maps"
-	"math"
 	"slices"
 	"sync"
 	"time"
@@ -27,21 +26,21 @@
 	// parts of its batch: for workspaces below their share and for those above.
 	// Past them the steps get so long that streams miss their pauses.
 	ownRunning   = 0.62
-	spareRunning = 0.3
+	spareRunning = 0.15
 	// ownWait and spareWait bound the predicted wait for the first token, as
 	// parts of the time that is left to the goal.
 	ownWait   = 0.6
-	spareWait = 0.12
+	spareWait = 0.05
 	// ownReading bounds the own prompt tokens that count in that wait: requests
 	// with the longest prompts are late by themselves and are still served.
 	ownReading = 8000
-	// spareSteepness is how fast spare room falls with what a workspace has above
-	// its share: at twice the share a quarter is left.
-	spareSteepness = 2
-	// mostAhead is how far a workspace above its share may be ahead of another
-	// one, as a multiple. The platform takes twice as unfair; gates learn of each
-	// other's work some hundred ms late.
-	mostAhead = 2.2
+	// idleRunning and idleWait are for what is beyond.
+	idleRunning = 0.06
+	idleWait    = 0.02
+	// spareShare is what workspaces above their share may have besides it, as a
+	// part of it. The platform takes it as unfair when one of them gets less than
+	// half of another.
+	spareShare = 0.8
 	// memoryShare is the part of an engine's memory that requests in hand may
 	// fill; the rest keeps shared prompt parts.
 	memoryShare = 0.8
@@ -116,10 +115,9 @@
 	capacity float64
 	levelAt  time.Duration
 	level    float64
-	behind   float64          // least served of the workspaces above their share
 	usage    map[string]Usage // of the fleet, by workspace
 	own      map[string]Usage // of this gate
-	paces    map[string]*pace
+	paces    map[string]*paces
 }
 
 // NewController returns a controller that knows of no load.
@@ -136,7 +134,7 @@
 		level:    -1,
 		levelAt:  -levelInterval,
 		usage:    make(map[string]Usage),
-		paces:    make(map[string]*pace),
+		paces:    make(map[string]*paces),
 	}
 }
 
@@ -232,21 +230,20 @@
 		c.shares.add(now, req.Workspace, Usage{Asked: req.work()})
 	}
 	limit := c.limitFor(now, req)
-	over := limit.excess > 0 && !limit.paced
-	first := Decision{Refused: request.ReasonNoTarget, OverShare: over, Excess: limit.excess}
+	first := Decision{Refused: request.ReasonNoTarget, OverShare: limit.over, Excess: limit.excess}
 	choices := c.choices(req, targets, avoid)
 	for i, index := range choices.indexes[:choices.n] {
 		in := targets[index]
 		load := c.loads.of(in.ID)
 		missing := c.cacheOf(in.ID, req).missing(req.Parts)
 		if i == 0 {
-			first = Decision{Refused: request.ReasonOverloaded, Target: in, Load: load, Missing: missing, OverShare: over, Excess: limit.excess}
+			first = Decision{Refused: request.ReasonOverloaded, Target: in, Load: load, Missing: missing, OverShare: limit.over, Excess: limit.excess}
 		}
 		if limit.fits(req, load, missing) {
-			if limit.excess > 0 {
-				c.paceOf(req.Workspace).take(req.work())
+			if limit.pace != nil {
+				limit.pace.take(req.work())
 			}
-			return c.place(now, req, in, missing, over)
+			return c.place(now, req, in, missing, limit.over)
 		}
 	}
 	return first
@@ -283,28 +280,32 @@
 	wait    float64 // part of the time to the goal
 	// excess is what the workspace has with this request, in shares.
 	excess float64
-	// paced: the request uses the workspace's share.
-	paced bool
+	// over: the request is beyond the workspace's share.
+	over bool
+	// pace is used up by the request; nil: none.
+	pace *pace
 }
 
-// limitFor gives workspaces below their share the whole room, and those above
-// it the whole room for what their share lets through at this gate. Beyond, they
-// get what is spare, the less the more they have, so that they come out even.
+// limitFor gives workspaces below their share the whole room. Those above it
+// get the whole room for their share, what is spare for a part more, and targets
+// that are next to idle beyond. Shares are let through evenly and what was had
+// before does not count: workspaces come out even over any few seconds.
 func (c *Controller) limitFor(now time.Duration, req *Request) limit {
 	u := c.usage[req.Workspace]
 	if c.level < 0 || u.Asked <= c.level {
 		return limit{running: ownRunning, wait: ownWait}
 	}
-	excess := (u.Recent + req.work()) / max(c.level, 1)
-	if c.paceOf(req.Workspace).open(now, c.localRate(req.Workspace, u)) {
-		return limit{running: ownRunning, wait: ownWait, excess: min(excess, 1), paced: true}
+	rate := c.localRate(req.Workspace, u)
+	p := c.pacesOf(req.Workspace)
+	excess := (u.Served + req.work()) / max(c.level, 1)
+	switch {
+	case p.share.open(now, rate):
+		return limit{running: ownRunning, wait: ownWait, excess: excess, pace: &p.share}
+	case p.spare.open(now, rate*spareShare):
+		return limit{running: spareRunning, wait: spareWait, excess: excess, over: true, pace: &p.spare}
+	default:
+		return limit{running: idleRunning, wait: idleWait, excess: excess, over: true}
 	}
-	if u.Recent > mostAhead*max(c.level, c.behind) {
-		return limit{excess: max(excess, 1)}
-	}
-	excess = max(excess, 1)
-	room := 1 / math.Pow(excess, spareSteepness)
-	return limit{running: spareRunning * room, wait: spareWait * room, excess: excess}
 }
 
 // localRate returns this gate's part of a workspace's share, as its callers
@@ -313,10 +314,10 @@
 	return c.level / shareWindow.Seconds() * min(1, c.own[workspace].Asked/max(fleet.Asked, 1))
 }
 
-func (c *Controller) paceOf(workspace string) *pace {
+func (c *Controller) pacesOf(workspace string) *paces {
 	p := c.paces[workspace]
 	if p == nil {
-		p = &pace{}
+		p = &paces{}
 		c.paces[workspace] = p
 	}
 	return p
@@ -351,7 +352,7 @@
 	c.loads.refresh(now)
 	c.own = c.shares.local(now)
 	c.usage = c.shares.fleet(now)
-	maps.DeleteFunc(c.paces, func(workspace string, _ *pace) bool { return c.own[workspace].Asked == 0 })
+	maps.DeleteFunc(c.paces, func(workspace string, _ *paces) bool { return c.own[workspace].Asked == 0 })
 	c.level = -1
 	if c.capacity <= 0 {
 		return
@@ -361,19 +362,6 @@
 		asked = append(asked, u.Asked)
 	}
 	c.level = waterLevel(asked, c.capacity*shareWindow.Seconds())
-	c.behind = leastServed(c.usage, c.level)
-}
-
-// leastServed returns what the workspace got that is furthest behind among those
-// that ask for more than their share.
-func leastServed(usage map[string]Usage, level float64) float64 {
-	least := math.Inf(1)
-	for _, u := range usage {
-		if u.Asked > level {
-			least = min(least, u.Recent)
-		}
-	}
-	return least
 }
 
 func (c *Controller) place(now time.Duration, req *Request, in target.Instance, missing int, over bool) Decision {
@@ -391,7 +379,6 @@
 		c.shares.add(now, req.Workspace, served)
 		u := c.usage[req.Workspace]
 		u.Served += served.Served
-		u.Recent += recentScale * served.Served
 		c.usage[req.Workspace] = u
 	}
 	return Decision{Target: in, Lease: lease, Load: before, Missing: missing, OverShare: over}
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -14,20 +14,12 @@
 	// before any of them hears of the others.
 	shareBuckets = 16
 	bucketSpan   = 2 * shareWindow / shareBuckets
-	// recentBuckets are those of the recent usage, which decides who gets what is
-	// spare: what a workspace had seconds ago must not count against it.
-	recentBuckets = 4
-	// recentScale turns the weights of those buckets into those of shareWindow.
-	recentScale = (shareBuckets + 1) / float64(recentBuckets+1)
 )
 
 // Usage is what a workspace asked for and got over the share window, in tokens
 // of work. Older work counts less.
 type Usage struct {
 	Asked, Served float64
-	// Recent is what it got over the last two seconds, as if that had gone on for
-	// the whole window.
-	Recent float64
 }
 
 // shares counts the work of workspaces at this gate and at its peers.
@@ -69,9 +61,6 @@
 		weight := 1 - float64(age)/shareBuckets
 		total.Asked += weight * w.buckets[i].Asked
 		total.Served += weight * w.buckets[i].Served
-		if age < recentBuckets {
-			total.Recent += recentScale * (1 - float64(age)/recentBuckets) * w.buckets[i].Served
-		}
 	}
 	return total
 }
@@ -119,7 +108,6 @@
 			sum := all[ws]
 			sum.Asked += u.Asked
 			sum.Served += u.Served
-			sum.Recent += u.Recent
 			all[ws] = sum
 		}
 	}
@@ -133,6 +121,11 @@
 	at    time.Duration
 }
 
+// paces are those of one workspace at one gate.
+type paces struct {
+	share, spare pace
+}
+
 // paceDepth is how much unused share a gate saves up for a workspace: callers
 // come in clumps, and a goal lasts about a second.
 const paceDepth = time.Second
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -56,7 +56,7 @@
 	Start    int64               `cbor:"2,keyasint"` // Unix ms of the sender's start
 	Sequence uint64              `cbor:"3,keyasint"`
 	Loads    map[string][3]int   `cbor:"4,keyasint"`
-	Usage    map[string][3]int64 `cbor:"5,keyasint"`
+	Usage    map[string][2]int64 `cbor:"5,keyasint"`
 	Suspects map[uint64][]string `cbor:"6,keyasint,omitempty"`
 }
 
@@ -198,14 +198,14 @@
 		Start:    e.config.Start,
 		Sequence: e.sequence,
 		Loads:    make(map[string][3]int, len(report.Loads)),
-		Usage:    make(map[string][3]int64, len(report.Usage)),
+		Usage:    make(map[string][2]int64, len(report.Usage)),
 	}
 	e.mu.Unlock()
 	for id, l := range report.Loads {
 		m.Loads[id] = [3]int{l.Running, l.Reading, l.Held}
 	}
 	for ws, u := range report.Usage {
-		m.Usage[ws] = [3]int64{int64(u.Asked), int64(u.Served), int64(u.Recent)}
+		m.Usage[ws] = [2]int64{int64(u.Asked), int64(u.Served)}
 	}
 	if len(report.Suspects) > 0 {
 		m.Suspects = make(map[uint64][]string, len(report.Suspects))
@@ -259,7 +259,7 @@
 		r.Loads[id] = admission.Load{Running: max(l[0], 0), Reading: max(l[1], 0), Held: max(l[2], 0)}
 	}
 	for ws, u := range m.Usage {
-		r.Usage[ws] = admission.Usage{Asked: float64(max(u[0], 0)), Served: float64(max(u[1], 0)), Recent: float64(max(u[2], 0))}
+		r.Usage[ws] = admission.Usage{Asked: float64(max(u[0], 0)), Served: float64(max(u[1], 0))}
 	}
 	for f, targets := range m.Suspects {
 		r.Suspects[admission.Fingerprint(f)] = targets
