--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -34,6 +34,10 @@
 	// ownReading bounds the own prompt tokens that count in that wait: requests
 	// with the longest prompts are late by themselves and are still served.
 	ownReading = 8000
+	// shareRunning and shareWait are for the share of workspaces that ask for more
+	// than it: their short requests use it when the long ones don't fit.
+	shareRunning = 0.45
+	shareWait    = 0.3
 	// idleRunning and idleWait are for what is beyond.
 	idleRunning = 0.06
 	idleWait    = 0.02
@@ -300,7 +304,7 @@
 	excess := (u.Served + req.work()) / max(c.level, 1)
 	switch {
 	case p.share.open(now, rate):
-		return limit{running: ownRunning, wait: ownWait, excess: excess, pace: &p.share}
+		return limit{running: shareRunning, wait: shareWait, excess: excess, pace: &p.share}
 	case p.spare.open(now, rate*spareShare):
 		return limit{running: spareRunning, wait: spareWait, excess: excess, over: true, pace: &p.spare}
 	default:
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -134,7 +134,7 @@
 
 // Run sends and receives reports until ctx ends.
 func (e *Exchange) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() { e.socket.Close() })
+	stop := context.AfterFunc(ctx, func() { _ = e.socket.Close() })
 	defer stop()
 	go e.receive(ctx)
 	ticker := time.NewTicker(nearInterval)
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -1,7 +1,7 @@
 package upstream
 
 import (
-	"bufio"
+	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -16,6 +16,8 @@
 	// inlineBody is the largest body that is written before the answer is
 	// read; it fits into the buffers of a connection.
 	inlineBody = 8 << 10
+	// headSize is the room for the head of a call, in bytes; longer ones grow.
+	headSize = 1024
 	// maxStray bounds the bytes of another call's answer that are read to
 	// reach the own one.
 	maxStray = 1 << 20
@@ -60,7 +62,7 @@
 	}
 	x := &exchange{pool: p, conn: c, call: &call, done: make(chan error, 1)}
 	c.written.Store(false)
-	x.stop = context.AfterFunc(ctx, func() { c.raw.Close() })
+	x.stop = context.AfterFunc(ctx, c.close)
 	answer, err := x.run()
 	if err == nil {
 		return answer, nil
@@ -98,25 +100,27 @@
 }
 
 func (x *exchange) write() error {
-	w := bufio.NewWriterSize(x.conn, writeBufferSize)
 	call := x.call
-	w.WriteString(call.Method)
-	w.WriteByte(' ')
-	w.WriteString(call.URI)
-	w.WriteString(" HTTP/1.1\r\nHost: ")
-	w.WriteString(call.Host)
-	w.WriteString("\r\n")
-	if err := call.Header.Write(w); err != nil {
-		return err
+	var b bytes.Buffer
+	b.Grow(headSize + len(call.Body))
+	b.WriteString(call.Method)
+	b.WriteByte(' ')
+	b.WriteString(call.URI)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(call.Host)
+	b.WriteString("\r\n")
+	if err := call.Header.Write(&b); err != nil {
+		return errors.Wrap(err, "writing the header")
 	}
 	if len(call.Body) > 0 || hasBody(call.Method) {
-		w.WriteString("Content-Length: ")
-		w.WriteString(strconv.Itoa(len(call.Body)))
-		w.WriteString("\r\n")
+		b.WriteString("Content-Length: ")
+		b.WriteString(strconv.Itoa(len(call.Body)))
+		b.WriteString("\r\n")
 	}
-	w.WriteString("\r\n")
-	w.Write(call.Body) //nolint:errcheck // Flush returns the error
-	return w.Flush()
+	b.WriteString("\r\n")
+	b.Write(call.Body)
+	_, err := x.conn.Write(b.Bytes())
+	return err
 }
 
 func hasBody(method string) bool {
@@ -127,7 +131,7 @@
 func (x *exchange) read() (*Answer, error) {
 	stray := int64(0)
 	for {
-		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.call.Method})
+		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.call.Method}) //nolint:bodyclose // Answer.Body closes the connection
 		if err != nil {
 			return nil, x.readError(err)
 		}
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -9,10 +9,8 @@
 	"github.com/mastichollow/mastichollow/internal/socket"
 )
 
-const (
-	readBufferSize  = 4096
-	writeBufferSize = 4096
-)
+// readBufferSize holds some events of a stream, in bytes.
+const readBufferSize = 4096
 
 // conn is a connection to a target that carries one call at a time.
 type conn struct {
@@ -35,6 +33,9 @@
 	return c.raw.Write(p)
 }
 
+// close closes the connection. Its error says nothing about the call.
+func (c *conn) close() { _ = c.raw.Close() }
+
 // quiet reports whether the idle connection is open and has received nothing.
 func (c *conn) quiet() bool {
 	if c.reader.Buffered() > 0 {
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -121,7 +121,7 @@
 	}
 	p.mu.Unlock()
 	for _, c := range dropped {
-		c.raw.Close()
+		c.close()
 	}
 }
 
@@ -194,7 +194,7 @@
 	h.open++
 	p.mu.Unlock()
 	if oldest != nil {
-		oldest.raw.Close()
+		oldest.close()
 	}
 	return true
 }
@@ -212,7 +212,7 @@
 }
 
 func (p *Pool) discard(c *conn) {
-	c.raw.Close()
+	c.close()
 	p.release(c.addr)
 }
 
