--- /dev/null
+++ b/cmd/mastichollow-gate/gate_test.go
@@ -0,0 +1,112 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/platform/platformtest"
+)
+
+// eventually bounds the waits of these tests; they end as soon as they can.
+const eventually = 15 * time.Second
+
+// running is a gate with a store and one target.
+type running struct {
+	platformtest.Machine
+	stop func()
+}
+
+func (g *running) isReady() bool { return platformtest.IsReady(g.Ready) }
+
+func freePort(t *testing.T) int {
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	return l.Addr().(*net.TCPAddr).Port
+}
+
+func run(t *testing.T, store *platformtest.Store) *running {
+	t.Helper()
+	g := &running{Machine: platformtest.Machine{
+		Callers: fmt.Sprintf("127.0.0.1:%d", freePort(t)), Ready: fmt.Sprintf("127.0.0.1:%d", freePort(t)), PeersPort: freePort(t),
+	}}
+	f := &flags{Boot: platformtest.WriteSettings(t, store, g.Machine), MetricsPort: freePort(t), LogLevel: "error"}
+	ctx, cancel := context.WithCancel(context.Background())
+	g.stop = cancel
+	done := make(chan error, 1)
+	go func() { done <- start(ctx, f) }()
+	t.Cleanup(func() {
+		cancel()
+		select {
+		case err := <-done:
+			require.NoError(t, err)
+		case <-time.After(eventually):
+			t.Error("the gate does not end")
+		}
+	})
+	return g
+}
+
+func TestGateServesFromTheStoreAlone(t *testing.T) {
+	open := make(chan struct{})
+	close(open)
+	store := platformtest.NewStore(t)
+	g := run(t, store)
+	require.Eventually(t, func() bool {
+		c, err := net.Dial("tcp4", g.Callers)
+		if err == nil {
+			c.Close()
+		}
+		return err == nil
+	}, eventually, 5*time.Millisecond)
+	require.False(t, g.isReady(), "it knows neither table nor targets")
+	resp := platformtest.Ask(t, g.Callers)
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, "not 404 or 401")
+	resp.Body.Close()
+
+	store.PutStreams(platformtest.StreamTarget(t, open))
+	require.Eventually(t, g.isReady, eventually, 5*time.Millisecond)
+	resp = platformtest.Ask(t, g.Callers)
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	require.Equal(t, platformtest.FirstEvent+platformtest.SecondEvent, string(body))
+}
+
+func TestGateStopsWithoutCuttingAStream(t *testing.T) {
+	next := make(chan struct{})
+	store := platformtest.NewStore(t)
+	store.PutStreams(platformtest.StreamTarget(t, next))
+	g := run(t, store)
+	require.Eventually(t, g.isReady, eventually, 5*time.Millisecond)
+	resp := platformtest.Ask(t, g.Callers)
+	defer resp.Body.Close()
+	first := make([]byte, len(platformtest.FirstEvent))
+	_, err := io.ReadFull(resp.Body, first)
+	require.NoError(t, err)
+
+	g.stop()
+	require.Eventually(t, func() bool { return !g.isReady() }, eventually, 5*time.Millisecond)
+	close(next)
+	rest, err := io.ReadAll(resp.Body)
+	require.NoError(t, err, "the stream is not cut")
+	require.Equal(t, platformtest.SecondEvent, string(rest))
+}
+
+func TestFaultySettingsAreNamed(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "local.toml")
+	require.NoError(t, os.WriteFile(file, []byte(`zone = "a"`), 0o600))
+	err := start(context.Background(), &flags{Boot: file})
+	require.ErrorContains(t, err, "node_name")
+	require.ErrorContains(t, err, "platform.address")
+	require.Error(t, (&flags{MetricsPort: 70000}).validate())
+}
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -85,7 +85,7 @@
 
 func TestEndedRequestsLeaveNoLoad(t *testing.T) {
 	c := newTestController()
-	for n, result := range []Result{ResultDone, ResultRejected, ResultFailed, ResultLost, ResultWithdrawn} {
+	for n, result := range []Result{ResultDone, ResultRejected, ResultFailed, ResultLost, ResultMisdirected, ResultWithdrawn} {
 		d := c.Admit(time.Duration(n)*time.Hour, letter("w", 7, n), engines(1))
 		require.Empty(t, d.Refused, result)
 		d.Lease.End(0, result, engines(1))
@@ -105,6 +105,21 @@
 	require.Equal(t, bad, c.Admit(firstEjection, letter("w", 7, 3), all).Target.ID)
 }
 
+func TestTargetWhoseAddressAnotherHasIsLeftOut(t *testing.T) {
+	c := newTestController()
+	all := engines(4)
+	d := c.Admit(0, letter("w", 7, 1), all)
+	gone := d.Target.ID
+	d.Lease.End(0, ResultMisdirected, all)
+	for n := range 30 {
+		now := time.Duration(n) * 100 * time.Millisecond // until the list follows
+		got := c.Admit(now, letter("w", 7, 2+n), all)
+		require.Empty(t, got.Refused)
+		require.NotEqual(t, gone, got.Target.ID)
+		got.Lease.End(now, ResultDone, all)
+	}
+}
+
 func TestOutlierIsLeftOutButNotAWholeServiceThatFails(t *testing.T) {
 	c := newTestController()
 	all := engines(4)
--- a/internal/admission/health.go
+++ b/internal/admission/health.go
@@ -89,6 +89,14 @@
 	h.eject(now, t)
 }
 
+// gone notes that another target has the address. Until the platform's list says
+// so too, the one meant is left out as long as may be.
+func (h *health) gone(now time.Duration, id string) {
+	t := h.of(id)
+	t.ejected = longestEjection
+	t.until = now + longestEjection
+}
+
 // failed notes a lost or spoilt answer, or a failure of the target's own. mean
 // is the failure rate of its service. It reports whether the target is left out
 // from now on.
--- a/internal/admission/lease.go
+++ b/internal/admission/lease.go
@@ -21,13 +21,16 @@
 	ResultFailed
 	// ResultLost: the connection ended or the answer was spoilt.
 	ResultLost
+	// ResultMisdirected: another target answered at the address and did not run
+	// the request; the one meant is gone.
+	ResultMisdirected
 	// ResultWithdrawn: the gate or the caller gave it up.
 	ResultWithdrawn
 )
 
 // String returns the result's label in metrics.
 func (r Result) String() string {
-	return [...]string{"done", "rejected", "unreachable", "failed", "lost", "withdrawn"}[r]
+	return [...]string{"done", "rejected", "unreachable", "failed", "lost", "misdirected", "withdrawn"}[r]
 }
 
 // Lease is a request's place at a target. It must be ended exactly once.
@@ -71,6 +74,9 @@
 		c.suspects.unreachable(now, id)
 		c.health.unreachable(now, id)
 		return true
+	case ResultMisdirected:
+		c.health.gone(now, id)
+		return true
 	case ResultLost:
 		c.suspects.lost(now, id, l.fingerprint)
 		return c.health.failed(now, id, c.meanFailures(peers))
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -233,7 +233,7 @@
 	switch {
 	case v.Misdirected:
 		a.Body.Close()
-		return outcome{result: admission.ResultRejected, err: errors.New("another target has the address")}
+		return outcome{result: admission.ResultMisdirected, err: errors.New("another target has the address")}
 	case v.NotRun && a.Status != http.StatusBadRequest:
 		a.Body.Close()
 		return outcome{result: admission.ResultRejected, err: errors.Newf("target rejected the request with status %d", a.Status)}
@@ -335,7 +335,7 @@
 	switch r {
 	case admission.ResultRejected:
 		return request.ReasonOverloaded
-	case admission.ResultUnreachable:
+	case admission.ResultUnreachable, admission.ResultMisdirected:
 		return request.ReasonTargetDown
 	case admission.ResultWithdrawn:
 		return request.ReasonDeadline
--- /dev/null
+++ b/internal/overload/play.go
@@ -0,0 +1,274 @@
+package overload
+
+import (
+	"container/heap"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/target"
+)
+
+// Kind is a kind of request.
+type Kind struct {
+	Name         string
+	Share        float64 // of all requests
+	SharedTokens int     // of the part that requests have in common
+	SharedParts  int     // how many such parts there are
+	OwnTokens    int     // mean of the part of its own
+	Output       int     // mean tokens to generate
+	Goal         time.Duration
+	Deadline     time.Duration
+}
+
+// Workspace sends requests at a rate, to some of the gates.
+type Workspace struct {
+	Name      string
+	PerSecond float64
+	Gates     []int // nil: all
+	// Long makes it send only kinds with long prompts (true) or all (false).
+	Long bool
+}
+
+// Load is what is played.
+type Load struct {
+	Kinds           []Kind
+	Workspaces      []Workspace
+	Gates, Engines  int
+	Length          time.Duration
+	TokensPerSecond float64
+	// ReportDelay is how late gates learn of each other.
+	ReportDelay time.Duration
+	Seed        uint64
+}
+
+// Outcome is what callers of one workspace or kind got.
+type Outcome struct {
+	Asked, InTime, Late, Refused int
+	// Tokens is the prompt tokens of requests that were taken.
+	Tokens int
+	// LongestWait is the longest time to a first event.
+	LongestWait time.Duration
+}
+
+// Result is the outcome of a play.
+type Result struct {
+	Workspaces map[string]*Outcome
+	Kinds      map[string]*Outcome
+	Total      Outcome
+}
+
+// Policy decides for one gate.
+type Policy interface {
+	Admit(now time.Duration, r *admission.Request, targets []target.Instance) admission.Decision
+	Report(now time.Duration) admission.Report
+	Merge(now time.Duration, node string, r admission.Report)
+}
+
+// request is a caller's request.
+type request struct {
+	kind         *Kind
+	workspace    string
+	shared       uint64
+	sharedTokens int
+	own, output  int
+	arrived      time.Duration
+	deadline     time.Duration
+	lease        *admission.Lease
+	outcomes     []*Outcome
+}
+
+// first notes the first event.
+func (r *request) first(now time.Duration) {
+	wait := now - r.arrived
+	for _, o := range r.outcomes {
+		if wait <= r.kind.Goal {
+			o.InTime++
+		} else {
+			o.Late++
+		}
+		o.LongestWait = max(o.LongestWait, wait)
+	}
+	r.lease.Began()
+}
+
+// event is something that happens at a moment.
+type event struct {
+	at  time.Duration
+	seq int
+	do  func(now time.Duration)
+}
+
+type agenda []event
+
+func (a agenda) Len() int { return len(a) }
+func (a agenda) Less(i, j int) bool {
+	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
+}
+func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
+
+// Push implements heap.Interface.
+func (a *agenda) Push(x any) { *a = append(*a, x.(event)) }
+
+// Pop implements heap.Interface.
+func (a *agenda) Pop() any {
+	old := *a
+	last := old[len(old)-1]
+	*a = old[:len(old)-1]
+	return last
+}
+
+// play is a run under way.
+type play struct {
+	load    *Load
+	rng     *rand.Rand
+	gates   []Policy
+	engines []*engine
+	byID    map[string]*engine
+	targets []target.Instance
+	agenda  agenda
+	seq     int
+	result  *Result
+}
+
+// reportInterval is the pause between two reports of a gate.
+const reportInterval = 200 * time.Millisecond
+
+// Play plays the load against gates that newPolicy makes.
+func Play(load *Load, newPolicy func() Policy) *Result {
+	p := &play{
+		load: load, rng: rand.New(rand.NewPCG(load.Seed, 1)), byID: make(map[string]*engine),
+		result: &Result{Workspaces: make(map[string]*Outcome), Kinds: make(map[string]*Outcome)},
+	}
+	for i := range load.Engines {
+		e := &engine{id: fmt.Sprintf("e%02d", i), kept: make(map[uint64]time.Duration)}
+		p.engines = append(p.engines, e)
+		p.byID[e.id] = e
+		p.targets = append(p.targets, target.Instance{ID: e.id, Service: "engines", Domain: "d", Slots: batch})
+	}
+	for i := range load.Gates {
+		p.gates = append(p.gates, newPolicy())
+		p.at(time.Duration(i)*reportInterval/time.Duration(load.Gates), func(now time.Duration) { p.report(now, i) })
+	}
+	for i := range load.Workspaces {
+		p.nextArrival(0, &load.Workspaces[i])
+	}
+	for p.agenda.Len() > 0 {
+		e := heap.Pop(&p.agenda).(event)
+		e.do(e.at)
+	}
+	return p.result
+}
+
+func (p *play) at(at time.Duration, do func(now time.Duration)) {
+	p.seq++
+	heap.Push(&p.agenda, event{at, p.seq, do})
+}
+
+// report tells the other gates, some time later.
+func (p *play) report(now time.Duration, from int) {
+	if now > p.load.Length {
+		return
+	}
+	r := p.gates[from].Report(now)
+	p.at(now+p.load.ReportDelay, func(now time.Duration) {
+		for i, g := range p.gates {
+			if i != from {
+				g.Merge(now, fmt.Sprint("gate", from), r)
+			}
+		}
+	})
+	p.at(now+reportInterval, func(now time.Duration) { p.report(now, from) })
+}
+
+func (p *play) nextArrival(now time.Duration, w *Workspace) {
+	at := now + time.Duration(p.rng.ExpFloat64()/w.PerSecond*float64(time.Second))
+	if at > p.load.Length {
+		return
+	}
+	p.at(at, func(now time.Duration) {
+		p.arrive(now, w)
+		p.nextArrival(now, w)
+	})
+}
+
+// spread draws around a mean, as the sheets do: most below, some far above.
+func (p *play) spread(mean int) int {
+	const sigma = 0.8
+	return max(1, int(float64(mean)*math.Exp(sigma*p.rng.NormFloat64()-sigma*sigma/2)))
+}
+
+func (p *play) kind(long bool) *Kind {
+	at := p.rng.Float64()
+	for i := range p.load.Kinds {
+		k := &p.load.Kinds[i]
+		if at -= k.Share; at < 0 && (!long || i == 0) {
+			return k
+		}
+	}
+	return &p.load.Kinds[0]
+}
+
+func (p *play) arrive(now time.Duration, w *Workspace) {
+	k := p.kind(w.Long)
+	part := p.rng.IntN(k.SharedParts)
+	r := &request{
+		kind: k, workspace: w.Name, shared: uint64(part)<<8 | uint64(len(k.Name)), sharedTokens: k.SharedTokens,
+		own: p.spread(k.OwnTokens), output: p.spread(k.Output), arrived: now, deadline: now + k.Deadline,
+		outcomes: []*Outcome{p.of(p.result.Workspaces, w.Name), p.of(p.result.Kinds, k.Name), &p.result.Total},
+	}
+	d := p.gate(w).Admit(now, &admission.Request{
+		Workspace: w.Name, Service: "engines", Slots: batch, CacheTokens: cacheTokens,
+		Parts:  []admission.Part{{Hash: r.shared, Tokens: r.sharedTokens}, {Hash: p.rng.Uint64(), Tokens: r.own}},
+		Prompt: r.sharedTokens + r.own, Output: r.output, Goal: k.Goal, Hash: p.rng.Uint64(), Fingerprint: admission.Fingerprint(p.rng.Uint64()),
+	}, p.targets)
+	for _, o := range r.outcomes {
+		o.Asked++
+		if d.Refused != "" {
+			o.Refused++
+		} else {
+			o.Tokens += r.sharedTokens + r.own
+		}
+	}
+	if d.Refused != "" {
+		return
+	}
+	r.lease = d.Lease
+	e := p.byID[d.Target.ID]
+	e.accept(now, r)
+	if !e.stepping {
+		p.step(now, e)
+	}
+}
+
+func (p *play) gate(w *Workspace) Policy {
+	if w.Gates == nil {
+		return p.gates[p.rng.IntN(len(p.gates))]
+	}
+	return p.gates[w.Gates[p.rng.IntN(len(w.Gates))]]
+}
+
+func (p *play) of(all map[string]*Outcome, name string) *Outcome {
+	o := all[name]
+	if o == nil {
+		o = &Outcome{}
+		all[name] = o
+	}
+	return o
+}
+
+func (p *play) step(now time.Duration, e *engine) {
+	length := e.step()
+	e.stepping = length > 0
+	if !e.stepping {
+		return
+	}
+	p.at(now+length, func(now time.Duration) {
+		for _, j := range e.finish(now) {
+			j.request.lease.End(now, admission.ResultDone, nil)
+		}
+		p.step(now, e)
+	})
+}
--- /dev/null
+++ b/internal/peers/peers_test.go
@@ -0,0 +1,122 @@
+package peers
+
+import (
+	"context"
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/testutil"
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/target"
+)
+
+type gate struct {
+	exchange   *Exchange
+	controller *admission.Controller
+	now        time.Duration
+}
+
+func newGate(t *testing.T, node string) *gate {
+	t.Helper()
+	g := &gate{controller: admission.NewController(admission.Config{})}
+	var err error
+	g.exchange, err = Listen(Config{
+		Node: node, Region: "r", Listen: "127.0.0.1:0", Start: 1, Now: func() time.Duration { return g.now }, Log: hclog.NewNullLogger(),
+	}, g.controller, prometheus.NewRegistry())
+	require.NoError(t, err)
+	t.Cleanup(func() { g.exchange.socket.Close() })
+	return g
+}
+
+func (g *gate) address(node, region string) Address {
+	addr := netip.MustParseAddrPort(g.exchange.socket.LocalAddr().String())
+	return Address{Node: node, Addr: addr, Region: region}
+}
+
+var engine = []target.Instance{{ID: "e", Service: "s", Slots: 10}}
+
+// fill gives the engine as many requests as it takes.
+func (g *gate) fill() {
+	for n := 0; ; n++ {
+		if g.controller.Admit(g.now, request(n), engine).Refused != "" {
+			return
+		}
+	}
+}
+
+func request(n int) *admission.Request {
+	return &admission.Request{Workspace: "w", Service: "s", Slots: 10, Prompt: 10, Hash: uint64(n), Fingerprint: admission.Fingerprint(n)}
+}
+
+func TestGatesLearnOfEachOthersLoad(t *testing.T) {
+	a, b := newGate(t, "a"), newGate(t, "b")
+	a.exchange.SetPeers([]Address{a.address("a", "r"), b.address("b", "r")})
+	a.fill()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go b.exchange.receive(ctx)
+	a.exchange.send(false)
+	require.Eventually(t, func() bool { return b.exchange.Alive() == 1 }, 5*time.Second, time.Millisecond)
+	require.Eventually(t, func() bool { return b.controller.Admit(0, request(1), engine).Refused != "" }, 5*time.Second, time.Millisecond)
+}
+
+func TestOtherRegionsHearLessOften(t *testing.T) {
+	a, b := newGate(t, "a"), newGate(t, "b")
+	a.exchange.SetPeers([]Address{b.address("b", "other")})
+	a.exchange.send(false)
+	require.Zero(t, testutil.ToFloat64(a.exchange.metrics.sent))
+	a.exchange.send(true)
+	require.Positive(t, testutil.ToFloat64(a.exchange.metrics.sent))
+}
+
+func encode(t *testing.T, m message) []byte {
+	data, err := cbor.Marshal(m)
+	require.NoError(t, err)
+	return data
+}
+
+func TestOlderReportsReplaceNothing(t *testing.T) {
+	g := newGate(t, "a")
+	full := map[string][3]int{"e": {10, 0, 0}}
+	g.exchange.take(encode(t, message{Node: "b", Start: 5, Sequence: 8, Loads: full}))
+	for _, old := range []message{
+		{Node: "b", Start: 5, Sequence: 7},  // out of order
+		{Node: "b", Start: 5, Sequence: 8},  // twice
+		{Node: "b", Start: 4, Sequence: 99}, // of an earlier start
+		{Node: "a", Start: 9, Sequence: 1},  // of itself
+		{},
+	} {
+		g.exchange.take(encode(t, old))
+	}
+	g.exchange.take([]byte("no report"))
+	require.NotEmpty(t, g.controller.Admit(0, request(1), engine).Refused, "the load of the newest report holds")
+	require.InDelta(t, 6, testutil.ToFloat64(g.exchange.metrics.faulty), 0)
+	g.exchange.take(encode(t, message{Node: "b", Start: 6, Sequence: 1}))
+	require.Empty(t, g.controller.Admit(0, request(1), engine).Refused, "a new start has no load")
+}
+
+func TestSilentPeersAreForgotten(t *testing.T) {
+	g := newGate(t, "a")
+	g.exchange.take(encode(t, message{Node: "b", Start: 5, Sequence: 1}))
+	g.now = silence
+	g.exchange.send(false)
+	require.Equal(t, 1, g.exchange.Alive())
+	g.now = silence + time.Millisecond
+	g.exchange.send(false)
+	require.Zero(t, g.exchange.Alive())
+}
+
+func TestNegativeLoadsCountAsNone(t *testing.T) {
+	g := newGate(t, "a")
+	g.exchange.take(encode(t, message{Node: "b", Start: 5, Sequence: 1, Loads: map[string][3]int{"e": {-100, -1, -1}}}))
+	n := 0
+	for ; g.controller.Admit(0, request(n), engine).Refused == ""; n++ {
+	}
+	require.LessOrEqual(t, n, 7)
+}
--- a/scripts/check-docs.sh
+++ b/scripts/check-docs.sh
@@ -85,7 +85,7 @@
 
 check_settings() {
   local program known=
-  for program in mastichollow-router mastichollow-agent mastichollowctl mastichollow-standin; do
+  for program in mastichollow-router mastichollow-agent mastichollow-gate mastichollowctl mastichollow-standin; do
     compare "setting of $program" "$(all_settings "$program")" "$(rows "### Settings of $program")"
     known+=$(all_settings "$program")$'\n'
   done
@@ -110,7 +110,7 @@
     "$(grep -oE 'mastichollowctl [a-z-]+ [a-z]+' "$page")"
 }
 
-sources() { git ls-files --cached --others --exclude-standard 'internal/*.go' 'cmd/*.go' | grep -v '_test\.go$'; }
+sources() { git ls-files --cached --others --exclude-standard 'internal/*.go' 'cmd/*.go' 'platform/*.go' | grep -v '_test\.go$'; }
 
 # metrics: name|labels of each metric of the code. A name is a literal in Opts, or
 # the first argument of a method of metric.Factory or of the makers of the router
