Give shares to short prompts and to those whose shared part is kept

Cause: long prompts of workspaces above their share were placed where their shared part had to be read anew, and made short ones late.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -30,14 +30,11 @@
 	// ownWait and spareWait bound the predicted wait for the first token, as
 	// parts of the time that is left to the goal.
 	ownWait   = 0.6
-	spareWait = 0.05
-	// ownReading bounds the own prompt tokens that count in that wait: requests
-	// with the longest prompts are late by themselves and are still served.
-	ownReading = 8000
+	spareWait = 0.1
 	// shareRunning and shareWait are for the share of workspaces that ask for more
 	// than it: their short requests use it when the long ones don't fit.
 	shareRunning = 0.45
-	shareWait    = 0.3
+	shareWait    = 0.13
 	// idleRunning and idleWait are for what is beyond.
 	idleRunning = 0.06
 	idleWait    = 0.02
@@ -45,6 +42,10 @@
 	// part of it. The platform takes it as unfair when one of them gets less than
 	// half of another.
 	spareShare = 0.8
+	// ownPartOfRoom bounds how much of the room for prompts a request's own part
+	// is taken to need: the largest tenth of a kind is served half as often as
+	// the others at least (the users' gate), though it is late by itself.
+	ownPartOfRoom = 0.7
 	// memoryShare is the part of an engine's memory that requests in hand may
 	// fill; the rest keeps shared prompt parts.
 	memoryShare = 0.8
@@ -334,9 +335,20 @@
 	if req.CacheTokens > 0 && float64(load.Held+req.Prompt+req.Output) > memoryShare*float64(req.CacheTokens) && load.Running > 0 {
 		return false
 	}
-	ahead := load.Reading + min(missing, ownReading)
-	predicted := time.Duration(float64(ahead) / readTokensPerMS * float64(time.Millisecond))
-	return req.Goal <= 0 || load.Running == 0 || predicted <= time.Duration(l.wait*float64(req.Goal))
+	if req.Goal <= 0 || load.Running == 0 {
+		return true
+	}
+	room := int(l.wait * req.Goal.Seconds() * 1000 * readTokensPerMS)
+	own := min(missing, req.ownPart())
+	return load.Reading+missing-own+min(own, int(ownPartOfRoom*float64(room))) <= room
+}
+
+// ownPart returns the tokens that no other request has in common.
+func (r *Request) ownPart() int {
+	if len(r.Parts) == 0 {
+		return r.Prompt
+	}
+	return r.Parts[len(r.Parts)-1].Tokens
 }
 
 func (c *Controller) cacheOf(id string, req *Request) *cache {
