--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -36,8 +36,8 @@
 	shareRunning = 0.45
 	shareWait    = 0.13
 	// idleRunning and idleWait are for what is beyond.
-	idleRunning = 0.12
-	idleWait    = 0.05
+	idleRunning = 0.06
+	idleWait    = 0.02
 	// spareShare is what workspaces above their share may have besides it, as a
 	// part of it. The platform takes it as unfair when one of them gets less than
 	// half of another.
