--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -35,6 +35,9 @@
 	// than it: their short requests use it when the long ones don't fit.
 	shareRunning = 0.45
 	shareWait    = 0.13
+	// unusedWait is for those that leave most of their share unused, since their
+	// prompts are long.
+	unusedWait = 0.3
 	// idleRunning and idleWait are for what is beyond.
 	idleRunning = 0.06
 	idleWait    = 0.02
@@ -305,7 +308,11 @@
 	excess := (u.Served + req.work()) / max(c.level, 1)
 	switch {
 	case p.share.open(now, rate):
-		return limit{running: shareRunning, wait: shareWait, excess: excess, pace: &p.share}
+		wait := shareWait
+		if p.share.unused(rate) {
+			wait = unusedWait
+		}
+		return limit{running: shareRunning, wait: wait, excess: excess, pace: &p.share}
 	case p.spare.open(now, rate*spareShare):
 		return limit{running: spareRunning, wait: spareWait, excess: excess, over: true, pace: &p.spare}
 	default:
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -130,6 +130,10 @@
 // come in clumps, and a goal lasts about a second.
 const paceDepth = time.Second
 
+// unusedDepth is the part of that depth above which a share goes unused: with
+// short requests alone, a workspace that asks for more stays near zero.
+const unusedDepth = 0.5
+
 // open reports whether the share has room for one more request. rate is the
 // gate's part of the share, in tokens of work a second.
 func (p *pace) open(now time.Duration, rate float64) bool {
@@ -138,6 +142,11 @@
 	return p.saved > 0
 }
 
+// unused reports whether most of what can be saved up is there.
+func (p *pace) unused(rate float64) bool {
+	return p.saved > unusedDepth*rate*paceDepth.Seconds()
+}
+
 // take uses the share.
 func (p *pace) take(work float64) { p.saved -= work }
 
