Split the policy by kind of target, drop what the gate does not use

No change of behaviour. The table's priorities, pauses and caller limits were decoded and never read; they come back with what uses them. New connections to targets are counted.

--- a/cmd/mastichollow-gate/server.go
+++ b/cmd/mastichollow-gate/server.go
@@ -41,7 +41,7 @@
 }
 
 // listen opens the listeners.
-func listen(s *platform.Settings, g *gate.Gate, _ *flags, log hclog.Logger) (*server, error) {
+func listen(s *platform.Settings, g *gate.Gate, log hclog.Logger) (*server, error) {
 	callers, err := net.Listen("tcp4", s.Callers)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening for callers on %s", s.Callers)
--- a/cmd/mastichollow-gate/start.go
+++ b/cmd/mastichollow-gate/start.go
@@ -16,6 +16,7 @@
 	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/internal/eventlog"
 	"github.com/mastichollow/mastichollow/internal/gate"
+	"github.com/mastichollow/mastichollow/internal/metric"
 	"github.com/mastichollow/mastichollow/internal/peers"
 	"github.com/mastichollow/mastichollow/internal/process"
 	"github.com/mastichollow/mastichollow/internal/process/settings"
@@ -82,7 +83,8 @@
 	}
 	table := gate.NewConfiguration(boot)
 	directory := target.NewDirectory()
-	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, Now: steady}, nil)
+	dialed := metric.For(reg, "mastichollow_targets").Counter("connections_total", "New connections to targets.")
+	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, Now: steady}, dialed.Inc)
 	g := gate.New(gate.Config{
 		KeyAge: s.KeyAge(), DenyAge: s.DenyAge(), BodiesBytes: int64(bodiesShare * float64(s.MemoryBytes)),
 		Now: steady, Events: events,
@@ -92,7 +94,7 @@
 		Controller: controller, Peers: exchange, Boot: boot, Steady: steady, Start: born,
 		Log: log.Named("platform"), Gone: pool.Forget,
 	}
-	server, err := listen(s, g, f, log)
+	server, err := listen(s, g, log)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/admission/engine.go
@@ -0,0 +1,215 @@
+package admission
+
+import (
+	"maps"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/mastichollow/mastichollow/internal/request"
+	"github.com/mastichollow/mastichollow/internal/target"
+)
+
+const (
+	// readTokensPerMS is the speed at which an engine reads prompts when it
+	// does nothing else, from the sheets of both deployments.
+	readTokensPerMS = 48.2
+	// affinityWidth is the number of targets on which the requests of one
+	// shared prompt are placed. Wider spreading loses more cached parts than it
+	// gains in places.
+	affinityWidth = 2
+	// spillWidth is the number of targets of all regions that are tried besides.
+	spillWidth = 2
+	// ownRunning and spareRunning bound the requests in an engine's hands, as
+	// parts of its batch: for workspaces below their share and for those above.
+	// Past them the steps get so long that streams miss their pauses.
+	ownRunning   = 0.62
+	spareRunning = 0.15
+	// ownWait and spareWait bound the predicted wait for the first token, as
+	// parts of the time that is left to the goal.
+	ownWait   = 0.6
+	spareWait = 0.1
+	// shareRunning and shareWait are for the share of workspaces that ask for more
+	// than it: their short requests use it when the long ones don't fit.
+	shareRunning = 0.45
+	shareWait    = 0.13
+	// unusedWait is for those that leave most of their share unused, since their
+	// prompts are long.
+	unusedWait = 0.3
+	// idleRunning and idleWait are for what is beyond.
+	idleRunning = 0.06
+	idleWait    = 0.02
+	// spareShare is what workspaces above their share may have besides it, as a
+	// part of it. The platform takes it as unfair when one of them gets less than
+	// half of another.
+	spareShare = 0.8
+	// ownPartOfRoom bounds how much of the room for prompts a request's own part
+	// is taken to need: the largest tenth of a kind is served half as often as
+	// the others at least (the users' gate), though it is late by itself.
+	ownPartOfRoom = 0.7
+	// memoryShare is the part of an engine's memory that requests in hand may
+	// fill; the rest keeps shared prompt parts.
+	memoryShare = 0.8
+	// cacheShare is the part of an engine's memory that is taken to keep shared
+	// prompt parts.
+	cacheShare = 0.5
+	// levelInterval is how often the fleet's shares are worked out anew.
+	levelInterval = 100 * time.Millisecond
+)
+
+// placeEngine takes the first of the few targets that keep the shared prompt
+// and have room.
+func (c *Controller) placeEngine(now time.Duration, req *Request, targets []target.Instance, avoid avoided) Decision {
+	c.refreshLevel(now)
+	if !req.Repeat {
+		c.shares.add(now, req.Workspace, Usage{Asked: req.work()})
+	}
+	limit := c.limitFor(now, req)
+	first := Decision{Refused: request.ReasonNoTarget, OverShare: limit.over, Excess: limit.excess}
+	choices := c.choices(req, targets, avoid)
+	for i, index := range choices.indexes[:choices.n] {
+		in := targets[index]
+		load := c.loads.of(in.ID)
+		missing := c.cacheOf(in.ID, req).missing(req.Parts)
+		if i == 0 {
+			first = Decision{Refused: request.ReasonOverloaded, Target: in, Load: load, Missing: missing, OverShare: limit.over, Excess: limit.excess}
+		}
+		if limit.fits(req, load, missing) {
+			if limit.pace != nil {
+				limit.pace.take(req.work())
+			}
+			return c.place(now, req, in, missing, limit.over)
+		}
+	}
+	return first
+}
+
+// choices returns the few targets that a request may go to, the best first:
+// those of the own region, then those of all.
+func (c *Controller) choices(req *Request, targets []target.Instance, avoid avoided) best {
+	key := affinity(req.Parts, req.Hash)
+	var near, all best
+	for i := range targets {
+		in := &targets[i]
+		if avoid.has(in) {
+			continue
+		}
+		score := mix(key ^ xxhash.Sum64String(in.ID))
+		all.add(score, i, affinityWidth+spillWidth)
+		if c.config.Site.distance(in) < otherRegion {
+			near.add(score, i, affinityWidth)
+		}
+	}
+	for i := 0; i < all.n && near.n < len(near.indexes); i++ {
+		if index := all.indexes[i]; !near.has(index) {
+			near.indexes[near.n] = index
+			near.n++
+		}
+	}
+	return near
+}
+
+// limit bounds the load of a target beside which a request is placed.
+type limit struct {
+	running float64 // part of the batch
+	wait    float64 // part of the time to the goal
+	// excess is what the workspace has with this request, in shares.
+	excess float64
+	// over: the request is beyond the workspace's share.
+	over bool
+	// pace is used up by the request; nil: none.
+	pace *pace
+}
+
+// limitFor gives workspaces below their share the whole room. Those above it
+// get the whole room for their share, what is spare for a part more, and targets
+// that are next to idle beyond. Shares are let through evenly and what was had
+// before does not count: workspaces come out even over any few seconds.
+func (c *Controller) limitFor(now time.Duration, req *Request) limit {
+	u := c.usage[req.Workspace]
+	if c.level < 0 || u.Asked <= c.level {
+		return limit{running: ownRunning, wait: ownWait}
+	}
+	rate := c.localRate(req.Workspace, u)
+	p := c.pacesOf(req.Workspace)
+	excess := (u.Served + req.work()) / max(c.level, 1)
+	switch {
+	case p.share.open(now, rate):
+		wait := shareWait
+		if p.share.unused(rate) {
+			wait = unusedWait
+		}
+		return limit{running: shareRunning, wait: wait, excess: excess, pace: &p.share}
+	case p.spare.open(now, rate*spareShare):
+		return limit{running: spareRunning, wait: spareWait, excess: excess, over: true, pace: &p.spare}
+	default:
+		return limit{running: idleRunning, wait: idleWait, excess: excess, over: true}
+	}
+}
+
+// localRate returns this gate's part of a workspace's share, as its callers
+// come to the gates, in tokens of work a second.
+func (c *Controller) localRate(workspace string, fleet Usage) float64 {
+	return c.level / shareWindow.Seconds() * min(1, c.own[workspace].Asked/max(fleet.Asked, 1))
+}
+
+func (c *Controller) pacesOf(workspace string) *paces {
+	p := c.paces[workspace]
+	if p == nil {
+		p = &paces{}
+		c.paces[workspace] = p
+	}
+	return p
+}
+
+func (l limit) fits(req *Request, load Load, missing int) bool {
+	if float64(load.Running) >= l.running*float64(req.Slots) {
+		return false
+	}
+	if req.CacheTokens > 0 && float64(load.Held+req.Prompt+req.Output) > memoryShare*float64(req.CacheTokens) && load.Running > 0 {
+		return false
+	}
+	if req.Goal <= 0 || load.Running == 0 {
+		return true
+	}
+	room := int(l.wait * req.Goal.Seconds() * 1000 * readTokensPerMS)
+	own := min(missing, req.ownPart())
+	return load.Reading+missing-own+min(own, int(ownPartOfRoom*float64(room))) <= room
+}
+
+// ownPart returns the tokens that no other request has in common.
+func (r *Request) ownPart() int {
+	if len(r.Parts) == 0 {
+		return r.Prompt
+	}
+	return r.Parts[len(r.Parts)-1].Tokens
+}
+
+func (c *Controller) cacheOf(id string, req *Request) *cache {
+	kept := c.caches[id]
+	if kept == nil {
+		kept = newCache(int(cacheShare * float64(req.CacheTokens)))
+		c.caches[id] = kept
+	}
+	return kept
+}
+
+func (c *Controller) refreshLevel(now time.Duration) {
+	if now-c.levelAt < levelInterval {
+		return
+	}
+	c.levelAt = now
+	c.loads.refresh(now)
+	c.own = c.shares.local(now)
+	c.usage = c.shares.fleet(now)
+	maps.DeleteFunc(c.paces, func(workspace string, _ *paces) bool { return c.own[workspace].Asked == 0 })
+	c.level = -1
+	if c.capacity <= 0 {
+		return
+	}
+	asked := make([]float64, 0, len(c.usage))
+	for _, u := range c.usage {
+		asked = append(asked, u.Asked)
+	}
+	c.level = waterLevel(asked, c.capacity*shareWindow.Seconds())
+}
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -37,7 +37,6 @@
 	r       *http.Request
 	meta    Meta
 	started time.Time // of the wall clock with its steady part
-	arrived time.Duration
 
 	table     *route.Table
 	age       time.Duration
@@ -46,9 +45,8 @@
 	workspace string
 	body      []byte
 	deadline  time.Time
-	timeout   time.Time // of the route; zero: none
-	sent      int       // sends to targets that may have reached them
-	tried     []string  // IDs of targets
+	sent      int      // sends to targets that may have reached them
+	tried     []string // IDs of targets
 	policy    admission.Request
 
 	status    int // that the caller got
@@ -64,7 +62,6 @@
 		gate: g, w: w, r: r,
 		meta:    g.codec.Decode(r.Header),
 		started: time.Now(),
-		arrived: g.config.Now(),
 	}
 }
 
@@ -168,9 +165,8 @@
 	if c.route.Timeout <= 0 {
 		return
 	}
-	c.timeout = c.started.Add(c.route.Timeout)
-	if c.timeout.Before(c.deadline) {
-		c.deadline = c.timeout
+	if timeout := c.started.Add(c.route.Timeout); timeout.Before(c.deadline) {
+		c.deadline = timeout
 	}
 }
 
--- a/internal/gate/codec.go
+++ b/internal/gate/codec.go
@@ -13,7 +13,6 @@
 	Key string // empty: none
 	// Patience is how long the caller will wait; 0: not said.
 	Patience time.Duration
-	Model    string
 	Parts    []admission.Part // of the prompt, in order
 	Prompt   int              // tokens
 	// MaxOutput bounds the tokens to generate, LengthHint is the caller's guess
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -44,12 +44,8 @@
 	// Goal is the time to the answer, or to the first event of a stream, that
 	// counts as good service. Zero: none.
 	Goal time.Duration
-	// GapGoal is the longest pause between two events of a stream that counts
-	// as good service.
-	GapGoal time.Duration
 	// MaxTargets bounds the targets to which one request may be sent.
 	MaxTargets int
-	Priority   int // 0 is the highest
 	Services   []Share
 }
 
@@ -73,16 +69,11 @@
 type Workspace struct {
 	Name string
 	Keys []string
-	// Priority goes before that of the route; nil: none.
-	Priority *int
 }
 
-// Limits bound what a caller may send.
+// Limits are the bounds that hold for the whole fleet.
 type Limits struct {
-	HeaderBytes   int
-	BodyBytes     int64
-	HeaderTimeout time.Duration
-	IdleTimeout   time.Duration
+	BodyBytes int64
 	// TokensPerSecond is what all engines produce together; 0: not known. A
 	// token that is read counts once, a generated one twice.
 	TokensPerSecond float64
