--- a/cmd/mastichollow-gate/start.go
+++ b/cmd/mastichollow-gate/start.go
@@ -11,6 +11,7 @@
 	"github.com/alecthomas/kong"
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/clock"
@@ -68,51 +69,71 @@
 	duties, stop := context.WithCancel(context.Background())
 	defer stop()
 	go events.Run(duties)
+	n, err := assemble(s, events, log, reg)
+	if err != nil {
+		return err
+	}
+	log.Info("started", "node", s.Node, "domain", s.Domain, "version", process.Version, "callers", s.Callers, "store", s.Store)
+	n.run(duties, reg)
+	go n.server.admin(reg, net.JoinHostPort(hostOf(s.Ready), strconv.Itoa(f.MetricsPort)))
+	go watchSettings(duties, f.Boot, s, n.watcher.Store, log)
 
+	<-ctx.Done()
+	n.server.drain(s.Grace)
+	log.Info("stopped", "in_hand", n.gate.InHand())
+	stop()
+	events.Wait()
+	return nil
+}
+
+// node is the parts of a running gate.
+type node struct {
+	gate    *gate.Gate
+	watcher *platform.Watcher
+	peers   *peers.Exchange
+	pool    *upstream.Pool
+	server  *server
+}
+
+// assemble makes the parts and opens the listeners.
+func assemble(s *platform.Settings, events *eventlog.Log, log hclog.Logger, reg *prometheus.Registry) (*node, error) {
 	steady, boot := clock.Steady(), clock.Boot()
+	born := time.Now().UnixMilli()
 	controller := admission.NewController(admission.Config{
 		Site:  admission.Site{Region: s.Region, Domain: s.Domain, Regions: s.Regions},
 		Retry: admission.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 	})
-	born := time.Now().UnixMilli()
 	exchange, err := peers.Listen(peers.Config{
 		Node: s.Node, Region: s.Region, Listen: s.Peers, Start: born, Now: steady, Log: log.Named("peers"),
 	}, controller, reg)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	table := gate.NewConfiguration(boot)
-	directory := target.NewDirectory()
+	table, directory := gate.NewConfiguration(boot), target.NewDirectory()
 	dialed := metric.For(reg, "mastichollow_targets").Counter("connections_total", "New connections to targets.")
 	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, Now: steady}, dialed.Inc)
 	g := gate.New(gate.Config{
 		KeyAge: s.KeyAge(), DenyAge: s.DenyAge(), BodiesBytes: int64(bodiesShare * float64(s.MemoryBytes)),
 		Now: steady, Events: events,
 	}, platform.Codec{}, table, directory, controller, pool, reg)
-	watcher := &platform.Watcher{
-		Store: platform.NewStore(s.Store), Settings: s, Table: table, Directory: directory,
-		Controller: controller, Peers: exchange, Boot: boot, Steady: steady, Start: born,
-		Log: log.Named("platform"), Gone: pool.Forget,
-	}
 	server, err := listen(s, g, log)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	log.Info("started", "node", s.Node, "domain", s.Domain, "version", process.Version, "callers", s.Callers, "store", s.Store)
-	go watcher.Run(duties, reg)
-	go exchange.Run(duties)
-	go pool.Run(duties)
-	go g.Run(duties)
-	go server.serve()
-	go server.admin(reg, net.JoinHostPort(hostOf(s.Ready), strconv.Itoa(f.MetricsPort)))
-	go watchSettings(duties, f.Boot, s, watcher.Store, log)
+	return &node{gate: g, peers: exchange, pool: pool, server: server, watcher: &platform.Watcher{
+		Store: platform.NewStore(s.Store), Settings: s, Table: table, Directory: directory,
+		Controller: controller, Peers: exchange, Boot: boot, Steady: steady, Start: born,
+		Log: log.Named("platform"), Gone: pool.Forget,
+	}}, nil
+}
 
-	<-ctx.Done()
-	server.drain(s.Grace)
-	log.Info("stopped", "in_hand", g.InHand())
-	stop()
-	events.Wait()
-	return nil
+// run starts the duties, each in a goroutine of its own.
+func (n *node) run(ctx context.Context, reg *prometheus.Registry) {
+	go n.watcher.Run(ctx, reg)
+	go n.peers.Run(ctx)
+	go n.pool.Run(ctx)
+	go n.gate.Run(ctx)
+	go n.server.serve()
 }
 
 func hostOf(addr string) string {
