--- a/cmd/mastichollow-bench/main.go
+++ b/cmd/mastichollow-bench/main.go
@@ -12,6 +12,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mastichollow/mastichollow/internal/experiment"
+	"github.com/mastichollow/mastichollow/internal/overload"
 )
 
 type settings struct {
@@ -51,6 +52,29 @@
 	for i := range jobs {
 		jobs[i].print(out)
 	}
+	if wanted(s.Scenario, "flood") {
+		printFlood(out)
+	}
+}
+
+// printFlood plays the flood against the gate's policy and its baseline.
+func printFlood(out io.Writer) {
+	load := overload.Flood()
+	for _, p := range []struct {
+		name string
+		new  func(*overload.Load) func() overload.Policy
+	}{{"shares", overload.Shares}, {"no_shares", overload.NoShares}} {
+		r := overload.Play(load, p.new(load))
+		below := r.Below(overload.FloodNames...)
+		line := func(measure string, value float64) {
+			_, _ = fmt.Fprintf(out, "%s size=gate policy=%s scenario=flood value=%.3f\n", measure, p.name, value)
+		}
+		line("in_time_below_share", float64(below.InTime)/float64(below.Asked))
+		line("in_time_all", float64(r.Total.InTime)/float64(r.Total.Asked))
+		line("late_all", float64(r.Total.Late)/float64(r.Total.Asked))
+		line("flood_ratio", r.Ratio(overload.FloodNames...))
+		line("longest_wait_s", r.Total.LongestWait.Seconds())
+	}
 }
 
 // jobs lists the combinations that were asked for.
