End callers' connections with their answer when there are many

Requests took 4 to 6 s to be accepted at one gate: callers that retry open new connections, idle ones were kept for 90 s, and at 3,900 open ones accepting stood still ('too many open files', 8 lines). Idle connections now end after 16 s, and all after their next answer while there are more than 0.3 of the descriptors. Tests failed before and pass now.

--- a/cmd/mastichollow-gate/server.go
+++ b/cmd/mastichollow-gate/server.go
@@ -17,9 +17,10 @@
 
 const (
 	// headerTimeout and idleTimeout are above what tables allow callers (3 s,
-	// 15 s), so that a caller's request never meets the close of its connection.
+	// 15 s, of which they use four fifths), so that a caller's request does not
+	// meet the close of its connection. Longer ones pile up idle connections.
 	headerTimeout = 10 * time.Second
-	idleTimeout   = 90 * time.Second
+	idleTimeout   = 16 * time.Second
 	// headerBytes is above what tables allow callers (16 KiB).
 	headerBytes = 64 << 10
 	// noticeTime is how long the balancer may still send callers to a gate that
@@ -55,7 +56,7 @@
 		gate: g, log: log, callers: callers, ready: ready,
 		http: &http.Server{
 			Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-			MaxHeaderBytes: headerBytes, ErrorLog: quiet, ConnContext: gate.ConnContext,
+			MaxHeaderBytes: headerBytes, ErrorLog: quiet, ConnContext: gate.ConnContext, ConnState: g.ConnState,
 		},
 		asked: &http.Server{Handler: platform.ReadyHandler(g.Ready), ReadHeaderTimeout: headerTimeout, ErrorLog: quiet},
 	}, nil
--- a/cmd/mastichollow-gate/start.go
+++ b/cmd/mastichollow-gate/start.go
@@ -35,6 +35,9 @@
 	memoryShare = 0.6
 	// bodiesShare of the machine's memory may hold bodies of requests.
 	bodiesShare = 0.2
+	// connectionsShare of the machine's descriptors may be callers' connections
+	// before they end with their answers; targets and clumps need the rest.
+	connectionsShare = 0.3
 )
 
 // flags are the command line.
@@ -114,7 +117,7 @@
 	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, Now: steady}, dialed.Inc)
 	g := gate.New(gate.Config{
 		KeyAge: s.KeyAge(), DenyAge: s.DenyAge(), BodiesBytes: int64(bodiesShare * float64(s.MemoryBytes)),
-		Now: steady, Events: events,
+		ManyConnections: int(connectionsShare * float64(s.Descriptors)), Now: steady, Events: events,
 	}, platform.Codec{}, table, directory, controller, pool, reg)
 	server, err := listen(s, g, log)
 	if err != nil {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -11,6 +11,7 @@
 
 	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/eventlog"
+	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/upstream"
 )
@@ -23,6 +24,10 @@
 	// DenyAge is the age of the table from which nobody is refused for good on
 	// its word: the route or key may have been added since.
 	DenyAge time.Duration
+	// ManyConnections is the number of callers' connections from which each ends
+	// with its next answer, so that idle ones don't use up the descriptors; 0: no
+	// bound.
+	ManyConnections int
 	// BodiesBytes bounds the bodies of all requests in hand.
 	BodiesBytes int64
 	Now         func() time.Duration // goes forward only
@@ -40,6 +45,7 @@
 	metrics    *metrics
 	bodies     atomic.Int64
 	inHand     atomic.Int64
+	open       atomic.Int64 // callers' connections
 	draining   atomic.Bool
 	closed     atomic.Bool
 	lag        lag
@@ -97,14 +103,33 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
+// ConnState counts callers' connections; it is meant for http.Server.
+func (g *Gate) ConnState(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		g.open.Add(1)
+	case http.StateClosed, http.StateHijacked:
+		g.open.Add(-1)
+	}
+}
+
+func (g *Gate) crowded() bool {
+	return g.config.ManyConnections > 0 && int(g.open.Load()) > g.config.ManyConnections
+}
+
 // ServeHTTP implements http.Handler.
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inHand.Add(1)
 	defer g.inHand.Add(-1)
-	if g.draining.Load() {
+	if g.draining.Load() || g.lag.high() || g.crowded() {
+		// The balancer sends the caller's next connection to another gate.
 		w.Header().Set("Connection", "close")
 	}
 	c := g.newCall(w, r)
+	if g.lag.choked() {
+		c.refuse(unavailable(request.ReasonOverloaded, retrySoon, eventlog.Text("detail", "gate runs late")))
+		return
+	}
 	if refusal := c.prepare(); refusal != nil {
 		c.refuse(refusal)
 		return
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -355,3 +355,43 @@
 	f.gate.lag.add(lagInterval)
 	require.NoError(t, f.gate.Ready(), "one pause is forgiven")
 }
+
+func TestGateThatRunsLateSendsCallersElsewhere(t *testing.T) {
+	f := newFleet(t, routeOf(once), good("whole"))
+	for range 30 {
+		f.gate.lag.add(lagInterval + 2*lagLimit)
+	}
+	got := f.ask("/p/", "b")
+	require.Equal(t, 200, got.status, "it still serves")
+	require.True(t, got.last)
+	for range 60 {
+		f.gate.lag.add(lagInterval + 2*chokedLimit)
+	}
+	got = f.ask("/p/", "b")
+	require.Equal(t, 503, got.status, "at once, not late")
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+	require.Len(t, f.arrivals(), 1)
+	for range 100 {
+		f.gate.lag.add(lagInterval)
+	}
+	require.Equal(t, 200, f.ask("/p/", "b").status)
+}
+
+func TestConnectionsEndWithTheirAnswerWhenThereAreMany(t *testing.T) {
+	f := newFleet(t, routeOf(once), good("whole"))
+	f.gate.config.ManyConnections = 3
+	addr := f.front.Listener.Addr().String()
+	var idle []net.Conn
+	for range 5 {
+		c, err := net.Dial("tcp4", addr)
+		require.NoError(t, err)
+		idle = append(idle, c)
+	}
+	require.Eventually(t, func() bool { return f.gate.crowded() }, 5*time.Second, time.Millisecond)
+	require.True(t, f.ask("/p/", "b").last)
+	for _, c := range idle {
+		c.Close()
+	}
+	require.Eventually(t, func() bool { return !f.gate.crowded() }, 5*time.Second, time.Millisecond)
+	require.False(t, f.ask("/p/", "b").last)
+}
--- a/internal/gate/harness_test.go
+++ b/internal/gate/harness_test.go
@@ -99,6 +99,7 @@
 	f.setTable(1, routes)
 	f.front = httptest.NewUnstartedServer(f.gate)
 	f.front.Config.ConnContext = ConnContext
+	f.front.Config.ConnState = f.gate.ConnState
 	f.front.Start()
 	t.Cleanup(f.front.Close)
 	return f
@@ -163,6 +164,7 @@
 	header http.Header
 	body   string
 	err    error // of the body
+	last   bool  // the connection ends with it
 }
 
 // ask sends one request to the gate.
@@ -188,7 +190,7 @@
 	}
 	defer resp.Body.Close()
 	data, err := io.ReadAll(resp.Body)
-	return answer{resp.StatusCode, resp.Header, string(data), err}
+	return answer{resp.StatusCode, resp.Header, string(data), err, resp.Close}
 }
 
 func stringsReader(s string) io.Reader {
--- a/internal/gate/lag.go
+++ b/internal/gate/lag.go
@@ -12,6 +12,10 @@
 	// lagLimit is how late the gate may run: an eighth of the shortest goals of
 	// streams (500 ms) would otherwise be lost in the gate.
 	lagLimit = 60 * time.Millisecond
+	// chokedLimit is the lag from which new requests are refused unread: half of the
+	// shortest goals of streams would be lost in the gate, and a flood that is
+	// served late only grows.
+	chokedLimit = 250 * time.Millisecond
 	// lagWeight is the weight of the newest look: one pause, such as a collection
 	// of garbage, is forgiven, half a second of them is not.
 	lagWeight = 0.1
@@ -47,3 +51,5 @@
 }
 
 func (l *lag) high() bool { return time.Duration(l.mean.Load()) > lagLimit }
+
+func (l *lag) choked() bool { return time.Duration(l.mean.Load()) > chokedLimit }
