Drop dead state and a doubled decision from the gate's packages

Found by reading the whole change: the lapsed instance was kept and never read, Controller.Level had no caller, a refusal and a repeated answer were each built twice, two checks were redundant.

--- a/internal/admission/engine.go
+++ b/internal/admission/engine.go
@@ -72,7 +72,7 @@
 		load := c.loads.of(in.ID)
 		missing := c.cacheOf(in.ID, req).missing(req.Parts)
 		if i == 0 {
-			first = Decision{Refused: request.ReasonOverloaded, Target: in, Load: load, Missing: missing, OverShare: limit.over, Excess: limit.excess}
+			first.Refused, first.Target, first.Load, first.Missing = request.ReasonOverloaded, in, load, missing
 		}
 		if limit.fits(req, load, missing) {
 			if limit.pace != nil {
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -35,11 +35,3 @@
 	defer c.mu.Unlock()
 	c.gates = max(n, 1)
 }
-
-// Level returns the share of each workspace over the window, in tokens of
-// work; negative if all that is asked fits.
-func (c *Controller) Level() float64 {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.level
-}
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -125,7 +125,7 @@
 // target may mend.
 func (c *call) passOrReplace(ctx context.Context, d admission.Decision, o outcome) outcome {
 	defer c.release()
-	if c.begun && (o.answer.Status != http.StatusOK) {
+	if c.begun && o.answer.Status != http.StatusOK {
 		o.answer.Body.Close()
 		return outcome{result: admission.ResultFailed, ran: true, err: errors.Newf("status %d to a resumed stream", o.answer.Status)}
 	}
@@ -133,7 +133,8 @@
 		o.result = admission.ResultFailed
 		if c.mayRepeat(ctx, o) {
 			o.answer.Body.Close()
-			return outcome{result: admission.ResultFailed, ran: true, repeat: true, err: errors.Newf("status %d", o.answer.Status)}
+			o.repeat, o.err = true, errors.Newf("status %d", o.answer.Status)
+			return o
 		}
 	}
 	return c.pass(ctx, d, o)
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 )
@@ -31,12 +32,9 @@
 // reach stay usable until returnGrace after its return.
 type Directory struct {
 	current atomic.Pointer[Listing]
-	lapsed  map[string]lapse
-}
-
-type lapse struct {
-	instance Instance
-	until    time.Duration // on the clock of the caller
+	// lapsed holds how long entries may still come back, by ID, on the clock of
+	// the caller.
+	lapsed map[string]time.Duration
 }
 
 // Listing is one state of a Directory; it never changes.
@@ -47,7 +45,7 @@
 
 // NewDirectory returns a directory with no targets.
 func NewDirectory() *Directory {
-	d := &Directory{lapsed: make(map[string]lapse)}
+	d := &Directory{lapsed: make(map[string]time.Duration)}
 	d.current.Store(newListing(nil))
 	return d
 }
@@ -61,12 +59,7 @@
 		}
 	}
 	for _, list := range l.services {
-		slices.SortFunc(list, func(a, b Instance) int {
-			if a.ID < b.ID {
-				return -1
-			}
-			return 1
-		})
+		slices.SortFunc(list, func(a, b Instance) int { return strings.Compare(a.ID, b.ID) })
 	}
 	return l
 }
@@ -110,15 +103,15 @@
 	if in.Leaving {
 		return false
 	}
-	l, waiting := d.lapsed[in.ID]
+	until, waiting := d.lapsed[in.ID]
 	if !waiting {
 		if !disturbed {
 			return false
 		}
-		l = lapse{instance: in, until: now + returnGrace}
-		d.lapsed[in.ID] = l
+		until = now + returnGrace
+		d.lapsed[in.ID] = until
 	}
-	if now < l.until {
+	if now < until {
 		return true
 	}
 	delete(d.lapsed, in.ID)
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -236,7 +236,7 @@
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
 	n, err := b.resp.Body.Read(p)
-	if errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF) {
+	if errors.Is(err, io.EOF) {
 		b.ended = true
 		return n, io.EOF
 	}
