--- a/cmd/mastichollow-gate/gate_test.go
+++ b/cmd/mastichollow-gate/gate_test.go
@@ -73,7 +73,7 @@
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, "not 404 or 401")
 	resp.Body.Close()
 
-	store.PutStreams(platformtest.StreamTarget(t, open))
+	platformtest.PutStreams(store, platformtest.StreamTarget(t, open))
 	require.Eventually(t, g.isReady, eventually, 5*time.Millisecond)
 	resp = platformtest.Ask(t, g.Callers)
 	defer resp.Body.Close()
@@ -85,7 +85,7 @@
 func TestGateStopsWithoutCuttingAStream(t *testing.T) {
 	next := make(chan struct{})
 	store := platformtest.NewStore(t)
-	store.PutStreams(platformtest.StreamTarget(t, next))
+	platformtest.PutStreams(store, platformtest.StreamTarget(t, next))
 	g := run(t, store)
 	require.Eventually(t, g.isReady, eventually, 5*time.Millisecond)
 	resp := platformtest.Ask(t, g.Callers)
--- a/internal/process/processtest/processtest.go
+++ b/internal/process/processtest/processtest.go
@@ -3,18 +3,17 @@
 package processtest
 
 import (
-	"fmt"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
-	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/socket"
 )
 
 // Times of waits.
@@ -132,33 +131,11 @@
 	return resp.StatusCode
 }
 
-// Ports of the programs lie below those that the kernel gives to clients, so
-// that none is taken between the choice and the program's start.
-const (
-	firstPort = 15000
-	lastPort  = 25000
-)
-
-var nextPort atomic.Int32
-
 // FreeAddr returns an address on loopback that nothing listens on, by TCP or
 // UDP. Each is returned once.
 func FreeAddr(t *testing.T) string {
 	t.Helper()
-	for {
-		port := firstPort + int(nextPort.Add(1))
-		require.Less(t, port, lastPort, "no port is left")
-		addr := fmt.Sprintf("127.0.0.1:%d", port)
-		l, err := net.Listen("tcp", addr)
-		if err != nil {
-			continue
-		}
-		c, err := net.ListenPacket("udp", addr)
-		_ = l.Close()
-		if err != nil {
-			continue
-		}
-		_ = c.Close()
-		return addr
-	}
+	addr, err := socket.FreeAddr()
+	require.NoError(t, err)
+	return addr
 }
