--- a/Makefile
+++ b/Makefile
@@ -2,12 +2,15 @@
 
 GO      ?= go
 LINT    := $(GO) tool -modfile=tools/go.mod golangci-lint
+SEEDS   ?= 50
+FRESH   ?= 5m
+JOBS    ?= 3
 VERSION := $(shell git describe --tags --always --dirty 2>/dev/null || echo dev)
 LDFLAGS := -X github.com/mastichollow/mastichollow/internal/process.Version=$(VERSION)
 
 export CGO_ENABLED = 1
 
-.PHONY: build demo up down test guarantees mutants bench lint format
+.PHONY: build demo up down test guarantees mutants bench soak soak-fresh lint format
 
 build: ## Build the programs into bin/.
 	$(GO) build -ldflags "$(LDFLAGS)" -o bin/ ./cmd/...
@@ -41,3 +44,9 @@
 
 bench: build ## Print the measures of each policy at each size, the same on each run.
 	bin/mastichollow-bench
+
+soak: build ## Play SEEDS seeds of random faults against gates as processes.
+	bin/mastichollow-soak --seeds $(SEEDS) --jobs $(JOBS)
+
+soak-fresh: build ## Play new seeds for FRESH.
+	bin/mastichollow-soak --fresh $(FRESH) --jobs $(JOBS)
--- a/internal/process/processtest/processtest.go
+++ b/internal/process/processtest/processtest.go
@@ -43,6 +43,9 @@
 	return m.Run()
 }
 
+// Path returns the path of a program that Main built.
+func Path(program string) string { return filepath.Join(programs, program) }
+
 // Process is a program under test.
 type Process struct {
 	t    *testing.T
@@ -58,7 +61,7 @@
 	p := &Process{t: t, name: name, log: filepath.Join(t.TempDir(), name+".log"), done: make(chan struct{})}
 	log, err := os.Create(p.log)
 	require.NoError(t, err)
-	p.cmd = exec.Command(filepath.Join(programs, program), args...)
+	p.cmd = exec.Command(Path(program), args...)
 	p.cmd.Env = append(os.Environ(), env...)
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	require.NoError(t, p.cmd.Start())
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -33,6 +33,8 @@
 	oldKeyShare = 0.05
 	// freshShare of the calls are sent on a new connection.
 	freshShare = 0.05
+	// sameShare of the calls have no body and are the same on their route.
+	sameShare = 0.2
 	// largestBody bounds bodies, in bytes; a tenth is longer than what a
 	// connection buffers.
 	largestBody = 2 << 10
@@ -97,10 +99,9 @@
 	r := Record{Route: route, Gate: c.gate, Steady: c.steady}
 	r.Call = standin.Call{
 		ID: fmt.Sprintf("%s%06x", c.name, c.sent), Host: route.Host, Path: route.Prefix + "0", Patience: patience,
-		Body: make([]byte, c.random.IntN(largestBody)),
 	}
-	if c.random.IntN(10) == 0 {
-		r.Call.Body = make([]byte, c.random.IntN(longBody))
+	if c.random.Float64() >= sameShare {
+		r.Call.Body = c.body(r.Call.ID)
 	}
 	if route.Kind == standin.Stream || route.Kind == standin.ResumableStream {
 		r.Events = 1 + c.random.IntN(mostEvents)
@@ -114,6 +115,15 @@
 	return r
 }
 
+// body returns a body that no other call has.
+func (c *caller) body(id string) []byte {
+	size := c.random.IntN(largestBody)
+	if c.random.IntN(10) == 0 {
+		size = c.random.IntN(longBody)
+	}
+	return append([]byte(id), make([]byte, size)...)
+}
+
 // call sends a call and reads its answer.
 func (c *caller) call(r Record) Record {
 	if c.random.Float64() < freshShare {
--- a/internal/soak/gate.go
+++ b/internal/soak/gate.go
@@ -78,7 +78,7 @@
 	}
 	g.admin = addrs[2]
 	g.machine = standin.Machine{
-		Node: "gate-" + strconv.Itoa(index), Domain: "d" + strconv.Itoa(index%3), Callers: addrs[0], Ready: addrs[1],
+		Node: "gate-" + strconv.Itoa(index), Domain: domains[index%len(domains)], Callers: addrs[0], Ready: addrs[1],
 		PeersPort: port(addrs[3]), Store: g.Store.Addr(),
 		Grace: grace, RevokedWithin: revokedWithin, ChangedWithin: changedWithin,
 	}
--- a/internal/soak/session.go
+++ b/internal/soak/session.go
@@ -33,6 +33,7 @@
 	Callers int              `help:"Callers of each gate." default:"6"`
 	Jobs    int              `help:"Runs at once." default:"3"`
 	Dir     string           `help:"Folder for the logs of runs that fail." default:"soak-failures"`
+	Keep    bool             `help:"Keep the logs of all runs there."`
 }
 
 // keptSeeds are the seeds that failed once, each with its cause.
@@ -152,7 +153,7 @@
 	result, err := Run(ctx, seed, Config{
 		Program: s.Program, Dir: dir, Length: s.Length, Gates: s.Gates, Targets: s.Targets, Callers: s.Callers,
 	})
-	if err != nil || len(result.Violations) == 0 {
+	if err != nil || len(result.Violations) == 0 && !s.Keep {
 		return result, err
 	}
 	return result, s.keep(dir, result)
--- /dev/null
+++ b/internal/soak/soak_test.go
@@ -0,0 +1,42 @@
+package soak
+
+import (
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/process/processtest"
+)
+
+func TestMain(m *testing.M) {
+	os.Exit(processtest.Main(m, "github.com/mastichollow/mastichollow/cmd/mastichollow-gate"))
+}
+
+// Two seeds, one of planned work and one of everything, keep all promises.
+func TestShortSoak(t *testing.T) {
+	for _, seed := range []uint64{1, 4} {
+		t.Run("", func(t *testing.T) {
+			t.Parallel()
+			result, err := Run(t.Context(), seed, Config{
+				Program: processtest.Path("mastichollow-gate"), Dir: t.TempDir(), Length: 5 * time.Second, Gates: 3, Targets: 2, Callers: 4,
+			})
+			require.NoError(t, err)
+			require.Empty(t, result.Violations, "%v", result.Plan)
+			require.Greater(t, result.Statuses[200], 100)
+		})
+	}
+}
+
+func TestKeptSeedsHaveACause(t *testing.T) {
+	_, err := KeptSeeds()
+	require.NoError(t, err)
+}
+
+func TestFaultySessionNamesEachSetting(t *testing.T) {
+	err := (&Session{Seeds: 0, Gates: -1, Targets: 1, Callers: 1, Jobs: 1, Length: time.Second}).Check()
+	require.ErrorContains(t, err, "seeds")
+	require.ErrorContains(t, err, "gates")
+	require.NotContains(t, err.Error(), "targets")
+}
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -8,9 +8,13 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/socket"
 	"github.com/mastichollow/mastichollow/platform/standin"
 )
 
+// domains are those of gates and targets.
+var domains = []string{"d0", "d1", "d2"}
+
 // linkDelay is the delay of a slow link: twice the way between far regions.
 const linkDelay = 120 * time.Millisecond
 
@@ -115,22 +119,18 @@
 }
 
 func newTarget(r *run, index int, service string) (*target, error) {
-	t := &target{run: r, index: index, service: service}
-	var err error
-	t.Target, err = standin.NewTarget(r.store, r.ledger, standin.TargetConfig{
-		Domain: []string{"d0", "d1", "d2"}[index%3], Slots: targetSlots, Time: targetTime,
-		Announced: func(addr string) (string, error) {
-			link, err := NewLink(addr)
-			if err != nil {
-				return "", err
-			}
-			t.link = link
-			return link.Addr(), nil
-		},
-	})
+	addr, err := socket.FreeAddr()
 	if err != nil {
 		return nil, err
 	}
+	link, err := NewLink(addr)
+	if err != nil {
+		return nil, err
+	}
+	t := &target{run: r, index: index, service: service, link: link}
+	t.Target = standin.NewTarget(addr, r.store, r.ledger, standin.TargetConfig{
+		Domain: domains[index%len(domains)], Slots: targetSlots, Time: targetTime, Announced: link.Addr(),
+	})
 	return t, t.Start(service)
 }
 
--- a/internal/socket/ports.go
+++ b/internal/socket/ports.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
@@ -16,16 +17,18 @@
 	lastPort  = 32000
 )
 
-var nextPort atomic.Int32
+// nextPort begins elsewhere in each process, so that two rarely try the same.
+var nextPort = func() *atomic.Int32 {
+	var n atomic.Int32
+	n.Store(int32(os.Getpid() * 61 % (lastPort - firstPort)))
+	return &n
+}()
 
 // FreeAddr returns an address on loopback that nothing listens on, by TCP or
-// UDP. Each is returned once in a process.
+// UDP. A process gets each once, until all were handed out.
 func FreeAddr() (string, error) {
-	for {
-		port := firstPort + int(nextPort.Add(1))
-		if port > lastPort {
-			return "", errors.New("no port is left")
-		}
+	for range lastPort - firstPort {
+		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
 		addr := fmt.Sprintf("127.0.0.1:%d", port)
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
@@ -38,4 +41,5 @@
 		}
 		return addr, errors.Wrap(c.Close(), "closing a socket")
 	}
+	return "", errors.New("no port is left")
 }
