Do not quarantine requests that crashed nothing

The connections of three targets had been reset while the same request was in hand; two lost connections of a target within 0.4 s count as its crash, and the suspicion stays two minutes, at peers too.

A target that answers 0.3 to 1.5 s after its supposed crash did not crash: what is held against requests for it is withdrawn, also when peers repeat it. A request that ended well in the last two minutes is not accused: such as are sent again and again are in hand whenever a rack fails. Ruled out: a trial run after some time, since a request that does crash targets may reach three more at most in the whole fleet.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -182,6 +182,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.health.keep(live)
+	c.suspects.keep(live)
 	for id := range c.caches {
 		if !live(id) {
 			delete(c.caches, id)
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -233,3 +233,60 @@
 		all = removeID(all, d.Target.ID)
 	}
 }
+
+// A reset of all connections of a target looks like its crash until it answers.
+func TestTargetThatGoesOnAnsweringHasNotCrashed(t *testing.T) {
+	c := newTestController()
+	peer := newTestController()
+	all := engines(8)
+	for n := range 6 {
+		now := time.Duration(n) * 2 * time.Second
+		d := c.Admit(now, letter("w", 7, 1), all)
+		require.Empty(t, d.Refused, "the connections of %d targets were reset, none crashed", n)
+		lease := func(f Fingerprint) *Lease {
+			c.loads.add(d.Target.ID, Load{Running: 1})
+			return &Lease{controller: c, target: d.Target, fingerprint: f, load: Load{Running: 1}}
+		}
+		bystander, next := lease(1000), lease(1001)
+		d.Lease.End(now, ResultLost, all)
+		bystander.End(now, ResultLost, all)
+		peer.Merge(now, "c", c.Report(now))
+		next.End(now+800*time.Millisecond, ResultDone, all)
+		c.Merge(now+900*time.Millisecond, "peer", peer.Report(now+900*time.Millisecond))
+		all = removeID(all, d.Target.ID)
+	}
+
+	late := newSuspects()
+	for n := range crashLimit {
+		now := time.Duration(n) * 10 * time.Second
+		id := fmt.Sprint("t-", n)
+		late.lost(now, id, 7001)
+		late.lost(now, id, 7002)
+		late.answered(now+10*time.Millisecond, id) // was on its way
+		late.answered(now+5*time.Second, id)       // started again under its ID
+	}
+	require.True(t, late.quarantined(30*time.Second, 7001))
+}
+
+// Many callers ask the same again and again: it is in hand when a rack fails.
+func TestRequestThatEndedWellLatelyIsNotAccused(t *testing.T) {
+	s := newSuspects()
+	crash := func(now time.Duration) {
+		for n := range crashLimit {
+			id := fmt.Sprint("t-", n)
+			s.lost(now, id, 1)
+			s.lost(now, id, 2)
+		}
+	}
+	s.cleared(0, 1)
+	crash(time.Second)
+	require.False(t, s.quarantined(2*time.Second, 1))
+	require.True(t, s.quarantined(2*time.Second, 2))
+
+	for f := range Fingerprint(3 * maxSound) {
+		s.cleared(3*time.Second, 100+f)
+	}
+	require.LessOrEqual(t, len(s.sound)+len(s.before), 2*maxSound)
+	crash(4 * time.Second)
+	require.True(t, s.quarantined(5*time.Second, 1), "that is long forgotten")
+}
--- a/internal/admission/lease.go
+++ b/internal/admission/lease.go
@@ -69,7 +69,8 @@
 	switch result {
 	case ResultDone:
 		c.health.succeeded(id)
-		c.suspects.cleared(l.fingerprint)
+		c.suspects.cleared(now, l.fingerprint)
+		c.suspects.answered(now, id)
 	case ResultUnreachable:
 		c.suspects.unreachable(now, id)
 		c.health.unreachable(now, id)
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -24,7 +24,7 @@
 	c.shares.setPeer(now, node, r.Usage)
 	for f, targets := range r.Suspects {
 		for _, id := range targets {
-			c.suspects.add(now, f, id)
+			c.suspects.told(now, f, id)
 		}
 	}
 }
