--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -116,6 +116,9 @@
 	service string // of the first lifetime
 
 	turn sync.Mutex // held from the end of a lifetime to the next one
+	// away is set from the notice or end of a lifetime to the next one; the run's
+	// lock guards it.
+	away bool
 }
 
 func newTarget(r *run, index int, service string) (*target, error) {
@@ -157,6 +160,8 @@
 		return nil // it is down or leaving
 	}
 	defer t.turn.Unlock()
+	t.setAway(true)
+	defer t.setAway(false)
 	over := t.run.history.Begin(Subject{PartTarget, t.index})
 	defer over()
 	t.Crash()
@@ -172,12 +177,37 @@
 	return err
 }
 
+// setAway notes whether the target is leaving or down.
+func (t *target) setAway(away bool) {
+	t.run.mu.Lock()
+	defer t.run.mu.Unlock()
+	t.away = away
+}
+
+// leaveIfSpared sets away unless no other target of the service is left:
+// operators do not take out the last one.
+func (t *target) leaveIfSpared() bool {
+	t.run.mu.Lock()
+	defer t.run.mu.Unlock()
+	for _, other := range t.run.targets {
+		if other != t && other.service == t.service && !other.away {
+			t.away = true
+			return true
+		}
+	}
+	return false
+}
+
 // drain lets the target leave as planned and another one start there.
 func (t *target) drain(ctx context.Context) error {
 	if !t.turn.TryLock() {
 		return nil // it is down or leaving
 	}
 	defer t.turn.Unlock()
+	if !t.leaveIfSpared() {
+		return nil
+	}
+	defer t.setAway(false)
 	id := t.Drain()
 	t.run.mu.Lock()
 	t.run.drained[id] = time.Now()
