Let stand-in targets on the platform's wire batch as model engines do

The soak's streaming routes use them, and its table names engines and their work, so that the admission of model requests is soaked too.

--- a/internal/soak/operator.go
+++ b/internal/soak/operator.go
@@ -30,8 +30,15 @@
 	workspaces    = 3
 	// targetSlots is more than all callers of the usual size ask for at once.
 	targetSlots = 24
+	// engineMemory (tokens) holds all prompts of a batch; tokensPerSecond is more
+	// than the callers of the usual size ask for.
+	engineMemory    = 100_000
+	tokensPerSecond = 1_000_000
 )
 
+// engines is how targets of letters work: a prompt takes up to 50 ms to read.
+var engines = &standin.EngineConfig{Queue: 24, Reads: 20, Slowdown: 0.02, Step: targetTime, Cache: 64}
+
 // routes are those of the table. Only notes moves between services.
 var routes = []standin.Route{
 	{Name: "status", Host: host, Prefix: "/status/", Service: shop, Kind: standin.Idempotent, Public: true, Timeout: plainTimeout, Goal: goal, MaxTargets: maxTargets},
@@ -65,7 +72,7 @@
 // newOperator writes the first table.
 func newOperator(store *standin.Store, history *History) (*operator, error) {
 	o := &operator{store: store, history: history, revoked: make(map[string]time.Time), owner: make(map[string]string)}
-	o.table = standin.Table{Version: 10, Routes: slices.Clone(routes), Workspaces: make(map[string][]string), Slots: targetSlots}
+	o.table = standin.Table{Version: 10, Routes: slices.Clone(routes), Workspaces: make(map[string][]string), Slots: targetSlots, Engines: map[string]int{letters: engineMemory}, TokensPerSecond: tokensPerSecond}
 	for i := range workspaces {
 		name := fmt.Sprintf("workspace-%d", i)
 		for k := range 2 { // the first one stays
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -131,9 +131,13 @@
 		return nil, err
 	}
 	t := &target{run: r, index: index, service: service, link: link}
-	t.Target = standin.NewTarget(addr, r.store, r.ledger, standin.TargetConfig{
+	cfg := standin.TargetConfig{
 		Domain: domains[index%len(domains)], Slots: targetSlots, Time: targetTime, Announced: link.Addr(),
-	})
+	}
+	if service == letters {
+		cfg.Engine = engines
+	}
+	t.Target = standin.NewTarget(addr, r.store, r.ledger, cfg)
 	return t, t.Start(service)
 }
 
