--- a/Makefile
+++ b/Makefile
@@ -10,7 +10,7 @@
 
 export CGO_ENABLED = 1
 
-.PHONY: build demo up down test guarantees mutants bench soak soak-fresh lint format
+.PHONY: build demo demo-platform up down test guarantees mutants bench soak soak-fresh lint format
 
 build: ## Build the programs into bin/.
 	$(GO) build -ldflags "$(LDFLAGS)" -o bin/ ./cmd/...
@@ -18,6 +18,9 @@
 demo: build ## Run a fleet on loopback, send requests through it and check them.
 	scripts/demo.sh
 
+demo-platform: build ## Run gates as on the users' platform on loopback, with stand-ins, and check them.
+	bin/mastichollow-soak --demo
+
 up: build ## Leave a fleet running on loopback.
 	scripts/up.sh
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -22,15 +22,6 @@
 	h.spans[s] = append(h.spans[s], &span{at(from), at(to)})
 }
 
-func routeNamed(name string) *standin.Route {
-	for i := range routes {
-		if routes[i].Name == name {
-			return &routes[i]
-		}
-	}
-	return nil
-}
-
 // scene is a call at gate 0 that was sent at second 20, and what ran of it.
 type scene struct {
 	checker
@@ -47,7 +38,7 @@
 	s := &scene{checker: checker{history: history, operator: o, runs: make(map[string][]standin.Run), drained: make(map[string]time.Time)}}
 	s.record = Record{
 		Call:  standin.Call{ID: "a000000000000001", Path: "/x/0", Key: "key-0-0", Body: []byte("b")},
-		Route: routeNamed(route), Start: at(20), End: at(21), Answer: standin.Answer{Status: 200},
+		Route: routeOf(route), Start: at(20), End: at(21), Answer: standin.Answer{Status: 200},
 	}
 	if s.record.Route.Public {
 		s.record.Call.Key = ""
--- a/internal/soak/session.go
+++ b/internal/soak/session.go
@@ -34,6 +34,7 @@
 	Jobs    int              `help:"Runs at once." default:"3"`
 	Dir     string           `help:"Folder for the logs of runs that fail." default:"soak-failures"`
 	Keep    bool             `help:"Keep the logs of all runs there."`
+	Demo    bool             `help:"Show one deployment and what it promises instead."`
 }
 
 // keptSeeds are the seeds that failed once, each with its cause.
@@ -76,6 +77,9 @@
 // Run plays the session and prints a line for each seed. It fails if a promise
 // was broken.
 func (s *Session) Run(ctx context.Context, out io.Writer) error {
+	if s.Demo {
+		return s.runDemo(ctx, out)
+	}
 	seeds := make(chan uint64)
 	var feedErr error
 	go func() {
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -99,8 +99,11 @@
 	over := r.history.Begin(Subject{What: PartStore})
 	defer over()
 	faults := []standin.StoreFault{
-		{Status: http.StatusServiceUnavailable}, {Status: http.StatusTooManyRequests}, {Silent: true},
-		{Delay: 300 * time.Millisecond}, {Lose: true},
+		{Status: http.StatusServiceUnavailable},
+		{Status: http.StatusTooManyRequests},
+		{Silent: true},
+		{Delay: 300 * time.Millisecond},
+		{Lose: true},
 	}
 	r.store.SetFault(faults[s.How%len(faults)])
 	wait(ctx, s.For)
