Drop targets that left during a cut within the time that the platform gives

A gate was cut off until second 13.0 and had the store back at 13.6. Entries that were missing then stayed for 2.5 s, as they may still come back, and were looked at again only when the held call of before returned, at 17.1; from 16.0 on the gate counted as in touch. Ruled out: the history of the store (the gate read its table anew at 13.3), stale answers.

--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -21,9 +21,11 @@
 	Born int64
 }
 
-// returnGrace is how long entries may still come back after the store's
-// return: the platform promises about 2 s for a live target.
-const returnGrace = 2500 * time.Millisecond
+// returnGrace is how long entries may still come back after the store's return:
+// the platform promises about 2 s for a live target. What left while a gate was
+// cut off must be dropped within 3 s of the cut's end, of which a gate may need
+// 0.7 s to reach the store again.
+const returnGrace = 2200 * time.Millisecond
 
 // Directory is what is known about the live targets of all services.
 //
@@ -70,7 +72,7 @@
 // Replace takes a whole new list, read at now. disturbed says that the store
 // was out of reach since the list before, so that entries may have lapsed
 // though their targets live; those stay until the grace ends. It returns the
-// IDs that are new, leaving or gone. Calls must not overlap.
+// IDs that are new, leaving or gone. Calls, also of NextLapse, must not overlap.
 func (d *Directory) Replace(instances []Instance, now time.Duration, disturbed bool) Change {
 	old := d.Current()
 	listed := newListing(instances)
@@ -99,6 +101,18 @@
 	return c
 }
 
+// NextLapse returns how long the first of the entries that may still come back
+// has left at now; false: there are none.
+func (d *Directory) NextLapse(now time.Duration) (time.Duration, bool) {
+	left, found := time.Duration(0), false
+	for _, until := range d.lapsed {
+		if one := max(until-now, 0); !found || one < left {
+			left, found = one, true
+		}
+	}
+	return left, found
+}
+
 func (d *Directory) keepLapsed(in Instance, now time.Duration, disturbed bool) bool {
 	if in.Leaving {
 		return false
--- a/internal/target/instance_test.go
+++ b/internal/target/instance_test.go
@@ -40,7 +40,13 @@
 	require.True(t, c.Empty(), "it came back")
 	require.Len(t, d.Current().Of("letters"), 2)
 
+	_, waiting := d.NextLapse(12 * time.Second)
+	require.False(t, waiting)
+
 	d.Replace([]Instance{a}, 20*time.Second, true)
+	left, waiting := d.NextLapse(21 * time.Second)
+	require.True(t, waiting)
+	require.Equal(t, returnGrace-time.Second, left)
 	c = d.Replace([]Instance{a}, 23*time.Second, false)
 	require.Equal(t, []string{"b"}, c.Gone)
 }
