Let refused callers come back while their goal can still be met

Callers try once more; taken then, the answer was late and used places and share that an answer in time could have had. The pause is now 0.2 to 0.3 of the request's goal for every placement that finds no room, and part of the decision (admission.Decision.RetryAfter).

--- a/cmd/mastichollow-bench/main.go
+++ b/cmd/mastichollow-bench/main.go
@@ -7,6 +7,7 @@
 	"io"
 	"os"
 	"slices"
+	"time"
 
 	"github.com/alecthomas/kong"
 	"golang.org/x/sync/errgroup"
@@ -57,14 +58,19 @@
 	}
 }
 
-// printFlood plays the flood against the gate's policy and its baseline.
+// printFlood plays the flood against the gate's policy, one that lets refused
+// callers come back after a second, and the baseline without shares.
 func printFlood(out io.Writer) {
 	load := overload.Flood()
 	for _, p := range []struct {
-		name string
-		new  func(*overload.Load) func() overload.Policy
-	}{{"shares", overload.Shares}, {"no_shares", overload.NoShares}} {
-		r := overload.Play(load, p.new(load))
+		name   string
+		policy func() overload.Policy
+	}{
+		{"shares", overload.Shares(load)},
+		{"return_after_1s", overload.ReturnLater(load, time.Second)},
+		{"no_shares", overload.NoShares(load)},
+	} {
+		r := overload.Play(load, p.policy)
 		below := r.Below(overload.FloodNames...)
 		line := func(measure string, value float64) {
 			_, _ = fmt.Fprintf(out, "%s size=gate policy=%s scenario=flood value=%.3f\n", measure, p.name, value)
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -48,6 +48,28 @@
 	// Excess is what the workspace has with this request, in shares; 0: all that
 	// is asked of the fleet fits.
 	Excess float64
+	// RetryAfter is when a refused caller may come back; 0: not known.
+	RetryAfter time.Duration
+}
+
+const (
+	// returnPart is the part of a request's goal after which a refused caller may
+	// come back. Places and shares are let through evenly, so that a later second
+	// try finds no more room, and callers try only once or twice: it must still be
+	// in time. Twice of it gave the same, a second (past most goals) 0.1 less of
+	// what the users' callers are owed.
+	returnPart = 0.2
+	// returnWithoutGoal is that pause for requests without a goal, about that of a
+	// goal of a second.
+	returnWithoutGoal = 200 * time.Millisecond
+)
+
+// returnAfter returns when a refused caller may come back.
+func (r *Request) returnAfter() time.Duration {
+	if r.Goal <= 0 {
+		return returnWithoutGoal
+	}
+	return time.Duration(returnPart * float64(r.Goal))
 }
 
 // Config configures a Controller.
--- a/internal/admission/engine.go
+++ b/internal/admission/engine.go
@@ -73,6 +73,7 @@
 		missing := c.cacheOf(in.ID, req).missing(req.Parts)
 		if i == 0 {
 			first.Refused, first.Target, first.Load, first.Missing = request.ReasonOverloaded, in, load, missing
+			first.RetryAfter = req.returnAfter()
 		}
 		if limit.fits(req, load, missing) {
 			if limit.pace != nil {
--- a/internal/admission/plain.go
+++ b/internal/admission/plain.go
@@ -24,7 +24,7 @@
 		slots := max(in.Slots, 1)
 		load := c.loads.of(in.ID)
 		if load.Running >= plainQueue*slots {
-			refused = Decision{Refused: request.ReasonOverloaded, Target: *in, Load: load}
+			refused = Decision{Refused: request.ReasonOverloaded, Target: *in, Load: load, RetryAfter: req.returnAfter()}
 			continue
 		}
 		cost := float64(load.Running) / float64(slots)
--- a/internal/gate/refusal.go
+++ b/internal/gate/refusal.go
@@ -22,12 +22,11 @@
 )
 
 const (
-	// retrySoon is the pause for callers whose goal can still be met: a target
-	// reads the prompts that wait there (goals of 0.5 to 1.2 s) in about that
-	// time.
+	// retrySoon is the pause for what may pass within most goals (0.5 to 1.2 s): a
+	// late gate, a spent budget of retries.
 	retrySoon = 200 * time.Millisecond
-	// retryLater is the pause for workspaces above their share, of which a
-	// quarter of the share window passes meanwhile.
+	// retryLater is the pause for what takes longer: a start, a store that is
+	// away, a request in quarantine.
 	retryLater = time.Second
 	// retryElsewhere is the pause for callers of a gate that ends: the balancer
 	// sends their next connection to another one.
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -106,10 +106,10 @@
 		c.abort(d.Refused, detail...)
 	case c.ran:
 		c.refuse(failed(http.StatusBadGateway, d.Refused, detail...))
-	case d.OverShare || d.Refused != request.ReasonOverloaded:
-		c.refuse(unavailable(d.Refused, retryLater, detail...))
+	case d.RetryAfter > 0:
+		c.refuse(unavailable(d.Refused, d.RetryAfter, detail...))
 	default:
-		c.refuse(unavailable(d.Refused, retrySoon, detail...))
+		c.refuse(unavailable(d.Refused, retryLater, detail...))
 	}
 }
 
--- a/internal/overload/flood.go
+++ b/internal/overload/flood.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/target"
 )
 
 // letters are the kinds of request of the first user's sheet that go to engines.
@@ -55,6 +56,24 @@
 	return func() Policy { return newController() }
 }
 
+// ReturnLater is the policy of the gate, but for callers of refused requests:
+// they are told to come back after pause.
+func ReturnLater(load *Load, pause time.Duration) func() Policy {
+	return func() Policy { return later{Shares(load)(), pause} }
+}
+
+type later struct {
+	Policy
+	pause time.Duration
+}
+
+// Admit implements Policy.
+func (l later) Admit(now time.Duration, r *admission.Request, targets []target.Instance) admission.Decision {
+	d := l.Policy.Admit(now, r, targets)
+	d.RetryAfter = l.pause
+	return d
+}
+
 func newController() *admission.Controller {
 	return admission.NewController(admission.Config{Site: admission.Site{Region: "r", Domain: "d"}})
 }
--- a/internal/overload/play.go
+++ b/internal/overload/play.go
@@ -44,7 +44,8 @@
 	Seed        uint64
 }
 
-// Outcome is what callers of one workspace or kind got.
+// Outcome is what callers of one workspace or kind got. Refused counts those that
+// were refused again when they came back.
 type Outcome struct {
 	Asked, InTime, Late, Refused int
 	// Tokens is the prompt tokens of requests that were taken.
@@ -78,6 +79,8 @@
 	deadline     time.Duration
 	lease        *admission.Lease
 	outcomes     []*Outcome
+	policy       admission.Request
+	returned     bool
 }
 
 // first notes the first event.
@@ -219,22 +222,44 @@
 		own: p.spread(k.OwnTokens), output: p.spread(k.Output), arrived: now, deadline: now + k.Deadline,
 		outcomes: []*Outcome{p.of(p.result.Workspaces, w.Name), p.of(p.result.Kinds, k.Name), &p.result.Total},
 	}
-	d := p.gate(w).Admit(now, &admission.Request{
+	r.policy = admission.Request{
 		Workspace: w.Name, Service: "engines", Slots: batch, CacheTokens: cacheTokens,
 		Parts:  []admission.Part{{Hash: r.shared, Tokens: r.sharedTokens}, {Hash: p.rng.Uint64(), Tokens: r.own}},
 		Prompt: r.sharedTokens + r.own, Output: r.output, Goal: k.Goal, Hash: p.rng.Uint64(), Fingerprint: admission.Fingerprint(p.rng.Uint64()),
-	}, p.targets)
+	}
 	for _, o := range r.outcomes {
 		o.Asked++
-		if d.Refused != "" {
-			o.Refused++
-		} else {
-			o.Tokens += r.sharedTokens + r.own
-		}
 	}
-	if d.Refused != "" {
+	p.try(now, w, r)
+}
+
+// returnSpread spreads the returns of refused callers over the pause that they
+// are told and half of it again, as the gate does.
+const returnSpread = 0.5
+
+// try sends a request to a gate. Callers that are told when to come back do so
+// once.
+func (p *play) try(now time.Duration, w *Workspace, r *request) {
+	d := p.gate(w).Admit(now, &r.policy, p.targets)
+	if d.Refused == "" {
+		p.place(now, r, d)
+		return
+	}
+	if d.RetryAfter > 0 && !r.returned {
+		r.returned = true
+		pause := time.Duration(float64(d.RetryAfter) * (1 + returnSpread*p.rng.Float64()))
+		p.at(now+pause, func(now time.Duration) { p.try(now, w, r) })
 		return
 	}
+	for _, o := range r.outcomes {
+		o.Refused++
+	}
+}
+
+func (p *play) place(now time.Duration, r *request, d admission.Decision) {
+	for _, o := range r.outcomes {
+		o.Tokens += r.sharedTokens + r.own
+	}
 	r.lease = d.Lease
 	e := p.byID[d.Target.ID]
 	e.accept(now, r)
--- a/internal/overload/play_test.go
+++ b/internal/overload/play_test.go
@@ -25,6 +25,22 @@
 	require.LessOrEqual(t, r.Ratio(FloodNames...), 2.0, "the platform takes less than half of another as unfair")
 }
 
+// Callers try once more. Those that come back within their goal are served in
+// time; after a second they take places for answers that come too late.
+func TestRefusedCallersComeBackInTime(t *testing.T) {
+	load := Flood()
+	got := Play(load, Shares(load))
+	later := Play(load, ReturnLater(load, time.Second))
+	never := Play(load, ReturnLater(load, 0))
+	t.Logf("in time %d, late %d; after a second %d, %d; never %d, %d",
+		got.Total.InTime, got.Total.Late, later.Total.InTime, later.Total.Late, never.Total.InTime, never.Total.Late)
+	require.Greater(t, float64(got.Total.InTime), 1.1*float64(later.Total.InTime))
+	require.Less(t, got.Total.Late, later.Total.Late)
+	require.GreaterOrEqual(t, got.Total.InTime, never.Total.InTime)
+	below := got.Below(FloodNames...)
+	require.GreaterOrEqual(t, float64(below.InTime), 0.9*float64(below.Asked), "those below their share lose nothing")
+}
+
 func TestNoKindStarvesInAFlood(t *testing.T) {
 	load := Flood()
 	r := Play(load, Shares(load))
