--- a/internal/soak/session.go
+++ b/internal/soak/session.go
@@ -107,7 +107,7 @@
 		})
 	}
 	all.Wait()
-	fmt.Fprintf(out, "%d seeds played, %d with a broken promise\n", played, broken)
+	_, _ = fmt.Fprintf(out, "%d seeds played, %d with a broken promise\n", played, broken)
 	if broken > 0 {
 		failed = errors.CombineErrors(failed, errors.Newf("%d seeds broke a promise; logs are in %s", broken, s.Dir))
 	}
@@ -177,7 +177,7 @@
 	}
 	result.print(report)
 	for _, step := range result.Plan {
-		fmt.Fprintln(report, step)
+		_, _ = fmt.Fprintln(report, step)
 	}
 	return errors.Wrap(report.Close(), "keeping a report")
 }
@@ -186,12 +186,12 @@
 const shownViolations = 12
 
 func (r *Result) print(out io.Writer) {
-	fmt.Fprintf(out, "seed %-14d %-8s %3d steps %5d calls %v broken %d\n", r.Seed, r.Profile, r.Steps, r.Calls, r.Statuses, len(r.Violations))
+	_, _ = fmt.Fprintf(out, "seed %-14d %-8s %3d steps %5d calls %v broken %d\n", r.Seed, r.Profile, r.Steps, r.Calls, r.Statuses, len(r.Violations))
 	for i, v := range r.Violations {
 		if i == shownViolations {
-			fmt.Fprintf(out, "  and %d more\n", len(r.Violations)-i)
+			_, _ = fmt.Fprintf(out, "  and %d more\n", len(r.Violations)-i)
 			break
 		}
-		fmt.Fprintf(out, "  %s\n", v)
+		_, _ = fmt.Fprintf(out, "  %s\n", v)
 	}
 }
