Draw the measures of the experiment tool as charts

internal/report holds measures, writes the lines as before (compared byte by byte on the flood) and a page of bar charts as SVG.

--- a/cmd/mastichollow-bench/main.go
+++ b/cmd/mastichollow-bench/main.go
@@ -3,30 +3,37 @@
 package main
 
 import (
-	"fmt"
 	"io"
 	"os"
 	"slices"
 	"time"
 
 	"github.com/alecthomas/kong"
+	"github.com/cockroachdb/errors"
 	"golang.org/x/sync/errgroup"
 
 	"github.com/mastichollow/mastichollow/internal/experiment"
 	"github.com/mastichollow/mastichollow/internal/overload"
+	"github.com/mastichollow/mastichollow/internal/process"
+	"github.com/mastichollow/mastichollow/internal/report"
 )
 
+const program = "mastichollow-bench"
+
 type settings struct {
 	Scenario []string `help:"Scenarios to play; none: all."`
 	Policy   []string `help:"Policies to compare; none: all."`
 	Size     []string `help:"Deployments to measure; none: all."`
 	Parallel int      `help:"Runs made at once." default:"4"`
+	Plot     string   `help:"SVG file for a page of bar charts of the measures." placeholder:"FILE"`
 }
 
 func main() {
 	var s settings
-	kong.Parse(&s, kong.Name("mastichollow-bench"), kong.DefaultEnvars("MASTICHOLLOW"))
-	s.run(os.Stdout)
+	kong.Parse(&s, kong.Name(program), kong.DefaultEnvars("MASTICHOLLOW"))
+	if err := s.run(os.Stdout); err != nil {
+		os.Exit(process.Fail(program, err))
+	}
 }
 
 // job is one run to make.
@@ -38,7 +45,7 @@
 }
 
 // run measures each combination that was asked for.
-func (s *settings) run(out io.Writer) {
+func (s *settings) run(out io.Writer) error {
 	jobs := s.jobs()
 	var g errgroup.Group
 	g.SetLimit(s.Parallel)
@@ -50,18 +57,36 @@
 		})
 	}
 	_ = g.Wait()
+	var measures []report.Measure
 	for i := range jobs {
-		jobs[i].print(out)
+		measures = append(measures, jobs[i].measures()...)
 	}
 	if wanted(s.Scenario, "flood") {
-		printFlood(out)
+		measures = append(measures, playFlood()...)
+	}
+	if err := report.WriteLines(out, measures); err != nil {
+		return err
+	}
+	return s.plot(measures)
+}
+
+// plot writes the page of charts if one was asked for.
+func (s *settings) plot(measures []report.Measure) error {
+	if s.Plot == "" {
+		return nil
 	}
+	file, err := os.Create(s.Plot)
+	if err != nil {
+		return errors.Wrap(err, "making the page of charts")
+	}
+	return errors.CombineErrors(report.WriteSVG(file, measures), file.Close())
 }
 
-// printFlood plays the flood against the gate's policy, one that lets refused
+// playFlood plays the flood against the gate's policy, one that lets refused
 // callers come back after a second, and the baseline without shares.
-func printFlood(out io.Writer) {
+func playFlood() []report.Measure {
 	load := overload.Flood()
+	var all []report.Measure
 	for _, p := range []struct {
 		name   string
 		policy func() overload.Policy
@@ -72,15 +97,16 @@
 	} {
 		r := overload.Play(load, p.policy)
 		below := r.Below(overload.FloodNames...)
-		line := func(measure string, value float64) {
-			_, _ = fmt.Fprintf(out, "%s size=gate policy=%s scenario=flood value=%.3f\n", measure, p.name, value)
+		add := func(name string, value float64) {
+			all = append(all, report.Measure{Name: name, Size: "gate", Policy: p.name, Scenario: "flood", Value: value, Decimals: 3})
 		}
-		line("in_time_below_share", float64(below.InTime)/float64(below.Asked))
-		line("in_time_all", float64(r.Total.InTime)/float64(r.Total.Asked))
-		line("late_all", float64(r.Total.Late)/float64(r.Total.Asked))
-		line("flood_ratio", r.Ratio(overload.FloodNames...))
-		line("longest_wait_s", r.Total.LongestWait.Seconds())
+		add("in_time_below_share", float64(below.InTime)/float64(below.Asked))
+		add("in_time_all", float64(r.Total.InTime)/float64(r.Total.Asked))
+		add("late_all", float64(r.Total.Late)/float64(r.Total.Asked))
+		add("flood_ratio", r.Ratio(overload.FloodNames...))
+		add("longest_wait_s", r.Total.LongestWait.Seconds())
 	}
+	return all
 }
 
 // jobs lists the combinations that were asked for.
@@ -121,19 +147,22 @@
 	return len(names) == 0 || slices.Contains(names, name)
 }
 
-// print writes one line a measure.
-func (j *job) print(out io.Writer) {
+// measures returns the figures of a run.
+func (j *job) measures() []report.Measure {
 	r := &j.result
-	line := func(measure, format string, value float64) {
-		_, _ = fmt.Fprintf(out, "%s size=%s policy=%s scenario=%s value="+format+"\n",
-			measure, j.size.Name, j.policy.Name, j.scenario.Name, value)
+	var all []report.Measure
+	add := func(name string, decimals int, value float64) {
+		all = append(all, report.Measure{
+			Name: name, Size: j.size.Name, Policy: j.policy.Name, Scenario: j.scenario.Name, Value: value, Decimals: decimals,
+		})
 	}
-	line("fairness_gap", "%.2f", r.Gap)
-	line("fairness_gap_mean", "%.2f", r.GapMean)
-	line("fairness_bound", "%.2f", r.Bound)
-	line("utilisation", "%.4f", r.Utilisation)
-	line("first_token_p95_s", "%.3f", r.FirstToken)
-	line("control_bytes_per_s_process", "%.0f", r.ProcessRate)
-	line("control_bytes_per_s_region_pair", "%.0f", r.RegionRate)
-	line("config_in_force_s", "%.2f", r.Config)
+	add("fairness_gap", 2, r.Gap)
+	add("fairness_gap_mean", 2, r.GapMean)
+	add("fairness_bound", 2, r.Bound)
+	add("utilisation", 4, r.Utilisation)
+	add("first_token_p95_s", 3, r.FirstToken)
+	add("control_bytes_per_s_process", 0, r.ProcessRate)
+	add("control_bytes_per_s_region_pair", 0, r.RegionRate)
+	add("config_in_force_s", 2, r.Config)
+	return all
 }
