--- a/internal/report/report_test.go
+++ b/internal/report/report_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"testing"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 )
 
@@ -34,11 +35,11 @@
 		require.Contains(t, first.String(), text)
 	}
 	for decoder := xml.NewDecoder(&first); ; {
-		if _, err := decoder.Token(); err == io.EOF {
+		_, err := decoder.Token()
+		if errors.Is(err, io.EOF) {
 			break
-		} else {
-			require.NoError(t, err)
 		}
+		require.NoError(t, err)
 	}
 	require.ErrorIs(t, WriteSVG(&first, nil), ErrNothing)
 }
