Send callers of a gate without a new table to another one at once

The pause is that of a gate that ends, 20 ms.

TestGateWithoutANewTableSendsCallersElsewhere failed before (1.28 s).

--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -72,7 +72,7 @@
 		return unavailable(request.ReasonDraining, retryElsewhere)
 	}
 	if c.table == nil {
-		return unavailable(request.ReasonNotReady, retryLater)
+		return unavailable(request.ReasonNotReady, retryElsewhere)
 	}
 	path, _, _ := strings.Cut(c.r.RequestURI, "?")
 	c.route = c.table.Match(c.r.Host, path)
@@ -94,7 +94,7 @@
 // old that a newer one may allow it.
 func (c *call) deny(status int, reason request.Reason) *refusal {
 	if c.age > c.gate.config.DenyAge {
-		return unavailable(request.ReasonNotReady, retryLater, eventlog.Text("denied_as", string(reason)))
+		return unavailable(request.ReasonNotReady, retryElsewhere, eventlog.Text("denied_as", string(reason)))
 	}
 	return denied(status, reason)
 }
@@ -104,7 +104,7 @@
 		return nil
 	}
 	if c.age > c.gate.config.KeyAge {
-		return unavailable(request.ReasonNotReady, retryLater, eventlog.Text("detail", "table too old for keys"))
+		return unavailable(request.ReasonNotReady, retryElsewhere, eventlog.Text("detail", "table too old for keys"))
 	}
 	ws := c.table.Authenticate(c.meta.Key)
 	if ws == nil {
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strconv"
 	"testing"
 	"time"
 
@@ -189,6 +190,21 @@
 	close(step)
 }
 
+// Another gate may have the table that this one lacks: callers get there within
+// every goal.
+func TestGateWithoutANewTableSendsCallersElsewhere(t *testing.T) {
+	f := newFleet(t, routeOf(once), good("whole"))
+	f.age = f.gate.config.KeyAge + time.Second
+	old := f.ask("/p/", "b")
+	f.gate.table = NewConfiguration(func() time.Duration { return 0 })
+	for _, got := range []answer{old, f.ask("/p/", "b")} {
+		require.Equal(t, 503, got.status)
+		seconds, err := strconv.ParseFloat(got.header.Get("Retry-After"), 64)
+		require.NoError(t, err)
+		require.LessOrEqual(t, seconds, 0.1)
+	}
+}
+
 func TestWhatTheTableDoesNotAllow(t *testing.T) {
 	f := newFleet(t, routeOf(once), good("whole"))
 	require.Equal(t, 404, f.ask("/other/", "b").status)
--- a/internal/gate/refusal.go
+++ b/internal/gate/refusal.go
@@ -25,11 +25,12 @@
 	// retrySoon is the pause for what may pass within most goals (0.5 to 1.2 s): a
 	// late gate, a spent budget of retries.
 	retrySoon = 200 * time.Millisecond
-	// retryLater is the pause for what takes longer: a start, a store that is
-	// away, a request in quarantine.
+	// retryLater is the pause for what takes longer: no target of the service, a
+	// request in quarantine, a gate without room for bodies.
 	retryLater = time.Second
-	// retryElsewhere is the pause for callers of a gate that ends: the balancer
-	// sends their next connection to another one.
+	// retryElsewhere is the pause for callers of a gate that ends or lacks a new
+	// table: the balancer sends their next connection to another one. If none has
+	// one, a longer pause would rarely outlast the store's absence.
 	retryElsewhere = 20 * time.Millisecond
 	// retrySpread spreads returns over the pause and half of it again.
 	retrySpread = 0.5
