--- a/internal/soak/gate.go
+++ b/internal/soak/gate.go
@@ -256,8 +256,7 @@
 			g.report(Violation{Rule: "slow stop", What: g.machine.Node + " still runs after the grace period"})
 		}
 		broken := g.history.Begin(Subject{PartGate, g.index})
-		_ = p.cmd.Process.Kill()
-		<-p.done
+		p.kill()
 		broken()
 	}
 	if state := p.cmd.ProcessState; state.Exited() && !state.Success() {
@@ -265,6 +264,18 @@
 	}
 }
 
+// kill ends a process that does not end by itself. SIGQUIT makes it write into its
+// log what its goroutines wait for.
+func (p *process) kill() {
+	_ = p.cmd.Process.Signal(syscall.SIGQUIT)
+	select {
+	case <-p.done:
+	case <-time.After(stopMargin):
+		_ = p.cmd.Process.Kill()
+		<-p.done
+	}
+}
+
 // intend notes that the soak ends the current process.
 func (g *Gate) intend() *process {
 	g.mu.Lock()
