--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -54,10 +54,8 @@
 
 const (
 	// returnPart is the part of a request's goal after which a refused caller may
-	// come back. Places and shares are let through evenly, so that a later second
-	// try finds no more room, and callers try only once or twice: it must still be
-	// in time. Twice of it gave the same, a second (past most goals) 0.1 less of
-	// what the users' callers are owed.
+	// come back: callers try only once or twice, and the rest of the goal is left
+	// for reading the prompt.
 	returnPart = 0.2
 	// returnWithoutGoal is that pause for requests without a goal, about that of a
 	// goal of a second.
