Wait for a pause or the end of a context in one place

A pause that is not positive returns at once, as the copies of the stand-ins did; the others let a ready timer and an ended context race there.

--- a/cmd/mastichollow-router/start.go
+++ b/cmd/mastichollow-router/start.go
@@ -9,6 +9,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/internal/process/member"
 	"github.com/mastichollow/mastichollow/internal/router"
 	"github.com/mastichollow/mastichollow/internal/target"
@@ -100,12 +101,7 @@
 // each has a deadline of its own.
 func (p *parts) drain(running context.Context) {
 	p.router.Stop()
-	timer := time.NewTimer(p.drainDelay)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-running.Done():
-	}
+	clock.Sleep(running, p.drainDelay)
 	if err := p.server.Shutdown(running); err != nil {
 		p.member.Log.Warn("drain was cut short", "error", err)
 	}
--- a/internal/agent/claims.go
+++ b/internal/agent/claims.go
@@ -8,6 +8,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastichollow/mastichollow/internal/claim"
+	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/internal/engine"
 	"github.com/mastichollow/mastichollow/internal/request"
 )
@@ -89,7 +90,7 @@
 	pause := backoff.NewExponentialBackOff()
 	pause.MaxInterval = persistPause
 	for begun := time.Now(); time.Since(begun) < persistTime; {
-		sleep(a.base, pause.NextBackOff())
+		clock.Sleep(a.base, pause.NextBackOff())
 		a.metrics.retries.WithLabelValues(operation).Inc()
 		if a.tryPlatform(f) == nil || a.base.Err() != nil {
 			return
--- a/internal/agent/fence.go
+++ b/internal/agent/fence.go
@@ -9,6 +9,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/internal/platform"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/wire"
@@ -75,7 +76,7 @@
 		}
 		a.log.Warn("fencing number is not available", "error", err)
 		a.metrics.retries.WithLabelValues("fence").Inc()
-		sleep(ctx, pause.NextBackOff())
+		clock.Sleep(ctx, pause.NextBackOff())
 	}
 }
 
@@ -85,16 +86,6 @@
 	return a.cfg.Fence(ctx)
 }
 
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-ctx.Done():
-	}
-}
-
 // fenced stops the agent: its target takes orders from a newer one only.
 func (a *Agent) fenced() {
 	a.fence.refuse()
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -6,6 +6,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/transport"
 	"github.com/mastichollow/mastichollow/internal/wire"
@@ -151,7 +152,7 @@
 		}
 	})
 	if !closed {
-		sleep(a.base, suspectRetry)
+		clock.Sleep(a.base, suspectRetry)
 	}
 }
 
--- a/internal/fleet/member.go
+++ b/internal/fleet/member.go
@@ -6,13 +6,14 @@
 	"slices"
 	"time"
 
+	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/wire"
 )
 
 // runReports sends this process's reports to its relays.
 func (n *Node) runReports(ctx context.Context) {
-	for pause(ctx, n.periods.Report) {
+	for clock.Sleep(ctx, n.periods.Report) {
 		n.report(time.Now())
 	}
 }
--- a/internal/fleet/poll.go
+++ b/internal/fleet/poll.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
+	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/internal/platform"
 	"github.com/mastichollow/mastichollow/internal/wire"
 	"github.com/mastichollow/mastichollow/internal/workspace"
@@ -141,7 +142,7 @@
 // runPolls reads the platform: at the start; each Poll at a relay; now and
 // then at a member whose relays cannot.
 func (n *Node) runPolls(ctx context.Context) {
-	if !pause(ctx, rand.N(startJitter)) {
+	if !clock.Sleep(ctx, rand.N(startJitter)) {
 		return
 	}
 	for {
@@ -159,7 +160,7 @@
 	last := time.Now()
 	direct := n.periods.Direct/2 + rand.N(n.periods.Direct)
 	for {
-		if !pause(ctx, n.periods.Poll) {
+		if !clock.Sleep(ctx, n.periods.Poll) {
 			return false
 		}
 		if n.relaying() {
@@ -211,17 +212,5 @@
 	n.metrics.stale.Set(value)
 }
 
-// pause waits for d and reports false when ctx ended before.
-func pause(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
-
 // jitter returns a time between half of d and one and a half of it.
 func jitter(d time.Duration) time.Duration { return d/2 + rand.N(d) }
--- a/internal/fleet/relay.go
+++ b/internal/fleet/relay.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/internal/wire"
 )
 
@@ -36,7 +37,7 @@
 
 // runDigests adds up the reports and sends members the sums.
 func (n *Node) runDigests(ctx context.Context) {
-	for pause(ctx, n.periods.Digest) {
+	for clock.Sleep(ctx, n.periods.Digest) {
 		n.sumUp(time.Now())
 		n.sendDigests(n.memberFans, toMember)
 	}
@@ -45,7 +46,7 @@
 // runPeerDigests adds up the reports and sends relays of other failure domains
 // the sums.
 func (n *Node) runPeerDigests(ctx context.Context) {
-	for pause(ctx, n.periods.Peer) {
+	for clock.Sleep(ctx, n.periods.Peer) {
 		n.sumUp(time.Now())
 		n.sendDigests(n.peerFans, toPeer, fromPeer)
 	}
--- a/internal/fleet/status.go
+++ b/internal/fleet/status.go
@@ -6,6 +6,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/internal/platform"
 )
 
@@ -51,7 +52,7 @@
 // when they change.
 func (n *Node) runStatus(ctx context.Context) {
 	rows := make(map[string]*statusRow)
-	for pause(ctx, n.periods.Status) {
+	for clock.Sleep(ctx, n.periods.Status) {
 		for domain, members := range n.confirmed() {
 			row := rows[domain]
 			if row == nil {
--- a/internal/operator/commit.go
+++ b/internal/operator/commit.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/internal/platform"
 	"github.com/mastichollow/mastichollow/internal/workspace"
 )
@@ -36,7 +36,7 @@
 		case !errors.Is(err, platform.ErrUnavailable):
 			return 0, err
 		}
-		if attempt == o.attempts() || !wait(ctx, orDefault(o.Pause, defaultPause)) {
+		if attempt == o.attempts() || !clock.Sleep(ctx, orDefault(o.Pause, defaultPause)) {
 			return 0, gaveUp(err, change, uncertain)
 		}
 	}
@@ -69,7 +69,7 @@
 		if err == nil {
 			return outcome(current, change)
 		}
-		if !wait(ctx, orDefault(o.Pause, defaultPause)) {
+		if !clock.Sleep(ctx, orDefault(o.Pause, defaultPause)) {
 			break
 		}
 	}
@@ -97,15 +97,3 @@
 	}
 	return errors.Mark(errors.Wrapf(err, "change against version %d was not written", change.Against), ErrPlatform)
 }
-
-// wait waits for d and reports false when ctx ended before.
-func wait(ctx context.Context, d time.Duration) bool {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.C:
-		return true
-	}
-}
--- a/internal/operator/status.go
+++ b/internal/operator/status.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/internal/fleet"
 	"github.com/mastichollow/mastichollow/internal/platform"
 	"github.com/mastichollow/mastichollow/internal/target"
@@ -143,7 +144,7 @@
 			last = pending
 			err = status.errAt(version)
 		}
-		if err == nil || time.Now().After(deadline) || !wait(ctx, orDefault(o.Poll, defaultPoll)) {
+		if err == nil || time.Now().After(deadline) || !clock.Sleep(ctx, orDefault(o.Poll, defaultPoll)) {
 			return err
 		}
 	}
--- a/internal/platform/guarded.go
+++ b/internal/platform/guarded.go
@@ -7,6 +7,8 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 	"github.com/prometheus/client_golang/prometheus"
+
+	"github.com/mastichollow/mastichollow/internal/clock"
 )
 
 // Defaults of GuardConfig.
@@ -159,14 +161,10 @@
 	case !g.budget.spend():
 		return refusedBudget
 	}
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ""
-	case <-ctx.Done():
+	if !clock.Sleep(ctx, pause) {
 		return refusedDeadline
 	}
+	return ""
 }
 
 func (g *Guarded) newBackoff() *backoff.ExponentialBackOff {
--- a/internal/router/execution.go
+++ b/internal/router/execution.go
@@ -7,6 +7,7 @@
 	"github.com/cenkalti/backoff/v5"
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/internal/request"
 )
 
@@ -109,14 +110,10 @@
 		}
 	}
 	x.r.metrics.retries.WithLabelValues(string(refused.Reason), refused.Outcome.String()).Inc()
-	timer := time.NewTimer(pause)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
+	if !clock.Sleep(ctx, pause) {
 		return x.ended(ctx, refused.Outcome)
 	}
+	return nil
 }
 
 // mayRetry reports whether another round can neither run the request twice
--- a/internal/router/resume.go
+++ b/internal/router/resume.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/transport"
 	"github.com/mastichollow/mastichollow/internal/wire"
@@ -86,14 +87,7 @@
 
 // pause waits before another resumption and reports whether the call goes on.
 func (y *relay) pause(ctx context.Context) bool {
-	timer := time.NewTimer(y.x.r.cfg.Timing.RetryBackoff << (y.resumes - 1))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, y.x.r.cfg.Timing.RetryBackoff<<(y.resumes-1))
 }
 
 // markFailed notes that an attempt failed at the agent.
--- a/internal/soak/callers.go
+++ b/internal/soak/callers.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/platform/standin"
 )
 
@@ -81,7 +82,7 @@
 	defer c.hangUp()
 	for ctx.Err() == nil {
 		c.run.record(c.call(c.choose()))
-		wait(ctx, time.Duration(c.random.Int64N(int64(longestThink))))
+		clock.Sleep(ctx, time.Duration(c.random.Int64N(int64(longestThink))))
 	}
 }
 
--- a/internal/soak/demo.go
+++ b/internal/soak/demo.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/internal/demo"
 	"github.com/mastichollow/mastichollow/platform/standin"
 )
@@ -151,7 +152,7 @@
 		if time.Since(begin) > limit {
 			return fmt.Sprintf("not within %v", limit)
 		}
-		wait(ctx, readyPoll)
+		clock.Sleep(ctx, readyPoll)
 	}
 	return fmt.Sprintf("within %v", limit)
 }
@@ -159,7 +160,7 @@
 // leavingTarget lets a target leave and looks for later work there.
 func (d *demonstration) leavingTarget(ctx context.Context) error {
 	id := d.run.targets[0].Drain()
-	wait(ctx, drainedWithin)
+	clock.Sleep(ctx, drainedWithin)
 	mark := time.Now()
 	for i := range 3 * len(d.run.gates) {
 		d.send(i%len(d.run.gates), "status", "")
--- a/internal/soak/gate.go
+++ b/internal/soak/gate.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/internal/socket"
 	"github.com/mastichollow/mastichollow/platform/standin"
 )
@@ -202,13 +203,13 @@
 	p.late = true
 	_ = p.cmd.Process.Signal(syscall.SIGSTOP) // one that has ended needs none
 	g.mu.Unlock()
-	wait(ctx, d)
+	clock.Sleep(ctx, d)
 	g.mu.Lock()
 	if p.paused--; p.paused == 0 {
 		_ = p.cmd.Process.Signal(syscall.SIGCONT)
 	}
 	g.mu.Unlock()
-	wait(ctx, settleTime)
+	clock.Sleep(ctx, settleTime)
 	over()
 }
 
@@ -222,7 +223,7 @@
 	p := g.intend()
 	_ = p.cmd.Process.Kill() // one that has ended needs none
 	<-p.done
-	wait(ctx, down)
+	clock.Sleep(ctx, down)
 	return g.Start(ctx)
 }
 
@@ -236,7 +237,7 @@
 	defer g.turn.Unlock()
 	g.end()
 	g.notUp()
-	wait(ctx, down)
+	clock.Sleep(ctx, down)
 	return g.Start(ctx)
 }
 
@@ -283,13 +284,3 @@
 	g.now.intended = true
 	return g.now
 }
-
-// wait waits for d or until ctx ends.
-func wait(ctx context.Context, d time.Duration) {
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-	case <-timer.C:
-	}
-}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/platform/standin"
 )
 
@@ -161,7 +162,7 @@
 		}
 	}
 	stop = r.startCallers(ctx, seed, "b", true)
-	wait(ctx, steadyLength)
+	clock.Sleep(ctx, steadyLength)
 	stop()
 	r.stopGates()
 	return ctx.Err()
@@ -201,10 +202,10 @@
 	failures := make(chan error, len(steps))
 	var all sync.WaitGroup
 	for _, step := range steps {
-		wait(ctx, time.Until(begin.Add(step.At)))
+		clock.Sleep(ctx, time.Until(begin.Add(step.At)))
 		all.Go(func() { failures <- errors.Wrap(r.strikeOne(ctx, step), step.String()) })
 	}
-	wait(ctx, time.Until(begin.Add(r.cfg.Length)))
+	clock.Sleep(ctx, time.Until(begin.Add(r.cfg.Length)))
 	all.Wait()
 	close(failures)
 	var err error
@@ -270,7 +271,7 @@
 			served[one.Route.Name] = true
 			continue
 		}
-		wait(ctx, readyPoll)
+		clock.Sleep(ctx, readyPoll)
 	}
 	return true
 }
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -8,6 +8,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/internal/socket"
 	"github.com/mastichollow/mastichollow/platform/standin"
 )
@@ -81,17 +82,17 @@
 	switch how := s.How % (len(faults) + 2); how {
 	case len(faults):
 		l.Reset()
-		wait(ctx, settleTime)
+		clock.Sleep(ctx, settleTime)
 	case len(faults) + 1:
 		l.Silence()
 		// Only a time limit of its own tells a client of a silent connection:
 		// no call on one lasts longer than a stream's.
-		wait(ctx, streamTimeout)
+		clock.Sleep(ctx, streamTimeout)
 	default:
 		l.Set(faults[how])
-		wait(ctx, s.For)
+		clock.Sleep(ctx, s.For)
 		l.Set(LinkFault{})
-		wait(ctx, settleTime)
+		clock.Sleep(ctx, settleTime)
 	}
 }
 
@@ -106,7 +107,7 @@
 		{Lose: true},
 	}
 	r.store.SetFault(faults[s.How%len(faults)])
-	wait(ctx, s.For)
+	clock.Sleep(ctx, s.For)
 	r.store.SetFault(standin.StoreFault{})
 }
 
@@ -155,9 +156,9 @@
 	defer over()
 	faults := []standin.TargetFault{{Shed: true}, {Error: true}, {Hang: true}, {Cut: true}, {Reset: true}, {Slow: 10}}
 	t.SetFault(faults[s.How%len(faults)])
-	wait(ctx, s.For)
+	clock.Sleep(ctx, s.For)
 	t.SetFault(standin.TargetFault{})
-	wait(ctx, settleTime) // calls that it took meanwhile
+	clock.Sleep(ctx, settleTime) // calls that it took meanwhile
 }
 
 // crash ends the target and starts another one there, at times of another
@@ -172,15 +173,15 @@
 	over := t.run.history.Begin(Subject{PartTarget, t.index})
 	defer over()
 	t.Crash()
-	wait(ctx, unlistedAfter)
+	clock.Sleep(ctx, unlistedAfter)
 	t.Unlist()
-	wait(ctx, s.For/4)
+	clock.Sleep(ctx, s.For/4)
 	service := t.service
 	if s.How%3 == 0 {
 		service = []string{shop, depot, letters}[s.How/3%3]
 	}
 	err := t.Start(service)
-	wait(ctx, settleTime)
+	clock.Sleep(ctx, settleTime)
 	return err
 }
 
@@ -219,16 +220,16 @@
 	t.run.mu.Lock()
 	t.run.drained[id] = time.Now()
 	t.run.mu.Unlock()
-	wait(ctx, leavesAfter)
+	clock.Sleep(ctx, leavesAfter)
 	// It leaves when its last call has ended, as a good target does.
 	for ctx.Err() == nil && t.Running() > 0 {
-		wait(ctx, readyPoll)
+		clock.Sleep(ctx, readyPoll)
 	}
 	over := t.run.history.Begin(Subject{PartTarget, t.index})
 	defer over()
 	t.Crash()
 	t.Unlist()
-	wait(ctx, unlistedAfter)
+	clock.Sleep(ctx, unlistedAfter)
 	return t.Start(t.service)
 }
 
@@ -242,6 +243,6 @@
 	t.link.Set(LinkFault{})
 	t.Crash()
 	t.Unlist()
-	wait(ctx, readyPoll)
+	clock.Sleep(ctx, readyPoll)
 	return t.Start(t.service)
 }
--- a/internal/standin/load/generator.go
+++ b/internal/standin/load/generator.go
@@ -6,6 +6,8 @@
 	"net/http"
 	"sync"
 	"time"
+
+	"github.com/mastichollow/mastichollow/internal/clock"
 )
 
 // idlePerHost bounds the idle connections that are kept.
@@ -90,14 +92,7 @@
 
 // waitUntil waits until t and reports whether ctx still lasts.
 func waitUntil(ctx context.Context, t time.Time) bool {
-	timer := time.NewTimer(time.Until(t))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return ctx.Err() == nil
-	case <-ctx.Done():
-		return false
-	}
+	return clock.Sleep(ctx, time.Until(t)) && ctx.Err() == nil
 }
 
 // pick chooses a workspace by weight.
--- a/internal/standin/model.go
+++ b/internal/standin/model.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/mastichollow/mastichollow/internal/clock"
 )
 
 // maxRuns bounds the runs that a target remembers.
@@ -79,14 +81,14 @@
 	}
 	defer m.leave()
 	started()
-	if err := sleep(ctx, m.prefill(r)); err != nil {
-		return err
+	if !clock.Sleep(ctx, m.prefill(r)) {
+		return ctx.Err()
 	}
 	prompt := xxhash.Sum64(r.Messages)
 	for i := range r.tokens() {
 		if i > 0 {
-			if err := sleep(ctx, m.interval()); err != nil {
-				return err
+			if !clock.Sleep(ctx, m.interval()) {
+				return ctx.Err()
 			}
 		}
 		if err := emit(token(prompt, i)); err != nil {
@@ -140,18 +142,3 @@
 	defer m.mu.Unlock()
 	m.cache.clear()
 }
-
-// sleep waits for d or until ctx ends.
-func sleep(ctx context.Context, d time.Duration) error {
-	if d <= 0 {
-		return ctx.Err()
-	}
-	timer := time.NewTimer(d)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return nil
-	case <-ctx.Done():
-		return ctx.Err()
-	}
-}
