--- a/internal/admission/health.go
+++ b/internal/admission/health.go
@@ -35,10 +35,9 @@
 }
 
 type targetHealth struct {
-	failures  float64 // rate, 0 to 1
-	ejected   time.Duration
-	until     time.Duration
-	unreached int
+	failures float64 // rate, 0 to 1
+	ejected  time.Duration
+	until    time.Duration
 }
 
 func newHealth() *health { return &health{targets: make(map[string]*targetHealth)} }
@@ -76,7 +75,6 @@
 		return // nothing ever failed there
 	}
 	t.failures *= 1 - failureMemory
-	t.unreached = 0
 	if t.failures < outlierRate/2 {
 		t.ejected = 0
 	}
@@ -84,9 +82,7 @@
 
 // unreachable notes that no connection could be made.
 func (h *health) unreachable(now time.Duration, id string) {
-	t := h.of(id)
-	t.unreached++
-	h.eject(now, t)
+	h.eject(now, h.of(id))
 }
 
 // gone notes that another target has the address. Until the platform's list says
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -170,14 +170,14 @@
 	}
 }
 
-// describe fills in what the policy knows of the request.
+// describe fills in what the policy knows of the request; place adds what differs
+// from send to send.
 func (c *call) describe() {
 	c.policy = admission.Request{
 		Workspace:   c.workspace,
 		Service:     c.route.Pick(float64(c.hash("pick")>>11) / (1 << 53)),
 		Parts:       c.meta.Parts,
 		Prompt:      c.meta.Prompt,
-		Goal:        c.route.Goal,
 		Hash:        c.hash("place"),
 		Fingerprint: c.fingerprint(),
 	}
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -144,12 +144,6 @@
 // must not change it.
 func (l *Listing) Of(service string) []Instance { return l.services[service] }
 
-// Usable reports whether the instance still takes new work.
-func (l *Listing) Usable(in Instance) bool {
-	now, known := l.byID[in.ID]
-	return known && !now.Leaving && now.Addr == in.Addr && now.Born == in.Born
-}
-
 // Len returns the number of targets, leaving ones included.
 func (l *Listing) Len() int { return len(l.byID) }
 
