Run the gate's tests beside the same stand-ins as the soak

platformtest wrote tables, rows, requests and the balancer's question by hand, and kept a machine and free ports of its own; it now takes those of platform/standin and processtest. The assertions are the same.

--- a/cmd/mastichollow-gate/gate_test.go
+++ b/cmd/mastichollow-gate/gate_test.go
@@ -2,10 +2,10 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"testing"
@@ -13,7 +13,9 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/mastichollow/mastichollow/internal/process/processtest"
 	"github.com/mastichollow/mastichollow/platform/platformtest"
+	"github.com/mastichollow/mastichollow/platform/standin"
 )
 
 // eventually bounds the waits of these tests; they end as soon as they can.
@@ -21,25 +23,19 @@
 
 // running is a gate with a store and one target.
 type running struct {
-	platformtest.Machine
+	standin.Machine
 	stop func()
 }
 
-func (g *running) isReady() bool { return platformtest.IsReady(g.Ready) }
-
-func freePort(t *testing.T) int {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	defer l.Close()
-	return l.Addr().(*net.TCPAddr).Port
-}
+func (g *running) isReady() bool { return standin.IsReady(g.Ready) }
 
 func run(t *testing.T, store *platformtest.Store) *running {
 	t.Helper()
-	g := &running{Machine: platformtest.Machine{
-		Callers: fmt.Sprintf("127.0.0.1:%d", freePort(t)), Ready: fmt.Sprintf("127.0.0.1:%d", freePort(t)), PeersPort: freePort(t),
+	g := &running{Machine: standin.Machine{
+		Callers: processtest.FreeAddr(t), Ready: processtest.FreeAddr(t), Peers: processtest.FreeAddr(t),
 	}}
-	f := &flags{Boot: platformtest.WriteSettings(t, store, g.Machine), MetricsPort: freePort(t), LogLevel: "error"}
+	metrics := netip.MustParseAddrPort(processtest.FreeAddr(t))
+	f := &flags{Boot: platformtest.WriteSettings(t, store, g.Machine), MetricsPort: int(metrics.Port()), LogLevel: "error"}
 	ctx, cancel := context.WithCancel(context.Background())
 	g.stop = cancel
 	done := make(chan error, 1)
@@ -73,7 +69,7 @@
 	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, "not 404 or 401")
 	resp.Body.Close()
 
-	platformtest.PutStreams(store, platformtest.StreamTarget(t, open))
+	platformtest.PutStreams(t, store, platformtest.StreamTarget(t, open))
 	require.Eventually(t, g.isReady, eventually, 5*time.Millisecond)
 	resp = platformtest.Ask(t, g.Callers)
 	defer resp.Body.Close()
@@ -85,7 +81,7 @@
 func TestGateStopsWithoutCuttingAStream(t *testing.T) {
 	next := make(chan struct{})
 	store := platformtest.NewStore(t)
-	platformtest.PutStreams(store, platformtest.StreamTarget(t, next))
+	platformtest.PutStreams(t, store, platformtest.StreamTarget(t, next))
 	g := run(t, store)
 	require.Eventually(t, g.isReady, eventually, 5*time.Millisecond)
 	resp := platformtest.Ask(t, g.Callers)
--- a/internal/soak/gate.go
+++ b/internal/soak/gate.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -30,7 +29,6 @@
 	// arrived meanwhile is worked off.
 	settleTime = time.Second
 	readyPoll  = 50 * time.Millisecond
-	askTimeout = 500 * time.Millisecond
 )
 
 // Gate is a gate that runs as a process of its own, one after the other.
@@ -80,18 +78,12 @@
 	g.admin = addrs[2]
 	g.machine = standin.Machine{
 		Node: "gate-" + strconv.Itoa(index), Domain: domains[index%len(domains)], Callers: addrs[0], Ready: addrs[1],
-		PeersPort: port(addrs[3]), Store: g.Store.Addr(),
+		Peers: addrs[3], Store: g.Store.Addr(),
 		Grace: grace, RevokedWithin: revokedWithin, ChangedWithin: changedWithin,
 	}
 	return g, nil
 }
 
-func port(addr string) int {
-	_, text, _ := net.SplitHostPort(addr)
-	n, _ := strconv.Atoi(text) // an address that was listened on
-	return n
-}
-
 // Close ends the gate at once and its links.
 func (g *Gate) Close() {
 	g.mu.Lock()
@@ -117,7 +109,11 @@
 	if err != nil {
 		return errors.Wrap(err, "opening a log")
 	}
-	p := &process{cmd: exec.Command(g.program, "--boot", settings, "--metrics-port", strconv.Itoa(port(g.admin))), done: make(chan struct{})}
+	_, metrics, err := net.SplitHostPort(g.admin)
+	if err != nil {
+		return errors.CombineErrors(err, log.Close())
+	}
+	p := &process{cmd: exec.Command(g.program, "--boot", settings, "--metrics-port", metrics), done: make(chan struct{})}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	if err := p.cmd.Start(); err != nil {
 		return errors.CombineErrors(errors.Wrap(err, "starting a gate"), log.Close())
@@ -155,7 +151,7 @@
 			return
 		case <-time.After(readyPoll):
 		}
-		if g.Ready() {
+		if standin.IsReady(g.machine.Ready) {
 			g.mu.Lock()
 			g.back()
 			g.mu.Unlock()
@@ -164,17 +160,6 @@
 	}
 }
 
-// Ready asks the gate as the balancer does.
-func (g *Gate) Ready() bool {
-	client := http.Client{Timeout: askTimeout}
-	resp, err := client.Get(standin.ReadyURL(g.machine.Ready))
-	if err != nil {
-		return false
-	}
-	_ = resp.Body.Close()
-	return resp.StatusCode == http.StatusOK
-}
-
 // notUp begins the trouble "not up" unless it lasts already.
 func (g *Gate) notUp() {
 	begun := g.history.Begin(Subject{PartGate, g.index})
