--- a/internal/experiment/agent.go
+++ b/internal/experiment/agent.go
@@ -66,9 +66,9 @@
 }
 
 func (a *agent) start() {
-	a.w.every(a.w.jitter(tick), tick, a.produce)
-	a.w.every(a.w.jitter(a.w.policy.Report), a.w.policy.Report, a.report)
-	a.w.every(a.w.jitter(time.Second), time.Second, func() { a.ledger.Expire(a.w.time()) })
+	a.w.Every(a.w.jitter(tick), tick, a.produce)
+	a.w.Every(a.w.jitter(a.w.policy.Report), a.w.policy.Report, a.report)
+	a.w.Every(a.w.jitter(time.Second), time.Second, func() { a.ledger.Expire(a.w.time()) })
 }
 
 // slots is the number of requests that may run at once.
@@ -139,7 +139,7 @@
 	account := a.ledger.Start(c.ws, c.hint)
 	ok := a.w.net.send(a.region, c.router.region, func() {
 		won := c.router.take(c, a)
-		a.w.after(a.w.net.delay(a.region, c.router.region), func() { a.settle(c, account, won) })
+		a.w.After(a.w.net.delay(a.region, c.router.region), func() { a.settle(c, account, won) })
 	})
 	if !ok {
 		a.settle(c, account, false)
@@ -176,7 +176,7 @@
 		}
 		c := a.staged[i]
 		a.staged = slices.Delete(a.staged, i, i+1)
-		c.started = a.w.now
+		c.started = a.w.Now()
 		a.running = append(a.running, c)
 		a.w.meter.first(c, a)
 	}
@@ -226,13 +226,13 @@
 func (a *agent) finish(c *call) {
 	c.account.Finish()
 	a.countBatch(c, -1)
-	a.w.after(a.w.net.delay(a.region, c.router.region), c.done)
+	a.w.After(a.w.net.delay(a.region, c.router.region), c.done)
 }
 
 // leave lets the running requests end and takes no more.
 func (a *agent) leave() {
 	a.leaving = true
-	a.w.changed = a.w.now
+	a.w.changed = a.w.Now()
 	for _, o := range a.sortedOffers() {
 		a.queue.Remove(o.entry)
 		a.forget(o)
--- a/internal/experiment/callers.go
+++ b/internal/experiment/callers.go
@@ -44,13 +44,13 @@
 func (c *callers) start() {
 	for range c.demand.Callers {
 		region := c.region()
-		c.w.after(c.demand.From+c.w.jitter(time.Second), func() { c.sendBatch(region) })
+		c.w.After(c.demand.From+c.w.jitter(time.Second), func() { c.sendBatch(region) })
 	}
 	if c.demand.Quick > 0 {
-		c.w.after(c.demand.From+c.pause(c.demand.Quick), c.sendQuick)
+		c.w.After(c.demand.From+c.pause(c.demand.Quick), c.sendQuick)
 	}
 	if c.demand.Flood > 0 {
-		c.w.after(c.demand.From+c.pause(c.demand.Flood), c.sendFlood)
+		c.w.After(c.demand.From+c.pause(c.demand.Flood), c.sendFlood)
 	}
 }
 
@@ -63,7 +63,7 @@
 
 func (c *callers) sendQuick() {
 	c.send(request.ClassInteractive, c.region(), quickCost*(0.5+c.w.rng.Float64()), func() {}, func() {})
-	c.w.after(c.pause(c.demand.Quick), c.sendQuick)
+	c.w.After(c.pause(c.demand.Quick), c.sendQuick)
 }
 
 // sendFlood sends a request without waiting, unless the queue is full.
@@ -73,7 +73,7 @@
 		over := func() { c.waiting-- }
 		c.send(request.ClassBatch, c.region(), c.batchCost(), over, over)
 	}
-	c.w.after(c.pause(c.demand.Flood), c.sendFlood)
+	c.w.After(c.pause(c.demand.Flood), c.sendFlood)
 }
 
 func (c *callers) send(class request.Class, region int, cost float64, done, retry func()) {
--- a/internal/experiment/meter.go
+++ b/internal/experiment/meter.go
@@ -60,30 +60,30 @@
 	return m
 }
 
-func (m *meter) start() { m.w.every(sampling, sampling, m.sample) }
+func (m *meter) start() { m.w.Every(sampling, sampling, m.sample) }
 
 // served notes units that c produced at a. Those of an agent that is leaving do
 // not count as use of the capacity, which has lost it.
 func (m *meter) served(c *call, a *agent, units float64) {
 	m.service[c.ws-1] += units / m.w.deployment.Workspaces[c.ws-1].Weight
-	if m.w.now > settling && !a.leaving {
+	if m.w.Now() > settling && !a.leaving {
 		m.units += units
 	}
 }
 
 // first notes the first token of c.
 func (m *meter) first(c *call, a *agent) {
-	if c.class != request.ClassInteractive || m.w.now < settling {
+	if c.class != request.ClassInteractive || m.w.Now() < settling {
 		return
 	}
 	back := m.w.net.delay(a.region, c.router.region)
-	m.firsts = append(m.firsts, (m.w.now - c.arrived + prefill + back).Seconds())
+	m.firsts = append(m.firsts, (m.w.Now() - c.arrived + prefill + back).Seconds())
 }
 
 // sample compares the service of each pair of workspaces and notes what could
 // have been produced.
 func (m *meter) sample() {
-	if m.w.now < settling {
+	if m.w.Now() < settling {
 		return
 	}
 	m.samplePossible()
@@ -93,7 +93,7 @@
 
 // samplePossible adds what could have been produced since the last sample.
 func (m *meter) samplePossible() {
-	if m.w.now == settling {
+	if m.w.Now() == settling {
 		return
 	}
 	for _, a := range m.w.agents {
@@ -107,7 +107,7 @@
 func (m *meter) samplePairs() {
 	for i := range m.service {
 		for j := range i {
-			if m.w.now < m.since(i)+settling || m.w.now < m.since(j)+settling {
+			if m.w.Now() < m.since(i)+settling || m.w.Now() < m.since(j)+settling {
 				continue
 			}
 			diff := m.service[i] - m.service[j]
@@ -121,7 +121,7 @@
 func (m *meter) sampleSpread() {
 	least, most := math.Inf(1), math.Inf(-1)
 	for i, service := range m.service {
-		if m.w.now < m.since(i)+settling {
+		if m.w.Now() < m.since(i)+settling {
 			continue
 		}
 		if math.IsNaN(m.base[i]) {
--- a/internal/experiment/network.go
+++ b/internal/experiment/network.go
@@ -10,7 +10,7 @@
 // cut reports whether regions a and b do not reach each other now.
 func (n *network) cut(a, b int) bool {
 	s := &n.w.scenario
-	if a == b || s.CutTo == 0 || n.w.now < s.CutFrom || n.w.now >= s.CutTo {
+	if a == b || s.CutTo == 0 || n.w.Now() < s.CutFrom || n.w.Now() >= s.CutTo {
 		return false
 	}
 	return a == 2 || b == 2
@@ -29,7 +29,7 @@
 	if n.cut(a, b) {
 		return false
 	}
-	n.w.after(n.delay(a, b), f)
+	n.w.After(n.delay(a, b), f)
 	return true
 }
 
@@ -39,8 +39,8 @@
 	if n.cut(a, b) || n.w.chance(s.Loss) {
 		return
 	}
-	n.w.after(n.delay(a, b), f)
+	n.w.After(n.delay(a, b), f)
 	if n.w.chance(s.Repeat) {
-		n.w.after(n.delay(a, b)+5*time.Second, f)
+		n.w.After(n.delay(a, b)+5*time.Second, f)
 	}
 }
--- a/internal/experiment/relay.go
+++ b/internal/experiment/relay.go
@@ -49,10 +49,10 @@
 
 func (r *relay) start() {
 	p := &r.w.policy
-	r.w.every(r.w.jitter(p.Digest), p.Digest, r.send)
-	r.w.every(r.w.jitter(p.FarDigest), p.FarDigest, r.sendFar)
+	r.w.Every(r.w.jitter(p.Digest), p.Digest, r.send)
+	r.w.Every(r.w.jitter(p.FarDigest), p.FarDigest, r.sendFar)
 	if !p.RouterSums {
-		r.w.every(p.Heartbeat, p.Heartbeat, func() { r.w.meter.beat(r.region) })
+		r.w.Every(p.Heartbeat, p.Heartbeat, func() { r.w.meter.beat(r.region) })
 	}
 }
 
--- a/internal/experiment/router.go
+++ b/internal/experiment/router.go
@@ -60,7 +60,7 @@
 // accept takes a request in.
 func (r *router) accept(c *call) {
 	c.router = r
-	c.arrived = r.w.now
+	c.arrived = r.w.Now()
 	c.asked = make(map[int]bool)
 	r.calls[c.id] = c
 	if r.w.policy.Push {
@@ -70,7 +70,7 @@
 	if home := r.plan(c).Home; home != nil {
 		r.ask(c, *home, true)
 	}
-	r.w.after(homePatience, func() { r.step(c) })
+	r.w.After(homePatience, func() { r.step(c) })
 }
 
 // hand gives c to the next agent that is reached, in turn.
@@ -97,12 +97,12 @@
 	room -= r.askAll(c, plan.Near, room)
 	r.askFar(c, plan.Far, room)
 	c.steps++
-	r.w.after(r.pause(c), func() { r.step(c) })
+	r.w.After(r.pause(c), func() { r.step(c) })
 }
 
 // pause is the time until the next step; no multiple of spillAfter is missed.
 func (r *router) pause(c *call) time.Duration {
-	toSpill := spillAfter - (r.w.now-c.arrived)%spillAfter
+	toSpill := spillAfter - (r.w.Now()-c.arrived)%spillAfter
 	return min(widen<<min(c.steps-1, maxDoublings), toSpill)
 }
 
@@ -117,7 +117,7 @@
 		n++
 	}
 	added := r.askAll(c, agents[:n], room)
-	waited := int((r.w.now - c.arrived) / spillAfter)
+	waited := int((r.w.Now() - c.arrived) / spillAfter)
 	room = min(room-added, waited-c.spilled)
 	c.spilled += r.askAll(c, agents[n:], room)
 }
@@ -146,8 +146,8 @@
 // plan orders the agents for c, anew when the VMs have changed or the order is
 // old.
 func (r *router) plan(c *call) placement.Plan {
-	if c.order.Home == nil || c.planned < r.w.changed || c.planned+spillAfter <= r.w.now {
-		c.planned = r.w.now
+	if c.order.Home == nil || c.planned < r.w.changed || c.planned+spillAfter <= r.w.Now() {
+		c.planned = r.w.Now()
 		c.order = r.make(c)
 	}
 	return c.order
@@ -199,6 +199,6 @@
 		for _, a := range r.w.agents {
 			a.withdraw(c)
 		}
-		r.w.after(r.w.jitter(time.Second), c.retry)
+		r.w.After(r.w.jitter(time.Second), c.retry)
 	}
 }
--- a/internal/experiment/world.go
+++ b/internal/experiment/world.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"github.com/mastichollow/mastichollow/internal/agenda"
 	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/workspace"
 )
@@ -14,7 +15,7 @@
 
 // world is one run.
 type world struct {
-	clock
+	agenda.Agenda
 	deployment Deployment
 	scenario   Scenario
 	policy     Policy
@@ -28,10 +29,16 @@
 	changed    time.Duration // when the VMs changed last
 }
 
+// epoch is the virtual time at which each run starts.
+var epoch = time.Unix(1_700_000_000, 0).UTC()
+
+// time returns the present moment.
+func (w *world) time() time.Time { return epoch.Add(w.Now()) }
+
 // Run plays scenario on deployment under policy and returns the measures.
 func Run(d Deployment, s Scenario, p Policy) Result {
 	w := newWorld(d, s, p)
-	w.run(s.Length)
+	w.Run(s.Length)
 	return w.meter.result()
 }
 
@@ -69,7 +76,7 @@
 func (w *world) addAgent(region int) {
 	a := newAgent(w, region, len(w.agents))
 	w.agents = append(w.agents, a)
-	w.changed = w.now
+	w.changed = w.Now()
 	a.start()
 }
 
@@ -81,15 +88,15 @@
 	}
 	if s.Restart > 0 {
 		for r := range w.deployment.Regions {
-			w.after(s.Restart+time.Duration(r)*5*time.Second, func() { w.restartRouters(r) })
+			w.After(s.Restart+time.Duration(r)*5*time.Second, func() { w.restartRouters(r) })
 		}
 	}
 	if s.CutTo > 0 {
-		w.after(s.CutFrom, w.sever)
+		w.After(s.CutFrom, w.sever)
 	}
 	if s.Leave > 0 {
-		w.after(s.Leave, func() { w.agents[0].leave(); w.agents[4].leave() })
-		w.after(s.Leave+30*time.Second, func() { w.addAgent(0); w.addAgent(1) })
+		w.After(s.Leave, func() { w.agents[0].leave(); w.agents[4].leave() })
+		w.After(s.Leave+30*time.Second, func() { w.addAgent(0); w.addAgent(1) })
 	}
 	w.meter.start()
 }
--- a/internal/overload/play.go
+++ b/internal/overload/play.go
@@ -1,13 +1,13 @@
 package overload
 
 import (
-	"container/heap"
 	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
 
 	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/agenda"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
@@ -97,32 +97,6 @@
 	r.lease.Began()
 }
 
-// event is something that happens at a moment.
-type event struct {
-	at  time.Duration
-	seq int
-	do  func(now time.Duration)
-}
-
-type agenda []event
-
-func (a agenda) Len() int { return len(a) }
-func (a agenda) Less(i, j int) bool {
-	return a[i].at < a[j].at || a[i].at == a[j].at && a[i].seq < a[j].seq
-}
-func (a agenda) Swap(i, j int) { a[i], a[j] = a[j], a[i] }
-
-// Push implements heap.Interface.
-func (a *agenda) Push(x any) { *a = append(*a, x.(event)) }
-
-// Pop implements heap.Interface.
-func (a *agenda) Pop() any {
-	old := *a
-	last := old[len(old)-1]
-	*a = old[:len(old)-1]
-	return last
-}
-
 // play is a run under way.
 type play struct {
 	load    *Load
@@ -131,8 +105,7 @@
 	engines []*engine
 	byID    map[string]*engine
 	targets []target.Instance
-	agenda  agenda
-	seq     int
+	events  agenda.Agenda
 	result  *Result
 }
 
@@ -153,21 +126,18 @@
 	}
 	for i := range load.Gates {
 		p.gates = append(p.gates, newPolicy())
-		p.at(time.Duration(i)*reportInterval/time.Duration(load.Gates), func(now time.Duration) { p.report(now, i) })
+		p.after(time.Duration(i)*reportInterval/time.Duration(load.Gates), func(now time.Duration) { p.report(now, i) })
 	}
 	for i := range load.Workspaces {
 		p.nextArrival(0, &load.Workspaces[i])
 	}
-	for p.agenda.Len() > 0 {
-		e := heap.Pop(&p.agenda).(event)
-		e.do(e.at)
-	}
+	p.events.Drain()
 	return p.result
 }
 
-func (p *play) at(at time.Duration, do func(now time.Duration)) {
-	p.seq++
-	heap.Push(&p.agenda, event{at, p.seq, do})
+// after runs do once d has passed.
+func (p *play) after(d time.Duration, do func(now time.Duration)) {
+	p.events.After(d, func() { do(p.events.Now()) })
 }
 
 // report tells the other gates, some time later.
@@ -176,22 +146,22 @@
 		return
 	}
 	r := p.gates[from].Report(now)
-	p.at(now+p.load.ReportDelay, func(now time.Duration) {
+	p.after(p.load.ReportDelay, func(now time.Duration) {
 		for i, g := range p.gates {
 			if i != from {
 				g.Merge(now, fmt.Sprint("gate", from), r)
 			}
 		}
 	})
-	p.at(now+reportInterval, func(now time.Duration) { p.report(now, from) })
+	p.after(reportInterval, func(now time.Duration) { p.report(now, from) })
 }
 
 func (p *play) nextArrival(now time.Duration, w *Workspace) {
-	at := now + time.Duration(p.rng.ExpFloat64()/w.PerSecond*float64(time.Second))
-	if at > p.load.Length {
+	wait := time.Duration(p.rng.ExpFloat64() / w.PerSecond * float64(time.Second))
+	if now+wait > p.load.Length {
 		return
 	}
-	p.at(at, func(now time.Duration) {
+	p.after(wait, func(now time.Duration) {
 		p.arrive(now, w)
 		p.nextArrival(now, w)
 	})
@@ -248,7 +218,7 @@
 	if d.RetryAfter > 0 && !r.returned {
 		r.returned = true
 		pause := time.Duration(float64(d.RetryAfter) * (1 + returnSpread*p.rng.Float64()))
-		p.at(now+pause, func(now time.Duration) { p.try(now, w, r) })
+		p.after(pause, func(now time.Duration) { p.try(now, w, r) })
 		return
 	}
 	for _, o := range r.outcomes {
@@ -290,7 +260,7 @@
 	if !e.stepping {
 		return
 	}
-	p.at(now+length, func(now time.Duration) {
+	p.after(length, func(now time.Duration) {
 		for _, j := range e.finish(now) {
 			j.request.lease.End(now, admission.ResultDone, nil)
 		}
