Make the gate's histograms through metric.Factory

The factory lacked them, so the gate spelled their names and registry out. The names, helps, buckets and labels are the same; check-docs reads the new method.

--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -2,7 +2,6 @@
 
 import (
 	"github.com/prometheus/client_golang/prometheus"
-	"github.com/prometheus/client_golang/prometheus/promauto"
 
 	"github.com/mastichollow/mastichollow/internal/metric"
 )
@@ -24,20 +23,12 @@
 func newMetrics(reg prometheus.Registerer) *metrics {
 	f := metric.For(reg, "mastichollow_gate")
 	return &metrics{
-		requests: f.Counters("requests_total", "Requests by the status that the caller got; 0: none.", "status"),
-		refusals: f.Counters("refusals_total", "Requests that the gate answered itself, by reason.", "reason"),
-		retries:  f.Counters("retries_total", "Sends to a further target, by why the one before ended.", "reason"),
-		results:  f.Counters("sends_total", "Sends to targets, by how they ended.", "result"),
-		resumed:  f.Counter("resumed_streams_total", "Streams that went on at another target."),
-		firstByte: promauto.With(reg).NewHistogramVec(prometheus.HistogramOpts{
-			Name:    "mastichollow_gate_first_byte_seconds",
-			Help:    "Time to the first byte of the answer.",
-			Buckets: latencyBuckets,
-		}, []string{"service"}),
-		whole: promauto.With(reg).NewHistogramVec(prometheus.HistogramOpts{
-			Name:    "mastichollow_gate_answer_seconds",
-			Help:    "Time to the end of the answer.",
-			Buckets: latencyBuckets,
-		}, []string{"service"}),
+		requests:  f.Counters("requests_total", "Requests by the status that the caller got; 0: none.", "status"),
+		refusals:  f.Counters("refusals_total", "Requests that the gate answered itself, by reason.", "reason"),
+		retries:   f.Counters("retries_total", "Sends to a further target, by why the one before ended.", "reason"),
+		results:   f.Counters("sends_total", "Sends to targets, by how they ended.", "result"),
+		resumed:   f.Counter("resumed_streams_total", "Streams that went on at another target."),
+		firstByte: f.Histograms("first_byte_seconds", "Time to the first byte of the answer.", latencyBuckets, "service"),
+		whole:     f.Histograms("answer_seconds", "Time to the end of the answer.", latencyBuckets, "service"),
 	}
 }
--- a/internal/metric/metric.go
+++ b/internal/metric/metric.go
@@ -32,3 +32,9 @@
 func (f Factory) Gauge(name, help string) prometheus.Gauge {
 	return f.auto.NewGauge(prometheus.GaugeOpts{Namespace: f.namespace, Name: name, Help: help})
 }
+
+// Histograms makes a histogram with the buckets for each combination of the
+// labels' values.
+func (f Factory) Histograms(name, help string, buckets []float64, labels ...string) *prometheus.HistogramVec {
+	return f.auto.NewHistogramVec(prometheus.HistogramOpts{Namespace: f.namespace, Name: name, Help: help, Buckets: buckets}, labels)
+}
--- a/scripts/check-docs.sh
+++ b/scripts/check-docs.sh
@@ -157,7 +157,7 @@
       if (depth(open) <= 0) { made(space[dir], substr(open, index(open, "\""))); open = "" }
       next
     }
-    match($0, /\.(Counter|Counters|Gauge)\("/) {
+    match($0, /\.(Counter|Counters|Gauge|Histograms)\("/) {
       call = substr($0, RSTART + 1)
       if (call ~ /,$/ && depth(call) > 0) { open = call; next }
       made(space[dir], substr(call, index(call, "\"")))
@@ -171,7 +171,7 @@
 unreadable() {
   case $1 in
   internal/metric/metric.go) # each of its methods must be known to metrics()
-    grep -nE '^func \(f Factory\) [A-Z]' "$1" | grep -vE '\) (Counter|Counters|Gauge)\(' ;;
+    grep -nE '^func \(f Factory\) [A-Z]' "$1" | grep -vE '\) (Counter|Counters|Gauge|Histograms)\(' ;;
   internal/router/metrics.go | internal/agent/metrics.go | internal/process/*)
     grep -nE '[.](Counters?|Gauge|Histograms?)\([^")]' "$1" ;;
   *)
