--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -4,11 +4,11 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
-	"os"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/platform/standin"
@@ -199,20 +199,13 @@
 // strike plays the steps and returns when all are over.
 func (r *run) strike(ctx context.Context, steps []Step) error {
 	begin := time.Now()
-	failures := make(chan error, len(steps))
-	var all sync.WaitGroup
+	var all errgroup.Group
 	for _, step := range steps {
 		clock.Sleep(ctx, time.Until(begin.Add(step.At)))
-		all.Go(func() { failures <- errors.Wrap(r.strikeOne(ctx, step), step.String()) })
+		all.Go(func() error { return errors.Wrap(r.strikeOne(ctx, step), step.String()) })
 	}
 	clock.Sleep(ctx, time.Until(begin.Add(r.cfg.Length)))
-	all.Wait()
-	close(failures)
-	var err error
-	for one := range failures {
-		err = errors.CombineErrors(err, one)
-	}
-	return err
+	return all.Wait()
 }
 
 // heal ends all troubles that are left.
@@ -256,7 +249,7 @@
 
 // waitServes waits until a call of each route is served by the gate.
 func (g *Gate) waitServes(ctx context.Context, r *run) bool {
-	c := &caller{run: r, gate: g.index, steady: true, name: fmt.Sprintf("c%05x%04x", g.index, os.Getpid()%0xffff), random: rand.New(rand.NewPCG(0, 0))}
+	c := &caller{run: r, gate: g.index, steady: true, name: fmt.Sprintf("c%05x%04x", g.index, 0), random: rand.New(rand.NewPCG(0, 0))}
 	c.sent = r.probes()
 	served := make(map[string]bool)
 	for len(served) < len(routes) {
--- a/internal/soak/strike.go
+++ b/internal/soak/strike.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sync/errgroup"
 
 	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/internal/socket"
@@ -60,18 +61,11 @@
 }
 
 func (r *run) killAll(ctx context.Context, down time.Duration) error {
-	var all sync.WaitGroup
-	failures := make(chan error, len(r.gates))
+	var all errgroup.Group
 	for _, g := range r.gates {
-		all.Go(func() { failures <- g.Kill(ctx, down) })
+		all.Go(func() error { return g.Kill(ctx, down) })
 	}
-	all.Wait()
-	close(failures)
-	var err error
-	for one := range failures {
-		err = errors.CombineErrors(err, one)
-	}
-	return err
+	return all.Wait()
 }
 
 // harm brings a trouble upon a link.
