--- a/internal/overload/play.go
+++ b/internal/overload/play.go
@@ -234,7 +234,7 @@
 	e := p.byID[d.Target.ID]
 	e.accept(now, r)
 	if !e.stepping {
-		p.step(now, e)
+		p.step(e)
 	}
 }
 
@@ -254,7 +254,7 @@
 	return o
 }
 
-func (p *play) step(now time.Duration, e *engine) {
+func (p *play) step(e *engine) {
 	length := e.step()
 	e.stepping = length > 0
 	if !e.stepping {
@@ -264,6 +264,6 @@
 		for _, j := range e.finish(now) {
 			j.request.lease.End(now, admission.ResultDone, nil)
 		}
-		p.step(now, e)
+		p.step(e)
 	})
 }
