--- a/internal/socket/ports.go
+++ b/internal/socket/ports.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync/atomic"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 )
@@ -30,16 +31,30 @@
 	for range lastPort - firstPort {
 		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
 		addr := fmt.Sprintf("127.0.0.1:%d", port)
-		l, err := net.Listen("tcp", addr)
+		free, err := isFree(addr)
 		if err != nil {
-			continue // taken
+			return "", err
 		}
-		c, err := net.ListenPacket("udp", addr)
-		_ = l.Close()
-		if err != nil {
-			continue // taken
+		if free {
+			return addr, nil
 		}
-		return addr, errors.Wrap(c.Close(), "closing a socket")
 	}
 	return "", errors.New("no port is left")
 }
+
+// isFree reports whether nothing listens on addr. No process is started meanwhile:
+// it would hold the sockets until it runs its own program, and whoever listens on
+// addr next would find it taken.
+func isFree(addr string) (bool, error) {
+	syscall.ForkLock.RLock()
+	defer syscall.ForkLock.RUnlock()
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return false, nil //nolint:nilerr // taken
+	}
+	c, err := net.ListenPacket("udp", addr)
+	if err != nil {
+		return false, errors.Wrap(l.Close(), "closing a socket")
+	}
+	return true, errors.Wrap(errors.CombineErrors(l.Close(), c.Close()), "closing sockets")
+}
