Heed what targets say in answers; give up answers without end

A target that leaves says so in its answers and one that rejects a request may ask for a pause; the gate read neither. The heads that net/http reads have no bound, neither had plain bodies, and a stream that trickled bytes or comments was kept until the caller's time limit.

Change: a target that says it leaves is left out until it starts anew, whatever its entry says, and peers are told. A pause binds this gate, is a hint for its peers and costs no health; when all targets pause, callers are told when the first one is back. Heads of one call are bounded to 16 KB, plain bodies to 8 MB, events to 64 KB. A stream without a new event is resumed elsewhere before its caller gives it up, or ends after that; a gate that was paused itself first reads what has arrived.

--- a/cmd/mastichollow-gate/start.go
+++ b/cmd/mastichollow-gate/start.go
@@ -106,13 +106,14 @@
 		Site:  admission.Site{Region: s.Region, Domain: s.Domain, Regions: s.Regions},
 		Retry: admission.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 	})
+	directory := target.NewDirectory()
 	exchange, err := peers.Listen(peers.Config{
 		Node: s.Node, Region: s.Region, Listen: s.Peers, Start: born, Now: steady, Log: log.Named("peers"),
-	}, controller, reg)
+	}, controller, directory, reg)
 	if err != nil {
 		return nil, err
 	}
-	table, directory := gate.NewConfiguration(boot), target.NewDirectory()
+	table := gate.NewConfiguration(boot)
 	dialed := metric.For(reg, "mastichollow_targets").Counter("connections_total", "New connections to targets.")
 	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, Now: steady}, dialed.Inc)
 	g := gate.New(gate.Config{
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -87,6 +87,7 @@
 	caches   map[string]*cache
 	health   *health
 	suspects *suspects
+	pauses   *pauses
 	retries  map[string]*retries
 	gates    int // that share the budget of retries
 	capacity float64
@@ -106,6 +107,7 @@
 		caches:   make(map[string]*cache),
 		health:   newHealth(),
 		suspects: newSuspects(),
+		pauses:   newPauses(),
 		retries:  make(map[string]*retries),
 		gates:    1,
 		level:    -1,
@@ -133,7 +135,28 @@
 	if c.suspects.quarantined(now, req.Fingerprint) {
 		return Decision{Refused: request.ReasonQuarantined}
 	}
+	if req.Slots > 0 {
+		c.refreshLevel(now)
+		if !req.Repeat {
+			c.shares.add(now, req.Workspace, Usage{Asked: req.work()})
+		}
+	}
 	avoid := c.avoid(now, req, targets)
+	d := c.choose(now, req, targets, avoid)
+	if d.Refused != "" && avoid.hints {
+		avoid.hints = false
+		d = c.choose(now, req, targets, avoid)
+	}
+	if d.Refused == request.ReasonNoTarget {
+		if wait := c.pauses.soonest(now, targets); wait > 0 {
+			d.Refused, d.RetryAfter = request.ReasonOverloaded, wait
+		}
+	}
+	return d
+}
+
+// choose places the request on a target that is not avoided, or refuses it.
+func (c *Controller) choose(now time.Duration, req *Request, targets []target.Instance, avoid avoided) Decision {
 	if req.Slots == 0 {
 		return c.placePlain(now, req, targets, avoid)
 	}
@@ -149,24 +172,29 @@
 	return r
 }
 
-// avoided says which targets a request may not go to: those that had it, and
-// those that fail, unless so many fail that leaving them out helps nobody.
+// avoided says which targets a request may not go to: those that had it, those
+// that asked this gate for a pause, and those that fail, unless so many fail that
+// leaving them out helps nobody.
 type avoided struct {
 	exclude []string
 	health  *health
+	pauses  *pauses
 	now     time.Duration
 	failing bool
+	// hints: those that asked another gate for a pause are avoided too.
+	hints bool
 }
 
 func (c *Controller) avoid(now time.Duration, req *Request, targets []target.Instance) avoided {
-	a := avoided{exclude: req.Exclude, health: c.health, now: now}
+	a := avoided{exclude: req.Exclude, health: c.health, pauses: c.pauses, now: now, hints: len(c.pauses.hints) > 0}
 	out := c.health.leftOut(now, targets)
 	a.failing = out > 0 && float64(out) <= maxEjectedShare*float64(len(targets))
 	return a
 }
 
 func (a *avoided) has(in *target.Instance) bool {
-	return slices.Contains(a.exclude, in.ID) || a.failing && !a.health.usable(a.now, in.ID)
+	return slices.Contains(a.exclude, in.ID) || a.failing && !a.health.usable(a.now, in.ID) ||
+		left(a.pauses.own, a.now, in) > 0 || a.hints && left(a.pauses.hints, a.now, in) > 0
 }
 
 func (c *Controller) place(now time.Duration, req *Request, in target.Instance, missing int, over bool) Decision {
--- a/internal/admission/engine.go
+++ b/internal/admission/engine.go
@@ -60,10 +60,6 @@
 // placeEngine takes the first of the few targets that keep the shared prompt
 // and have room.
 func (c *Controller) placeEngine(now time.Duration, req *Request, targets []target.Instance, avoid avoided) Decision {
-	c.refreshLevel(now)
-	if !req.Repeat {
-		c.shares.add(now, req.Workspace, Usage{Asked: req.work()})
-	}
 	limit := c.limitFor(now, req)
 	first := Decision{Refused: request.ReasonNoTarget, OverShare: limit.over, Excess: limit.excess}
 	choices := c.choices(req, targets, avoid)
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -7,13 +7,15 @@
 	Loads    map[string]Load
 	Usage    map[string]Usage
 	Suspects map[Fingerprint][]string
+	// Pauses are those that targets asked of the gate, by target.
+	Pauses map[string]Pause
 }
 
 // Report returns the state of this gate.
 func (c *Controller) Report(now time.Duration) Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Report{Loads: c.loads.local(), Usage: c.shares.local(now), Suspects: c.suspects.list(now)}
+	return Report{Loads: c.loads.local(), Usage: c.shares.local(now), Suspects: c.suspects.list(now), Pauses: c.pauses.list(now)}
 }
 
 // Merge takes the report of a peer.
@@ -22,6 +24,9 @@
 	defer c.mu.Unlock()
 	c.loads.setPeer(now, node, r.Loads)
 	c.shares.setPeer(now, node, r.Usage)
+	for id, p := range r.Pauses {
+		ask(c.pauses.hints, id, p.Born, now+p.Left)
+	}
 	for f, targets := range r.Suspects {
 		for _, id := range targets {
 			c.suspects.told(now, f, id)
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"context"
 	"io"
 	"net/http"
 	"strings"
@@ -54,7 +55,9 @@
 	lastID    string // of the last event that was passed on
 	begun     bool   // the caller has the head of an answer
 	ran       bool   // a target may have run the request
-	release   func() // frees what the current answer holds
+	// sendCtx is that of the send whose answer is in hand, cancel ends it.
+	sendCtx context.Context //nolint:containedctx // it lives as long as the answer
+	cancel  context.CancelCauseFunc
 }
 
 func (g *Gate) newCall(w http.ResponseWriter, r *http.Request) *call {
--- a/internal/gate/codec.go
+++ b/internal/gate/codec.go
@@ -39,6 +39,11 @@
 	Misdirected bool
 	// Genuine: the answer bears the mark of a target's own success.
 	Genuine bool
+	// Leaving: the target takes no new work from now on.
+	Leaving bool
+	// Pause is how long a target that rejected the request wants nothing from
+	// this gate; 0: not said.
+	Pause time.Duration
 }
 
 // Codec translates between header fields on the wire and the gate's types.
--- a/internal/gate/events.go
+++ b/internal/gate/events.go
@@ -12,8 +12,9 @@
 	// eventBuffer is the first size of the buffer for events, in bytes: a
 	// handful of them.
 	eventBuffer = 2048
-	// maxEvent bounds one event, in bytes; the sheets' largest has some hundred.
-	maxEvent = 1 << 20
+	// maxEvent bounds one event, in bytes: the sheets' largest has some hundred,
+	// and a gate of 112 MB must hold some hundred that never end.
+	maxEvent = 64 << 10
 )
 
 // errGap: a resumed stream does not go on where the one before ended.
--- a/internal/gate/harness_test.go
+++ b/internal/gate/harness_test.go
@@ -46,7 +46,11 @@
 }
 
 func (testCodec) Verdict(status int, h http.Header) Verdict {
-	return Verdict{NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Genuine: h.Get("Mark") != ""}
+	seconds, _ := strconv.ParseFloat(h.Get("Pause"), 64)
+	return Verdict{
+		NotRun: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Genuine: h.Get("Mark") != "",
+		Leaving: h.Get("Leaving") != "", Pause: time.Duration(seconds * float64(time.Second)),
+	}
 }
 
 // received is a request as a target got it.
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -16,6 +16,9 @@
 	retries   *prometheus.CounterVec
 	results   *prometheus.CounterVec
 	resumed   prometheus.Counter
+	leaving   prometheus.Counter
+	pauses    prometheus.Counter
+	stalled   prometheus.Counter
 	firstByte *prometheus.HistogramVec
 	whole     *prometheus.HistogramVec
 }
@@ -28,6 +31,9 @@
 		retries:   f.Counters("retries_total", "Sends to a further target, by why the one before ended.", "reason"),
 		results:   f.Counters("sends_total", "Sends to targets, by how they ended.", "result"),
 		resumed:   f.Counter("resumed_streams_total", "Streams that went on at another target."),
+		leaving:   f.Counter("leaving_targets_total", "Targets that said in an answer that they leave."),
+		pauses:    f.Counter("target_pauses_total", "Pauses that targets asked for when they rejected a request."),
+		stalled:   f.Counter("stalled_streams_total", "Streams of targets given up for want of events."),
 		firstByte: f.Histograms("first_byte_seconds", "Time to the first byte of the answer.", latencyBuckets, "service"),
 		whole:     f.Histograms("answer_seconds", "Time to the end of the answer.", latencyBuckets, "service"),
 	}
--- a/internal/gate/pass.go
+++ b/internal/gate/pass.go
@@ -20,6 +20,10 @@
 // can still be replaced by that of another target. Plain answers are below 5 kB.
 const wholeBody = 16 << 10
 
+// maxPlainBody bounds the rest of such an answer, in bytes: some hundred times the
+// largest of the sheets, against bodies without end.
+const maxPlainBody = 8 << 20
+
 // hopByHop fields concern one connection alone.
 var hopByHop = map[string]bool{
 	"Connection": true, "Keep-Alive": true, "Proxy-Authenticate": true, "Proxy-Authorization": true,
@@ -96,12 +100,19 @@
 	c.w.WriteHeader(status)
 }
 
+// errLongBody: a target sends a body without end.
+var errLongBody = errors.Newf("body of a plain answer is longer than %d bytes", maxPlainBody)
+
 // errCaller marks failures to write to the caller.
 var errCaller = errors.New("caller does not take the answer")
 
+// passBody passes the rest of a body on, up to a bound.
 func (c *call) passBody(body io.Reader, buf []byte) error {
-	for {
+	for passed := 0; ; {
 		n, err := body.Read(buf)
+		if passed += n; passed > maxPlainBody {
+			return errLongBody
+		}
 		if n > 0 {
 			if _, werr := c.w.Write(buf[:n]); werr != nil {
 				return errors.Mark(werr, errCaller)
@@ -121,6 +132,8 @@
 	if err := control.Flush(); err != nil {
 		return errors.Mark(err, errCaller)
 	}
+	watch := c.watchStream()
+	defer watch.stop()
 	events := newEvents(body, c.lastID)
 	for {
 		chunk, err := events.next()
@@ -129,6 +142,9 @@
 				c.firstByte = time.Since(c.started)
 				c.gate.metrics.firstByte.WithLabelValues(c.policy.Service).Observe(c.firstByte.Seconds())
 			}
+			if events.last != c.lastID {
+				watch.progress()
+			}
 			d.Lease.Began()
 			if _, werr := c.w.Write(chunk); werr != nil {
 				return errors.Mark(werr, errCaller)
@@ -156,6 +172,10 @@
 // passFailed decides what becomes of an answer that broke off.
 func (c *call) passFailed(ctx context.Context, err error) outcome {
 	o := outcome{result: admission.ResultLost, ran: true, err: err}
+	if errors.Is(context.Cause(c.sendCtx), errStalled) {
+		o.result, o.err = admission.ResultFailed, errors.CombineErrors(errStalled, err)
+		c.gate.metrics.stalled.Inc()
+	}
 	if errors.Is(err, errCaller) || c.r.Context().Err() != nil || ctx.Err() != nil {
 		o.result = admission.ResultWithdrawn
 		return o
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -124,7 +124,7 @@
 // passOrReplace passes an answer on, unless it is a failure that a further
 // target may mend.
 func (c *call) passOrReplace(ctx context.Context, d admission.Decision, o outcome) outcome {
-	defer c.release()
+	defer c.cancel(nil)
 	if c.begun && o.answer.Status != http.StatusOK {
 		o.answer.Body.Close()
 		return outcome{result: admission.ResultFailed, ran: true, err: errors.Newf("status %d to a resumed stream", o.answer.Status)}
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -8,7 +8,9 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/eventlog"
 	"github.com/mastichollow/mastichollow/internal/route"
+	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/upstream"
 )
 
@@ -43,7 +45,7 @@
 		return outcome{result: admission.ResultWithdrawn, err: context.DeadlineExceeded}
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
-	patience := c.limitSilence(cancel)
+	silence := c.limitSilence(cancel)
 	answer, err := g.pool.Do(ctx, upstream.Call{
 		Addr:     d.Target.Addr,
 		Method:   c.r.Method,
@@ -55,26 +57,24 @@
 		MaxIdle:  c.maxIdle(),
 		MaxOpen:  c.maxOpen(),
 	})
-	if patience != nil {
-		patience.Stop()
-	}
+	silence.stop()
 	if err != nil {
 		defer cancel(nil)
 		return c.sendFailed(ctx, err)
 	}
 	c.sent++
-	c.release = func() { cancel(nil) }
-	return c.judge(answer)
+	c.sendCtx, c.cancel = ctx, cancel
+	return c.judge(d, answer)
 }
 
 // limitSilence ends the send when the target stays silent, if another target
 // may be tried.
-func (c *call) limitSilence(cancel context.CancelCauseFunc) *time.Timer {
+func (c *call) limitSilence(cancel context.CancelCauseFunc) *watchdog {
 	if c.route.Repetition == route.Once || c.sent+1 >= c.route.MaxTargets || c.route.Goal <= 0 {
 		return nil
 	}
 	silence := max(minSilence, time.Duration(silenceGoals*float64(c.route.Goal)))
-	return time.AfterFunc(silence, func() { cancel(errSilent) })
+	return newWatchdog(silence, func() { cancel(errSilent) })
 }
 
 func (c *call) outbound(d admission.Decision, left time.Duration) Outbound {
@@ -120,8 +120,11 @@
 }
 
 // judge decides what the head of an answer is worth.
-func (c *call) judge(a *upstream.Answer) outcome {
+func (c *call) judge(d admission.Decision, a *upstream.Answer) outcome {
 	v := c.gate.codec.Verdict(a.Status, a.Header)
+	if !v.Misdirected {
+		c.heed(d.Target, v)
+	}
 	switch {
 	case v.Misdirected:
 		a.Body.Close()
@@ -141,6 +144,24 @@
 	}
 }
 
+// heed notes what a target asks of the gate in its answer.
+func (c *call) heed(in target.Instance, v Verdict) {
+	g := c.gate
+	now := g.config.Now()
+	if v.Leaving && g.directory.Leave(in.ID, in.Born, now, true) {
+		g.metrics.leaving.Inc()
+		g.pool.Forget(in.Addr)
+		g.config.Events.Event(logModule, "target leaves", eventlog.Text("request", c.meta.ID),
+			eventlog.Text("target", in.ID), eventlog.Text("addr", in.Addr), eventlog.Text("told_by", "itself"))
+	}
+	if v.Pause > 0 {
+		g.controller.Pause(now, in, v.Pause)
+		g.metrics.pauses.Inc()
+		g.config.Events.Event(logModule, "target pauses", eventlog.Text("request", c.meta.ID),
+			eventlog.Text("target", in.ID), eventlog.Millis("for_ms", v.Pause))
+	}
+}
+
 // isPromise reports whether callers take a status as "has not run and never
 // will".
 func isPromise(status int) bool {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -28,6 +28,7 @@
 
 	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/metric"
+	"github.com/mastichollow/mastichollow/internal/target"
 )
 
 const (
@@ -58,6 +59,10 @@
 	Loads    map[string][3]int   `cbor:"4,keyasint"`
 	Usage    map[string][2]int64 `cbor:"5,keyasint"`
 	Suspects map[uint64][]string `cbor:"6,keyasint,omitempty"`
+	// Leaving holds the starts (Unix ms) of targets that said that they leave.
+	Leaving map[string]int64 `cbor:"7,keyasint,omitempty"`
+	// Pauses holds the start (Unix ms) of a target and the rest of its pause (ms).
+	Pauses map[string][2]int64 `cbor:"8,keyasint,omitempty"`
 }
 
 // Config configures an Exchange.
@@ -74,6 +79,7 @@
 type Exchange struct {
 	config     Config
 	controller *admission.Controller
+	directory  *target.Directory
 	socket     *net.UDPConn
 	metrics    exchangeMetrics
 
@@ -96,7 +102,7 @@
 }
 
 // Listen opens the socket of an Exchange.
-func Listen(config Config, controller *admission.Controller, reg prometheus.Registerer) (*Exchange, error) {
+func Listen(config Config, controller *admission.Controller, directory *target.Directory, reg prometheus.Registerer) (*Exchange, error) {
 	addr, err := net.ResolveUDPAddr("udp4", config.Listen)
 	if err != nil {
 		return nil, errors.Wrapf(err, "address for peers %q", config.Listen)
@@ -109,6 +115,7 @@
 	return &Exchange{
 		config:     config,
 		controller: controller,
+		directory:  directory,
 		socket:     socket,
 		heard:      make(map[string]*heard),
 		metrics: exchangeMetrics{
@@ -199,8 +206,15 @@
 		Sequence: e.sequence,
 		Loads:    make(map[string][3]int, len(report.Loads)),
 		Usage:    make(map[string][2]int64, len(report.Usage)),
+		Leaving:  e.directory.Left(now),
 	}
 	e.mu.Unlock()
+	if len(report.Pauses) > 0 {
+		m.Pauses = make(map[string][2]int64, len(report.Pauses))
+		for id, p := range report.Pauses {
+			m.Pauses[id] = [2]int64{p.Born, p.Left.Milliseconds()}
+		}
+	}
 	for id, l := range report.Loads {
 		m.Loads[id] = [3]int{l.Running, l.Reading, l.Held}
 	}
@@ -254,6 +268,7 @@
 		Loads:    make(map[string]admission.Load, len(m.Loads)),
 		Usage:    make(map[string]admission.Usage, len(m.Usage)),
 		Suspects: make(map[admission.Fingerprint][]string, len(m.Suspects)),
+		Pauses:   make(map[string]admission.Pause, len(m.Pauses)),
 	}
 	for id, l := range m.Loads {
 		r.Loads[id] = admission.Load{Running: max(l[0], 0), Reading: max(l[1], 0), Held: max(l[2], 0)}
@@ -264,7 +279,15 @@
 	for f, targets := range m.Suspects {
 		r.Suspects[admission.Fingerprint(f)] = targets
 	}
+	for id, p := range m.Pauses {
+		r.Pauses[id] = admission.Pause{Born: p[0], Left: time.Duration(p[1]) * time.Millisecond}
+	}
 	e.controller.Merge(now, m.Node, r)
+	for id, born := range m.Leaving {
+		if e.directory.Leave(id, born, now, false) {
+			e.config.Log.Info("target leaves", "target", id, "told_by", m.Node)
+		}
+	}
 }
 
 func (e *Exchange) newer(now time.Duration, m *message) bool {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -19,16 +19,17 @@
 type gate struct {
 	exchange   *Exchange
 	controller *admission.Controller
+	directory  *target.Directory
 	now        time.Duration
 }
 
 func newGate(t *testing.T, node string) *gate {
 	t.Helper()
-	g := &gate{controller: admission.NewController(admission.Config{})}
+	g := &gate{controller: admission.NewController(admission.Config{}), directory: target.NewDirectory()}
 	var err error
 	g.exchange, err = Listen(Config{
 		Node: node, Region: "r", Listen: "127.0.0.1:0", Start: 1, Now: func() time.Duration { return g.now }, Log: hclog.NewNullLogger(),
-	}, g.controller, prometheus.NewRegistry())
+	}, g.controller, g.directory, prometheus.NewRegistry())
 	require.NoError(t, err)
 	t.Cleanup(func() { g.exchange.socket.Close() })
 	return g
@@ -120,3 +121,20 @@
 	}
 	require.LessOrEqual(t, n, 7)
 }
+
+func TestGatesTellOfTargetsThatLeaveOrPause(t *testing.T) {
+	a, b := newGate(t, "a"), newGate(t, "b")
+	instances := []target.Instance{{ID: "e", Service: "s", Slots: 10, Born: 5}, {ID: "f", Service: "s", Slots: 10, Born: 6}}
+	for _, g := range []*gate{a, b} {
+		g.directory.Replace(instances, 0, false)
+	}
+	a.directory.Leave("e", 5, 0, true)
+	a.controller.Pause(0, instances[1], time.Second)
+	data, err := a.exchange.encode(0)
+	require.NoError(t, err)
+	b.exchange.take(data)
+	require.Equal(t, instances[1:], b.directory.Current().Of("s"))
+	d := b.controller.Admit(0, request(1), append([]target.Instance{{ID: "g", Service: "s", Slots: 10}}, instances[1]))
+	require.Equal(t, "g", d.Target.ID)
+	require.Empty(t, b.directory.Left(0), "what a peer told is not told on")
+}
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -44,6 +44,9 @@
 	// Goal is the time to the answer, or to the first event of a stream, that
 	// counts as good service. Zero: none.
 	Goal time.Duration
+	// GapGoal is the longest pause between two events of a stream that counts as
+	// good service. Zero: none.
+	GapGoal time.Duration
 	// MaxTargets bounds the targets to which one request may be sent.
 	MaxTargets int
 	Services   []Share
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 )
@@ -30,13 +31,19 @@
 // Directory is what is known about the live targets of all services.
 //
 // Invariants: an instance that was seen leaving or gone is not usable again
-// until its entry says so anew; entries that lapsed while the store was out of
-// reach stay usable until returnGrace after its return.
+// until its entry says so anew; one that said itself that it leaves is not
+// usable again, whatever its entry says, until it starts anew; entries that
+// lapsed while the store was out of reach stay usable until returnGrace after
+// its return.
 type Directory struct {
 	current atomic.Pointer[Listing]
+
+	mu sync.Mutex // held while the listing is replaced
 	// lapsed holds how long entries may still come back, by ID, on the clock of
 	// the caller.
 	lapsed map[string]time.Duration
+	// leaving holds the targets that said that they leave, by ID.
+	leaving map[string]leaving
 }
 
 // Listing is one state of a Directory; it never changes.
@@ -47,7 +54,7 @@
 
 // NewDirectory returns a directory with no targets.
 func NewDirectory() *Directory {
-	d := &Directory{lapsed: make(map[string]time.Duration)}
+	d := &Directory{lapsed: make(map[string]time.Duration), leaving: make(map[string]leaving)}
 	d.current.Store(newListing(nil))
 	return d
 }
@@ -72,9 +79,12 @@
 // Replace takes a whole new list, read at now. disturbed says that the store
 // was out of reach since the list before, so that entries may have lapsed
 // though their targets live; those stay until the grace ends. It returns the
-// IDs that are new, leaving or gone. Calls, also of NextLapse, must not overlap.
+// IDs that are new, leaving or gone.
 func (d *Directory) Replace(instances []Instance, now time.Duration, disturbed bool) Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	old := d.Current()
+	instances = d.markLeaving(instances, now)
 	listed := newListing(instances)
 	var c Change
 	for id, in := range old.byID {
@@ -104,6 +114,8 @@
 // NextLapse returns how long the first of the entries that may still come back
 // has left at now; false: there are none.
 func (d *Directory) NextLapse(now time.Duration) (time.Duration, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	left, found := time.Duration(0), false
 	for _, until := range d.lapsed {
 		if one := max(until-now, 0); !found || one < left {
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -130,8 +130,9 @@
 // read returns the first answer that is not another call's.
 func (x *exchange) read() (*Answer, error) {
 	stray := int64(0)
+	x.conn.heads.begin()
 	for {
-		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.call.Method}) //nolint:bodyclose // Answer.Body closes the connection
+		resp, err := x.readHead() //nolint:bodyclose // Answer.Body closes the connection
 		if err != nil {
 			return nil, x.readError(err)
 		}
@@ -152,6 +153,13 @@
 	}
 }
 
+// readHead reads the head of an answer, of a bounded length.
+func (x *exchange) readHead() (*http.Response, error) {
+	x.conn.heads.head = true
+	defer func() { x.conn.heads.head = false }()
+	return http.ReadResponse(x.conn.reader, &http.Request{Method: x.call.Method})
+}
+
 func (x *exchange) readError(err error) error {
 	if errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || isNetError(err) {
 		return errors.Wrapf(err, "waiting for the answer of %s", x.call.Addr)
--- a/internal/upstream/conn.go
+++ b/internal/upstream/conn.go
@@ -17,6 +17,7 @@
 	raw       net.Conn
 	addr      string
 	reader    *bufio.Reader
+	heads     headLimit   // below reader
 	written   atomic.Bool // a byte of the current call may have left
 	reused    bool
 	idleSince time.Duration
@@ -24,7 +25,9 @@
 }
 
 func newConn(raw net.Conn, addr string) *conn {
-	return &conn{raw: raw, addr: addr, reader: bufio.NewReaderSize(raw, readBufferSize)}
+	c := &conn{raw: raw, addr: addr, heads: headLimit{raw: raw}}
+	c.reader = bufio.NewReaderSize(&c.heads, readBufferSize)
+	return c
 }
 
 // Write implements io.Writer and notes that bytes may have left.
