Follow the store through one gate of each failure domain

Change: package relay. The gate of a domain that ranks first by rendezvous hash among those heard of follows the store; the others ask it, and it answers once the table is confirmed or targets changed, with the changes alone. Ages count from before the question on a clock that counts suspensions. A relay that lost the store refuses at once; a member whose relay fails, is frozen or old follows the store itself and tries the next one. Older listings replace nothing.

Ruled out: taking a lost relay for a lost store. Its targets' entries would be kept 2.2 s longer, and a target that leaves at that moment with them.

--- a/cmd/mastichollow-gate/server.go
+++ b/cmd/mastichollow-gate/server.go
@@ -12,6 +12,7 @@
 
 	"github.com/mastichollow/mastichollow/internal/gate"
 	"github.com/mastichollow/mastichollow/internal/process"
+	"github.com/mastichollow/mastichollow/internal/relay"
 	"github.com/mastichollow/mastichollow/platform"
 )
 
@@ -32,17 +33,18 @@
 	drainPoll  = 50 * time.Millisecond
 )
 
-// server serves callers and the balancer.
+// server serves callers, the balancer and peers.
 type server struct {
-	gate           *gate.Gate
-	log            hclog.Logger
-	callers, ready net.Listener
-	http           *http.Server
-	asked          *http.Server
+	gate                  *gate.Gate
+	log                   hclog.Logger
+	callers, ready, peers net.Listener
+	http                  *http.Server
+	asked                 *http.Server
+	relay                 *http.Server
 }
 
 // listen opens the listeners.
-func listen(s *platform.Settings, g *gate.Gate, log hclog.Logger) (*server, error) {
+func listen(s *platform.Settings, g *gate.Gate, feed *relay.Feed, log hclog.Logger) (*server, error) {
 	callers, err := net.Listen("tcp4", s.Callers)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening for callers on %s", s.Callers)
@@ -51,19 +53,27 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening for the balancer on %s", s.Ready)
 	}
+	peers, err := net.Listen("tcp4", s.Peers)
+	if err != nil {
+		return nil, errors.Wrapf(err, "listening for peers on %s", s.Peers)
+	}
+	served := http.NewServeMux()
+	served.Handle("POST "+relay.Path, feed)
 	quiet := log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
 	return &server{
-		gate: g, log: log, callers: callers, ready: ready,
+		gate: g, log: log, callers: callers, ready: ready, peers: peers,
 		http: &http.Server{
 			Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: headerBytes, ErrorLog: quiet, ConnContext: gate.ConnContext, ConnState: g.ConnState,
 		},
 		asked: &http.Server{Handler: platform.ReadyHandler(g.Ready), ReadHeaderTimeout: headerTimeout, ErrorLog: quiet},
+		relay: &http.Server{Handler: served, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: quiet},
 	}, nil
 }
 
 func (s *server) serve() {
 	go func() { s.report("balancer", s.asked.Serve(s.ready)) }()
+	go func() { s.report("peers", s.relay.Serve(s.peers)) }()
 	s.report("callers", s.http.Serve(s.callers))
 }
 
--- a/cmd/mastichollow-gate/start.go
+++ b/cmd/mastichollow-gate/start.go
@@ -21,6 +21,7 @@
 	"github.com/mastichollow/mastichollow/internal/peers"
 	"github.com/mastichollow/mastichollow/internal/process"
 	"github.com/mastichollow/mastichollow/internal/process/settings"
+	"github.com/mastichollow/mastichollow/internal/relay"
 	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/upstream"
 	"github.com/mastichollow/mastichollow/platform"
@@ -108,27 +109,34 @@
 	})
 	directory := target.NewDirectory()
 	exchange, err := peers.Listen(peers.Config{
-		Node: s.Node, Region: s.Region, Listen: s.Peers, Start: born, Now: steady, Log: log.Named("peers"),
+		Node: s.Node, Domain: s.Domain, Region: s.Region, Listen: s.Peers, Start: born, Now: steady, Log: log.Named("peers"),
 	}, controller, directory, reg)
 	if err != nil {
 		return nil, err
 	}
 	table := gate.NewConfiguration(boot)
+	feed := relay.NewFeed(born, boot)
+	watcher := &platform.Watcher{
+		Store: platform.NewStore(s.Store), Settings: s, Table: table, Directory: directory,
+		Controller: controller, Peers: exchange, Boot: boot, Steady: steady, Start: born,
+		Log: log.Named("platform"), Feed: feed,
+	}
+	watcher.Relay = relay.NewMember(relay.Config{
+		Ahead: exchange.Ahead, View: watcher, Now: boot, Log: log.Named("relay"),
+	}, reg)
 	dialed := metric.For(reg, "mastichollow_targets").Counter("connections_total", "New connections to targets.")
 	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, Now: steady}, dialed.Inc)
+	watcher.Gone = pool.Forget
 	g := gate.New(gate.Config{
 		KeyAge: s.KeyAge(), DenyAge: s.DenyAge(), BodiesBytes: int64(bodiesShare * float64(s.MemoryBytes)),
 		ManyConnections: int(connectionsShare * float64(s.Descriptors)), Now: steady, Events: events,
+		Detached: watcher.Detached,
 	}, platform.Codec{}, table, directory, controller, pool, reg)
-	server, err := listen(s, g, log)
+	server, err := listen(s, g, feed, log)
 	if err != nil {
 		return nil, err
 	}
-	return &node{gate: g, peers: exchange, pool: pool, server: server, watcher: &platform.Watcher{
-		Store: platform.NewStore(s.Store), Settings: s, Table: table, Directory: directory,
-		Controller: controller, Peers: exchange, Boot: boot, Steady: steady, Start: born,
-		Log: log.Named("platform"), Gone: pool.Forget,
-	}}, nil
+	return &node{gate: g, peers: exchange, pool: pool, server: server, watcher: watcher}, nil
 }
 
 // run starts the duties, each in a goroutine of its own.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -32,6 +32,9 @@
 	BodiesBytes int64
 	Now         func() time.Duration // goes forward only
 	Events      *eventlog.Log
+	// Detached reports whether the gate lives on what a peer tells it, since it
+	// cannot reach the store itself; nil: it never does.
+	Detached func() bool
 }
 
 // Gate answers callers. It is an http.Handler.
@@ -79,9 +82,16 @@
 	if g.directory.Current().Len() == 0 {
 		return errNoTargets
 	}
+	if g.detached() {
+		return errDetached
+	}
 	return nil
 }
 
+// detached gates serve whoever comes, but ask for fewer callers: one failure more,
+// and they cannot take keys.
+func (g *Gate) detached() bool { return g.config.Detached != nil && g.config.Detached() }
+
 // Run watches the gate's own speed until ctx ends.
 func (g *Gate) Run(ctx context.Context) { g.lag.run(ctx, g.config.Now) }
 
@@ -121,7 +131,7 @@
 func (g *Gate) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	g.inHand.Add(1)
 	defer g.inHand.Add(-1)
-	if g.draining.Load() || g.lag.high() || g.crowded() {
+	if g.draining.Load() || g.lag.high() || g.crowded() || g.detached() {
 		// The balancer sends the caller's next connection to another gate.
 		w.Header().Set("Connection", "close")
 	}
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -411,3 +411,13 @@
 	require.Eventually(t, func() bool { return !f.gate.crowded() }, 5*time.Second, time.Millisecond)
 	require.False(t, f.ask("/p/", "b").last)
 }
+
+func TestDetachedGateServesAndAsksForFewerCallers(t *testing.T) {
+	f := newFleet(t, routeOf(once), good("whole"))
+	require.NoError(t, f.gate.Ready())
+	f.gate.config.Detached = func() bool { return true }
+	require.Error(t, f.gate.Ready())
+	got := f.ask("/p/", "b")
+	require.Equal(t, 200, got.status)
+	require.True(t, got.last, "the caller's next connection goes to another gate")
+}
--- a/internal/gate/refusal.go
+++ b/internal/gate/refusal.go
@@ -19,6 +19,7 @@
 	errNoTargets = errors.New("no targets are known yet")
 	errOldTable  = errors.New("table is too old to take keys")
 	errLag       = errors.New("gate runs late")
+	errDetached  = errors.New("gate cannot reach the metadata store itself")
 )
 
 const (
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -15,12 +15,15 @@
 package peers
 
 import (
+	"cmp"
 	"context"
 	"net"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 	"github.com/hashicorp/go-hclog"
@@ -48,6 +51,7 @@
 type Address struct {
 	Node   string
 	Addr   netip.AddrPort
+	Domain string // failure domain
 	Region string
 }
 
@@ -68,6 +72,7 @@
 // Config configures an Exchange.
 type Config struct {
 	Node   string
+	Domain string // failure domain
 	Region string
 	Listen string // IP:port (UDP)
 	Start  int64  // Unix ms
@@ -305,6 +310,29 @@
 	return true
 }
 
+// Ahead returns the addresses of the peers of the own failure domain that were
+// heard of lately and rank before this gate, in their order. All gates of a domain
+// rank alike.
+func (e *Exchange) Ahead() []netip.AddrPort {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	own := rank(e.config.Node)
+	var ahead []Address
+	for _, a := range e.listed {
+		if a.Domain == e.config.Domain && e.heard[a.Node] != nil && rank(a.Node) > own {
+			ahead = append(ahead, a)
+		}
+	}
+	slices.SortFunc(ahead, func(a, b Address) int { return cmp.Compare(rank(b.Node), rank(a.Node)) })
+	addrs := make([]netip.AddrPort, len(ahead))
+	for i, a := range ahead {
+		addrs[i] = a.Addr
+	}
+	return addrs
+}
+
+func rank(node string) uint64 { return xxhash.Sum64String(node) }
+
 // Alive returns the number of peers heard of lately.
 func (e *Exchange) Alive() int {
 	e.mu.Lock()
