--- a/internal/socket/ports.go
+++ b/internal/socket/ports.go
@@ -27,10 +27,12 @@
 
 // FreeAddr returns an address on loopback that nothing listens on, by TCP or
 // UDP. A process gets each once, until all were handed out.
-func FreeAddr() (string, error) {
+func FreeAddr() (string, error) { return freeAddrOn("127.0.0.1") }
+
+func freeAddrOn(ip string) (string, error) {
 	for range lastPort - firstPort {
 		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
-		addr := fmt.Sprintf("127.0.0.1:%d", port)
+		addr := fmt.Sprintf("%s:%d", ip, port)
 		free, err := isFree(addr)
 		if err != nil {
 			return "", err
--- a/internal/socket/ports_test.go
+++ b/internal/socket/ports_test.go
@@ -10,6 +10,10 @@
 	"github.com/stretchr/testify/require"
 )
 
+// ownIP is loopback that no other test of the repository listens on: those that
+// run beside this one take ports of 127.0.0.1 between a choice and its use.
+const ownIP = "127.0.0.77"
+
 // A child that is being started holds a copy of every open socket until it runs
 // its own program.
 func TestFreeAddrIsFreeWhileProcessesStart(t *testing.T) {
@@ -34,7 +38,7 @@
 	defer started.Wait()
 	defer close(done)
 	for range rounds {
-		addr, err := FreeAddr()
+		addr, err := freeAddrOn(ownIP)
 		require.NoError(t, err)
 		l, err := net.Listen("tcp4", addr)
 		require.NoError(t, err)
