Let package os probe its way of starting processes before a free port is looked for

Cause: TestFreeAddrIsFreeWhileProcessesStart failed in about one of eight runs, always within the first rounds, and the port was busy for 0.05 to 0.85 ms: at its first start of a process, package os forks a probe without ForkLock, which holds a copy of the sockets that look for a free port.

Ruled out: ports of other tests (an address of its own changed nothing), and later starts (a loop with the probe done first: 24,000 rounds, none busy).

--- a/internal/socket/ports.go
+++ b/internal/socket/ports.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 
@@ -30,6 +31,7 @@
 func FreeAddr() (string, error) { return freeAddrOn("127.0.0.1") }
 
 func freeAddrOn(ip string) (string, error) {
+	probeOnce()
 	for range lastPort - firstPort {
 		port := firstPort + int(nextPort.Add(1))%(lastPort-firstPort)
 		addr := fmt.Sprintf("%s:%d", ip, port)
@@ -44,6 +46,15 @@
 	return "", errors.New("no port is left")
 }
 
+// probeOnce makes package os find out how it starts processes. It does so once, at
+// the first start, by a child of its own that it forks without syscall.ForkLock and
+// that would hold isFree's sockets for up to a millisecond.
+var probeOnce = sync.OnceFunc(func() {
+	if p, err := os.FindProcess(os.Getpid()); err == nil {
+		_ = p.Release()
+	}
+})
+
 // isFree reports whether nothing listens on addr. No process is started meanwhile:
 // it would hold the sockets until it runs its own program, and whoever listens on
 // addr next would find it taken.
