Look at the key once more before each send

Cause: the key was looked at when a request came.

Change: before each send the key must be in the newest table, and that table young enough; otherwise 401 or 503 if nothing ran, 502 if it may have, and a stream breaks off.

--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -103,11 +103,11 @@
 }
 
 func (c *call) authenticate() *refusal {
-	if !c.table.HasWorkspaces() || c.route.Public {
+	if !c.needsKey() {
 		return nil
 	}
 	if c.age > c.gate.config.KeyAge {
-		return unavailable(request.ReasonNotReady, retryElsewhere, eventlog.Text("detail", "table too old for keys"))
+		return tableTooOld()
 	}
 	ws := c.table.Authenticate(c.meta.Key)
 	if ws == nil {
@@ -117,6 +117,31 @@
 	return nil
 }
 
+func (c *call) needsKey() bool { return c.table.HasWorkspaces() && !c.route.Public }
+
+func tableTooOld() *refusal {
+	return unavailable(request.ReasonNotReady, retryElsewhere, eventlog.Text("detail", "table too old for keys"))
+}
+
+// stillAllowed looks at the key once more, just before a send: the process may have
+// been paused since it was looked at, and repeated requests take seconds.
+func (c *call) stillAllowed() *refusal {
+	if !c.needsKey() {
+		return nil
+	}
+	table, age := c.gate.table.Current()
+	if age > c.gate.config.KeyAge {
+		return tableTooOld()
+	}
+	if table == c.table {
+		return nil
+	}
+	if ws := table.Authenticate(c.meta.Key); ws == nil || ws.Name != c.workspace {
+		return denied(http.StatusUnauthorized, request.ReasonUnauthorized)
+	}
+	return nil
+}
+
 // readBody reads the whole body, since it may have to be sent twice.
 func (c *call) readBody() *refusal {
 	limit := c.table.Limits().BodyBytes
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -428,3 +428,40 @@
 	require.Equal(t, 200, got.status)
 	require.True(t, got.last, "the caller's next connection goes to another gate")
 }
+
+// A request is on its way for a while, and the process may be paused: the key is
+// looked at before each send.
+func TestKeyThatEndsMeanwhileIsNotUsedAgain(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		kind   route.Route
+		first  behaviour
+		ends   func(f *fleet)
+		status int
+	}{
+		{"table too old, nothing ran", once, rejects(), func(f *fleet) { f.age = 6 * time.Second }, 503},
+		{"revoked, nothing ran", once, rejects(), (*fleet).revoke, 401},
+		{"revoked, may have run", idempotent, crashes(), (*fleet).revoke, 502},
+		{"revoked in mid-stream", resumable, streams(1, 3, false), (*fleet).revoke, 200},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			var f *fleet
+			first := func(conn net.Conn, r received) {
+				c.ends(f)
+				c.first(conn, r)
+			}
+			f = newFleet(t, routeOf(c.kind), first, first)
+			got := f.ask("/p/", "b")
+			require.Equal(t, c.status, got.status)
+			require.Len(t, f.arrivals(), 1)
+			if c.status == 200 {
+				require.Error(t, got.err, "it does not look complete")
+			}
+		})
+	}
+}
+
+// revoke takes all keys away.
+func (f *fleet) revoke() {
+	f.setTableOf(2, routeOf(resumable), []route.Workspace{{Name: "shop"}})
+}
--- a/internal/gate/harness_test.go
+++ b/internal/gate/harness_test.go
@@ -110,10 +110,14 @@
 }
 
 func (f *fleet) setTable(version int64, routes []route.Route) {
+	f.setTableOf(version, routes, []route.Workspace{{Name: "shop", Keys: []string{"k"}}})
+}
+
+func (f *fleet) setTableOf(version int64, routes []route.Route, workspaces []route.Workspace) {
 	table, err := route.New(route.Content{
 		Version: version, Routes: routes,
 		Services:   []route.Service{{Name: "letters", MaxConnections: 100}},
-		Workspaces: []route.Workspace{{Name: "shop", Keys: []string{"k"}}},
+		Workspaces: workspaces,
 		Limits:     route.Limits{BodyBytes: 1000},
 	})
 	require.NoError(f.t, err)
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -45,6 +45,10 @@
 	}
 	why := ""
 	for placement := 0; placement < maxPlacements; placement++ {
+		if refused := c.stillAllowed(); refused != nil {
+			c.withdraw(refused)
+			return
+		}
 		d := c.place(why)
 		if d.Refused != "" {
 			c.refusePlacement(d, why)
@@ -93,6 +97,18 @@
 	return d
 }
 
+// withdraw ends a request whose key is not valid any more.
+func (c *call) withdraw(refused *refusal) {
+	switch {
+	case c.begun:
+		c.abort(refused.reason, refused.detail...)
+	case c.ran:
+		c.refuse(failed(http.StatusBadGateway, refused.reason, refused.detail...))
+	default:
+		c.refuse(refused)
+	}
+}
+
 // refusePlacement answers a request for which the policy has no target.
 func (c *call) refusePlacement(d admission.Decision, why string) {
 	detail := []eventlog.Field{
