Bound what a gate sends and reads in large fleets; late gates let shares through

Change: a round of reports goes to 20 peers of the own region and 12 of others at most, in rotation; peers count for as long as that takes. A late gate refuses unread only what is beyond a workspace's share.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -89,7 +89,8 @@
 	suspects *suspects
 	pauses   *pauses
 	retries  map[string]*retries
-	gates    int // that share the budget of retries
+	gates    int           // that share the budget of retries
+	lifetime time.Duration // of peers' reports
 	capacity float64
 	levelAt  time.Duration
 	level    float64
@@ -110,6 +111,7 @@
 		pauses:   newPauses(),
 		retries:  make(map[string]*retries),
 		gates:    1,
+		lifetime: peerLifetime,
 		level:    -1,
 		levelAt:  -levelInterval,
 		usage:    make(map[string]Usage),
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -291,3 +291,23 @@
 	crash(4 * time.Second)
 	require.True(t, s.quarantined(5*time.Second, 1), "that is long forgotten")
 }
+
+func TestBeyondShareIsWhatTheFloodAsksForAboveItsShare(t *testing.T) {
+	c := newTestController()
+	c.SetCapacity(10_000)
+	require.False(t, c.BeyondShare(0, "flood", 6000, 300), "all fits")
+	beyond := 0
+	for n := range 400 {
+		now := time.Duration(n) * 10 * time.Millisecond
+		if c.BeyondShare(now, "flood", 6000, 300) {
+			beyond++
+			continue
+		}
+		if d := c.Admit(now, letter("flood", 7, n), engines(4)); d.Lease != nil {
+			d.Lease.End(now, ResultDone, nil)
+		}
+	}
+	require.Greater(t, beyond, 300, "of 660,000 tokens a second, 10,000 are to be had")
+	require.Less(t, beyond, 400, "its share is let through")
+	require.False(t, c.BeyondShare(4*time.Second, "small", 600, 30), "below its share")
+}
--- a/internal/admission/engine.go
+++ b/internal/admission/engine.go
@@ -142,6 +142,22 @@
 	}
 }
 
+// BeyondShare reports whether one more request of a workspace is more than its
+// share, for a gate that has no time to look at all requests. prompt and output are
+// its tokens. One that is counts as asked for.
+func (c *Controller) BeyondShare(now time.Duration, workspace string, prompt, output int) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.refreshLevel(now)
+	u := c.usage[workspace]
+	if c.level < 0 || u.Asked <= c.level || c.pacesOf(workspace).share.open(now, c.localRate(workspace, u)) {
+		return false
+	}
+	r := Request{Prompt: prompt, Output: output}
+	c.shares.add(now, workspace, Usage{Asked: r.work()})
+	return true
+}
+
 // localRate returns this gate's part of a workspace's share, as its callers
 // come to the gates, in tokens of work a second.
 func (c *Controller) localRate(workspace string, fleet Usage) float64 {
@@ -194,9 +210,9 @@
 		return
 	}
 	c.levelAt = now
-	c.loads.expire(now)
+	c.loads.expire(now, c.lifetime)
 	c.own = c.shares.local(now)
-	c.usage = c.shares.fleet(now)
+	c.usage = c.shares.fleet(now, c.lifetime)
 	maps.DeleteFunc(c.paces, func(workspace string, _ *paces) bool { return c.own[workspace].Asked == 0 })
 	c.level = -1
 	if c.capacity <= 0 {
--- a/internal/admission/load.go
+++ b/internal/admission/load.go
@@ -2,9 +2,9 @@
 
 import "time"
 
-// peerLifetime is how long what a peer said of its load counts: four reports
-// at the slowest pace between regions (1 s), so that a lost datagram or two
-// does not make its load vanish.
+// peerLifetime is how long what a peer said of its load counts at least: ten
+// reports between regions, so that a lost datagram or two does not make its load
+// vanish. Peers of large fleets report less often and count for longer.
 const peerLifetime = 4 * time.Second
 
 // Load is the work that gates have given to one target.
@@ -78,9 +78,9 @@
 }
 
 // expire forgets peers that fell silent.
-func (l *loads) expire(now time.Duration) {
+func (l *loads) expire(now, lifetime time.Duration) {
 	for node, p := range l.peers {
-		if now-p.at > peerLifetime {
+		if now-p.at > lifetime {
 			l.addPeer(p.loads, -1)
 			delete(l.peers, node)
 		}
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -34,6 +34,13 @@
 	}
 }
 
+// SetPeerLifetime sets how long what a peer said counts.
+func (c *Controller) SetPeerLifetime(d time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lifetime = max(d, peerLifetime)
+}
+
 // SetGates sets the number of gates that are at work.
 func (c *Controller) SetGates(n int) {
 	c.mu.Lock()
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -119,9 +119,9 @@
 }
 
 // fleet returns the usage over all gates that were heard of lately.
-func (s *shares) fleet(now time.Duration) map[string]Usage {
+func (s *shares) fleet(now, lifetime time.Duration) map[string]Usage {
 	for node, p := range s.peers {
-		if now-p.at > peerLifetime {
+		if now-p.at > lifetime {
 			s.addPeer(p.usage, -1)
 			delete(s.peers, node)
 		}
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -93,6 +93,20 @@
 	return nil
 }
 
+// beyondShare reports whether the request is more than its workspace's share, or
+// its workspace is not known. It looks at the head of the request alone.
+func (c *call) beyondShare() bool {
+	table, _ := c.gate.table.Current()
+	if table == nil {
+		return true
+	}
+	ws := table.Authenticate(c.meta.Key)
+	if ws == nil {
+		return true
+	}
+	return c.gate.controller.BeyondShare(c.gate.config.Now(), ws.Name, c.meta.Prompt, c.meta.outputOr(0))
+}
+
 // deny refuses for good what the table does not allow, unless the table is so
 // old that a newer one may allow it.
 func (c *call) deny(status int, reason request.Reason) *refusal {
@@ -214,13 +228,24 @@
 		c.policy.Slots = c.service.Slots
 		c.policy.CacheTokens = c.service.CacheTokens
 	}
-	c.policy.Output = c.meta.LengthHint
-	if c.policy.Output <= 0 && c.route.Streaming {
-		c.policy.Output = defaultOutput
+	fallback := 0
+	if c.route.Streaming {
+		fallback = defaultOutput
+	}
+	c.policy.Output = c.meta.outputOr(fallback)
+}
+
+// outputOr returns the output that is expected, in tokens, or fallback if the caller
+// says nothing of it.
+func (m *Meta) outputOr(fallback int) int {
+	output := m.LengthHint
+	if output <= 0 {
+		output = fallback
 	}
-	if c.meta.MaxOutput > 0 {
-		c.policy.Output = min(max(c.policy.Output, 1), c.meta.MaxOutput)
+	if m.MaxOutput > 0 {
+		output = min(max(output, 1), m.MaxOutput)
 	}
+	return output
 }
 
 func (c *call) hash(purpose string) uint64 { return xxhash.Sum64String(purpose + c.meta.ID) }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -145,7 +145,7 @@
 		w.Header().Set("Connection", "close")
 	}
 	c := g.newCall(w, r)
-	if g.lag.choked() {
+	if g.lag.choked() && c.beyondShare() {
 		// A connection that closes on unread bytes is reset, and the refusal with it.
 		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxUnread)) // the caller may have gone
 		c.refuse(unavailable(request.ReasonOverloaded, retrySoon, eventlog.Text("detail", "gate runs late")))
--- a/internal/gate/lag.go
+++ b/internal/gate/lag.go
@@ -15,10 +15,10 @@
 	// lagLimit is how late the gate may run: an eighth of the shortest goals of
 	// streams (500 ms) would otherwise be lost in the gate.
 	lagLimit = 60 * time.Millisecond
-	// chokedLimit is the lag from which new requests are refused unread: a quarter of
-	// the shortest goals of streams would be lost in the gate on the way in, and as
-	// much for each event on the way out, and a flood that is served late only grows.
-	chokedLimit = 125 * time.Millisecond
+	// chokedLimit is the lag from which requests beyond their workspace's share are
+	// refused unread: half of the shortest goals of streams would be lost in the gate,
+	// and a flood that is served late only grows.
+	chokedLimit = 250 * time.Millisecond
 	// lagWeight is the weight of the newest look: one pause, such as a collection
 	// of garbage, is forgiven, half a second of them is not.
 	lagWeight = 0.1
@@ -49,7 +49,7 @@
 	if err != nil {
 		return errors.Wrap(err, "opening a pipe")
 	}
-	defer w.Close()
+	defer func() { _ = w.Close() }()
 	go l.receive(r, now)
 	ticker := time.NewTicker(lagInterval)
 	defer ticker.Stop()
@@ -78,7 +78,7 @@
 
 // receive takes the bytes until the other end is closed.
 func (l *lag) receive(r *os.File, now func() time.Duration) {
-	defer r.Close()
+	defer func() { _ = r.Close() }()
 	var one [1]byte
 	for {
 		if _, err := r.Read(one[:]); err != nil {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -35,16 +35,27 @@
 )
 
 const (
-	// nearInterval is the pause between reports to peers of the own region.
-	nearInterval = 200 * time.Millisecond
-	// farEvery sends each such report to other regions: bytes between regions
-	// are paid for, and their targets are used last.
-	farEvery = 2
+	// interval is the pause between two rounds of reports. While the fleet is small,
+	// each peer of the own region gets one in each round.
+	interval = 200 * time.Millisecond
+	// farRounds is the number of rounds in which each peer of another region gets one
+	// at most: bytes between regions are paid for, and their targets are used last.
+	farRounds = 2
+	// nearPerRound and farPerRound bound the reports of a round, so that what a gate
+	// sends and receives does not grow with the fleet; in larger ones each peer hears
+	// less often. The users' largest deployment has 33 gates in three regions.
+	nearPerRound = 20
+	farPerRound  = 12
 	// maxDatagram bounds a report, below what one UDP datagram carries.
 	maxDatagram = 32 << 10
-	// silence is the time after which a peer is taken as gone: ten reports, or
-	// four from another region.
-	silence = 4 * time.Second
+	// startTime is how long after its own start a gate takes listed peers that it has
+	// not heard of yet as alive: some rounds of reports.
+	startTime = 3 * time.Second
+	// leastSilence is the time after which a peer is taken as gone: twenty reports, or
+	// ten from another region.
+	leastSilence = 4 * time.Second
+	// silentReports is the number of reports that a peer must miss at least.
+	silentReports = 3.5
 )
 
 // Address is a peer as the platform's store lists it.
@@ -91,7 +102,11 @@
 	mu       sync.Mutex
 	listed   []Address
 	heard    map[string]*heard
+	known    bool // the list of gates was read
+	started  time.Duration
 	sequence uint64
+	// nextNear and nextFar are the places in the rotation of peers.
+	nextNear, nextFar int
 }
 
 // heard is what is known of a peer that was heard of.
@@ -122,6 +137,7 @@
 		controller: controller,
 		directory:  directory,
 		socket:     socket,
+		started:    config.Now(),
 		heard:      make(map[string]*heard),
 		metrics: exchangeMetrics{
 			sent:     f.Counter("sent_bytes_total", "Bytes of reports sent to peers."),
@@ -136,7 +152,7 @@
 func (e *Exchange) SetPeers(listed []Address) {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	e.listed = e.listed[:0]
+	e.listed, e.known = e.listed[:0], true
 	for _, a := range listed {
 		if a.Node != e.config.Node {
 			e.listed = append(e.listed, a)
@@ -149,19 +165,20 @@
 	stop := context.AfterFunc(ctx, func() { _ = e.socket.Close() })
 	defer stop()
 	go e.receive(ctx)
-	ticker := time.NewTicker(nearInterval)
+	ticker := time.NewTicker(interval)
 	defer ticker.Stop()
-	for round := 0; ; round++ {
+	for {
 		select {
 		case <-ctx.Done():
 			return
 		case <-ticker.C:
-			e.send(round%farEvery == 0)
+			e.send()
 		}
 	}
 }
 
-func (e *Exchange) send(far bool) {
+// send sends the reports of one round.
+func (e *Exchange) send() {
 	now := e.config.Now()
 	alive := e.expire(now)
 	e.metrics.alive.Set(float64(alive))
@@ -171,27 +188,62 @@
 		e.config.Log.Error("report cannot be encoded", "error", err)
 		return
 	}
-	for _, a := range e.addresses() {
-		if !far && a.Region != e.config.Region {
-			continue
-		}
+	for _, addr := range e.round() {
 		// A failed send is like a lost datagram: the next report replaces it.
-		if n, err := e.socket.WriteToUDPAddrPort(data, a.Addr); err == nil {
+		if n, err := e.socket.WriteToUDPAddrPort(data, addr); err == nil {
 			e.metrics.sent.Add(float64(n))
 		}
 	}
 }
 
-func (e *Exchange) addresses() []Address {
+// round returns the peers that get a report now, in rotation.
+func (e *Exchange) round() []netip.AddrPort {
 	e.mu.Lock()
 	defer e.mu.Unlock()
-	return append([]Address(nil), e.listed...)
+	near, far := e.split()
+	addrs := make([]netip.AddrPort, 0, nearPerRound+farPerRound)
+	addrs, e.nextNear = rotate(addrs, near, e.nextNear, min(len(near), nearPerRound))
+	addrs, e.nextFar = rotate(addrs, far, e.nextFar, min((len(far)+farRounds-1)/farRounds, farPerRound))
+	return addrs
+}
+
+// split returns the peers of the own region and those of others. The caller holds
+// mu.
+func (e *Exchange) split() (near, far []netip.AddrPort) {
+	for _, a := range e.listed {
+		if a.Region == e.config.Region {
+			near = append(near, a.Addr)
+		} else {
+			far = append(far, a.Addr)
+		}
+	}
+	return near, far
+}
+
+// rotate appends n of all, from place at on, and returns the next place.
+func rotate(to, all []netip.AddrPort, at, n int) ([]netip.AddrPort, int) {
+	for range n {
+		at %= len(all)
+		to = append(to, all[at])
+		at++
+	}
+	return to, at
+}
+
+// silence returns the time after which a peer is taken as gone. All gates send in
+// the same rotation, so a peer is heard as often as it hears. The caller holds mu.
+func (e *Exchange) silence() time.Duration {
+	near, far := e.split()
+	rounds := max(float64(len(near))/nearPerRound, float64(len(far))/farPerRound)
+	return max(leastSilence, time.Duration(silentReports*rounds*float64(interval)))
 }
 
 // expire forgets silent peers and returns how many are left.
 func (e *Exchange) expire(now time.Duration) int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
+	silence := e.silence()
+	e.controller.SetPeerLifetime(silence)
 	for node, h := range e.heard {
 		if now-h.at > silence {
 			delete(e.heard, node)
@@ -249,7 +301,7 @@
 		}
 		if err != nil {
 			e.config.Log.Warn("receiving from peers failed", "error", err)
-			time.Sleep(nearInterval)
+			time.Sleep(interval)
 			continue
 		}
 		e.metrics.received.Add(float64(n))
@@ -310,16 +362,24 @@
 	return true
 }
 
+// Listed returns the number of peers that the store lists; false: not read yet.
+func (e *Exchange) Listed() (int, bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.listed), e.known
+}
+
 // Ahead returns the addresses of the peers of the own failure domain that were
 // heard of lately and rank before this gate, in their order. All gates of a domain
 // rank alike.
 func (e *Exchange) Ahead() []netip.AddrPort {
+	starting := e.config.Now()-e.started < startTime
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	own := rank(e.config.Node)
 	var ahead []Address
 	for _, a := range e.listed {
-		if a.Domain == e.config.Domain && e.heard[a.Node] != nil && rank(a.Node) > own {
+		if a.Domain == e.config.Domain && (starting || e.heard[a.Node] != nil) && rank(a.Node) > own {
 			ahead = append(ahead, a)
 		}
 	}
--- a/internal/relay/member.go
+++ b/internal/relay/member.go
@@ -26,6 +26,9 @@
 	// avoidTime is how long a relay that failed is not asked: about as long as
 	// peers count a silent gate as alive.
 	avoidTime = 4 * time.Second
+	// refusedTime is that for a relay that answers but does not follow the store
+	// itself, or not yet.
+	refusedTime = 500 * time.Millisecond
 	// retryPause is the pause before relays are looked for again.
 	retryPause = 500 * time.Millisecond
 	// leastPause keeps a series of changes from being asked for one by one.
@@ -34,6 +37,9 @@
 	maxAnswer = 16 << 20
 )
 
+// errRefused: the relay answers, but does not serve.
+var errRefused = errors.New("relay does not follow the store itself")
+
 // View takes what a relay passes on.
 type View interface {
 	// TableVersion returns the version held, 0 if there is none.
@@ -139,7 +145,11 @@
 // failed leaves a relay for a while.
 func (m *Member) failed(relay netip.AddrPort, err error) {
 	m.answers.WithLabelValues("failed").Inc()
-	m.avoid[relay] = m.config.Now() + avoidTime
+	avoid := avoidTime
+	if errors.Is(err, errRefused) {
+		avoid = refusedTime
+	}
+	m.avoid[relay] = m.config.Now() + avoid
 	if !m.Served() {
 		m.config.Log.Debug("relay does not serve", "relay", relay.String(), "error", err)
 		return
@@ -255,7 +265,7 @@
 		return nil, errors.Wrap(err, "reading from a relay")
 	}
 	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Newf("relay answered %d", resp.StatusCode)
+		return nil, errors.Mark(errors.Newf("relay answered %d: %s", resp.StatusCode, data), errRefused)
 	}
 	a := &answer{}
 	return a, errors.Wrap(cbor.Unmarshal(data, a), "decoding an answer of a relay")
