Give what is idle to nobody beyond two shares while others lack theirs

Cause: beyond its share and what is spare, a workspace got whatever targets were next to idle, first come, first served.

Test at the controller; a mutant.

--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -311,3 +311,28 @@
 	require.Less(t, beyond, 400, "its share is let through")
 	require.False(t, c.BeyondShare(4*time.Second, "small", 600, 30), "below its share")
 }
+
+// What is idle goes to those that try. One that tries twenty times as often must
+// not have more than twice its share while another is short of its own.
+func TestIdleTargetsAreNotForTheOneThatTriesMostOften(t *testing.T) {
+	c := newTestController()
+	c.SetCapacity(100_000)
+	all := engines(4)
+	now := time.Duration(0)
+	for n := range 2000 {
+		now = time.Duration(n) * 5 * time.Millisecond
+		who := "often"
+		if n%20 == 0 {
+			who = "some"
+		}
+		if d := c.Admit(now, letter(who, uint64(n%3), n), all); d.Lease != nil {
+			d.Lease.End(now, ResultDone, all)
+		}
+	}
+	c.refreshLevel(now + levelInterval)
+	require.Positive(t, c.level)
+	work := letter("often", 0, 0).work()
+	const most = 2 // shares, from the platform: one must not get less than half of another
+	require.LessOrEqual(t, c.usage["often"].Served, most*c.level+work)
+	require.Greater(t, c.usage["often"].Served, c.level, "work-conserving up to there")
+}
--- a/internal/admission/engine.go
+++ b/internal/admission/engine.go
@@ -41,6 +41,10 @@
 	// part of it. The platform takes it as unfair when one of them gets less than
 	// half of another.
 	spareShare = 0.8
+	// mostExcess is what a workspace may have in all, in shares, while others ask for
+	// more than theirs: the one that tries most often would get most of what is idle.
+	// The platform takes it as unfair when one gets less than half of another.
+	mostExcess = 2
 	// ownPartOfRoom bounds how much of the room for prompts a request's own part
 	// is taken to need: the largest tenth of a kind is served half as often as
 	// the others at least (the users' gate), though it is late by itself.
@@ -137,6 +141,8 @@
 		return limit{running: shareRunning, wait: wait, excess: excess, pace: &p.share}
 	case p.spare.open(now, rate*spareShare):
 		return limit{running: spareRunning, wait: spareWait, excess: excess, over: true, pace: &p.spare}
+	case excess > mostExcess:
+		return limit{excess: excess, over: true}
 	default:
 		return limit{running: idleRunning, wait: idleWait, excess: excess, over: true}
 	}
