Show how close workspaces come to starving, and what became of their shares

Three things are added; what is admitted stays as it was.

- Package starvation holds the platform's fairness criterion as a meter, moved from the overload simulation.
It returns the margin above the floor, not only who starved.
- mastichollow-account prints, for each workspace, the window of six seconds with the least margin, from the lines of all gates.
- A gate writes one line a second for each of the eight largest local shares (share used) and counts the same in three metrics: work admitted and refused by tier, share forfeited by full token buckets, work admitted and not served because the target failed.

--- a/cmd/mastichollow-bench/deployments.go
+++ b/cmd/mastichollow-bench/deployments.go
@@ -68,7 +68,7 @@
 			defer mu.Unlock()
 			inTime = append(inTime, r.Total.InTimeFraction())
 			late = append(late, float64(r.Total.Late)/float64(max(r.Total.Requests, 1)))
-			if len(r.StarvedWorkspaces(load.Length)) > 0 {
+			if len(r.StarvedWorkspaces()) > 0 {
 				starved++
 			}
 			return nil
--- a/internal/account/account.go
+++ b/internal/account/account.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mastichollow/mastichollow/internal/starvation"
 )
 
 // Options configures a Reader.
@@ -79,18 +81,21 @@
 // Summary counts the same requests by several criteria, to show which requests were not
 // served in time.
 type Summary struct {
-	Attempts    int                           `json:"attempts"`
-	Requests    int                           `json:"requests"`
-	Retried     int                           `json:"returned"`
-	Total       tally                         `json:"total"`
-	Outcomes    map[Outcome]*tally            `json:"fates"`
-	Routes      map[string]map[Outcome]*tally `json:"routes"`
-	Sizes       map[string]map[string]*tally  `json:"sizes"` // by route
-	Workspaces  map[string]*tally             `json:"workspaces"`
-	Domains     map[string]*tally             `json:"failure_domains"`
-	Seconds     []tally                       `json:"seconds"`
-	Statuses    map[int]int                   `json:"attempts_by_status"`
-	Skipped     SkippedLines                  `json:"unread"`
+	Attempts   int                           `json:"attempts"`
+	Requests   int                           `json:"requests"`
+	Retried    int                           `json:"returned"`
+	Total      tally                         `json:"total"`
+	Outcomes   map[Outcome]*tally            `json:"fates"`
+	Routes     map[string]map[Outcome]*tally `json:"routes"`
+	Sizes      map[string]map[string]*tally  `json:"sizes"` // by route
+	Workspaces map[string]*tally             `json:"workspaces"`
+	Domains    map[string]*tally             `json:"failure_domains"`
+	Seconds    []tally                       `json:"seconds"`
+	Statuses   map[int]int                   `json:"attempts_by_status"`
+	Skipped    SkippedLines                  `json:"unread"`
+	// Fairness holds for each workspace the window with the least margin above the
+	// fairness floor, least first.
+	Fairness    []starvation.Window `json:"fairness"`
 	sizeClasses map[string]map[int]*tally
 	start       time.Time
 }
@@ -104,9 +109,11 @@
 		Domains: make(map[string]*tally), Statuses: make(map[int]int),
 		sizeClasses: make(map[string]map[int]*tally),
 	}
-	for _, req := range joinAttempts(r.attempts) {
-		summary.addRequest(&req)
+	requests := joinAttempts(r.attempts)
+	for i := range requests {
+		summary.addRequest(&requests[i])
 	}
+	summary.addFairness(requests)
 	for route, classes := range summary.sizeClasses {
 		summary.Sizes[route] = tallySizes(classes)
 	}
--- a/internal/account/account_test.go
+++ b/internal/account/account_test.go
@@ -125,6 +125,35 @@
 	require.Zero(t, sizes[largestTenth].InTime)
 }
 
+// Two workspaces request the same, and one of them is refused eight of ten times in every second.
+func TestFairnessMarginOfRefusedWorkspace(t *testing.T) {
+	var lines []string
+	add := func(at time.Duration, workspace, outcome string, status int) { // 100 tokens of work
+		lines = append(lines, endedLine(at, outcome, status, fmt.Sprintf(
+			`"route":"letters","workspace":%q,"prompt":80,"output":10,"goal_ms":800,"ms":0,"same":"%d"`, workspace, len(lines))))
+	}
+	for i := range 80 {
+		at := time.Duration(i)*100*time.Millisecond + 150*time.Millisecond
+		add(at, "served", "answered", 200)
+		if i%10 < 2 {
+			add(at, "refused", "answered", 200)
+		} else {
+			add(at, "refused", "overloaded", 503)
+		}
+	}
+	summary := readLines(t, manyAttempts, lines...)
+	require.Len(t, summary.Fairness, 1, "the other workspace was never refused")
+	window := summary.Fairness[0]
+	require.Equal(t, "refused", window.Workspace)
+	require.InDelta(t, 6000, window.FairShare, 1e-9)
+	require.InDelta(t, 1200, window.Served, 1e-9)
+	require.InDelta(t, 2700, window.Floor, 1e-9)
+	require.True(t, window.Starved())
+	var tables bytes.Buffer
+	require.NoError(t, summary.WriteTables(&tables))
+	require.Contains(t, tables.String(), "refused  12:00:00.15       6000        6000    1200   2700  -0.250         6000")
+}
+
 func TestWriteFormats(t *testing.T) {
 	summary := readLines(t, manyAttempts,
 		endedLine(time.Second, "answered", 200, letterFields+`"same":"a","first_ms":100`),
--- a/internal/account/table.go
+++ b/internal/account/table.go
@@ -28,6 +28,7 @@
 	}
 	writeTallies(t, "workspace", s.Workspaces)
 	writeTallies(t, "failure domain", s.Domains)
+	s.writeLowestMargins(t)
 	s.writeWorstSeconds(t)
 	_, _ = fmt.Fprintf(t, "not used:\t%d foreign\t%d cut\t%d of another version\t%d dropped by gates\t%d beyond the bound\t\n",
 		s.Skipped.NotLogLines, s.Skipped.Truncated, s.Skipped.OtherVersion, s.Skipped.Dropped, s.Skipped.AboveMaxAttempts)
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -106,6 +106,7 @@
 	fleetUsage         map[string]Usage         // of all gates, by workspace
 	localUsage         map[string]Usage         // of this gate, by workspace
 	buckets            map[string]*tokenBuckets // by workspace
+	shareUses          map[string]*ShareUse     // by workspace
 }
 
 // NewController returns a controller without any recorded load.
@@ -127,6 +128,7 @@
 		levelComputedAt:    -fairShareLevelInterval,
 		fleetUsage:         make(map[string]Usage),
 		buckets:            make(map[string]*tokenBuckets),
+		shareUses:          make(map[string]*ShareUse),
 	}
 }
 
@@ -160,6 +162,9 @@
 		avoided.useHints = false
 		decision = c.choose(now, req, targets, avoided)
 	}
+	if req.Slots > 0 {
+		c.recordShareUse(req, decision.Tier, decision.Refused != "")
+	}
 	if decision.Refused == request.ReasonNoTarget {
 		if wait := c.backoffs.soonestEnd(now, targets); wait > 0 {
 			decision.Refused, decision.RetryAfter = request.ReasonOverloaded, wait
@@ -217,12 +222,14 @@
 		controller:        c,
 		target:            instance,
 		fingerprint:       req.Fingerprint,
+		workspace:         req.Workspace,
 		load:              Load{InFlight: 1, PendingPromptTokens: uncached, Tokens: req.PromptTokens + req.OutputTokens},
 		placedAt:          now,
 		promptTokensAhead: load.PendingPromptTokens + uncached,
 	}
 	c.loads.add(instance.ID, lease.load)
 	if req.Slots > 0 {
+		lease.work = req.work()
 		c.cacheOf(instance.ID, req).recordUse(req.Parts)
 		served := Usage{Served: req.work()}
 		c.usageTracker.add(now, req.Workspace, served)
--- a/internal/admission/engine.go
+++ b/internal/admission/engine.go
@@ -129,6 +129,11 @@
 	TierNone        Tier = "none"         // above maxShareMultiple: always refused
 )
 
+// WithinShare reports whether the tier is for requests within the fair share.
+func (t Tier) WithinShare() bool {
+	return t == TierBelowShare || t == TierShare || t == TierUnusedShare
+}
+
 // limit bounds how loaded a target may be when a request is placed on it.
 type limit struct {
 	tier          Tier
--- a/internal/admission/lease.go
+++ b/internal/admission/lease.go
@@ -39,11 +39,13 @@
 	controller        *Controller
 	target            target.Instance
 	fingerprint       Fingerprint
+	workspace         string
+	work              float64 // tokens of work; 0 for a plain service
 	load              Load
 	placedAt          time.Duration
 	promptTokensAhead int          // uncached prompt tokens that the target reads before the first event, including this request's
 	model             *engineModel // nil for a plain service
-	ended             bool
+	began, ended      bool
 }
 
 // Began records that the response has begun, so that the prompt has been read.
@@ -51,6 +53,7 @@
 	c := l.controller
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	l.began = true
 	if l.ended || l.load.PendingPromptTokens == 0 {
 		return
 	}
@@ -71,6 +74,9 @@
 		return false
 	}
 	l.ended = true
+	if l.unserved(result) {
+		c.recordUnserved(l)
+	}
 	id := l.target.ID
 	c.loads.add(id, Load{InFlight: -l.load.InFlight, PendingPromptTokens: -l.load.PendingPromptTokens, Tokens: -l.load.Tokens})
 	switch result {
@@ -94,6 +100,17 @@
 	return false
 }
 
+// unserved reports whether the request got no service because its target failed. A
+// request that the caller or the gate aborted counts as served.
+func (l *Lease) unserved(result Result) bool {
+	switch result {
+	case ResultRejected, ResultUnreachable, ResultMisdirected, ResultFailed, ResultLost:
+		return !l.began && l.work > 0
+	default:
+		return false
+	}
+}
+
 func (c *Controller) meanFailureRate(targets []target.Instance) float64 {
 	return c.health.meanFailureRate(targets)
 }
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -142,6 +142,7 @@
 type tokenBucket struct {
 	tokens     float64 // tokens of work; negative if more was consumed than available
 	refilledAt time.Duration
+	forfeited  float64 // tokens that accrued while the bucket was full
 }
 
 // tokenBuckets are the buckets of one workspace at one gate.
@@ -161,11 +162,22 @@
 // available refills the bucket and reports whether it admits one more request. The
 // argument rate is this gate's portion of the share, in tokens of work per second.
 func (b *tokenBucket) available(now time.Duration, rate float64) bool {
-	b.tokens = min(b.tokens+rate*(now-b.refilledAt).Seconds(), rate*tokenBucketDepth.Seconds())
+	refilled := b.tokens + rate*(now-b.refilledAt).Seconds()
+	b.tokens = min(refilled, rate*tokenBucketDepth.Seconds())
+	if b.refilledAt > 0 {
+		b.forfeited += refilled - b.tokens
+	}
 	b.refilledAt = now
 	return b.tokens > 0
 }
 
+// takeForfeited returns the tokens forfeited since the previous call.
+func (b *tokenBucket) takeForfeited() float64 {
+	forfeited := b.forfeited
+	b.forfeited = 0
+	return forfeited
+}
+
 // mostlyUnused reports whether the bucket holds more than unusedTokenFraction of its
 // depth.
 func (b *tokenBucket) mostlyUnused(rate float64) bool {
--- a/internal/gate/engines.go
+++ b/internal/gate/engines.go
@@ -6,6 +6,7 @@
 	"strings"
 	"time"
 
+	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/eventlog"
 )
 
@@ -13,8 +14,8 @@
 // metrics and, if the set of slow targets changed, to the event log.
 const enginePublishInterval = time.Second
 
-// watchEngines publishes the admission controller's learned estimates of engines until
-// ctx ends.
+// watchEngines publishes the admission controller's learned estimates of engines and the
+// use of fair shares until ctx ends.
 func (g *Gate) watchEngines(ctx context.Context) {
 	ticker := time.NewTicker(enginePublishInterval)
 	defer ticker.Stop()
@@ -25,6 +26,7 @@
 			return
 		case <-ticker.C:
 			g.publishEngines(slowTargets)
+			g.publishShareUses()
 		}
 	}
 }
@@ -44,3 +46,35 @@
 			eventlog.Int("read_tokens_per_ms", int(engine.Speed)), eventlog.Millis("overhead_ms", engine.Overhead))
 	}
 }
+
+// maxShareLines bounds the log lines on the use of fair shares per publication.
+const maxShareLines = 8
+
+// publishShareUses publishes what became of the fair shares of workspaces that request
+// more, since the previous publication.
+func (g *Gate) publishShareUses() {
+	for i, use := range g.controller.TakeShareUses() {
+		var within, above admission.TierWork
+		for tier, work := range use.Tiers {
+			g.metrics.tierWork.WithLabelValues(string(tier), "admitted").Add(work.Admitted)
+			g.metrics.tierWork.WithLabelValues(string(tier), "refused").Add(work.Refused)
+			total := &above
+			if tier.WithinShare() {
+				total = &within
+			}
+			total.Admitted += work.Admitted
+			total.Refused += work.Refused
+		}
+		g.metrics.forfeitedShare.Add(use.Forfeited)
+		g.metrics.unservedWork.Add(use.Unserved)
+		if i >= maxShareLines {
+			continue
+		}
+		g.config.Events.Event(logModule, "share used", eventlog.Text("workspace", use.Workspace),
+			eventlog.Int("share_per_s", int(use.Share)), eventlog.Int("local_per_s", int(use.LocalRate)),
+			eventlog.Int("requested_per_s", int(use.Requested)), eventlog.Int("served_per_s", int(use.Served)),
+			eventlog.Int("admitted_within", int(within.Admitted)), eventlog.Int("refused_within", int(within.Refused)),
+			eventlog.Int("admitted_above", int(above.Admitted)), eventlog.Int("refused_above", int(above.Refused)),
+			eventlog.Int("forfeited", int(use.Forfeited)), eventlog.Int("unserved", int(use.Unserved)))
+	}
+}
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -23,6 +23,9 @@
 	responseDuration *prometheus.HistogramVec
 	prefillSpeed     *prometheus.GaugeVec
 	slowTargets      *prometheus.GaugeVec
+	tierWork         *prometheus.CounterVec
+	forfeitedShare   prometheus.Counter
+	unservedWork     prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
@@ -40,5 +43,8 @@
 		responseDuration: f.HistogramVec("answer_seconds", "Time to the end of the response, in seconds.", latencyBuckets, "service"),
 		prefillSpeed:     f.GaugeVec("engine_read_tokens_per_ms", "Prompt tokens prefilled by an engine per millisecond, queueing included.", "service"),
 		slowTargets:      f.GaugeVec("engine_slow_targets", "Targets whose time to the first event is far above that of their service.", "service"),
+		tierWork:         f.CounterVec("room_tokens_total", "Tokens of work of workspaces above their fair share, by admission tier and decision.", "room", "decision"),
+		forfeitedShare:   f.Counter("forfeited_share_tokens_total", "Tokens of work of fair shares that accrued while the token bucket was full."),
+		unservedWork:     f.Counter("unserved_tokens_total", "Tokens of work of workspaces above their fair share, admitted but not begun because the target failed."),
 	}
 }
--- a/internal/overload/simulation.go
+++ b/internal/overload/simulation.go
@@ -8,6 +8,7 @@
 
 	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/agenda"
+	"github.com/mastichollow/mastichollow/internal/starvation"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
@@ -72,10 +73,8 @@
 	Workspaces map[string]*Outcome
 	Kinds      map[string]*Outcome
 	Total      Outcome
-	// Seconds is the work requested by and served to each workspace, by second.
-	Seconds map[string][]WorkInSecond
-	// MaxRequestWork is the work of the largest request, in tokens of work.
-	MaxRequestWork float64
+	// Fairness holds the work requested by and served to each workspace, by second.
+	Fairness *starvation.Meter
 }
 
 // Policy is the admission policy of one gate; see admission.Controller.
@@ -98,15 +97,15 @@
 	outcomes                   []*Outcome
 	admissionRequest           admission.Request
 	retried                    bool
-	seconds                    []WorkInSecond // of the workspace
+	fairness                   *starvation.Meter
 }
 
 // recordFirstEvent counts the request as in time or late and calls Lease.Began.
 func (r *request) recordFirstEvent(now time.Duration) {
 	wait := now - r.arrivedAt
-	r.secondAt(now).ServedWork += r.work()
+	r.fairness.AddServed(r.workspace, now, r.work())
 	if wait > r.kind.FirstTokenObjective {
-		r.markDegraded(r.arrivedAt+r.kind.FirstTokenObjective, now)
+		r.fairness.MarkDegraded(r.workspace, r.arrivedAt+r.kind.FirstTokenObjective, now)
 	}
 	for _, o := range r.outcomes {
 		if wait <= r.kind.FirstTokenObjective {
@@ -138,7 +137,10 @@
 func Simulate(load *Load, newPolicy func() Policy) *Result {
 	sim := &simulation{
 		load: load, rng: rand.New(rand.NewPCG(load.Seed, 1)), enginesByID: make(map[string]*engine),
-		result: &Result{Workspaces: make(map[string]*Outcome), Kinds: make(map[string]*Outcome), Seconds: make(map[string][]WorkInSecond)},
+		result: &Result{
+			Workspaces: make(map[string]*Outcome), Kinds: make(map[string]*Outcome),
+			Fairness: starvation.NewMeter(0, int(load.Length/time.Second)),
+		},
 	}
 	for i := range load.Engines {
 		e := &engine{id: fmt.Sprintf("e%02d", i), cachedParts: make(map[uint64]time.Duration), slowdownFactor: 1, readTokensPerMS: load.ReadTokensPerMS}
@@ -231,9 +233,8 @@
 	for _, o := range r.outcomes {
 		o.Requests++
 	}
-	r.seconds = sim.result.secondsOf(w.Name, sim.load.Length)
-	sim.result.MaxRequestWork = max(sim.result.MaxRequestWork, r.work())
-	r.secondAt(now).RequestedWork += r.work()
+	r.fairness = sim.result.Fairness
+	r.fairness.AddRequested(w.Name, now, r.work())
 	sim.submit(now, w, r)
 }
 
@@ -249,7 +250,7 @@
 		sim.place(now, r, d)
 		return
 	}
-	r.secondAt(now).Degraded = true
+	r.fairness.MarkDegraded(w.Name, now, now)
 	if d.RetryAfter > 0 && !r.retried {
 		r.retried = true
 		retryDelay := time.Duration(float64(d.RetryAfter) * (1 + retryJitterFraction*sim.rng.Float64()))
--- a/internal/overload/starvation_test.go
+++ b/internal/overload/starvation_test.go
@@ -41,16 +41,6 @@
 	return l
 }
 
-func TestStarvedWorkspacesFindsUnservedWorkspace(t *testing.T) {
-	r := &Result{MaxRequestWork: 10, Seconds: map[string][]WorkInSecond{"a": make([]WorkInSecond, 10), "b": make([]WorkInSecond, 10), "c": make([]WorkInSecond, 10)}}
-	for s := range 10 {
-		r.Seconds["a"][s] = WorkInSecond{RequestedWork: 1000, ServedWork: 900, Degraded: true}
-		r.Seconds["b"][s] = WorkInSecond{RequestedWork: 1000, Degraded: true}
-		r.Seconds["c"][s] = WorkInSecond{RequestedWork: 1000, Degraded: s%3 > 0} // not in every second
-	}
-	require.Equal(t, []string{"b from 0 s: fair share 5400, served 0"}, r.StarvedWorkspaces(10*time.Second))
-}
-
 // Parameters of generateLoad: usual values cover the users' heavy days; hard values
 // exceed them, and all engines may be slow.
 const (
@@ -60,7 +50,7 @@
 
 func requireNoStarvation(t *testing.T, load *Load) {
 	t.Helper()
-	starved := Simulate(load, Shares(load)).StarvedWorkspaces(load.Length)
+	starved := Simulate(load, Shares(load)).StarvedWorkspaces()
 	require.Empty(t, starved, "seed %d: gates %d, engines %d, %d slow by %.1f, workspaces %d",
 		load.Seed, load.Gates, load.Engines, load.SlowEngines, load.SlowdownFactor, len(load.Workspaces))
 }
