--- a/internal/admission/shareuse_test.go
+++ b/internal/admission/shareuse_test.go
@@ -71,3 +71,44 @@
 		require.Zero(t, c.TakeShareUses()[0].Unserved, "the response began before %s", result)
 	}
 }
+
+// chargedShare returns what an admitted request of workspace "w" costs its share and adds
+// to its reported service, if it ends with a result before or after its response began.
+func chargedShare(t *testing.T, result Result, began bool) (share, served float64) {
+	t.Helper()
+	now := time.Second
+	c := newOverloadedController(now)
+	targets := newEngines(1)
+	c.refreshFairShareLevel(now)
+	bucket := &c.bucketsOf("w").share
+	require.True(t, bucket.available(now, c.localRate("w", c.fleetUsage["w"])))
+	before := bucket.tokens
+	d := c.Admit(now, letterRequest("w", 7, 1), targets)
+	require.Equal(t, TierUnusedShare, d.Tier)
+	if began {
+		d.Lease.Began(now)
+	}
+	d.Lease.End(now, result, targets)
+	return before - bucket.tokens, c.Report(now).Usage["w"].Served
+}
+
+// Guards against charging a workspace for each target that failed before one served the
+// request.
+func TestFailedSendsReturnShare(t *testing.T) {
+	for _, result := range []Result{ResultUnreachable, ResultMisdirected, ResultRejected, ResultLost, ResultFailed} {
+		share, served := chargedShare(t, result, false)
+		require.InDelta(t, 0, share, 1e-6, result.String())
+		require.InDelta(t, 0, served, 1e-6, result.String())
+	}
+}
+
+func TestBegunAndAbortedRequestsUseShare(t *testing.T) {
+	for _, result := range []Result{ResultDone, ResultWithdrawn, ResultLost, ResultFailed} {
+		share, served := chargedShare(t, result, true)
+		require.InDelta(t, 6600, share, 1e-6, result.String())
+		require.InDelta(t, 6600, served, 1e-6, result.String())
+	}
+	share, served := chargedShare(t, ResultWithdrawn, false)
+	require.InDelta(t, 6600, share, 1e-6, "a caller that leaves has used the target")
+	require.InDelta(t, 6600, served, 1e-6)
+}
--- a/internal/overload/engine.go
+++ b/internal/overload/engine.go
@@ -32,6 +32,7 @@
 	stepping        bool
 	slowdownFactor  float64 // step time relative to a healthy engine
 	readTokensPerMS float64 // prompt tokens per millisecond
+	down            bool    // crashed and not restarted yet
 }
 
 // accept queues a request until the batch has a free slot.
--- a/internal/overload/simulation.go
+++ b/internal/overload/simulation.go
@@ -8,6 +8,7 @@
 
 	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/agenda"
+	reasons "github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/starvation"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
@@ -49,6 +50,8 @@
 	// The gates can only detect them by the times to first events.
 	SlowEngines    int
 	SlowdownFactor float64
+	// Outages are engine crashes. The gates detect them only by failed sends.
+	Outages []Outage
 	// ReadTokensPerMS is the engines' speed in prompt tokens per millisecond; 0: that of
 	// the first user's specification.
 	ReadTokensPerMS float64
@@ -56,9 +59,10 @@
 }
 
 // Outcome counts the requests of one workspace or kind by result. Refused counts the
-// requests that were refused and not retried, or refused again on the retry.
+// requests that were refused and not retried, or refused again on the retry; Lost counts
+// those that were at an engine when it crashed, before their first event.
 type Outcome struct {
-	Requests, InTime, Late, Refused int
+	Requests, InTime, Late, Refused, Lost int
 	// PromptTokens is the total of the admitted requests.
 	PromptTokens int
 	// MaxWait is the longest time from arrival to the first event.
@@ -161,6 +165,9 @@
 	for i := range load.Workspaces {
 		sim.scheduleArrival(0, &load.Workspaces[i])
 	}
+	for i := range load.Outages {
+		sim.scheduleOutage(&load.Outages[i])
+	}
 	sim.events.Drain()
 	return sim.result
 }
@@ -245,7 +252,7 @@
 // submit sends a request to a gate. A refused caller that is given a retry delay retries
 // once.
 func (sim *simulation) submit(now time.Duration, w *Workspace, r *request) {
-	d := sim.chooseGate(w).Admit(now, &r.admissionRequest, sim.targets)
+	d := sim.send(now, sim.chooseGate(w), r)
 	if d.Refused == "" {
 		sim.place(now, r, d)
 		return
@@ -262,6 +269,26 @@
 	}
 }
 
+// maxTargetsTried bounds the targets that a gate tries for one request, as in the gate.
+const maxTargetsTried = 4
+
+// send has a gate admit a request. If the target is down, the gate tries another one.
+func (sim *simulation) send(now time.Duration, gate Policy, r *request) admission.Decision {
+	attempt := r.admissionRequest
+	for {
+		d := gate.Admit(now, &attempt, sim.targets)
+		if d.Refused != "" || !sim.enginesByID[d.Target.ID].down {
+			return d
+		}
+		d.Lease.End(now, admission.ResultUnreachable, sim.targets)
+		attempt.Retry = true
+		attempt.Exclude = append(attempt.Exclude, d.Target.ID)
+		if len(attempt.Exclude) == maxTargetsTried {
+			return admission.Decision{Refused: reasons.ReasonTargetDown, RetryAfter: baselineRetryAfter}
+		}
+	}
+}
+
 func (sim *simulation) place(now time.Duration, r *request, d admission.Decision) {
 	for _, o := range r.outcomes {
 		o.PromptTokens += r.sharedTokens + r.uniqueTokens
