Return the share of a request whose target failed before it began

Cause: the token bucket of a share, and the service that gates report to each other, are charged when a request is admitted. A send that failed was charged too, and the next target for the same request once more. Gates find failed targets one by one, so that the fleet pays gates times targets for an outage, and a workspace pays by the number of its gates. Charged service that never was also moved it beyond two shares, where all is refused. Class: a resource reserved at admission that is not released when the work is not done.

Fix: a lease knows the bucket that it was charged to. If its target was unreachable, rejected it, is another one by now, or failed or was lost before the response began, the work goes back to the bucket and out of the reported service. A request that began, or that the caller or the gate aborted, stays charged: the target worked for it.

--- a/internal/admission/engine.go
+++ b/internal/admission/engine.go
@@ -78,10 +78,11 @@
 			refusal.RetryAfter = req.retryAfter()
 		}
 		if limit.fits(req, load, uncached, model.readableTokens(instance.ID, limit.waitFraction, req.FirstTokenObjective)) {
+			decision := c.place(now, req, instance, uncached, limit.overShare)
 			if limit.bucket != nil {
 				limit.bucket.consume(req.work())
+				decision.Lease.bucket = limit.bucket
 			}
-			decision := c.place(now, req, instance, uncached, limit.overShare)
 			decision.Lease.model = model
 			decision.Tier = limit.tier
 			return decision
--- a/internal/admission/lease.go
+++ b/internal/admission/lease.go
@@ -40,7 +40,8 @@
 	target            target.Instance
 	fingerprint       Fingerprint
 	workspace         string
-	work              float64 // tokens of work; 0 for a plain service
+	work              float64      // tokens of work; 0 for a plain service
+	bucket            *tokenBucket // that the work was consumed from; nil if none
 	load              Load
 	placedAt          time.Duration
 	promptTokensAhead int          // uncached prompt tokens that the target reads before the first event, including this request's
@@ -75,7 +76,7 @@
 	}
 	l.ended = true
 	if l.unserved(result) {
-		c.recordUnserved(l)
+		c.refund(l)
 	}
 	id := l.target.ID
 	c.loads.add(id, Load{InFlight: -l.load.InFlight, PendingPromptTokens: -l.load.PendingPromptTokens, Tokens: -l.load.Tokens})
@@ -111,6 +112,19 @@
 	}
 }
 
+// refund returns the share that the request consumed, and no longer counts it as service.
+func (c *Controller) refund(l *Lease) {
+	c.recordUnserved(l)
+	if l.bucket != nil {
+		l.bucket.refund(l.work)
+	}
+	c.usageTracker.remove(l.placedAt, l.workspace, Usage{Served: l.work})
+	if usage, found := c.fleetUsage[l.workspace]; found {
+		usage.Served = max(usage.Served-l.work, 0)
+		c.fleetUsage[l.workspace] = usage
+	}
+}
+
 func (c *Controller) meanFailureRate(targets []target.Instance) float64 {
 	return c.health.meanFailureRate(targets)
 }
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -51,6 +51,17 @@
 	w.buckets[index].Served += usage.Served
 }
 
+// remove takes back usage that was added at a time, unless it has left the window.
+func (w *usageWindow) remove(addedAt time.Duration, usage Usage) {
+	bucketNumber := int64(addedAt / windowBucketSpan)
+	index := bucketNumber % windowBuckets
+	if w.bucketNumbers[index] != bucketNumber {
+		return
+	}
+	w.buckets[index].Requested -= usage.Requested
+	w.buckets[index].Served -= usage.Served
+}
+
 func (w *usageWindow) weightedTotal(now time.Duration) Usage {
 	newest := int64(now / windowBucketSpan)
 	var total Usage
@@ -79,6 +90,13 @@
 	window.add(now, usage)
 }
 
+// remove takes back usage of a workspace that was added at a time.
+func (t *usageTracker) remove(addedAt time.Duration, workspace string, usage Usage) {
+	if window := t.local[workspace]; window != nil {
+		window.remove(addedAt, usage)
+	}
+}
+
 // localUsage returns the usage at this gate alone and removes idle workspaces.
 func (t *usageTracker) localUsage(now time.Duration) map[string]Usage {
 	usage := make(map[string]Usage, len(t.local))
@@ -187,6 +205,9 @@
 // consume charges the work of an admitted request.
 func (b *tokenBucket) consume(work float64) { b.tokens -= work }
 
+// refund returns the work of a request that got no service.
+func (b *tokenBucket) refund(work float64) { b.tokens += work }
+
 // maxMinShareLevel returns the max-min fair share level: the most that any one workspace
 // may get so that all together get capacity. It is negative if all demands fit.
 func maxMinShareLevel(demands []float64, capacity float64) float64 {
