--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -42,6 +42,20 @@
 		l.drop()
 		return
 	}
+	l.enqueue(formatEvent(module, message, fields))
+}
+
+// BulkEvent is like Event for lines that may come in a flood, such as refusals. They are
+// dropped first, so that a flood leaves room for the other lines.
+func (l *Log) BulkEvent(module, message string, fields ...Field) {
+	if l.limiter.Tokens() < reservedLines {
+		l.drop()
+		return
+	}
+	l.Event(module, message, fields...)
+}
+
+func formatEvent(module, message string, fields []Field) []byte {
 	b := make([]byte, 0, eventSize)
 	b = append(b, `{"@level":"info","@message":`...)
 	b = appendText(b, message)
@@ -53,7 +67,7 @@
 	for i := range fields {
 		b = fields[i].append(b)
 	}
-	l.enqueue(append(b, '}', '\n'))
+	return append(b, '}', '\n')
 }
 
 const (
--- a/internal/eventlog/eventlog.go
+++ b/internal/eventlog/eventlog.go
@@ -27,6 +27,8 @@
 	// gate with a third of a core can handle.
 	MaxLinesPerSecond = 400
 	burstLines        = 2 * MaxLinesPerSecond
+	// reservedLines is the part of burstLines that bulk events leave to other lines.
+	reservedLines = burstLines / 4
 	// queueLines is the capacity of the queue of lines while the output is slow.
 	queueLines = 1024
 	// shutdownTimeout bounds the wait for the last lines at shutdown.
--- a/internal/eventlog/eventlog_test.go
+++ b/internal/eventlog/eventlog_test.go
@@ -108,3 +108,19 @@
 	l.flush([]byte("next\n"))
 	require.Contains(t, strings.Join(out.lines(), ""), "log lines dropped")
 }
+
+func TestBulkEventsLeaveRoomForOtherLines(t *testing.T) {
+	out := &output{}
+	l, stop := startLog(t, out)
+	l.limiter.SetLimit(0)
+	for range 2 * burstLines {
+		l.BulkEvent("gate", "request ended", Text("outcome", "overloaded"))
+	}
+	for range reservedLines - 1 {
+		l.Event("gate", "share used")
+	}
+	stop()
+	all := strings.Join(out.lines(), "")
+	require.Equal(t, burstLines-reservedLines+1, strings.Count(all, "overloaded"))
+	require.Equal(t, reservedLines-1, strings.Count(all, "share used"))
+}
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -295,7 +295,12 @@
 	if c.admissionRequest.Slots > 0 {
 		fields = append(fields, c.engineLogFields()...)
 	}
-	c.gate.config.Events.Event(logModule, "request ended", append(fields, detail...)...)
+	fields = append(fields, detail...)
+	if c.status == http.StatusServiceUnavailable {
+		c.gate.config.Events.BulkEvent(logModule, "request ended", fields...)
+		return
+	}
+	c.gate.config.Events.Event(logModule, "request ended", fields...)
 }
 
 // engineLogFields returns the inputs of the latest admission decision on a request to
