Widen the wait bound within the share by the service deficit

What callers saw: a workspace at many gates that asks for 1.5 times its share was refused within its share, while workspaces that flood a single gate were admitted above theirs.

Cause: within the share, requests of workspaces above it met a wait bound of 0.07 of the objective, surplus 0.05. So near to each other, capacity goes to who tries most often and can choose among the most requests; a workspace just above its share has few, most of its work in long prompts. Nothing looked at what each was served. Class: an open-loop allocation.

Fix: the bound within the share grows from 0.07 to 0.3 (the bound of an unused share) as the service of the workspace falls from the mean of the workspaces above theirs to half of it. What a workspace may have in all stays bounded by its token bucket; a workspace served more than the mean meets the bounds that it met before.

The case stays red: TestSpreadWorkspaceJustAboveItsShareGetsItBesideFloods.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -102,11 +102,14 @@
 	peerReportLifetime time.Duration           // how long a peer's report counts
 	capacity           float64                 // of all engines, tokens of work per second; 0: unknown
 	levelComputedAt    time.Duration
-	fairShareLevel     float64                  // tokens of work per shareWindow; negative: all demand fits
-	fleetUsage         map[string]Usage         // of all gates, by workspace
-	localUsage         map[string]Usage         // of this gate, by workspace
-	buckets            map[string]*tokenBuckets // by workspace
-	shareUses          map[string]*ShareUse     // by workspace
+	fairShareLevel     float64 // tokens of work per shareWindow; negative: all demand fits
+	// meanServiceAboveLevel is the mean service, over shareWindow, of the workspaces whose
+	// demand exceeds the level.
+	meanServiceAboveLevel float64
+	fleetUsage            map[string]Usage         // of all gates, by workspace
+	localUsage            map[string]Usage         // of this gate, by workspace
+	buckets               map[string]*tokenBuckets // by workspace
+	shareUses             map[string]*ShareUse     // by workspace
 }
 
 // NewController returns a controller without any recorded load.
--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -12,7 +12,10 @@
 //   - A request is placed on a target or refused at once; it never waits here.
 //   - A workspace below its max-min fair share is not refused because of a workspace
 //     above its share while the target has headroom between the limits of the two.
-//   - Every Lease is ended exactly once, and its load is released then.
+//   - Of the workspaces above their share, the one that gets less service has the wider
+//     bounds within its share.
+//   - Every Lease is ended exactly once, and its load is released then. Its share is
+//     returned if the target failed before the response began.
 //
 // Rejected alternatives:
 //   - A queue in the gate: a request that waits while others are refused misses its
--- a/internal/admission/engine.go
+++ b/internal/admission/engine.go
@@ -38,6 +38,10 @@
 	// which comes after the surplus tier.
 	maxIdleBatchFraction = 0.06
 	maxIdleWaitFraction  = 0.02
+	// maxServiceDeficit is the service deficit from which requests within the share get
+	// maxUnusedShareWaitFraction. The platform counts it as unfair when a workspace gets
+	// less than half of what another gets.
+	maxServiceDeficit = 0.5
 	// surplusRateFraction is the rate of the surplus tier, on top of the share and as a
 	// fraction of it. The platform counts it as unfair when one of the workspaces above
 	// their share gets less than half of what another gets.
@@ -167,7 +171,7 @@
 		if buckets.share.mostlyUnused(rate) {
 			return limit{tier: TierUnusedShare, batchFraction: maxBatchFraction, waitFraction: maxUnusedShareWaitFraction, shareMultiple: shareMultiple, bucket: &buckets.share}
 		}
-		return limit{tier: TierShare, batchFraction: maxBatchFraction, waitFraction: maxShareWaitFraction, shareMultiple: shareMultiple, bucket: &buckets.share}
+		return limit{tier: TierShare, batchFraction: maxBatchFraction, waitFraction: c.shareWaitFraction(usage), shareMultiple: shareMultiple, bucket: &buckets.share}
 	case buckets.surplus.available(now, rate*surplusRateFraction):
 		return limit{tier: TierSurplus, batchFraction: maxSurplusBatchFraction, waitFraction: maxSurplusWaitFraction, shareMultiple: shareMultiple, overShare: true, bucket: &buckets.surplus}
 	case shareMultiple > maxShareMultiple:
@@ -177,6 +181,17 @@
 	}
 }
 
+// shareWaitFraction returns the wait bound within the share of a workspace whose demand
+// exceeds it. The bound widens with the workspace's service deficit: otherwise, its
+// requests would be refused while the surplus of other workspaces uses the capacity.
+func (c *Controller) shareWaitFraction(usage Usage) float64 {
+	if usage.Served >= c.meanServiceAboveLevel {
+		return maxShareWaitFraction
+	}
+	deficit := 1 - usage.Served/c.meanServiceAboveLevel
+	return maxShareWaitFraction + min(1, deficit/maxServiceDeficit)*(maxUnusedShareWaitFraction-maxShareWaitFraction)
+}
+
 // ExceedsFairShare reports whether one more request of a workspace is above its fair
 // share. It is for a gate that is too busy to examine every request. The arguments
 // promptTokens and outputTokens give the request's size. A request that exceeds the
@@ -262,7 +277,7 @@
 	c.localUsage = c.usageTracker.localUsage(now)
 	c.fleetUsage = c.usageTracker.fleetUsage(now, c.peerReportLifetime)
 	maps.DeleteFunc(c.buckets, func(workspace string, _ *tokenBuckets) bool { return c.localUsage[workspace].Requested == 0 })
-	c.fairShareLevel = -1
+	c.fairShareLevel, c.meanServiceAboveLevel = -1, 0
 	if c.capacity <= 0 {
 		return
 	}
@@ -271,4 +286,5 @@
 		demands = append(demands, usage.Requested)
 	}
 	c.fairShareLevel = maxMinShareLevel(demands, c.capacity*shareWindow.Seconds())
+	c.meanServiceAboveLevel = meanServiceAbove(c.fairShareLevel, c.fleetUsage)
 }
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -222,3 +222,16 @@
 	}
 	return -1
 }
+
+// meanServiceAbove returns the mean service of the workspaces whose demand exceeds the
+// level; 0 if there are none.
+func meanServiceAbove(level float64, usage map[string]Usage) float64 {
+	total, workspaces := 0.0, 0
+	for _, used := range usage {
+		if level >= 0 && used.Requested > level {
+			total += used.Served
+			workspaces++
+		}
+	}
+	return total / float64(max(workspaces, 1))
+}
--- a/internal/admission/share_test.go
+++ b/internal/admission/share_test.go
@@ -119,3 +119,45 @@
 		}
 	})
 }
+
+// Guards against refusing requests within the share of a workspace that gets less service
+// than others, while their surplus is admitted.
+func TestServiceDeficitWidensWaitWithinShare(t *testing.T) {
+	now := time.Second
+	admit := func(served float64) Decision {
+		c := newOverloadedController(now)
+		c.Merge(now, "peer", Report{
+			Loads: map[string]Load{"e0": {InFlight: 5, PendingPromptTokens: 6000}},
+			Usage: map[string]Usage{"other": {Requested: 1e6, Served: 60_000}, "w": {Requested: 1e5, Served: served}},
+		})
+		c.refreshFairShareLevel(now)
+		rate := c.localRate("w", c.fleetUsage["w"])
+		bucket := &c.bucketsOf("w").share
+		require.True(t, bucket.available(now, rate))
+		bucket.tokens = rate * tokenBucketDepth.Seconds() * unusedTokenFraction / 2
+		return c.Admit(now, letterRequest("w", 7, 1), newEngines(1))
+	}
+	require.NotEmpty(t, admit(60_000).Refused, "served as much as the other workspace")
+	behind := admit(20_000)
+	require.Empty(t, behind.Refused, "served a third of the other workspace")
+	require.Equal(t, TierShare, behind.Tier)
+}
+
+func TestShareWaitFractionRange(t *testing.T) {
+	c := newTestController()
+	require.InDelta(t, maxShareWaitFraction, c.shareWaitFraction(Usage{}), 1e-9, "nothing is served above the level")
+	c.meanServiceAboveLevel = 1000
+	for served, want := range map[float64]float64{
+		2000: maxShareWaitFraction, 1000: maxShareWaitFraction, 500: maxUnusedShareWaitFraction, 0: maxUnusedShareWaitFraction,
+		750: (maxShareWaitFraction + maxUnusedShareWaitFraction) / 2,
+	} {
+		require.InDelta(t, want, c.shareWaitFraction(Usage{Served: served}), 1e-9, "served %v", served)
+	}
+}
+
+func TestMeanServiceAboveLevel(t *testing.T) {
+	usage := map[string]Usage{"a": {Requested: 100, Served: 10}, "b": {Requested: 200, Served: 40}, "c": {Requested: 5, Served: 5}}
+	require.InDelta(t, 25, meanServiceAbove(50, usage), 1e-9)
+	require.Zero(t, meanServiceAbove(500, usage))
+	require.Zero(t, meanServiceAbove(-1, usage), "all demand fits")
+}
--- a/internal/overload/outage_test.go
+++ b/internal/overload/outage_test.go
@@ -8,10 +8,10 @@
 	"github.com/stretchr/testify/require"
 )
 
-// outageLoad returns a load of many gates: two workspaces flood one gate each, one sends
+// manyGatesLoad returns a load of 22 gates: two workspaces flood one gate each, one sends
 // half as much again as its share through all gates, and the others request less than
-// their share. Engines crash every 2.5 s for 2 s.
-func outageLoad(seed uint64, crashed int) *Load {
+// their share. The first crashed engines are down for 2 of every 2.5 s.
+func manyGatesLoad(seed uint64, crashed int) *Load {
 	const gates, engines = 22, 40
 	l := &Load{
 		Kinds: requestKinds, Gates: gates, Engines: engines, Length: 24 * time.Second, Seed: seed,
@@ -38,7 +38,7 @@
 	const loads, crashed = 8, 16
 	starved := 0
 	for seed := range uint64(loads) {
-		l := outageLoad(seed, crashed)
+		l := manyGatesLoad(seed, crashed)
 		r := Simulate(l, Shares(l))
 		t.Logf("seed %d: least margins %+v", seed, r.Fairness.LowestWindows()[:2])
 		starved += len(r.StarvedWorkspaces())
@@ -46,8 +46,46 @@
 	require.Zero(t, starved, "starved workspaces in %d loads", loads)
 }
 
+// shareOf returns the fair share of the first three workspaces of a load, whose demand
+// exceeds it, and the service of one of them, in tokens of work per second. Both are means
+// from the time on at which the gates know the demand.
+func shareOf(r *Result, l *Load, workspace string) (share, served float64) {
+	const known = 6
+	length := int(l.Length / time.Second)
+	share = l.TokensPerSecond
+	for _, w := range l.Workspaces[3:] {
+		for _, second := range r.Fairness.Seconds(w.Name)[known:] {
+			share -= second.Requested / float64(length-known)
+		}
+	}
+	for _, second := range r.Fairness.Seconds(workspace)[known:] {
+		served += second.Served / float64(length-known)
+	}
+	return share / 3, served
+}
+
+// Guards against refusing requests within the share of a workspace that has few to choose
+// from, while the surplus of workspaces that flood a gate is admitted.
+func TestSpreadWorkspaceGetsItsShareBesideFloods(t *testing.T) {
+	for seed := range uint64(5) {
+		l := manyGatesLoad(seed, 0)
+		share, served := shareOf(Simulate(l, Shares(l)), l, "spread")
+		require.GreaterOrEqual(t, served, share, "seed %d", seed)
+	}
+}
+
+// The workspace requests hardly more than its share.
+func TestSpreadWorkspaceJustAboveItsShareGetsItBesideFloods(t *testing.T) {
+	for seed := range uint64(5) {
+		l := manyGatesLoad(seed, 0)
+		l.Workspaces[2].RequestsPerSecond = 40
+		share, served := shareOf(Simulate(l, Shares(l)), l, "spread")
+		require.GreaterOrEqual(t, served, share, "seed %d", seed)
+	}
+}
+
 func TestOutageLosesRequestsAtCrashedEngines(t *testing.T) {
-	l := outageLoad(0, 16)
+	l := manyGatesLoad(0, 16)
 	l.Length = 8 * time.Second
 	r := Simulate(l, Shares(l))
 	require.Positive(t, r.Total.Lost)
