--- a/internal/admission/engine.go
+++ b/internal/admission/engine.go
@@ -88,7 +88,7 @@
 				decision.Lease.bucket = limit.bucket
 			}
 			decision.Lease.model = model
-			decision.Tier = limit.tier
+			decision.Lease.tier, decision.Tier = limit.tier, limit.tier
 			return decision
 		}
 	}
--- a/internal/admission/lease.go
+++ b/internal/admission/lease.go
@@ -40,6 +40,7 @@
 	target            target.Instance
 	fingerprint       Fingerprint
 	workspace         string
+	tier              Tier         // empty for a plain service
 	work              float64      // tokens of work; 0 for a plain service
 	bucket            *tokenBucket // that the work was consumed from; nil if none
 	load              Load
--- a/internal/admission/share.go
+++ b/internal/admission/share.go
@@ -226,12 +226,12 @@
 // meanServiceAbove returns the mean service of the workspaces whose demand exceeds the
 // level; 0 if there are none.
 func meanServiceAbove(level float64, usage map[string]Usage) float64 {
-	total, workspaces := 0.0, 0
+	var total, workspaces int64 // a sum of whole numbers does not depend on the order
 	for _, used := range usage {
 		if level >= 0 && used.Requested > level {
-			total += used.Served
+			total += int64(used.Served)
 			workspaces++
 		}
 	}
-	return total / float64(max(workspaces, 1))
+	return float64(total) / float64(max(workspaces, 1))
 }
--- a/internal/admission/shareuse.go
+++ b/internal/admission/shareuse.go
@@ -49,12 +49,13 @@
 	c.shareUseOf(req.Workspace).add(tier, req.work(), refused)
 }
 
-// recordUnserved counts the work of a request that was admitted above the fair share
-// level and got no service.
+// recordUnserved counts the work of a request that was admitted and got no service, if the
+// demand of its workspace exceeded the fair share level.
 func (c *Controller) recordUnserved(l *Lease) {
-	if use := c.shareUses[l.workspace]; use != nil {
-		use.Unserved += l.work
+	if l.tier == TierBelowShare {
+		return
 	}
+	c.shareUseOf(l.workspace).Unserved += l.work
 }
 
 func (c *Controller) shareUseOf(workspace string) *ShareUse {
--- a/internal/admission/shareuse_test.go
+++ b/internal/admission/shareuse_test.go
@@ -64,6 +64,14 @@
 		d.Lease.End(now, result, newEngines(1))
 		require.InDelta(t, want, c.TakeShareUses()[0].Unserved, 1e-9, result.String())
 
+		c = newOverloadedController(now)
+		d = c.Admit(now, letterRequest("w", 7, 1), newEngines(1))
+		c.TakeShareUses()
+		d.Lease.End(now, result, newEngines(1))
+		if want > 0 {
+			require.InDelta(t, want, c.TakeShareUses()[0].Unserved, 1e-9, "%s in a later second", result)
+		}
+
 		c = newOverloadedController(now)
 		d = c.Admit(now, letterRequest("w", 7, 1), newEngines(1))
 		d.Lease.Began(now)
