--- a/internal/admission/engine.go
+++ b/internal/admission/engine.go
@@ -29,10 +29,12 @@
 	maxBelowShareWaitFraction = 0.6
 	maxSurplusWaitFraction    = 0.05
 	// maxShareWaitFraction is the wait bound within the share of workspaces whose demand
-	// exceeds it. Their short requests use up the share when long ones don't fit.
+	// exceeds it and that have no service deficit. Their short requests use up the share
+	// when long ones don't fit.
 	maxShareWaitFraction = 0.07
 	// maxUnusedShareWaitFraction is the wait bound for workspaces that leave most of
-	// their share unused, because their prompts are too long for maxShareWaitFraction.
+	// their share unused, because their prompts are too long for maxShareWaitFraction,
+	// and for those with the largest service deficit.
 	maxUnusedShareWaitFraction = 0.3
 	// maxIdleBatchFraction and maxIdleWaitFraction are the bounds for the idle tier,
 	// which comes after the surplus tier.
@@ -156,8 +158,9 @@
 // limitFor returns the limits of the tier that the request falls into. Workspaces whose
 // demand is below the fair share level get the widest limits. The others get the full
 // batch limit within their share, lower limits for a bounded surplus, and only nearly
-// idle targets above that. Token buckets admit the shares evenly over time, and service
-// received earlier does not count, so workspaces get equal service over any few seconds.
+// idle targets above that. Token buckets admit the shares evenly over time. Service
+// received earlier does not reduce what they admit; it only narrows the wait bound within
+// the share, so workspaces get equal service over any few seconds.
 func (c *Controller) limitFor(now time.Duration, req *Request) limit {
 	usage := c.fleetUsage[req.Workspace]
 	if c.fairShareLevel < 0 || usage.Requested <= c.fairShareLevel {
