Compute the most served workspace once for each fairness window

Found on reading the change: it was added up over all workspaces for each workspace and window, though it depends on the window alone. For thousands of workspaces mastichollow-account would not have ended in reasonable time.

--- a/internal/starvation/starvation.go
+++ b/internal/starvation/starvation.go
@@ -111,13 +111,14 @@
 // floor, lowest first. A workspace without a window in which each second is degraded is
 // left out.
 func (m *Meter) LowestWindows() []Window {
-	maxServed := m.maxServedBySecond()
+	maxServed, mostServed := m.maxServedBySecond(), m.mostServedByWindow()
 	var lowest []Window
 	for workspace, seconds := range m.workspaces {
 		found := false
 		var least Window
 		for from := 0; from+WindowSeconds <= len(seconds); from++ {
 			w, degraded := m.window(workspace, seconds, maxServed, from)
+			w.MaxServed = mostServed[from]
 			if degraded && (!found || w.Margin() < least.Margin()) {
 				least, found = w, true
 			}
@@ -162,6 +163,22 @@
 	return maxServed
 }
 
+// mostServedByWindow returns the service of the workspace that was served most in the
+// window that begins at each second.
+func (m *Meter) mostServedByWindow() []float64 {
+	mostServed := make([]float64, m.length)
+	for _, seconds := range m.workspaces {
+		for from := 0; from+WindowSeconds <= len(seconds); from++ {
+			served := 0.0
+			for i := from; i < from+WindowSeconds; i++ {
+				served += seconds[i].Served
+			}
+			mostServed[from] = max(mostServed[from], served)
+		}
+	}
+	return mostServed
+}
+
 // window returns the window of a workspace from a second on, and whether each of its
 // seconds is degraded.
 func (m *Meter) window(workspace string, seconds []Second, maxServed []float64, from int) (Window, bool) {
@@ -174,12 +191,5 @@
 		degraded = degraded && seconds[i].Degraded
 	}
 	w.Floor = minServedFraction*w.FairShare - slackRequests*m.maxRequestWork
-	for _, other := range m.workspaces {
-		served := 0.0
-		for i := from; i < from+WindowSeconds; i++ {
-			served += other[i].Served
-		}
-		w.MaxServed = max(w.MaxServed, served)
-	}
 	return w, degraded
 }
