--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -15,6 +15,7 @@
 	"github.com/mastichollow/mastichollow/internal/eventlog"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/route"
+	"github.com/mastichollow/mastichollow/internal/upstream"
 )
 
 // logModule is the module name in event log lines.
@@ -58,8 +59,12 @@
 	lastEventTime time.Duration // since started
 	maxGap        time.Duration // longest inter-event gap
 	lastEventID   string        // of the last event forwarded
-	headSent      bool          // the response head went out to the caller
-	mayHaveRun    bool          // on one of the targets tried
+	framing       upstream.Framing
+	// partialEventBytes is the number of bytes after the last complete event at the end
+	// of the latest stream.
+	partialEventBytes int
+	headSent          bool // the response head went out to the caller
+	mayHaveRun        bool // on one of the targets tried
 	// sendCtx is the context of the send whose response is being forwarded;
 	// cancelSend ends it.
 	sendCtx    context.Context //nolint:containedctx // it lives as long as the response
@@ -292,6 +297,9 @@
 		fields = append(fields, eventlog.Text("domain", c.gate.config.Domain), eventlog.Text("route", c.route.Name), eventlog.Text("workspace", c.workspace))
 	}
 	fields = append(fields, eventlog.Int("running", c.decision.Load.InFlight))
+	if c.framing != "" {
+		fields = append(fields, c.framingLogFields()...)
+	}
 	if c.admissionRequest.Slots > 0 {
 		fields = append(fields, c.engineLogFields()...)
 	}
@@ -303,6 +311,12 @@
 	c.gate.config.Events.Event(logModule, "request ended", fields...)
 }
 
+// framingLogFields returns how the latest response marks its end and what was left of it
+// there.
+func (c *call) framingLogFields() []eventlog.Field {
+	return []eventlog.Field{eventlog.Text("framing", string(c.framing)), eventlog.Int("partial_event", c.partialEventBytes)}
+}
+
 // engineLogFields returns the inputs of the latest admission decision on a request to
 // an engine, and its latency objectives with the longest gap seen.
 func (c *call) engineLogFields() []eventlog.Field {
--- a/internal/gate/event_reader.go
+++ b/internal/gate/event_reader.go
@@ -31,6 +31,9 @@
 	start  int // of the bytes not returned yet
 	end    int
 	lastID string
+	// partialBytes is the number of bytes after the last complete event. It is set when
+	// the stream ends.
+	partialBytes int
 	// resumeAfter is the last event that the caller received, empty for a stream from
 	// its start. It is cleared at the first newer event.
 	resumeAfter string
@@ -48,6 +51,7 @@
 			return chunk, err
 		}
 		if err := e.fill(); err != nil {
+			e.partialBytes = e.end - e.start
 			if !errors.Is(err, io.EOF) {
 				return nil, err
 			}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -45,6 +45,7 @@
 	_ = control.SetWriteDeadline(c.deadline)
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 
+	c.framing, c.partialEventBytes = resp.Framing, 0
 	var err error
 	if c.route.Streaming && resp.Status == http.StatusOK {
 		if !c.headSent {
@@ -54,6 +55,7 @@
 	} else {
 		err = c.forwardPlain(resp)
 	}
+	c.gate.metrics.responseEnds.WithLabelValues(string(resp.Framing), responseEnd(err)).Inc()
 	if err == nil {
 		c.recordAnswered()
 		o.done = true
@@ -62,6 +64,14 @@
 	return c.classifyForwardError(ctx, err)
 }
 
+// responseEnd returns the label of how forwarding a response ended.
+func responseEnd(err error) string {
+	if err == nil {
+		return "complete"
+	}
+	return "incomplete"
+}
+
 // forwardPlain forwards a response that is no event stream.
 func (c *call) forwardPlain(resp *upstream.Response) error {
 	buf := make([]byte, plainBufferSize)
@@ -137,6 +147,9 @@
 	events := newEventReader(body, c.lastEventID)
 	for {
 		chunk, err := events.next()
+		if err != nil {
+			c.partialEventBytes = events.partialBytes
+		}
 		if len(chunk) > 0 {
 			c.recordEvent()
 			if events.lastID != c.lastEventID {
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -181,10 +181,16 @@
 	if o.result == admission.ResultDone {
 		return
 	}
-	g.config.Events.Event(logModule, "send failed", eventlog.Text("request", c.meta.ID),
+	fields := []eventlog.Field{
+		eventlog.Text("request", c.meta.ID),
 		eventlog.Text("target", d.Target.ID), eventlog.Text("addr", d.Target.Addr), eventlog.Text("result", o.result.String()),
 		eventlog.Int("running", d.Load.InFlight), eventlog.Int("reading", d.Load.PendingPromptTokens), eventlog.Millis("ms", time.Since(c.started)),
-		eventlog.Bool("left_out", ejected), eventlog.Bool("may_have_run", o.mayHaveRun), eventlog.Text("error", errorText(o.err)))
+		eventlog.Bool("left_out", ejected), eventlog.Bool("may_have_run", o.mayHaveRun), eventlog.Text("error", errorText(o.err)),
+	}
+	if c.framing != "" {
+		fields = append(fields, c.framingLogFields()...)
+	}
+	g.config.Events.Event(logModule, "send failed", fields...)
 }
 
 func errorText(err error) string {
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -42,6 +42,7 @@
 // send sends the request to one target and classifies the head of its response.
 func (c *call) send(ctx context.Context, d admission.Decision) sendOutcome {
 	g := c.gate
+	c.framing = ""
 	left := time.Until(c.deadline)
 	if left < minServiceTime {
 		return sendOutcome{result: admission.ResultWithdrawn, err: context.DeadlineExceeded}
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -48,8 +48,9 @@
 	Status int
 	Header http.Header
 	// Length is the length of the body in bytes, -1 if it is unknown.
-	Length int64
-	Body   io.ReadCloser
+	Length  int64
+	Framing Framing
+	Body    io.ReadCloser
 }
 
 // Do sends the call and returns the head of the response. When ctx ends, also while
@@ -182,10 +183,11 @@
 
 func (x *exchange) newResponse(resp *http.Response) *Response {
 	return &Response{
-		Status: resp.StatusCode,
-		Header: resp.Header,
-		Length: resp.ContentLength,
-		Body:   &body{exchange: x, resp: resp},
+		Status:  resp.StatusCode,
+		Header:  resp.Header,
+		Length:  resp.ContentLength,
+		Framing: framingOf(resp),
+		Body:    &body{exchange: x, resp: resp},
 	}
 }
 
