--- /dev/null
+++ b/internal/gate/framing_test.go
@@ -0,0 +1,161 @@
+package gate
+
+import (
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/route"
+	"github.com/mastichollow/mastichollow/internal/upstream"
+)
+
+// framedResponse is a complete response of a target, as it stands on the connection.
+type framedResponse struct {
+	framing upstream.Framing
+	head    string   // follows the identifier
+	pieces  []string // of the body, as they stand on the connection
+	end     string   // last chunk
+}
+
+func (f framedResponse) raw(r targetRequest) string {
+	return head(200, r, "Seal: m\r\n"+f.head+"\r\n") + strings.Join(f.pieces, "") + f.end
+}
+
+// framedResponses returns a response with the body pieces in each framing.
+func framedResponses(contentType string, pieces ...string) []framedResponse {
+	fields := "Content-Type: " + contentType + "\r\n"
+	var chunks []string
+	size := 0
+	for _, piece := range pieces {
+		chunks = append(chunks, fmt.Sprintf("%x\r\n%s\r\n", len(piece), piece))
+		size += len(piece)
+	}
+	return []framedResponse{
+		{upstream.FramingLength, fields + fmt.Sprintf("Content-Length: %d\r\n", size), pieces, ""},
+		{upstream.FramingChunked, fields + "Transfer-Encoding: chunked\r\n", chunks, "0\r\n\r\n"},
+		{upstream.FramingClose, fields, pieces, ""},
+	}
+}
+
+// crashAfter sends the first size bytes of the response; then the connection is closed
+// in order or, with reset, reset.
+func crashAfter(response framedResponse, size int, reset bool) targetHandler {
+	return func(c net.Conn, r targetRequest) {
+		write(c, response.raw(r)[:size])
+		if reset {
+			_ = c.(*net.TCPConn).SetLinger(0)
+		}
+		c.Close()
+	}
+}
+
+// rawSize returns the bytes of the response on the connection.
+func (f framedResponse) rawSize() int {
+	return len(f.raw(targetRequest{header: http.Header{"Id": {"id-1"}}}))
+}
+
+// undetectable reports whether an orderly close after size bytes looks like the end of
+// the response: its end is the close of the connection, and no event has begun.
+func (f framedResponse) undetectable(size int, streamed bool) bool {
+	if f.framing != upstream.FramingClose {
+		return false
+	}
+	boundary := f.rawSize() - len(strings.Join(f.pieces, ""))
+	if !streamed {
+		return size >= boundary
+	}
+	for _, piece := range f.pieces {
+		if size == boundary {
+			return true
+		}
+		boundary += len(piece)
+	}
+	return false
+}
+
+func TestBrokenOffResponseDoesNotLookComplete(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind      route.Route
+		responses []framedResponse
+	}{
+		"streamed": {streamOnce, framedResponses("text/event-stream", event(1), event(2))},
+		"whole":    {once, framedResponses("text/plain", "one ", "two")},
+	} {
+		for _, response := range c.responses {
+			for _, reset := range []bool{false, true} {
+				t.Run(fmt.Sprintf("%s, %s, reset %t", name, response.framing, reset), func(t *testing.T) {
+					for cut := range response.rawSize() {
+						if !reset && response.undetectable(cut, c.kind.Streaming) {
+							continue
+						}
+						f := newFixture(t, testRoutes(c.kind), crashAfter(response, cut, reset))
+						got := f.send("/p/", "body")
+						require.Len(t, f.receivedRequests(), 1)
+						require.False(t, got.err == nil && got.status == 200, "complete after %d of %d bytes: %q", cut, response.rawSize(), got.body)
+					}
+				})
+			}
+		}
+	}
+}
+
+// resumeEvents sends the events after the last one that the caller received, up to last.
+func resumeEvents(last int) targetHandler {
+	return func(c net.Conn, r targetRequest) {
+		received, _ := strconv.Atoi(r.header.Get("Last")) // 0: not set
+		streamEvents(received+1, last, true)(c, r)
+	}
+}
+
+func TestBrokenOffStreamResumesInEachFraming(t *testing.T) {
+	for _, response := range framedResponses("text/event-stream", event(1), event(2)) {
+		for _, reset := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, reset %t", response.framing, reset), func(t *testing.T) {
+				for cut := range response.rawSize() {
+					if !reset && response.undetectable(cut, true) {
+						continue
+					}
+					handler := firstRequestThen(crashAfter(response, cut, reset), resumeEvents(2))
+					f := newFixture(t, testRoutes(resumable), handler, handler)
+					got := f.send("/p/", "body")
+					require.NoError(t, got.err, "after %d bytes", cut)
+					require.Equal(t, eventsUpTo(2), got.body, "after %d bytes", cut)
+				}
+			})
+		}
+	}
+}
+
+func TestCompleteResponseForwardedInEachFraming(t *testing.T) {
+	for _, c := range []struct {
+		kind      route.Route
+		responses []framedResponse
+		body      string
+	}{
+		{streamOnce, framedResponses("text/event-stream", event(1), event(2)), eventsUpTo(2)},
+		{once, framedResponses("text/plain", "one ", "two"), "one two"},
+	} {
+		for _, response := range c.responses {
+			f := newFixture(t, testRoutes(c.kind), crashAfter(response, response.rawSize(), false))
+			got := f.send("/p/", "body")
+			require.NoError(t, got.err, response.framing)
+			require.Equal(t, 200, got.status)
+			require.Equal(t, c.body, got.body, response.framing)
+		}
+	}
+}
+
+// TestStreamWithLengthEndingInsideEventIsIncomplete covers streams whose framing is whole
+// while their last event is not.
+func TestStreamWithLengthEndingInsideEventIsIncomplete(t *testing.T) {
+	for _, response := range framedResponses("text/event-stream", event(1), "id: 2\ndata: e") {
+		f := newFixture(t, testRoutes(streamOnce), crashAfter(response, response.rawSize(), false))
+		got := f.send("/p/", "body")
+		require.Error(t, got.err, response.framing)
+	}
+}
--- a/internal/upstream/framing.go
+++ b/internal/upstream/framing.go
@@ -5,12 +5,13 @@
 // Framing is how a response marks the end of its body.
 type Framing string
 
+// Ways to mark the end of a body: its length in the head, a last chunk, or the close of
+// the connection. The orderly close of a connection whose sender crashed looks like the
+// last of them.
 const (
-	FramingLength  Framing = "length"  // a length in the head
-	FramingChunked Framing = "chunked" // a last chunk
-	// FramingClose: the connection closes. An orderly close of a connection whose
-	// sender crashed looks the same.
-	FramingClose Framing = "close"
+	FramingLength  Framing = "length"
+	FramingChunked Framing = "chunked"
+	FramingClose   Framing = "close"
 )
 
 func framingOf(resp *http.Response) Framing {
