--- a/internal/gate/event_reader.go
+++ b/internal/gate/event_reader.go
@@ -6,6 +6,8 @@
 	"strconv"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mastichollow/mastichollow/internal/upstream"
 )
 
 const (
@@ -17,14 +19,20 @@
 	maxEventSize = 64 << 10
 )
 
+// errEventTruncated: the stream ended inside an event.
+var errEventTruncated = errors.New("stream ended inside an event")
+
 // errEventGap: a resumed stream does not continue where the previous one ended.
 var errEventGap = errors.New("resumed stream does not continue after the last event")
 
 // eventReader splits a stream into complete events and keeps the identifier of the
 // last one.
 //
-// Invariant: when the stream resumes after event resumeAfter, events up to that one
-// are dropped, and a stream that skips an event is an error.
+// Invariants:
+//   - Only complete events are returned, and a stream that ends inside an event is an
+//     error, whatever its framing says.
+//   - When the stream resumes after event resumeAfter, events up to that one are
+//     dropped, and a stream that skips an event is an error.
 type eventReader struct {
 	body   io.Reader
 	buf    []byte
@@ -43,27 +51,19 @@
 	return &eventReader{body: body, buf: make([]byte, initialEventBuffer), lastID: resumeAfter, resumeAfter: resumeAfter}
 }
 
-// next returns the complete events that have arrived, at least one, or the remaining
-// bytes at the end of the stream with io.EOF. The slice is valid until the next call.
+// next returns the complete events that have arrived, at least one, or io.EOF at the end
+// of a stream that ended after an event. The slice is valid until the next call.
 func (e *eventReader) next() ([]byte, error) {
 	for {
 		if chunk, err := e.nextBuffered(); len(chunk) > 0 || err != nil {
 			return chunk, err
 		}
 		if err := e.fill(); err != nil {
-			e.partialBytes = e.end - e.start
-			if !errors.Is(err, io.EOF) {
-				return nil, err
-			}
-			rest, bufferErr := e.nextBuffered()
-			if bufferErr != nil {
-				return nil, bufferErr
-			}
-			if len(rest) == 0 && e.resumeAfter == "" {
-				rest = e.buf[e.start:e.end]
-				e.start = e.end
+			e.partialBytes = len(bytes.Trim(e.buf[e.start:e.end], "\r\n"))
+			if errors.Is(err, io.EOF) && e.partialBytes > 0 {
+				return nil, errors.Mark(errEventTruncated, upstream.ErrLost)
 			}
-			return rest, io.EOF
+			return nil, err
 		}
 	}
 }
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"strconv"
 	"time"
@@ -47,7 +48,7 @@
 
 	c.framing, c.partialEventBytes = resp.Framing, 0
 	var err error
-	if c.route.Streaming && resp.Status == http.StatusOK {
+	if c.isEventStream(resp) {
 		if !c.headSent {
 			c.forwardHead(resp.Status, resp.Header, resp.Length)
 		}
@@ -64,6 +65,17 @@
 	return c.classifyForwardError(ctx, err)
 }
 
+// isEventStream reports whether a response is a stream of events. Its media type decides;
+// the route decides only for a response without one.
+func (c *call) isEventStream(resp *upstream.Response) bool {
+	contentType := resp.Header.Get("Content-Type")
+	if resp.Status != http.StatusOK || contentType == "" {
+		return resp.Status == http.StatusOK && c.route.Streaming
+	}
+	mediaType, _, err := mime.ParseMediaType(contentType)
+	return err == nil && mediaType == "text/event-stream"
+}
+
 // responseEnd returns the label of how forwarding a response ended.
 func responseEnd(err error) string {
 	if err == nil {
--- a/internal/gate/framing_test.go
+++ b/internal/gate/framing_test.go
@@ -83,14 +83,15 @@
 		kind      route.Route
 		responses []framedResponse
 	}{
-		"streamed": {streamOnce, framedResponses("text/event-stream", event(1), event(2))},
-		"whole":    {once, framedResponses("text/plain", "one ", "two")},
+		"streamed":                  {streamOnce, framedResponses("text/event-stream", event(1), event(2))},
+		"streamed on a plain route": {once, framedResponses("text/event-stream; charset=utf-8", event(1), event(2))},
+		"whole":                     {once, framedResponses("text/plain", "one ", "two")},
 	} {
 		for _, response := range c.responses {
 			for _, reset := range []bool{false, true} {
 				t.Run(fmt.Sprintf("%s, %s, reset %t", name, response.framing, reset), func(t *testing.T) {
 					for cut := range response.rawSize() {
-						if !reset && response.undetectable(cut, c.kind.Streaming) {
+						if !reset && response.undetectable(cut, name != "whole") {
 							continue
 						}
 						f := newFixture(t, testRoutes(c.kind), crashAfter(response, cut, reset))
--- a/internal/gate/harness_test.go
+++ b/internal/gate/harness_test.go
@@ -234,7 +234,9 @@
 	}
 }
 
-func succeed(body string) targetHandler { return respond(200, "Seal: m\r\n", body) }
+func succeed(body string) targetHandler {
+	return respond(200, "Seal: m\r\nContent-Type: text/plain\r\n", body)
+}
 
 func reject() targetHandler { return respond(503, "Not-Run: 1\r\n", "") }
 
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -143,9 +143,9 @@
 // tried.
 func (c *call) forwardOrRetry(ctx context.Context, d admission.Decision, o sendOutcome) sendOutcome {
 	defer c.cancelSend(nil)
-	if c.headSent && o.response.Status != http.StatusOK {
+	if c.headSent && !c.isEventStream(o.response) {
 		o.response.Body.Close()
-		return sendOutcome{result: admission.ResultFailed, mayHaveRun: true, err: errors.Newf("status %d to a resumed stream", o.response.Status)}
+		return sendOutcome{result: admission.ResultFailed, mayHaveRun: true, err: errors.Newf("status %d without a stream to a resumed stream", o.response.Status)}
 	}
 	if o.response.Status >= http.StatusInternalServerError {
 		o.result = admission.ResultFailed
--- a/internal/gate/stall.go
+++ b/internal/gate/stall.go
@@ -69,8 +69,11 @@
 	w.onTimeout()
 }
 
-// reset restarts the timeout.
+// reset restarts the timeout. It may be called on a nil watchdog.
 func (w *watchdog) reset() {
+	if w == nil {
+		return
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if !w.stopped {
@@ -91,8 +94,12 @@
 }
 
 // startStreamWatchdog cancels the send if no new event arrives in time, whatever else
-// the target sends.
+// the target sends. It returns nil for a stream on a route of plain responses, whose
+// callers wait until the deadline.
 func (c *call) startStreamWatchdog() *watchdog {
+	if !c.route.Streaming {
+		return nil
+	}
 	stallTimeout := max(minStallTimeout, stallTimeoutObjectives*c.route.LatencyObjective, stallTimeoutGapObjectives*c.route.InterTokenObjective)
 	fraction := endStallFraction
 	if c.route.RetryPolicy == route.Resumable && c.sends < c.route.MaxTargets {
