--- a/internal/gate/framing_test.go
+++ b/internal/gate/framing_test.go
@@ -1,7 +1,9 @@
 package gate
 
 import (
+	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"strconv"
@@ -160,3 +162,28 @@
 		require.Error(t, got.err, response.framing)
 	}
 }
+
+func TestBrokenOffResponseDoesNotLookCompleteOverHTTP10(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind  route.Route
+		pairs []framedResponse
+	}{
+		"streamed": {streamOnce, framedResponses("text/event-stream", event(1), event(2))},
+		"whole":    {once, framedResponses("text/plain", strings.Repeat("one ", plainBufferSize), "two")},
+	} {
+		for _, response := range c.pairs {
+			f := newFixture(t, testRoutes(c.kind), crashAfter(response, response.rawSize()-len(response.end)-1, true))
+			conn, err := net.Dial("tcp4", f.server.Listener.Addr().String())
+			require.NoError(t, err)
+			defer conn.Close()
+			write(conn, "POST /p/ HTTP/1.0\r\nHost: h.example\r\nId: id-1\r\nKey: k\r\nTimeout-Ms: 3000\r\nContent-Length: 0\r\n\r\n")
+			resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				continue // the reset overtook the head
+			}
+			_, err = io.ReadAll(resp.Body)
+			require.True(t, err != nil || resp.StatusCode != http.StatusOK, "%s, %s: looks complete", name, response.framing)
+			resp.Body.Close()
+		}
+	}
+}
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -238,7 +238,7 @@
 func (c *call) abort(reason request.Reason, detail ...eventlog.Field) {
 	c.gate.metrics.refusals.WithLabelValues(string(reason)).Inc()
 	c.logRequestEnd(string(reason), detail...)
-	panic(http.ErrAbortHandler)
+	socket.AbortResponse(c.w, c.r)
 }
 
 func statusLabel(status int) string { return strconv.Itoa(status) }
--- a/internal/router/client_test.go
+++ b/internal/router/client_test.go
@@ -1,9 +1,11 @@
 package router
 
 import (
+	"bufio"
 	"context"
 	"errors"
 	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -121,3 +123,21 @@
 	_, err = io.ReadAll(answer.Body)
 	require.ErrorIs(t, err, io.ErrUnexpectedEOF)
 }
+
+func TestIncompleteAnswerResetsConnectionOverHTTP10(t *testing.T) {
+	f := newFixture(t, nil, serviceAgent("s1"))
+	longerThanBuffers := strings.Repeat("abc", 16<<10)
+	f.fleet.setScript("s1", grantThen(accepted, head("text/plain"), chunk(0, longerThanBuffers), fail(request.OutcomeUnknown, request.ReasonTargetCrashed)))
+	conn, err := net.Dial("tcp4", strings.TrimPrefix(f.startServer(), "http://"))
+	require.NoError(t, err)
+	defer conn.Close()
+	_, err = io.WriteString(conn, "GET /services/shop-api/status HTTP/1.0\r\nHost: h\r\nAuthorization: Bearer "+testKey+"\r\n\r\n")
+	require.NoError(t, err)
+	answer, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return // the reset overtook the head
+	}
+	defer answer.Body.Close()
+	_, err = io.ReadAll(answer.Body)
+	require.Error(t, err, "the answer looks complete")
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -11,6 +11,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/mastichollow/mastichollow/internal/request"
+	"github.com/mastichollow/mastichollow/internal/socket"
 	"github.com/mastichollow/mastichollow/internal/wire"
 )
 
@@ -167,7 +168,7 @@
 	case refused == nil:
 		r.log.Debug("request answered", "request", e.id, "workspace", e.row.Name, "pool", c.pool, "bytes", answer.offset)
 	case answer.committed:
-		r.abortAnswer(answer, e, c, refused)
+		r.abortAnswer(req, answer, e, c, refused)
 	default:
 		r.writeRefusal(w, e, c, refused)
 	}
@@ -199,11 +200,11 @@
 
 // abortAnswer ends an answer that has begun, in a way that its caller cannot mistake
 // it for complete: it aborts the connection.
-func (r *Router) abortAnswer(answer *answerWriter, e envelope, c *call, refused *request.RefusedError) {
+func (r *Router) abortAnswer(req *http.Request, answer *answerWriter, e envelope, c *call, refused *request.RefusedError) {
 	r.metrics.abortedAnswers.WithLabelValues(string(refused.Reason)).Inc()
 	r.logRefusal("answer aborted", e, c, refused)
 	answer.writeErrorEvent(e.id, refused)
-	panic(http.ErrAbortHandler)
+	socket.AbortResponse(answer.w, req)
 }
 
 func (r *Router) logRefusal(message string, e envelope, c *call, refused *request.RefusedError) {
