--- a/internal/engine/answer.go
+++ b/internal/engine/answer.go
@@ -1,6 +1,7 @@
 package engine
 
 import (
+	"bytes"
 	"context"
 	"io"
 	"mime"
@@ -94,6 +95,19 @@
 	}
 }
 
+// eventFrames returns a function that reads the next event of a stream whose end no event
+// marks. A stream that ends inside an event is truncated, whatever its framing says.
+func eventFrames(resp *http.Response, maxEventBytes int) func() (Frame, error) {
+	reader := newEventReader(resp.Body, maxEventBytes)
+	return func() (Frame, error) {
+		ev, err := reader.next()
+		if errors.Is(err, io.EOF) && !hasDelimitedBody(resp) {
+			err = io.ErrUnexpectedEOF
+		}
+		return Frame{Data: bytes.Clone(ev.raw)}, err
+	}
+}
+
 // mediaType returns the media type of an answer without its parameters.
 func mediaType(h http.Header) string {
 	t, _, err := mime.ParseMediaType(h.Get(headerContentType))
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -22,5 +22,9 @@
 	if err := s.checkNotFenced(resp, w); err != nil {
 		return nil, err
 	}
-	return &httpAnswer{resp: resp, watchdog: w, nextFrame: rawFrames(resp), onStall: s.closeIdleConnections}, nil
+	nextFrame := rawFrames(resp)
+	if mediaType(resp.Header) == mediaTypeEventStream {
+		nextFrame = eventFrames(resp, s.options.MaxEventBytes)
+	}
+	return &httpAnswer{resp: resp, watchdog: w, nextFrame: nextFrame, onStall: s.closeIdleConnections}, nil
 }
