--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -50,7 +50,8 @@
 	var err error
 	if c.isEventStream(resp) {
 		if !c.headSent {
-			c.forwardHead(resp.Status, resp.Header, resp.Length)
+			// The length is not forwarded: another target may continue the stream.
+			c.forwardHead(resp.Status, resp.Header, -1)
 		}
 		err = c.forwardEvents(control, d, resp.Body)
 	} else {
--- a/internal/gate/framing_test.go
+++ b/internal/gate/framing_test.go
@@ -187,3 +187,12 @@
 		}
 	}
 }
+
+func TestResumedStreamNotBoundByLengthOfFirstResponse(t *testing.T) {
+	first := framedResponses("text/event-stream", event(1), event(2))[0]
+	handler := firstRequestThen(crashAfter(first, first.rawSize()-1, false), resumeEvents(3))
+	f := newFixture(t, testRoutes(resumable), handler, handler)
+	got := f.send("/p/", "body")
+	require.NoError(t, got.err)
+	require.Equal(t, eventsUpTo(3), got.body)
+}
