--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -251,6 +251,15 @@
 	return c.config.Retry.acquire(c.retriesOf(service), now, c.gateCount)
 }
 
+// TakePresumedCrashes returns the crashes presumed since the previous call.
+func (c *Controller) TakePresumedCrashes() []PresumedCrash {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	presumed := c.suspects.presumed
+	c.suspects.presumed = nil
+	return presumed
+}
+
 // RetainTargets removes the state of targets for which live returns false. Crashes
 // recorded against requests are retained.
 func (c *Controller) RetainTargets(live func(id string) bool) {
--- a/internal/admission/suspects.go
+++ b/internal/admission/suspects.go
@@ -45,8 +45,20 @@
 	// and over are in flight whenever a target crashes, and are no suspects. When
 	// completed is full, it becomes previousCompleted.
 	completed, previousCompleted map[Fingerprint]time.Duration
+	presumed                     []PresumedCrash // not taken yet
 }
 
+// PresumedCrash is a crash of a target as this gate presumes it.
+type PresumedCrash struct {
+	Target string
+	// Refused: a refused connection is the evidence, otherwise a second lost one.
+	Refused  bool
+	Requests int // lost at this gate
+}
+
+// maxPresumedCrashes bounds the presumed crashes that are not taken yet.
+const maxPresumedCrashes = 64
+
 type suspect struct {
 	targets   map[string]struct{}
 	lastCrash time.Duration
@@ -70,14 +82,14 @@
 	recent := s.recentLosses(now, target)
 	s.losses[target] = append(recent, loss{now, f})
 	if len(recent) > 0 {
-		s.recordCrash(now, target)
+		s.recordCrash(now, target, false)
 	}
 }
 
 // recordUnreachable records that the target refused a connection.
 func (s *suspects) recordUnreachable(now time.Duration, target string) {
 	s.losses[target] = s.recentLosses(now, target)
-	s.recordCrash(now, target)
+	s.recordCrash(now, target, true)
 }
 
 func (s *suspects) recentLosses(now time.Duration, target string) []loss {
@@ -93,10 +105,13 @@
 
 // recordCrash presumes that the target crashed and records the crash against the
 // requests whose connections were lost.
-func (s *suspects) recordCrash(now time.Duration, target string) {
+func (s *suspects) recordCrash(now time.Duration, target string, refused bool) {
 	if len(s.losses[target]) > 0 {
 		s.crashedAt[target] = now
 	}
+	if len(s.presumed) < maxPresumedCrashes {
+		s.presumed = append(s.presumed, PresumedCrash{Target: target, Refused: refused, Requests: len(s.losses[target])})
+	}
 	for _, lost := range s.losses[target] {
 		s.addCrash(now, lost.fingerprint, target)
 	}
--- a/internal/gate/engines.go
+++ b/internal/gate/engines.go
@@ -27,6 +27,7 @@
 		case <-ticker.C:
 			g.publishEngines(slowTargets)
 			g.publishShareUses()
+			g.publishCrashes()
 		}
 	}
 }
@@ -47,6 +48,16 @@
 	}
 }
 
+// publishCrashes publishes the crashes of targets that the controller presumed since the
+// previous publication.
+func (g *Gate) publishCrashes() {
+	for _, crash := range g.controller.TakePresumedCrashes() {
+		g.metrics.presumedCrashes.Inc()
+		g.config.Events.Event(logModule, "target presumed crashed", eventlog.Text("target", crash.Target),
+			eventlog.Bool("refused", crash.Refused), eventlog.Int("requests", crash.Requests))
+	}
+}
+
 // maxShareLines bounds the log lines on the use of fair shares per publication.
 const maxShareLines = 8
 
