--- /dev/null
+++ b/internal/overload/crashing.go
@@ -0,0 +1,110 @@
+package overload
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/target"
+)
+
+// engineRestartTime is how long an engine that a request crashed is down. Then it is back
+// under another ID.
+const engineRestartTime = 3500 * time.Millisecond
+
+// CrashingPart is a part of prompts that crashes each engine that begins a response to
+// it. The requests with it come at any gate; beside it they have what other requests of
+// their workspace have.
+type CrashingPart struct {
+	Hash              uint64
+	RequestsPerSecond float64
+	Start             time.Duration
+	// Workspaces are the indexes of the workspaces that send it; nil: all.
+	Workspaces []int
+	// WithoutPart: the requests crash engines for another reason and have no such part.
+	WithoutPart bool
+}
+
+// CrashingOutcome is what became of the requests with a CrashingPart.
+type CrashingOutcome struct {
+	Crashes []time.Duration // of engines
+	Placed  []time.Duration // requests that reached an engine
+}
+
+// PlacedAfter returns the requests that reached engines later than delay after the
+// given crash, counted from 1; 0 if there were fewer crashes.
+func (o *CrashingOutcome) PlacedAfter(crash int, delay time.Duration) int {
+	placed := 0
+	for _, at := range o.Placed {
+		if len(o.Crashes) >= crash && at > o.Crashes[crash-1]+delay {
+			placed++
+		}
+	}
+	return placed
+}
+
+// Arrival is the first attempt of a request without a crashing part.
+type Arrival struct {
+	At         time.Duration
+	Workspace  string
+	SharedHash uint64
+	Admitted   bool
+}
+
+func (sim *simulation) scheduleCrashing(p *CrashingPart) {
+	outcome := &CrashingOutcome{}
+	sim.result.Crashing = append(sim.result.Crashing, outcome)
+	sim.schedule(p.Start, func(now time.Duration) { sim.sendCrashing(now, p, outcome) })
+}
+
+// sendCrashing sends a request with the part and schedules the next one.
+func (sim *simulation) sendCrashing(now time.Duration, p *CrashingPart, outcome *CrashingOutcome) {
+	if now > sim.load.Length {
+		return
+	}
+	index := sim.rng.IntN(len(sim.load.Workspaces))
+	if p.Workspaces != nil {
+		index = p.Workspaces[sim.rng.IntN(len(p.Workspaces))]
+	}
+	w := &sim.load.Workspaces[index]
+	r := sim.newRequest(now, w)
+	if !p.WithoutPart {
+		parts := r.admissionRequest.Parts
+		r.admissionRequest.Parts = []admission.Part{parts[0], {Hash: p.Hash, Tokens: 1}, parts[1]}
+	}
+	r.crashing = outcome
+	if d := sim.send(now, sim.chooseGate(w), r); d.Refused == "" {
+		outcome.Placed = append(outcome.Placed, now)
+		sim.place(now, r, d)
+	}
+	sim.schedule(time.Duration(sim.rng.ExpFloat64()/p.RequestsPerSecond*float64(time.Second)), func(now time.Duration) { sim.sendCrashing(now, p, outcome) })
+}
+
+// crashIfBegun crashes the engine if it has begun the response to a request with a
+// crashing part, and reports whether it did.
+func (sim *simulation) crashIfBegun(now time.Duration, e *engine) bool {
+	for _, j := range e.jobs {
+		if j.request.crashing == nil || !j.started {
+			continue
+		}
+		j.request.crashing.Crashes = append(j.request.crashing.Crashes, now)
+		sim.crash(now, e)
+		sim.schedule(engineRestartTime, func(time.Duration) { sim.restart(e) })
+		return true
+	}
+	return false
+}
+
+// restart starts an engine under another ID.
+func (sim *simulation) restart(e *engine) {
+	old := e.id
+	sim.restarts++
+	e.id, e.down = fmt.Sprintf("e%02d-%s", sim.restarts, old[:3]), false
+	delete(sim.enginesByID, old)
+	sim.enginesByID[e.id] = e
+	for i := range sim.targets {
+		if sim.targets[i].ID == old {
+			sim.targets[i].ID, sim.targets[i].Hash = e.id, target.HashID(e.id)
+		}
+	}
+}
--- a/internal/overload/simulation.go
+++ b/internal/overload/simulation.go
@@ -52,6 +52,8 @@
 	SlowdownFactor float64
 	// Outages are engine crashes. The gates detect them only by failed sends.
 	Outages []Outage
+	// CrashingParts are parts of prompts that crash engines.
+	CrashingParts []CrashingPart
 	// ReadTokensPerMS is the engines' speed in prompt tokens per millisecond; 0: that of
 	// the first user's specification.
 	ReadTokensPerMS float64
@@ -79,6 +81,13 @@
 	Total      Outcome
 	// Fairness holds the work requested by and served to each workspace, by second.
 	Fairness *starvation.Meter
+	// Crashing holds what became of the requests of each CrashingPart, Arrivals the
+	// requests without one, in a load that has such parts.
+	Crashing []*CrashingOutcome
+	Arrivals []Arrival
+	// Quarantined counts the attempts of requests without such a part that were refused as
+	// suspects.
+	Quarantined int
 }
 
 // Policy is the admission policy of one gate; see admission.Controller.
@@ -102,6 +111,7 @@
 	admissionRequest           admission.Request
 	retried                    bool
 	fairness                   *starvation.Meter
+	crashing                   *CrashingOutcome // nil: the request crashes no engine
 }
 
 // recordFirstEvent counts the request as in time or late and calls Lease.Began.
@@ -132,6 +142,7 @@
 	targets     []target.Instance
 	events      agenda.Scheduler
 	result      *Result
+	restarts    int // of engines that a request crashed
 }
 
 // reportInterval is the time between two reports of a gate.
@@ -168,6 +179,9 @@
 	for i := range load.Outages {
 		sim.scheduleOutage(&load.Outages[i])
 	}
+	for i := range load.CrashingParts {
+		sim.scheduleCrashing(&load.CrashingParts[i])
+	}
 	sim.events.Drain()
 	return sim.result
 }
@@ -225,24 +239,30 @@
 }
 
 func (sim *simulation) handleArrival(now time.Duration, w *Workspace) {
+	r := sim.newRequest(now, w)
+	r.outcomes = []*Outcome{sim.outcomeOf(sim.result.Workspaces, w.Name), sim.outcomeOf(sim.result.Kinds, r.kind.Name), &sim.result.Total}
+	for _, o := range r.outcomes {
+		o.Requests++
+	}
+	r.fairness.AddRequested(w.Name, now, r.work())
+	sim.submit(now, w, r)
+}
+
+// newRequest draws a request of a workspace.
+func (sim *simulation) newRequest(now time.Duration, w *Workspace) *request {
 	k := sim.randomKind(w.LongPromptsOnly)
 	part := sim.rng.IntN(k.SharedParts)
 	r := &request{
 		kind: k, workspace: w.Name, sharedHash: uint64(part)<<8 | uint64(len(k.Name)), sharedTokens: k.SharedTokens,
 		uniqueTokens: sim.randomTokens(k.UniqueTokens), outputTokens: sim.randomTokens(k.OutputTokens), arrivedAt: now, deadline: now + k.Deadline,
-		outcomes: []*Outcome{sim.outcomeOf(sim.result.Workspaces, w.Name), sim.outcomeOf(sim.result.Kinds, k.Name), &sim.result.Total},
+		fairness: sim.result.Fairness,
 	}
 	r.admissionRequest = admission.Request{
 		Workspace: w.Name, Service: "engines", Slots: batchSlots, CacheTokens: cacheTokens,
 		Parts:        []admission.Part{{Hash: r.sharedHash, Tokens: r.sharedTokens}, {Hash: sim.rng.Uint64(), Tokens: r.uniqueTokens}},
 		PromptTokens: r.sharedTokens + r.uniqueTokens, OutputTokens: r.outputTokens, FirstTokenObjective: k.FirstTokenObjective, Hash: sim.rng.Uint64(), Fingerprint: admission.Fingerprint(sim.rng.Uint64()),
 	}
-	for _, o := range r.outcomes {
-		o.Requests++
-	}
-	r.fairness = sim.result.Fairness
-	r.fairness.AddRequested(w.Name, now, r.work())
-	sim.submit(now, w, r)
+	return r
 }
 
 // retryJitterFraction spreads the retries of refused callers between 1 and 1.5 times the
@@ -253,6 +273,12 @@
 // once.
 func (sim *simulation) submit(now time.Duration, w *Workspace, r *request) {
 	d := sim.send(now, sim.chooseGate(w), r)
+	if len(sim.load.CrashingParts) > 0 && !r.retried {
+		if d.Refused == reasons.ReasonQuarantined {
+			sim.result.Quarantined++
+		}
+		sim.result.Arrivals = append(sim.result.Arrivals, Arrival{At: now, Workspace: w.Name, SharedHash: r.sharedHash, Admitted: d.Refused == ""})
+	}
 	if d.Refused == "" {
 		sim.place(now, r, d)
 		return
@@ -327,6 +353,10 @@
 		for _, j := range e.finishStep(now) {
 			j.request.lease.End(now, admission.ResultDone, nil)
 		}
+		if sim.crashIfBegun(now, e) {
+			e.stepping = false
+			return
+		}
 		sim.runStep(e)
 	})
 }
