--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -54,6 +54,8 @@
 	// its fair share; 0 if the workspace's demand is within its share or all demand
 	// fits.
 	ShareMultiple float64
+	// BlockedPart is the hash of the part for which the request was refused; 0: none.
+	BlockedPart uint64
 	// RetryAfter is when a refused caller may try again; 0 if unknown.
 	RetryAfter time.Duration
 }
@@ -153,6 +155,9 @@
 	if c.suspects.quarantined(now, req.Fingerprint) {
 		return Decision{Refused: request.ReasonQuarantined}
 	}
+	if block := c.suspects.parts.blocked(now, req.Parts, workspaceID(req.Workspace)); block != nil {
+		return Decision{Refused: request.ReasonQuarantined, BlockedPart: block.parts[0], RetryAfter: block.until - now}
+	}
 	if req.Slots > 0 {
 		c.refreshFairShareLevel(now)
 		if !req.Retry {
@@ -225,6 +230,7 @@
 		controller:        c,
 		target:            instance,
 		fingerprint:       req.Fingerprint,
+		parts:             req.Parts,
 		workspace:         req.Workspace,
 		load:              Load{InFlight: 1, PendingPromptTokens: uncached, Tokens: req.PromptTokens + req.OutputTokens},
 		placedAt:          now,
@@ -260,6 +266,24 @@
 	return presumed
 }
 
+// TakePartBlockChanges returns the blocks of crashing parts that began or ended since the
+// previous call, and the number of parts that are blocked.
+func (c *Controller) TakePartBlockChanges(now time.Duration) ([]PartBlockChange, int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	parts := c.suspects.parts
+	if len(parts.suspects) > 0 || len(parts.blocks) > 0 {
+		parts.computeBlocks(now)
+	}
+	changes := parts.changes
+	parts.changes = nil
+	blocked := 0
+	for _, block := range parts.blocks {
+		blocked += len(block.parts)
+	}
+	return changes, blocked
+}
+
 // RetainTargets removes the state of targets for which live returns false. Crashes
 // recorded against requests are retained.
 func (c *Controller) RetainTargets(live func(id string) bool) {
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -20,6 +20,8 @@
 	return all
 }
 
+func instanceOf(id string) *target.Instance { return &target.Instance{ID: id} }
+
 func newTestController() *Controller {
 	return NewController(Config{
 		Site:  Site{Region: "r", Domain: "d", Regions: map[string]string{"d": "r", "remote-domain": "s"}},
@@ -261,10 +263,10 @@
 	for n := range crashLimit {
 		now := time.Duration(n) * 10 * time.Second
 		id := fmt.Sprint("t-", n)
-		tracker.recordLoss(now, id, 7001)
-		tracker.recordLoss(now, id, 7002)
-		tracker.recordResponse(now+10*time.Millisecond, id) // was in transit at the crash
-		tracker.recordResponse(now+5*time.Second, id)       // restarted under the same ID
+		tracker.recordLoss(now, instanceOf(id), loss{fingerprint: 7001})
+		tracker.recordLoss(now, instanceOf(id), loss{fingerprint: 7002})
+		tracker.recordResponse(now+10*time.Millisecond, instanceOf(id)) // was in transit at the crash
+		tracker.recordResponse(now+5*time.Second, instanceOf(id))       // restarted under the same ID
 	}
 	require.True(t, tracker.quarantined(30*time.Second, 7001))
 }
@@ -276,8 +278,8 @@
 	crash := func(now time.Duration) {
 		for n := range crashLimit {
 			id := fmt.Sprint("t-", n)
-			s.recordLoss(now, id, 1)
-			s.recordLoss(now, id, 2)
+			s.recordLoss(now, instanceOf(id), loss{fingerprint: 1})
+			s.recordLoss(now, instanceOf(id), loss{fingerprint: 2})
 		}
 	}
 	s.recordCompleted(0, 1)
--- /dev/null
+++ b/internal/admission/crashing_parts_test.go
@@ -0,0 +1,298 @@
+package admission
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/request"
+	"github.com/mastichollow/mastichollow/internal/target"
+)
+
+const (
+	crashing  = uint64(0xbad)  // a part that crashes engines
+	companion = uint64(0xc0de) // a part that sound requests share with it
+)
+
+// crashLab is a fleet of gates with engines that requests crash.
+type crashLab struct {
+	gates   []*Controller
+	now     time.Duration
+	started int // engines
+	engines []target.Instance
+	sent    int
+}
+
+func newCrashLab(gates int) *crashLab {
+	lab := &crashLab{}
+	for range gates {
+		lab.gates = append(lab.gates, newTestController())
+	}
+	for range 6 {
+		lab.start()
+	}
+	return lab
+}
+
+// start starts an engine under a new ID.
+func (l *crashLab) start() {
+	l.started++
+	id := fmt.Sprintf("e%d", l.started)
+	l.engines = append(l.engines, target.Instance{ID: id, Service: "letters", Domain: "d", Slots: 64, Hash: target.HashID(id)})
+}
+
+func (l *crashLab) admit(gate int, workspace string, parts ...uint64) Decision {
+	l.sent++
+	r := letterRequest(workspace, 0, l.sent)
+	r.Parts = nil
+	for _, hash := range append(parts, uint64(1_000_000+l.sent)) {
+		r.Parts = append(r.Parts, Part{Hash: hash, Tokens: 10})
+	}
+	return l.gates[gate].Admit(l.now, r, l.engines)
+}
+
+// crash sends a request that crashes its engine and is lost alone, and reports whether
+// it was admitted. The engine refuses the next connection of another gate.
+func (l *crashLab) crash(gate int, workspace string, parts ...uint64) bool {
+	d := l.admit(gate, workspace, parts...)
+	if d.Lease == nil {
+		return false
+	}
+	d.Lease.Responded(l.now)
+	l.now += 100 * time.Millisecond
+	d.Lease.End(l.now, ResultLost, l.engines)
+	other := l.gates[(gate+1)%len(l.gates)]
+	other.suspects.recordUnreachable(l.now+50*time.Millisecond, &d.Target)
+	l.engines = removeID(l.engines, d.Target.ID)
+	l.start()
+	l.exchange(300 * time.Millisecond)
+	return true
+}
+
+// complete sends a request that completes, and reports whether it was admitted.
+func (l *crashLab) complete(gate int, workspace string, parts ...uint64) bool {
+	d := l.admit(gate, workspace, parts...)
+	if d.Lease == nil {
+		return false
+	}
+	d.Lease.Began(l.now)
+	d.Lease.End(l.now+50*time.Millisecond, ResultDone, l.engines)
+	return true
+}
+
+// exchange delivers a report of each gate to all others after the delay.
+func (l *crashLab) exchange(delay time.Duration) {
+	reports := make([]Report, len(l.gates))
+	for i, gate := range l.gates {
+		reports[i] = gate.Report(l.now)
+	}
+	l.now += delay
+	for i, gate := range l.gates {
+		for j, report := range reports {
+			if i != j {
+				gate.Merge(l.now, fmt.Sprint("gate", j), report)
+			}
+		}
+	}
+}
+
+// settle lets crashes take effect at all gates.
+func (l *crashLab) settle() {
+	for range 3 {
+		l.exchange(400 * time.Millisecond)
+	}
+}
+
+func workspaceOf(i int) string { return fmt.Sprint("w", i) }
+
+func TestCrashingPartBlockedAtAllGates(t *testing.T) {
+	lab := newCrashLab(5)
+	for i := range partCrashLimit {
+		require.True(t, lab.crash(i%5, workspaceOf(i), uint64(100+i), crashing))
+	}
+	lab.settle()
+	for gate := range 5 {
+		d := lab.admit(gate, "w9", 200, crashing)
+		require.Equal(t, request.ReasonQuarantined, d.Refused, "gate %d", gate)
+		require.Positive(t, d.RetryAfter)
+		require.True(t, lab.complete(gate, "w9", 200), "gate %d: a request without the part", gate)
+	}
+}
+
+func TestSoundRequestsWithOtherPartsAdmitted(t *testing.T) {
+	lab := newCrashLab(3)
+	for i := range partCrashLimit + 1 {
+		require.True(t, lab.complete(i%3, "w0", companion))
+		if lab.crash(i%3, "w0", companion, crashing) {
+			lab.settle()
+		}
+	}
+	for gate := range 3 {
+		require.False(t, lab.crash(gate, "w0", companion, crashing), "gate %d", gate)
+		require.True(t, lab.complete(gate, "w0", companion), "gate %d", gate)
+	}
+}
+
+// TestPartsNeverSentApartBlockedTogether covers a part of which no sound request came while
+// engines crashed.
+func TestPartsNeverSentApartBlockedTogether(t *testing.T) {
+	lab := newCrashLab(3)
+	for i := range partCrashBound {
+		lab.crash(i%3, workspaceOf(i), companion, crashing)
+	}
+	lab.settle()
+	require.False(t, lab.crash(0, "w0", companion, crashing))
+	require.True(t, lab.complete(1, "w0", companion))
+	lab.settle()
+	for gate := range 3 {
+		require.False(t, lab.crash(gate, "w8", 300, crashing), "the crashing part alone")
+		require.True(t, lab.complete(gate, "w0", companion))
+	}
+}
+
+func TestWorkspaceCannotBlockPartOfAnother(t *testing.T) {
+	lab := newCrashLab(3)
+	for i := range partCrashBound + 1 {
+		lab.crash(i%3, "attacker", companion)
+	}
+	lab.settle()
+	for gate := range 3 {
+		require.True(t, lab.complete(gate, "victim", companion), "gate %d", gate)
+	}
+}
+
+func TestCrashOfSecondWorkspaceBlocksPartForAll(t *testing.T) {
+	lab := newCrashLab(3)
+	for i := range partCrashBound {
+		lab.crash(i%3, "w0", crashing)
+	}
+	lab.settle()
+	require.True(t, lab.crash(0, "w1", crashing), "only one workspace has crashed engines")
+	lab.settle()
+	require.False(t, lab.crash(1, "w2", crashing))
+}
+
+func TestSimultaneousCrashesBlockNoPart(t *testing.T) {
+	lab := newCrashLab(3)
+	var leases []*Lease
+	for i := range 24 {
+		leases = append(leases, lab.admit(i%3, workspaceOf(i), companion).Lease)
+		leases[i].Responded(lab.now)
+	}
+	survivor := leases[0].target.ID
+	lab.now += 100 * time.Millisecond
+	for _, lease := range leases {
+		if lease.target.ID != survivor {
+			lease.End(lab.now, ResultLost, lab.engines)
+		}
+	}
+	for _, lease := range leases {
+		if lease.target.ID == survivor {
+			lease.Began(lab.now)
+			lease.End(lab.now+100*time.Millisecond, ResultDone, lab.engines)
+		}
+	}
+	lab.settle()
+	for gate := range 3 {
+		require.True(t, lab.complete(gate, "w0", companion), "gate %d", gate)
+	}
+}
+
+func TestCrashingRequestBlocksNoPart(t *testing.T) {
+	c := newTestController()
+	engines := newEngines(8)
+	for n := range crashLimit + 2 {
+		now := time.Duration(n) * 5 * time.Second
+		r := letterRequest(workspaceOf(n), companion, n)
+		r.Fingerprint = 77
+		d := c.Admit(now, r, engines)
+		if d.Lease == nil {
+			break
+		}
+		d.Lease.End(now, ResultLost, engines)
+		c.suspects.recordUnreachable(now, &d.Target)
+		engines = removeID(engines, d.Target.ID)
+	}
+	now := 40 * time.Second
+	r := letterRequest("w0", companion, 99)
+	require.Empty(t, c.Admit(now, r, engines).Refused, "the request crashed them all, not its part")
+	r.Fingerprint = 77
+	require.Equal(t, request.ReasonQuarantined, c.Admit(now, r, engines).Refused)
+}
+
+func TestResponseThatLastsClearsPart(t *testing.T) {
+	lab := newCrashLab(2)
+	for i := range partCrashBound {
+		d := lab.admit(i%2, workspaceOf(i), companion)
+		d.Lease.Began(lab.now)
+		lab.now += 2 * crashDelay
+		d.Lease.Began(lab.now)
+		d.Lease.End(lab.now, ResultLost, lab.engines)
+		lab.gates[i%2].suspects.recordUnreachable(lab.now, &d.Target)
+		lab.engines = removeID(lab.engines, d.Target.ID)
+		lab.start()
+	}
+	lab.settle()
+	require.True(t, lab.complete(0, "w0", companion))
+}
+
+func TestGateThatStartsLearnsBlockedParts(t *testing.T) {
+	lab := newCrashLab(3)
+	for i := range partCrashLimit {
+		lab.crash(i%3, workspaceOf(i), crashing)
+	}
+	lab.now += time.Minute
+	lab.gates[2] = newTestController()
+	lab.exchange(200 * time.Millisecond)
+	lab.settle()
+	require.False(t, lab.crash(2, "w7", crashing))
+}
+
+func TestBlockOfPartEndsAndRepeats(t *testing.T) {
+	lab := newCrashLab(2)
+	for i := range partCrashLimit {
+		lab.crash(i%2, workspaceOf(i), crashing)
+	}
+	lab.settle()
+	require.False(t, lab.crash(0, "w0", crashing))
+	lab.now += partBlockTime
+	require.True(t, lab.crash(0, "w0", crashing), "the block has ended")
+	lab.settle()
+	require.False(t, lab.crash(0, "w0", crashing), "one more crash blocks it again")
+	lab.now += partBlockTime + time.Minute
+	require.False(t, lab.crash(0, "w0", crashing), "for twice as long")
+	lab.now += partBlockTime
+	require.True(t, lab.complete(0, "w0", crashing), "it no longer crashes engines")
+	lab.settle()
+	for gate := range 2 {
+		require.True(t, lab.complete(gate, "w0", crashing))
+		require.Empty(t, lab.gates[gate].suspects.parts.suspects)
+	}
+}
+
+func TestCrashingPartStateBounded(t *testing.T) {
+	p := newCrashingParts(func(map[TargetRun]*PartCrash) bool { return false })
+	for i := range 5 * maxSuspectParts {
+		now := time.Duration(i) * time.Millisecond
+		run := TargetRun(fmt.Sprint("e", i))
+		p.recordCrash(loss{at: now, run: run, parts: []Part{{Hash: crashing}, {Hash: uint64(i)}, {Hash: 1}}, began: true, beganAt: now, workspace: WorkspaceID(i)})
+		p.disproveCrash(now, TargetRun(fmt.Sprint("d", i)))
+		p.recordCompleted(now, []Part{{Hash: uint64(1<<40 + i)}, {Hash: 1}})
+		p.blocked(now, []Part{{Hash: 5}, {Hash: 6}}, 0)
+	}
+	require.LessOrEqual(t, len(p.suspects), maxSuspectParts)
+	require.LessOrEqual(t, len(p.suspects[crashing].crashes), maxPartCrashes)
+	require.LessOrEqual(t, len(p.begun), maxCrashedRuns)
+	require.LessOrEqual(t, len(p.disproved), maxCrashedRuns)
+	require.LessOrEqual(t, len(p.completed)+len(p.previousCompleted), 2*maxCompleted)
+	require.LessOrEqual(t, len(p.changes), maxPartChanges)
+	now := 5 * maxSuspectParts * time.Millisecond
+	require.NotNil(t, p.blocked(now+partSettleTime, []Part{{Hash: crashing}, {Hash: 1}}, 0))
+	suspects, cleared := p.report(now)
+	require.LessOrEqual(t, len(suspects)+len(cleared), 2*maxReportedParts)
+	p.computeBlocks(now + 3*partBlockTime)
+	require.Empty(t, p.suspects)
+	require.Empty(t, p.blocks)
+}
--- a/internal/admission/lease.go
+++ b/internal/admission/lease.go
@@ -39,6 +39,7 @@
 	controller        *Controller
 	target            target.Instance
 	fingerprint       Fingerprint
+	parts             []Part
 	workspace         string
 	tier              Tier         // empty for a plain service
 	work              float64      // tokens of work; 0 for a plain service
@@ -48,14 +49,35 @@
 	promptTokensAhead int          // uncached prompt tokens that the target reads before the first event, including this request's
 	model             *engineModel // nil for a plain service
 	began, ended      bool
+	responded         bool          // the head of the response arrived
+	respondedAt       time.Duration // then
+	cleared           bool          // the response lasted long enough to clear the parts
 }
 
-// Began records that the response has begun, so that the prompt has been read.
+// Responded records that the head of the response has arrived.
+func (l *Lease) Responded(now time.Duration) {
+	l.controller.mu.Lock()
+	defer l.controller.mu.Unlock()
+	l.respond(now)
+}
+
+func (l *Lease) respond(now time.Duration) {
+	if !l.responded {
+		l.responded, l.respondedAt = true, now
+	}
+}
+
+// Began records an event of the response: the prompt has been read.
 func (l *Lease) Began(now time.Duration) {
 	c := l.controller
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	l.began = true
+	l.respond(now)
+	if !l.cleared && now-l.respondedAt > crashDelay {
+		l.cleared = true
+		c.suspects.parts.recordCompleted(now, l.parts)
+	}
 	if l.ended || l.load.PendingPromptTokens == 0 {
 		return
 	}
@@ -85,16 +107,19 @@
 	case ResultDone:
 		c.health.recordSuccess(id)
 		c.suspects.recordCompleted(now, l.fingerprint)
-		c.suspects.recordResponse(now, id)
+		c.suspects.recordResponse(now, &l.target)
+		if l.began {
+			c.suspects.parts.recordCompleted(now, l.parts)
+		}
 	case ResultUnreachable:
-		c.suspects.recordUnreachable(now, id)
+		c.suspects.recordUnreachable(now, &l.target)
 		c.health.recordUnreachable(now, id)
 		return true
 	case ResultMisdirected:
 		c.health.recordMisdirected(now, id)
 		return true
 	case ResultLost:
-		c.suspects.recordLoss(now, id, l.fingerprint)
+		c.suspects.recordLoss(now, &l.target, loss{fingerprint: l.fingerprint, parts: l.parts, workspace: workspaceID(l.workspace), began: l.responded, beganAt: l.respondedAt})
 		return c.health.recordFailure(now, id, c.meanFailureRate(targets))
 	case ResultFailed:
 		return c.health.recordFailure(now, id, c.meanFailureRate(targets))
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -7,6 +7,14 @@
 	Loads    map[string]Load
 	Usage    map[string]Usage
 	Suspects map[Fingerprint][]string
+	// Crashes holds the recent crashes of which the gate has evidence, with the time since.
+	Crashes map[TargetRun]time.Duration
+	// SuspectParts holds the crashes of the parts of prompts that the gate suspects, and
+	// ClearedParts the time since a request with a suspected part completed at it.
+	// DisprovedCrashes holds the time since targets responded after their presumed crash.
+	DisprovedCrashes map[TargetRun]time.Duration
+	SuspectParts     map[uint64][]PartCrash
+	ClearedParts     map[uint64]time.Duration
 	// Estimates holds the gate's own engine estimates, by service.
 	Estimates map[string]EngineEstimate
 	// Backoffs holds the backoffs that targets requested of the gate, by target ID.
@@ -17,7 +25,11 @@
 func (c *Controller) Report(now time.Duration) Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Report{Loads: c.loads.localLoads(), Usage: c.usageTracker.localUsage(now), Suspects: c.suspects.listRecent(now), Backoffs: c.backoffs.listLocal(now), Estimates: c.localEstimates()}
+	suspectParts, clearedParts := c.suspects.parts.report(now)
+	return Report{
+		Crashes: c.suspects.listConfirmed(now), SuspectParts: suspectParts, ClearedParts: clearedParts, DisprovedCrashes: c.suspects.parts.listDisproved(now),
+		Loads: c.loads.localLoads(), Usage: c.usageTracker.localUsage(now), Suspects: c.suspects.listRecent(now), Backoffs: c.backoffs.listLocal(now), Estimates: c.localEstimates(),
+	}
 }
 
 // Merge applies the report of a peer.
@@ -35,6 +47,13 @@
 			c.suspects.mergeCrash(now, f, id)
 		}
 	}
+	for run, age := range report.Crashes {
+		c.suspects.mergeConfirmed(now, run, age)
+	}
+	for run, age := range report.DisprovedCrashes {
+		c.suspects.parts.disproveCrash(now-age, run)
+	}
+	c.suspects.parts.merge(now, report.SuspectParts, report.ClearedParts)
 }
 
 // SetPeerReportLifetime sets how long a peer's report counts, but at least
--- a/internal/admission/suspects.go
+++ b/internal/admission/suspects.go
@@ -3,6 +3,8 @@
 import (
 	"maps"
 	"time"
+
+	"github.com/mastichollow/mastichollow/internal/target"
 )
 
 const (
@@ -19,6 +21,9 @@
 	// crashWindow is the time within which a second lost connection, or a refused one,
 	// shows that a target crashed and not just that one response was lost.
 	crashWindow = 400 * time.Millisecond
+	// peerEvidenceWindow is the time between a lost connection and the evidence of a peer
+	// that the target crashed, within which the two belong together.
+	peerEvidenceWindow = 1500 * time.Millisecond
 	// minDisproofDelay and maxDisproofDelay bound the time after a presumed crash within
 	// which a response disproves it. Earlier responses may have been in transit at the
 	// crash, and a crashed target takes at least some seconds to restart.
@@ -46,6 +51,15 @@
 	// completed is full, it becomes previousCompleted.
 	completed, previousCompleted map[Fingerprint]time.Duration
 	presumed                     []PresumedCrash // not taken yet
+	// confirmed holds the recent crashes of which this gate or a peer has evidence.
+	confirmed map[TargetRun]confirmedCrash
+	parts     *crashingParts
+}
+
+// confirmedCrash is a crash for which there is evidence beside a single lost connection.
+type confirmedCrash struct {
+	at    time.Duration
+	local bool // this gate has the evidence
 }
 
 // PresumedCrash is a crash of a target as this gate presumes it.
@@ -64,60 +78,124 @@
 	lastCrash time.Duration
 }
 
+// loss is a request whose connection to a target was lost.
 type loss struct {
 	at          time.Duration
+	run         TargetRun
 	fingerprint Fingerprint
+	parts       []Part
+	workspace   WorkspaceID
+	began       bool // the response had begun
+	beganAt     time.Duration
 }
 
 func newSuspects() *suspects {
-	return &suspects{
+	s := &suspects{
 		crashes: make(map[Fingerprint]*suspect), losses: make(map[string][]loss),
 		crashedAt: make(map[string]time.Duration), disprovedAt: make(map[string]time.Duration),
-		completed: make(map[Fingerprint]time.Duration),
+		completed: make(map[Fingerprint]time.Duration), confirmed: make(map[TargetRun]confirmedCrash),
 	}
+	s.parts = newCrashingParts(s.explainedByRequest)
+	return s
 }
 
 // recordLoss records a connection that closed while the target ran the request.
-func (s *suspects) recordLoss(now time.Duration, target string, f Fingerprint) {
-	recent := s.recentLosses(now, target)
-	s.losses[target] = append(recent, loss{now, f})
+func (s *suspects) recordLoss(now time.Duration, instance *target.Instance, lost loss) {
+	lost.at, lost.run = now, runOf(instance)
+	recent := s.recentLosses(now, instance.ID, crashWindow)
+	s.losses[instance.ID] = append(s.recentLosses(now, instance.ID, peerEvidenceWindow), lost)
 	if len(recent) > 0 {
-		s.recordCrash(now, target, false)
+		s.recordCrash(now, instance, false)
+	} else if crash, ok := s.confirmed[lost.run]; ok && now-crash.at <= peerEvidenceWindow {
+		s.parts.recordCrash(lost)
+	}
+}
+
+// explainedByRequest reports whether one quarantined request was in flight at all of the
+// crashes.
+func (s *suspects) explainedByRequest(crashes map[TargetRun]*PartCrash) bool {
+	for _, entry := range s.crashes {
+		if len(entry.targets) >= crashLimit && entry.includesAll(crashes) {
+			return true
+		}
+	}
+	return false
+}
+
+func (s *suspect) includesAll(crashes map[TargetRun]*PartCrash) bool {
+	for run := range crashes {
+		if _, found := s.targets[run.targetID()]; !found {
+			return false
+		}
 	}
+	return true
 }
 
 // recordUnreachable records that the target refused a connection.
-func (s *suspects) recordUnreachable(now time.Duration, target string) {
-	s.losses[target] = s.recentLosses(now, target)
-	s.recordCrash(now, target, true)
+func (s *suspects) recordUnreachable(now time.Duration, instance *target.Instance) {
+	s.recordCrash(now, instance, true)
 }
 
-func (s *suspects) recentLosses(now time.Duration, target string) []loss {
+// recentLosses returns the losses at a target within the window.
+func (s *suspects) recentLosses(now time.Duration, target string, window time.Duration) []loss {
 	losses := s.losses[target]
-	for len(losses) > 0 && now-losses[0].at > crashWindow {
+	for len(losses) > 0 && now-losses[0].at > window {
 		losses = losses[1:]
 	}
-	if len(losses) == 0 {
+	if len(losses) == 0 && window >= peerEvidenceWindow {
 		delete(s.losses, target)
 	}
 	return losses
 }
 
 // recordCrash presumes that the target crashed and records the crash against the
-// requests whose connections were lost.
-func (s *suspects) recordCrash(now time.Duration, target string, refused bool) {
-	if len(s.losses[target]) > 0 {
-		s.crashedAt[target] = now
+// requests whose connections were lost within crashWindow.
+func (s *suspects) recordCrash(now time.Duration, instance *target.Instance, refused bool) {
+	lost := s.recentLosses(now, instance.ID, crashWindow)
+	if len(lost) > 0 {
+		s.crashedAt[instance.ID] = now
 	}
+	s.confirmCrash(now, runOf(instance), true)
 	if len(s.presumed) < maxPresumedCrashes {
-		s.presumed = append(s.presumed, PresumedCrash{Target: target, Refused: refused, Requests: len(s.losses[target])})
+		s.presumed = append(s.presumed, PresumedCrash{Target: instance.ID, Refused: refused, Requests: len(lost)})
 	}
-	for _, lost := range s.losses[target] {
-		s.addCrash(now, lost.fingerprint, target)
+	for _, l := range lost {
+		s.addCrash(now, l.fingerprint, instance.ID)
+		s.parts.recordCrash(l)
 	}
-	if len(s.losses[target]) == 0 {
-		delete(s.losses, target)
+}
+
+// confirmCrash records evidence of a crash.
+func (s *suspects) confirmCrash(at time.Duration, run TargetRun, local bool) {
+	if known, ok := s.confirmed[run]; ok && (known.local || !local) {
+		return
+	}
+	s.confirmed[run] = confirmedCrash{at, local}
+}
+
+// mergeConfirmed applies the evidence of a peer that the run of a target crashed. It
+// confirms single losses at this gate.
+func (s *suspects) mergeConfirmed(now time.Duration, run TargetRun, age time.Duration) {
+	at := now - age
+	s.confirmCrash(at, run, false)
+	for _, l := range s.losses[run.targetID()] {
+		if l.run == run && (l.at-at).Abs() <= peerEvidenceWindow {
+			s.parts.recordCrash(l)
+		}
+	}
+}
+
+// listConfirmed returns the recent crashes of which this gate has evidence, with the time
+// since.
+func (s *suspects) listConfirmed(now time.Duration) map[TargetRun]time.Duration {
+	maps.DeleteFunc(s.confirmed, func(_ TargetRun, crash confirmedCrash) bool { return now-crash.at > suspectReportAge })
+	recent := make(map[TargetRun]time.Duration)
+	for run, crash := range s.confirmed {
+		if crash.local {
+			recent[run] = now - crash.at
+		}
 	}
+	return recent
 }
 
 // addCrash records that a request was in flight at the target when that crashed.
@@ -148,7 +226,8 @@
 
 // recordResponse records a complete response of a target. If it disproves a presumed crash,
 // that is cleared from all requests.
-func (s *suspects) recordResponse(now time.Duration, target string) {
+func (s *suspects) recordResponse(now time.Duration, instance *target.Instance) {
+	target := instance.ID
 	at, ok := s.crashedAt[target]
 	if !ok || now-at < minDisproofDelay {
 		return
@@ -158,6 +237,8 @@
 		return
 	}
 	s.disprovedAt[target] = now
+	delete(s.confirmed, runOf(instance))
+	s.parts.disproveCrash(now, runOf(instance))
 	for f, entry := range s.crashes {
 		delete(entry.targets, target)
 		if len(entry.targets) == 0 {
@@ -170,6 +251,7 @@
 // recorded against requests stay.
 func (s *suspects) retain(live func(id string) bool) {
 	removed := func(id string, _ time.Duration) bool { return !live(id) }
+	maps.DeleteFunc(s.losses, func(id string, _ []loss) bool { return !live(id) })
 	maps.DeleteFunc(s.crashedAt, removed)
 	maps.DeleteFunc(s.disprovedAt, removed)
 }
--- a/internal/gate/engines.go
+++ b/internal/gate/engines.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
@@ -49,13 +50,23 @@
 }
 
 // publishCrashes publishes the crashes of targets that the controller presumed since the
-// previous publication.
+// previous publication, and the parts of prompts that it began or ceased to block.
 func (g *Gate) publishCrashes() {
 	for _, crash := range g.controller.TakePresumedCrashes() {
 		g.metrics.presumedCrashes.Inc()
 		g.config.Events.Event(logModule, "target presumed crashed", eventlog.Text("target", crash.Target),
 			eventlog.Bool("refused", crash.Refused), eventlog.Int("requests", crash.Requests))
 	}
+	changes, blocked := g.controller.TakePartBlockChanges(g.config.Now())
+	g.metrics.blockedParts.Set(float64(blocked))
+	for _, change := range changes {
+		message := "part unblocked"
+		if change.Blocked {
+			message = "part blocked"
+		}
+		g.config.Events.Event(logModule, message, eventlog.Text("part", strconv.FormatUint(change.Part, hexBase)),
+			eventlog.Int("crashes", change.Crashes), eventlog.Int("tied", change.Tied), eventlog.Int("workspaces", change.Workspaces))
+	}
 }
 
 // maxShareLines bounds the log lines on the use of fair shares per publication.
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -47,6 +47,7 @@
 	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
 
 	c.framing, c.partialEventBytes = resp.Framing, 0
+	d.Lease.Responded(c.gate.config.Now())
 	var err error
 	if c.isEventStream(resp) {
 		if !c.headSent {
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -21,6 +21,7 @@
 	stalledStreams   prometheus.Counter
 	responseEnds     *prometheus.CounterVec
 	presumedCrashes  prometheus.Counter
+	blockedParts     prometheus.Gauge
 	firstByte        *prometheus.HistogramVec
 	responseDuration *prometheus.HistogramVec
 	prefillSpeed     *prometheus.GaugeVec
@@ -43,6 +44,7 @@
 		stalledStreams:   f.Counter("stalled_streams_total", "Streams from targets aborted because no event arrived."),
 		responseEnds:     f.CounterVec("response_ends_total", "Responses of targets that were forwarded, by framing and by whether they were complete.", "framing", "end"),
 		presumedCrashes:  f.Counter("presumed_crashes_total", "Crashes of targets presumed from lost and refused connections."),
+		blockedParts:     f.Gauge("blocked_parts", "Parts of prompts that are blocked because they crash targets."),
 		firstByte:        f.HistogramVec("first_byte_seconds", "Time to the first byte of the response, in seconds.", latencyBuckets, "service"),
 		responseDuration: f.HistogramVec("answer_seconds", "Time to the end of the response, in seconds.", latencyBuckets, "service"),
 		prefillSpeed:     f.GaugeVec("engine_read_tokens_per_ms", "Prompt tokens prefilled by an engine per millisecond, queueing included.", "service"),
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -118,6 +118,9 @@
 		eventlog.Bool("over_share", d.OverShare),
 		eventlog.Int("share_percent", int(100*d.ShareMultiple)), eventlog.Text("after", retryReason),
 	}
+	if d.BlockedPart != 0 {
+		detail = append(detail, eventlog.Text("blocked_part", strconv.FormatUint(d.BlockedPart, hexBase)))
+	}
 	switch {
 	case c.headSent:
 		c.abort(d.Refused, detail...)
--- a/internal/overload/crashing.go
+++ b/internal/overload/crashing.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"github.com/mastichollow/mastichollow/internal/admission"
@@ -81,12 +82,14 @@
 }
 
 // crashIfBegun crashes the engine if it has begun the response to a request with a
-// crashing part, and reports whether it did.
-func (sim *simulation) crashIfBegun(now time.Duration, e *engine) bool {
-	for _, j := range e.jobs {
+// crashing part, and reports whether it did. The requests that finished in the same step
+// are lost with the others.
+func (sim *simulation) crashIfBegun(now time.Duration, e *engine, finished []*job) bool {
+	for _, j := range append(slices.Clone(e.jobs), finished...) {
 		if j.request.crashing == nil || !j.started {
 			continue
 		}
+		e.jobs = append(e.jobs, finished...)
 		j.request.crashing.Crashes = append(j.request.crashing.Crashes, now)
 		sim.crash(now, e)
 		sim.schedule(engineRestartTime, func(time.Duration) { sim.restart(e) })
--- a/internal/overload/engine.go
+++ b/internal/overload/engine.go
@@ -20,8 +20,13 @@
 	unreadTokens    int // prompt tokens
 	remainingTokens int // tokens to generate
 	started         bool
+	startedAt       time.Duration
+	survived        bool // the response has lasted for survivalTime
 }
 
+// survivalTime is how long after its begin a response is reported to its gate once more.
+const survivalTime = time.Second
+
 // engine batches requests in order of arrival. Each step reads a chunk of the unread
 // prompts in the batch and generates a token for each request whose prompt is read.
 type engine struct {
@@ -89,9 +94,13 @@
 		}
 		j.remainingTokens--
 		if !j.started && (j.remainingTokens <= j.request.outputTokens-tokensPerEvent || j.remainingTokens <= 0) {
-			j.started = true
+			j.started, j.startedAt = true, now
 			j.request.recordFirstEvent(now + firstEventOverhead)
 		}
+		if j.started && !j.survived && now-j.startedAt > survivalTime {
+			j.survived = true
+			j.request.lease.Began(now)
+		}
 		if j.remainingTokens <= 0 || now > j.request.deadline {
 			finished = append(finished, j)
 			continue
--- a/internal/overload/simulation.go
+++ b/internal/overload/simulation.go
@@ -350,13 +350,14 @@
 		return
 	}
 	sim.schedule(length, func(now time.Duration) {
-		for _, j := range e.finishStep(now) {
-			j.request.lease.End(now, admission.ResultDone, nil)
-		}
-		if sim.crashIfBegun(now, e) {
+		finished := e.finishStep(now)
+		if sim.crashIfBegun(now, e, finished) {
 			e.stepping = false
 			return
 		}
+		for _, j := range finished {
+			j.request.lease.End(now, admission.ResultDone, nil)
+		}
 		sim.runStep(e)
 	})
 }
--- /dev/null
+++ b/internal/peers/crashes.go
@@ -0,0 +1,113 @@
+package peers
+
+import (
+	"time"
+
+	"github.com/mastichollow/mastichollow/internal/admission"
+)
+
+// crashMessage is the wire format of what a gate knows of crashes of targets. Runs of
+// targets are indexes into Runs, times are the milliseconds since.
+type crashMessage struct {
+	Runs      []string      `cbor:"1,keyasint,omitempty"`
+	Crashes   map[int]int64 `cbor:"2,keyasint,omitempty"`
+	Disproved map[int]int64 `cbor:"3,keyasint,omitempty"`
+	// SuspectParts holds the crashes of parts of prompts, by part hash.
+	SuspectParts map[uint64][]partCrashMessage `cbor:"4,keyasint,omitempty"`
+	ClearedParts map[uint64]int64              `cbor:"5,keyasint,omitempty"`
+}
+
+type partCrashMessage struct {
+	_          struct{} `cbor:",toarray"`
+	Run        int
+	AgeMillis  int64
+	Waiting    bool
+	Workspaces []uint32
+}
+
+// encodeCrashes returns nil if the report has no crashes.
+func encodeCrashes(report *admission.Report) *crashMessage {
+	if len(report.Crashes)+len(report.DisprovedCrashes)+len(report.SuspectParts)+len(report.ClearedParts) == 0 {
+		return nil
+	}
+	m := &crashMessage{
+		SuspectParts: make(map[uint64][]partCrashMessage, len(report.SuspectParts)), ClearedParts: make(map[uint64]int64, len(report.ClearedParts)),
+	}
+	indexes := make(map[admission.TargetRun]int)
+	indexOf := func(run admission.TargetRun) int {
+		index, known := indexes[run]
+		if !known {
+			index = len(m.Runs)
+			indexes[run] = index
+			m.Runs = append(m.Runs, string(run))
+		}
+		return index
+	}
+	encodeAges := func(ages map[admission.TargetRun]time.Duration) map[int]int64 {
+		encoded := make(map[int]int64, len(ages))
+		for run, age := range ages {
+			encoded[indexOf(run)] = age.Milliseconds()
+		}
+		return encoded
+	}
+	m.Crashes, m.Disproved = encodeAges(report.Crashes), encodeAges(report.DisprovedCrashes)
+	for part, crashes := range report.SuspectParts {
+		for _, crash := range crashes {
+			encoded := partCrashMessage{Run: indexOf(crash.Run), AgeMillis: crash.At.Milliseconds(), Waiting: crash.Waiting}
+			for _, workspace := range crash.Workspaces {
+				encoded.Workspaces = append(encoded.Workspaces, uint32(workspace))
+			}
+			m.SuspectParts[part] = append(m.SuspectParts[part], encoded)
+		}
+	}
+	for part, age := range report.ClearedParts {
+		m.ClearedParts[part] = age.Milliseconds()
+	}
+	return m
+}
+
+// decodeInto adds the crashes to a report. Entries that name no run of the message are
+// left out.
+func (m *crashMessage) decodeInto(report *admission.Report) {
+	if m == nil {
+		return
+	}
+	report.Crashes, report.DisprovedCrashes = m.decodeAges(m.Crashes), m.decodeAges(m.Disproved)
+	report.SuspectParts = make(map[uint64][]admission.PartCrash, len(m.SuspectParts))
+	for part, crashes := range m.SuspectParts {
+		for _, encoded := range crashes {
+			run, ok := m.run(encoded.Run)
+			if !ok {
+				continue
+			}
+			crash := admission.PartCrash{Run: run, At: decodeAge(encoded.AgeMillis), Waiting: encoded.Waiting}
+			for _, workspace := range encoded.Workspaces {
+				crash.Workspaces = append(crash.Workspaces, admission.WorkspaceID(workspace))
+			}
+			report.SuspectParts[part] = append(report.SuspectParts[part], crash)
+		}
+	}
+	report.ClearedParts = make(map[uint64]time.Duration, len(m.ClearedParts))
+	for part, age := range m.ClearedParts {
+		report.ClearedParts[part] = decodeAge(age)
+	}
+}
+
+func (m *crashMessage) decodeAges(encoded map[int]int64) map[admission.TargetRun]time.Duration {
+	ages := make(map[admission.TargetRun]time.Duration, len(encoded))
+	for index, age := range encoded {
+		if run, ok := m.run(index); ok {
+			ages[run] = decodeAge(age)
+		}
+	}
+	return ages
+}
+
+func (m *crashMessage) run(index int) (admission.TargetRun, bool) {
+	if index < 0 || index >= len(m.Runs) {
+		return "", false
+	}
+	return admission.TargetRun(m.Runs[index]), true
+}
+
+func decodeAge(millis int64) time.Duration { return max(0, time.Duration(millis)*time.Millisecond) }
--- /dev/null
+++ b/internal/peers/crashes_test.go
@@ -0,0 +1,47 @@
+package peers
+
+import (
+	"testing"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/admission"
+)
+
+func TestCrashesRoundTrip(t *testing.T) {
+	report := admission.Report{
+		Crashes:          map[admission.TargetRun]time.Duration{"e1/a": time.Second, "e2/b": 2 * time.Second},
+		DisprovedCrashes: map[admission.TargetRun]time.Duration{"e3/c": 300 * time.Millisecond},
+		SuspectParts: map[uint64][]admission.PartCrash{
+			1 << 63: {{Run: "e1/a", At: time.Second, Workspaces: []admission.WorkspaceID{7, 1 << 31}}, {Run: "e4/d", At: 9 * time.Second, Waiting: true}},
+		},
+		ClearedParts: map[uint64]time.Duration{5: 40 * time.Millisecond},
+	}
+	data, err := cbor.Marshal(message{Crashes: encodeCrashes(&report)})
+	require.NoError(t, err)
+	var m message
+	require.NoError(t, cbor.Unmarshal(data, &m))
+	var got admission.Report
+	m.Crashes.decodeInto(&got)
+	require.Equal(t, report, got)
+}
+
+func TestNoCrashesAddNothingToReport(t *testing.T) {
+	require.Nil(t, encodeCrashes(&admission.Report{}))
+	var report admission.Report
+	(*crashMessage)(nil).decodeInto(&report)
+	require.Empty(t, report)
+}
+
+func TestMalformedCrashesIgnored(t *testing.T) {
+	m := crashMessage{
+		Runs: []string{"e1/a"}, Crashes: map[int]int64{-1: 5, 1: 5, 0: -5},
+		SuspectParts: map[uint64][]partCrashMessage{1: {{Run: 3}}},
+	}
+	var report admission.Report
+	m.decodeInto(&report)
+	require.Equal(t, map[admission.TargetRun]time.Duration{"e1/a": 0}, report.Crashes)
+	require.Empty(t, report.SuspectParts)
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -1,5 +1,6 @@
 // Package peers exchanges load reports between gates over UDP: the load of
-// targets, the usage of workspaces and the requests that crash targets.
+// targets, the usage of workspaces, and the requests and parts of prompts that crash
+// targets.
 //
 // Problem: no gate sees the total load, and any gate may be partitioned, frozen
 // or down at any time.
@@ -91,6 +92,7 @@
 	// read speed (thousandths of tokens per millisecond), overhead (microseconds), and the
 	// number of observations behind each.
 	EngineEstimates map[string][4]int64 `cbor:"9,keyasint,omitempty"`
+	Crashes         *crashMessage       `cbor:"10,keyasint,omitempty"`
 }
 
 // Config configures an Exchange.
@@ -242,6 +244,7 @@
 		Loads:    make(map[string][3]int, len(report.Loads)),
 		Usage:    make(map[string][2]int64, len(report.Usage)),
 		Draining: e.directory.LocalDrainNotices(now),
+		Crashes:  encodeCrashes(&report),
 	}
 	e.mu.Unlock()
 	if len(report.Backoffs) > 0 {
@@ -270,7 +273,7 @@
 	}
 	data, err := cbor.Marshal(m)
 	if err == nil && len(data) > maxReportBytes {
-		m.Suspects = nil
+		m.Suspects, m.Crashes = nil, nil
 		data, err = cbor.Marshal(m)
 	}
 	return data, err
@@ -331,6 +334,7 @@
 	for id, p := range m.Backoffs {
 		r.Backoffs[id] = admission.Backoff{TargetStarted: p[0], Remaining: time.Duration(p[1]) * time.Millisecond}
 	}
+	m.Crashes.decodeInto(&r)
 	e.controller.Merge(now, m.Node, r)
 	for id, started := range m.Draining {
 		if e.directory.MarkDraining(id, started, now, false) {
