--- a/internal/admission/crashing_parts.go
+++ b/internal/admission/crashing_parts.go
@@ -159,7 +159,7 @@
 		setBounded(p.begun, crash.Run, crash.At)
 		p.changed = true
 	}
-	if p.lastCompleted(part) > crash.At {
+	if p.completedSince(part, crash.At) {
 		return
 	}
 	suspect := p.suspects[part]
@@ -258,7 +258,9 @@
 	if len(p.completed) >= maxCompleted {
 		p.completed, p.previousCompleted = make(map[uint64]time.Duration, maxCompleted), p.completed
 	}
-	p.completed[part] = max(p.lastCompleted(part), completedAt)
+	if !p.completedSince(part, completedAt) {
+		p.completed[part] = completedAt
+	}
 	suspect := p.suspects[part]
 	if suspect == nil {
 		return
@@ -270,16 +272,23 @@
 	}
 }
 
-// lastCompleted returns when a request with the part last completed; negative if that is
-// not known.
-func (p *crashingParts) lastCompleted(part uint64) time.Duration {
-	if at, ok := p.completed[part]; ok {
-		return at
+// completedSince reports whether a request with the part completed later than at. Times
+// from before the start of this gate are negative.
+func (p *crashingParts) completedSince(part uint64, at time.Duration) bool {
+	completedAt, ok := p.completed[part]
+	if !ok {
+		completedAt, ok = p.previousCompleted[part]
 	}
-	if at, ok := p.previousCompleted[part]; ok {
-		return at
+	return ok && completedAt > at
+}
+
+// reportCompleted has the last completion of a request with the part reported to peers.
+func (p *crashingParts) reportCompleted(part uint64) {
+	at, ok := p.completed[part]
+	if !ok {
+		at = p.previousCompleted[part]
 	}
-	return -1
+	p.cleared[part] = at
 }
 
 // disproveCrash removes a presumed crash of a target that responded later from all parts.
@@ -544,8 +553,8 @@
 	for part, crashes := range suspects {
 		for _, crash := range crashes {
 			crash.At = now - crash.At
-			if at := p.lastCompleted(part); at > crash.At {
-				p.cleared[part] = at
+			if p.completedSince(part, crash.At) {
+				p.reportCompleted(part)
 				continue
 			}
 			p.addCrash(part, crash)
--- a/internal/admission/crashing_parts_test.go
+++ b/internal/admission/crashing_parts_test.go
@@ -19,6 +19,7 @@
 // crashLab is a fleet of gates with engines that requests crash.
 type crashLab struct {
 	gates   []*Controller
+	starts  []time.Duration // of the gates, from which their clocks run
 	now     time.Duration
 	started int // engines
 	engines []target.Instance
@@ -28,7 +29,7 @@
 func newCrashLab(gates int) *crashLab {
 	lab := &crashLab{}
 	for range gates {
-		lab.gates = append(lab.gates, newTestController())
+		lab.gates, lab.starts = append(lab.gates, newTestController()), append(lab.starts, 0)
 	}
 	for range 6 {
 		lab.start()
@@ -36,6 +37,14 @@
 	return lab
 }
 
+// restart replaces a gate by one that knows nothing.
+func (l *crashLab) restart(gate int) {
+	l.gates[gate], l.starts[gate] = newTestController(), l.now
+}
+
+// clock returns the time at a gate.
+func (l *crashLab) clock(gate int) time.Duration { return l.now - l.starts[gate] }
+
 // start starts an engine under a new ID.
 func (l *crashLab) start() {
 	l.started++
@@ -50,7 +59,7 @@
 	for _, hash := range append(parts, uint64(1_000_000+l.sent)) {
 		r.Parts = append(r.Parts, Part{Hash: hash, Tokens: 10})
 	}
-	return l.gates[gate].Admit(l.now, r, l.engines)
+	return l.gates[gate].Admit(l.clock(gate), r, l.engines)
 }
 
 // crash sends a request that crashes its engine and is lost alone, and reports whether
@@ -60,11 +69,11 @@
 	if d.Lease == nil {
 		return false
 	}
-	d.Lease.Responded(l.now)
+	d.Lease.Responded(l.clock(gate))
 	l.now += 100 * time.Millisecond
-	d.Lease.End(l.now, ResultLost, l.engines)
-	other := l.gates[(gate+1)%len(l.gates)]
-	other.suspects.recordUnreachable(l.now+50*time.Millisecond, &d.Target)
+	d.Lease.End(l.clock(gate), ResultLost, l.engines)
+	other := (gate + 1) % len(l.gates)
+	l.gates[other].suspects.recordUnreachable(l.clock(other)+50*time.Millisecond, &d.Target)
 	l.engines = removeID(l.engines, d.Target.ID)
 	l.start()
 	l.exchange(300 * time.Millisecond)
@@ -77,8 +86,8 @@
 	if d.Lease == nil {
 		return false
 	}
-	d.Lease.Began(l.now)
-	d.Lease.End(l.now+50*time.Millisecond, ResultDone, l.engines)
+	d.Lease.Began(l.clock(gate))
+	d.Lease.End(l.clock(gate)+50*time.Millisecond, ResultDone, l.engines)
 	return true
 }
 
@@ -86,13 +95,13 @@
 func (l *crashLab) exchange(delay time.Duration) {
 	reports := make([]Report, len(l.gates))
 	for i, gate := range l.gates {
-		reports[i] = gate.Report(l.now)
+		reports[i] = gate.Report(l.clock(i))
 	}
 	l.now += delay
 	for i, gate := range l.gates {
 		for j, report := range reports {
 			if i != j {
-				gate.Merge(l.now, fmt.Sprint("gate", j), report)
+				gate.Merge(l.clock(i), fmt.Sprint("gate", j), report)
 			}
 		}
 	}
@@ -244,10 +253,12 @@
 		lab.crash(i%3, workspaceOf(i), crashing)
 	}
 	lab.now += time.Minute
-	lab.gates[2] = newTestController()
+	lab.restart(2)
 	lab.exchange(200 * time.Millisecond)
 	lab.settle()
-	require.False(t, lab.crash(2, "w7", crashing))
+	for gate := range 3 {
+		require.False(t, lab.crash(gate, "w7", crashing), "gate %d", gate)
+	}
 }
 
 func TestBlockOfPartEndsAndRepeats(t *testing.T) {
