--- a/internal/admission/suspects.go
+++ b/internal/admission/suspects.go
@@ -67,7 +67,7 @@
 	Target string
 	// Refused: a refused connection is the evidence, otherwise a second lost one.
 	Refused  bool
-	Requests int // lost at this gate
+	Requests int // lost at this gate until then
 }
 
 // maxPresumedCrashes bounds the presumed crashes that are not taken yet.
@@ -155,8 +155,8 @@
 	if len(lost) > 0 {
 		s.crashedAt[instance.ID] = now
 	}
-	s.confirmCrash(now, runOf(instance), true)
-	if len(s.presumed) < maxPresumedCrashes {
+	isNew := s.confirmCrash(now, runOf(instance), true)
+	if isNew && len(s.presumed) < maxPresumedCrashes {
 		s.presumed = append(s.presumed, PresumedCrash{Target: instance.ID, Refused: refused, Requests: len(lost)})
 	}
 	for _, l := range lost {
@@ -165,12 +165,13 @@
 	}
 }
 
-// confirmCrash records evidence of a crash.
-func (s *suspects) confirmCrash(at time.Duration, run TargetRun, local bool) {
+// confirmCrash records evidence of a crash, and reports whether it is new.
+func (s *suspects) confirmCrash(at time.Duration, run TargetRun, local bool) bool {
 	if known, ok := s.confirmed[run]; ok && (known.local || !local) {
-		return
+		return false
 	}
 	s.confirmed[run] = confirmedCrash{at, local}
+	return true
 }
 
 // mergeConfirmed applies the evidence of a peer that the run of a target crashed. It
