--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -152,7 +152,7 @@
 	if !req.Retry {
 		c.config.Retry.countRequest(c.retriesOf(req.Service), now)
 	}
-	if c.suspects.quarantined(now, req.Fingerprint) {
+	if c.suspects.quarantined(now, req.Fingerprint, req.Parts) {
 		return Decision{Refused: request.ReasonQuarantined}
 	}
 	if block := c.suspects.parts.blocked(now, req.Parts, workspaceID(req.Workspace)); block != nil {
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -268,7 +268,7 @@
 		tracker.recordResponse(now+10*time.Millisecond, instanceOf(id)) // was in transit at the crash
 		tracker.recordResponse(now+5*time.Second, instanceOf(id))       // restarted under the same ID
 	}
-	require.True(t, tracker.quarantined(30*time.Second, 7001))
+	require.True(t, tracker.quarantined(30*time.Second, 7001, nil))
 }
 
 // A request that many callers repeat is in flight when a whole rack fails. It must not
@@ -284,15 +284,15 @@
 	}
 	s.recordCompleted(0, 1)
 	crash(time.Second)
-	require.False(t, s.quarantined(2*time.Second, 1))
-	require.True(t, s.quarantined(2*time.Second, 2))
+	require.False(t, s.quarantined(2*time.Second, 1, nil))
+	require.True(t, s.quarantined(2*time.Second, 2, nil))
 
 	for f := range Fingerprint(3 * maxCompleted) {
 		s.recordCompleted(3*time.Second, 100+f)
 	}
 	require.LessOrEqual(t, len(s.completed)+len(s.previousCompleted), 2*maxCompleted)
 	crash(4 * time.Second)
-	require.True(t, s.quarantined(5*time.Second, 1), "the completion was evicted")
+	require.True(t, s.quarantined(5*time.Second, 1, nil), "the completion was evicted")
 }
 
 func TestExceedsFairShareOnlyAboveShare(t *testing.T) {
--- a/internal/admission/crashing_parts.go
+++ b/internal/admission/crashing_parts.go
@@ -94,8 +94,6 @@
 	// begun holds the crashes shortly before which a response began, disproved the runs of
 	// targets that responded after their presumed crash, with the time of that.
 	begun, disproved map[TargetRun]time.Duration
-	// explainedByRequest reports whether one request was in flight at all of the crashes.
-	explainedByRequest func(crashes map[TargetRun]*PartCrash) bool
 
 	blocks     []partBlock
 	changed    bool // since the blocks were computed
@@ -129,10 +127,10 @@
 	Workspaces int
 }
 
-func newCrashingParts(explainedByRequest func(map[TargetRun]*PartCrash) bool) *crashingParts {
+func newCrashingParts() *crashingParts {
 	return &crashingParts{
 		suspects: make(map[uint64]*suspectPart), completed: make(map[uint64]time.Duration), cleared: make(map[uint64]time.Duration),
-		begun: make(map[TargetRun]time.Duration), disproved: make(map[TargetRun]time.Duration), explainedByRequest: explainedByRequest,
+		begun: make(map[TargetRun]time.Duration), disproved: make(map[TargetRun]time.Duration),
 	}
 }
 
@@ -312,24 +310,54 @@
 
 // blocked returns the block that applies to a request, and nil if none does.
 func (p *crashingParts) blocked(now time.Duration, parts []Part, workspace WorkspaceID) *partBlock {
+	p.refreshBlocks(now)
+	for i := range p.blocks {
+		if p.blocks[i].appliesTo(parts, workspace) {
+			return &p.blocks[i]
+		}
+	}
+	return nil
+}
+
+// refreshBlocks computes the blocks if they may have changed.
+func (p *crashingParts) refreshBlocks(now time.Duration) {
 	if len(p.suspects) == 0 && len(p.blocks) == 0 {
-		return nil
+		return
 	}
 	if p.changed || now-p.computedAt >= blockRefreshInterval {
 		p.computeBlocks(now)
 	}
+}
+
+// crashedWithout returns the IDs of the targets whose crashes are explained by blocked
+// parts that a request does not have.
+func (p *crashingParts) crashedWithout(now time.Duration, parts []Part) map[string]bool {
+	p.refreshBlocks(now)
+	explained := make(map[string]bool)
 	for i := range p.blocks {
-		if p.blocks[i].appliesTo(parts, workspace) {
-			return &p.blocks[i]
+		if p.blocks[i].hasParts(parts) {
+			continue
+		}
+		for _, part := range p.blocks[i].parts {
+			if suspect := p.suspects[part]; suspect != nil {
+				for run := range suspect.crashes {
+					explained[run.targetID()] = true
+				}
+			}
 		}
 	}
-	return nil
+	return explained
 }
 
 func (b *partBlock) appliesTo(parts []Part, workspace WorkspaceID) bool {
 	if b.workspaces != nil && !slices.Contains(b.workspaces, workspace) {
 		return false
 	}
+	return b.hasParts(parts)
+}
+
+// hasParts reports whether a request has all parts of the block.
+func (b *partBlock) hasParts(parts []Part) bool {
 	return !slices.ContainsFunc(b.parts, func(blocked uint64) bool {
 		return !slices.ContainsFunc(sharedParts(parts), func(part Part) bool { return part.Hash == blocked })
 	})
@@ -368,15 +396,15 @@
 	for _, part := range slices.Sorted(maps.Keys(p.suspects)) {
 		suspect := p.suspects[part]
 		explains := func(other uint64) bool { return suspect.isExplainedBy(p.suspects[other]) }
-		if p.isCandidate(now, suspect) && p.unexplainedCrashes(suspect, nil) >= partCrashBound && !slices.ContainsFunc(blocked, explains) {
+		if suspect.isCandidate(now) && p.unexplainedCrashes(suspect, nil) >= partCrashBound && !slices.ContainsFunc(blocked, explains) {
 			p.blocks = append(p.blocks, p.newBlock([]uint64{part}))
 		}
 	}
 }
 
 // isCandidate reports whether a part may be blocked for its crashes.
-func (p *crashingParts) isCandidate(now time.Duration, s *suspectPart) bool {
-	return len(s.crashes) >= partCrashLimit && now >= s.limitReached+partSettleTime && now < s.blockEnd() && !p.explainedByRequest(s.crashes)
+func (s *suspectPart) isCandidate(now time.Duration) bool {
+	return len(s.crashes) >= partCrashLimit && now >= s.limitReached+partSettleTime && now < s.blockEnd()
 }
 
 // isExplainedBy reports whether requests with the other part were in flight at all crashes
@@ -397,7 +425,7 @@
 	var strongest []uint64
 	most := 0
 	for part, suspect := range p.suspects {
-		if !p.isCandidate(now, suspect) {
+		if !suspect.isCandidate(now) {
 			continue
 		}
 		count := p.unexplainedCrashes(suspect, explained)
--- a/internal/admission/crashing_parts_test.go
+++ b/internal/admission/crashing_parts_test.go
@@ -231,6 +231,36 @@
 	require.Equal(t, request.ReasonQuarantined, c.Admit(now, r, engines).Refused)
 }
 
+// TestRequestBesideCrashingPartNotQuarantined covers a request that many callers send alike,
+// so that it is in flight at each crash.
+func TestRequestBesideCrashingPartNotQuarantined(t *testing.T) {
+	lab := newCrashLab(1)
+	alike := letterRequest("w0", companion, 7)
+	alike.Fingerprint = 7
+	for i := range partCrashBound {
+		lab.engines = lab.engines[len(lab.engines)-1:] // both go to the same engine
+		beside := lab.gates[0].Admit(lab.now, alike, lab.engines)
+		require.Empty(t, beside.Refused, "crash %d", i)
+		d := lab.admit(0, workspaceOf(i), crashing)
+		if d.Lease == nil {
+			break
+		}
+		d.Lease.Responded(lab.now)
+		d.Lease.End(lab.now, ResultLost, lab.engines)
+		beside.Lease.End(lab.now, ResultLost, lab.engines)
+		lab.start()
+		lab.now += 3 * time.Second
+		if i+1 == crashLimit {
+			break
+		}
+	}
+	for i := range partCrashBound { // engines on which the other request was not
+		lab.crash(0, workspaceOf(10+i), crashing)
+	}
+	lab.settle()
+	require.Empty(t, lab.gates[0].Admit(lab.now, alike, lab.engines).Refused)
+}
+
 func TestResponseThatLastsClearsPart(t *testing.T) {
 	lab := newCrashLab(2)
 	for i := range partCrashBound {
@@ -284,7 +314,7 @@
 }
 
 func TestCrashingPartStateBounded(t *testing.T) {
-	p := newCrashingParts(func(map[TargetRun]*PartCrash) bool { return false })
+	p := newCrashingParts()
 	for i := range 5 * maxSuspectParts {
 		now := time.Duration(i) * time.Millisecond
 		run := TargetRun(fmt.Sprint("e", i))
--- a/internal/admission/suspects.go
+++ b/internal/admission/suspects.go
@@ -90,13 +90,11 @@
 }
 
 func newSuspects() *suspects {
-	s := &suspects{
+	return &suspects{
 		crashes: make(map[Fingerprint]*suspect), losses: make(map[string][]loss),
 		crashedAt: make(map[string]time.Duration), disprovedAt: make(map[string]time.Duration),
-		completed: make(map[Fingerprint]time.Duration), confirmed: make(map[TargetRun]confirmedCrash),
+		completed: make(map[Fingerprint]time.Duration), confirmed: make(map[TargetRun]confirmedCrash), parts: newCrashingParts(),
 	}
-	s.parts = newCrashingParts(s.explainedByRequest)
-	return s
 }
 
 // recordLoss records a connection that closed while the target ran the request.
@@ -111,26 +109,6 @@
 	}
 }
 
-// explainedByRequest reports whether one quarantined request was in flight at all of the
-// crashes.
-func (s *suspects) explainedByRequest(crashes map[TargetRun]*PartCrash) bool {
-	for _, entry := range s.crashes {
-		if len(entry.targets) >= crashLimit && entry.includesAll(crashes) {
-			return true
-		}
-	}
-	return false
-}
-
-func (s *suspect) includesAll(crashes map[TargetRun]*PartCrash) bool {
-	for run := range crashes {
-		if _, found := s.targets[run.targetID()]; !found {
-			return false
-		}
-	}
-	return true
-}
-
 // recordUnreachable records that the target refused a connection.
 func (s *suspects) recordUnreachable(now time.Duration, instance *target.Instance) {
 	s.recordCrash(now, instance, true)
@@ -291,8 +269,9 @@
 	return ok && now-at < suspectLifetime
 }
 
-// quarantined reports whether the request has crashed crashLimit targets.
-func (s *suspects) quarantined(now time.Duration, f Fingerprint) bool {
+// quarantined reports whether the request has crashed crashLimit targets. Crashes that a
+// blocked part explains do not count against a request without that part.
+func (s *suspects) quarantined(now time.Duration, f Fingerprint, parts []Part) bool {
 	entry := s.crashes[f]
 	if entry == nil {
 		return false
@@ -301,7 +280,17 @@
 		delete(s.crashes, f)
 		return false
 	}
-	return len(entry.targets) >= crashLimit
+	if len(entry.targets) < crashLimit {
+		return false
+	}
+	explained := s.parts.crashedWithout(now, parts)
+	unexplained := 0
+	for id := range entry.targets {
+		if !explained[id] {
+			unexplained++
+		}
+	}
+	return unexplained >= crashLimit
 }
 
 // listRecent returns the suspects whose last crash was within suspectReportAge, with the
