--- a/internal/admission/crashing_parts_test.go
+++ b/internal/admission/crashing_parts_test.go
@@ -291,6 +291,23 @@
 	}
 }
 
+// TestBlockedPartSurvivesRestartOfAllGates guards against gates that all lose what they know
+// at the same moment.
+func TestBlockedPartSurvivesRestartOfAllGates(t *testing.T) {
+	lab := newCrashLab(3)
+	for i := range partCrashLimit {
+		lab.crash(i%3, workspaceOf(i), crashing)
+	}
+	lab.settle()
+	for gate := range 3 {
+		lab.restart(gate)
+	}
+	lab.settle()
+	for gate := range 3 {
+		require.False(t, lab.crash(gate, "w7", crashing), "gate %d", gate)
+	}
+}
+
 func TestBlockOfPartEndsAndRepeats(t *testing.T) {
 	lab := newCrashLab(2)
 	for i := range partCrashLimit {
--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -40,6 +40,7 @@
 	records    []CallRecord
 	runsByCall map[string][]standin.Run // by call ID
 	drainedAt  map[string]time.Time     // by target ID: when its row with the draining state was written
+	crashes    []time.Time              // of targets, by calls with the crashing part
 	violations []Violation
 }
 
@@ -72,6 +73,7 @@
 		}
 		c.checkRuns(r, runs)
 	}
+	c.checkCrashingPart(recordByID)
 	return c.violations
 }
 
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -92,6 +92,15 @@
 			s.record.AbandonedAt = atSecond(20.1)
 			s.runsByCall[s.record.Call.ID][0].End = atSecond(22)
 		},
+		"crashing part": func(s *scenario) {
+			s.addRun().addRun().addRun()
+			for i := range s.runsByCall[s.record.Call.ID] {
+				s.runsByCall[s.record.Call.ID][i].Crashed = true
+			}
+			for i := range boundingCrash {
+				s.crashes = append(s.crashes, atSecond(12+float64(i)))
+			}
+		},
 		"leaving target": func(s *scenario) { s.drainedAt["i-1"] = atSecond(17) },
 		"unasked":        func(s *scenario) { s.runsByCall["a000000000000002"] = s.runsByCall[s.record.Call.ID] },
 	} {
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -35,6 +35,7 @@
 	Statuses   map[int]int
 	Violations []Violation
 	Plan       []Step
+	Crashes    int // of targets, by calls with the crashing part
 }
 
 const (
@@ -71,6 +72,7 @@
 	records    []CallRecord
 	violations []Violation
 	drainedAt  map[string]time.Time
+	crashes    []time.Time // of targets, by calls with the crashing part
 }
 
 // Run executes the plan of a seed against a new deployment and checks the outcome.
@@ -87,7 +89,7 @@
 	violations, err := d.check()
 	result := &Result{
 		Seed: seed, Profile: profile, Steps: len(steps), Plan: steps, Calls: len(d.records),
-		Statuses: make(map[int]int), Violations: violations,
+		Statuses: make(map[int]int), Violations: violations, Crashes: len(d.crashes),
 	}
 	for i := range d.records {
 		if d.records[i].AbandonedAt.IsZero() {
@@ -108,7 +110,7 @@
 	}
 	for _, service := range []string{shopService, depotService, lettersService} {
 		for range d.cfg.Targets {
-			t, err := newTarget(d, len(d.targets), service)
+			t, err := newTarget(ctx, d, len(d.targets), service)
 			if err != nil {
 				return err
 			}
@@ -152,7 +154,9 @@
 // that every call succeeds again.
 func (d *deployment) execute(ctx context.Context, seed uint64, steps []Step) error {
 	stop := d.startCallers(ctx, seed, "a", false)
+	stopCrashers := d.startCrashers(ctx, seed)
 	stepErr := d.runSteps(ctx, steps)
+	stopCrashers()
 	stop()
 	if err := errors.Join(stepErr, d.restore(ctx)); err != nil {
 		return err
@@ -242,7 +246,7 @@
 
 // check returns all violations of the run.
 func (d *deployment) check() ([]Violation, error) {
-	c := &checker{history: d.history, operator: d.operator, records: d.records, runsByCall: d.ledger.Runs(), drainedAt: d.drainedAt}
+	c := &checker{history: d.history, operator: d.operator, records: d.records, runsByCall: d.ledger.Runs(), drainedAt: d.drainedAt, crashes: d.crashes}
 	c.check()
 	logs := make([]string, 0, len(d.gates))
 	for _, g := range d.gates {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,6 +30,17 @@
 	}
 }
 
+func TestShortSoakWithCrashingPart(t *testing.T) {
+	t.Parallel()
+	const seed = crashingSeedStep
+	result, err := Run(t.Context(), seed, Config{
+		ProgramPath: processtest.Path("mastichollow-gate"), Dir: t.TempDir(), FaultDuration: 9 * time.Second, Gates: 3, Targets: 3, Callers: 4,
+	})
+	require.NoError(t, err)
+	require.Empty(t, result.Violations, "%v", result.Plan)
+	require.GreaterOrEqual(t, result.Crashes, boundingCrash, "the part crashed too few targets")
+}
+
 func TestRegressionSeedsHaveCause(t *testing.T) {
 	_, err := RegressionSeeds()
 	require.NoError(t, err)
--- a/internal/soak/step.go
+++ b/internal/soak/step.go
@@ -120,7 +120,7 @@
 	unavailable bool
 }
 
-func newTarget(d *deployment, index int, service string) (*target, error) {
+func newTarget(ctx context.Context, d *deployment, index int, service string) (*target, error) {
 	addr, err := socket.FreeAddr()
 	if err != nil {
 		return nil, err
@@ -136,6 +136,7 @@
 	if service == lettersService {
 		cfg.Engine = engineConfig
 	}
+	cfg.CrashingPart, cfg.OnCrash = crashingPart, func() { t.crashByCall(ctx) }
 	t.Target = standin.NewTarget(addr, d.store, d.ledger, cfg)
 	return t, t.Start(service)
 }
