--- a/internal/admission/doc.go
+++ b/internal/admission/doc.go
@@ -14,6 +14,8 @@
 //     above its share while the target has headroom between the limits of the two.
 //   - Of the workspaces above their share, the one that gets less service has the wider
 //     bounds within its share.
+//   - A request is refused for the crashes of others only if it has each part that a block
+//     names; a response that lasts clears its parts at all gates.
 //   - Every Lease is ended exactly once, and its load is released then. Its share is
 //     returned if the target failed before the response began.
 //
--- /dev/null
+++ b/internal/admission/part_reports.go
@@ -0,0 +1,74 @@
+package admission
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+)
+
+const (
+	// maxReportedParts bounds the parts in a report to peers.
+	maxReportedParts = 48
+	// maxReportedCrashes bounds the crashes reported for a part.
+	maxReportedCrashes = 8
+)
+
+// listDisproved returns the recently disproved crashes, with the time since.
+func (p *crashingParts) listDisproved(now time.Duration) map[TargetRun]time.Duration {
+	recent := make(map[TargetRun]time.Duration)
+	for run, at := range p.disproved {
+		if now-at <= suspectReportAge {
+			recent[run] = now - at
+		}
+	}
+	return recent
+}
+
+// report returns the suspects for peers: those with a recent crash, and those at the limit,
+// which gates that have just started must learn too. It also returns the parts that
+// requests completed at this gate cleared, with the time since.
+func (p *crashingParts) report(now time.Duration) (suspects map[uint64][]PartCrash, cleared map[uint64]time.Duration) {
+	var reported []uint64
+	for part, suspect := range p.suspects {
+		if now-suspect.lastCrash <= suspectReportAge || len(suspect.crashes) >= partCrashLimit && !suspect.expired(now) {
+			reported = append(reported, part)
+		}
+	}
+	slices.SortFunc(reported, func(a, b uint64) int {
+		s, t := p.suspects[a], p.suspects[b]
+		return cmp.Or(cmp.Compare(len(t.crashes), len(s.crashes)), cmp.Compare(t.lastCrash, s.lastCrash), cmp.Compare(a, b))
+	})
+	suspects = make(map[uint64][]PartCrash)
+	for _, part := range reported[:min(len(reported), maxReportedParts)] {
+		for _, crash := range p.suspects[part].newestCrashes(maxReportedCrashes) {
+			suspects[part] = append(suspects[part], PartCrash{Run: crash.Run, At: now - crash.At, Workspaces: slices.Clone(crash.Workspaces), Waiting: crash.Waiting})
+		}
+	}
+	maps.DeleteFunc(p.cleared, func(_ uint64, at time.Duration) bool { return now-at > suspectReportAge })
+	cleared = make(map[uint64]time.Duration)
+	for part, at := range p.cleared {
+		if len(cleared) < maxReportedParts {
+			cleared[part] = now - at
+		}
+	}
+	return suspects, cleared
+}
+
+// merge applies the report of a peer. A completion at this gate that is newer than a
+// crash is reported back.
+func (p *crashingParts) merge(now time.Duration, suspects map[uint64][]PartCrash, cleared map[uint64]time.Duration) {
+	for part, age := range cleared {
+		p.clear(part, now-age)
+	}
+	for part, crashes := range suspects {
+		for _, crash := range crashes {
+			crash.At = now - crash.At
+			if p.completedSince(part, crash.At) {
+				p.reportCompleted(part)
+				continue
+			}
+			p.addCrash(part, crash)
+		}
+	}
+}
