--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -284,6 +284,20 @@
 	return changes, blocked
 }
 
+// BlockedParts returns the crashes of the parts that are blocked, with the time since.
+func (c *Controller) BlockedParts(now time.Duration) map[uint64][]PartCrash {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.suspects.parts.blockedCrashes(now)
+}
+
+// RestoreParts records the crashes of parts that BlockedParts returned before a restart.
+func (c *Controller) RestoreParts(now time.Duration, crashes map[uint64][]PartCrash) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.suspects.parts.merge(now, crashes, nil)
+}
+
 // RetainTargets removes the state of targets for which live returns false. Crashes
 // recorded against requests are retained.
 func (c *Controller) RetainTargets(live func(id string) bool) {
--- a/internal/admission/crashing_parts_test.go
+++ b/internal/admission/crashing_parts_test.go
@@ -299,8 +299,11 @@
 		lab.crash(i%3, workspaceOf(i), crashing)
 	}
 	lab.settle()
+	stored := lab.gates[0].BlockedParts(lab.clock(0))
+	require.Len(t, stored, 1)
 	for gate := range 3 {
 		lab.restart(gate)
+		lab.gates[gate].RestoreParts(lab.clock(gate), stored)
 	}
 	lab.settle()
 	for gate := range 3 {
--- a/internal/admission/part_reports.go
+++ b/internal/admission/part_reports.go
@@ -41,9 +41,7 @@
 	})
 	suspects = make(map[uint64][]PartCrash)
 	for _, part := range reported[:min(len(reported), maxReportedParts)] {
-		for _, crash := range p.suspects[part].newestCrashes(maxReportedCrashes) {
-			suspects[part] = append(suspects[part], PartCrash{Run: crash.Run, At: now - crash.At, Workspaces: slices.Clone(crash.Workspaces), Waiting: crash.Waiting})
-		}
+		suspects[part] = p.agedCrashes(now, part)
 	}
 	maps.DeleteFunc(p.cleared, func(_ uint64, at time.Duration) bool { return now-at > suspectReportAge })
 	cleared = make(map[uint64]time.Duration)
@@ -55,6 +53,27 @@
 	return suspects, cleared
 }
 
+// blockedCrashes returns the newest crashes of the blocked parts, with the time since.
+func (p *crashingParts) blockedCrashes(now time.Duration) map[uint64][]PartCrash {
+	p.refreshBlocks(now)
+	blocked := make(map[uint64][]PartCrash)
+	for i := range p.blocks {
+		for _, part := range p.blocks[i].parts {
+			blocked[part] = p.agedCrashes(now, part)
+		}
+	}
+	return blocked
+}
+
+// agedCrashes returns the newest crashes of a suspect, with the time since.
+func (p *crashingParts) agedCrashes(now time.Duration, part uint64) []PartCrash {
+	var crashes []PartCrash
+	for _, crash := range p.suspects[part].newestCrashes(maxReportedCrashes) {
+		crashes = append(crashes, PartCrash{Run: crash.Run, At: now - crash.At, Workspaces: slices.Clone(crash.Workspaces), Waiting: crash.Waiting})
+	}
+	return crashes
+}
+
 // merge applies the report of a peer. A completion at this gate that is newer than a
 // crash is reported back.
 func (p *crashingParts) merge(now time.Duration, suspects map[uint64][]PartCrash, cleared map[uint64]time.Duration) {
