--- a/internal/overload/crashing_test.go
+++ b/internal/overload/crashing_test.go
@@ -57,30 +57,41 @@
 	return float64(admitted) / float64(max(all, 1)), all
 }
 
-func TestCrashingPartReachesFewEnginesAfterFifthCrash(t *testing.T) {
+// forEachSeed runs test for twenty seeds, side by side.
+func forEachSeed(t *testing.T, test func(t *testing.T, seed uint64)) {
+	t.Parallel()
 	for seed := range uint64(20) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			test(t, seed)
+		})
+	}
+}
+
+func TestCrashingPartReachesFewEnginesAfterFifthCrash(t *testing.T) {
+	forEachSeed(t, func(t *testing.T, seed uint64) {
 		l := crashingLoad(seed, crashingPart(1<<60))
 		r := Simulate(l, Shares(l))
 		placed := r.Crashing[0].PlacedAfter(boundingCrash, contactTime)
-		t.Logf("seed %d: %d crashes, %d requests placed, %d after the bound", seed, len(r.Crashing[0].Crashes), len(r.Crashing[0].Placed), placed)
-		require.LessOrEqual(t, placed, maxPlacedAfter, "seed %d", seed)
-	}
+		t.Logf("%d crashes, %d requests placed, %d after the bound", len(r.Crashing[0].Crashes), len(r.Crashing[0].Placed), placed)
+		require.LessOrEqual(t, placed, maxPlacedAfter)
+	})
 }
 
 func TestSeveralCrashingPartsReachFewEngines(t *testing.T) {
-	for seed := range uint64(20) {
+	forEachSeed(t, func(t *testing.T, seed uint64) {
 		l := crashingLoad(seed, crashingPart(1<<60), crashingPart(2<<60), crashingPart(3<<60))
 		r := Simulate(l, Shares(l))
 		for i, outcome := range r.Crashing {
-			require.LessOrEqual(t, outcome.PlacedAfter(boundingCrash, contactTime), maxPlacedAfter, "seed %d, part %d", seed, i)
+			require.LessOrEqual(t, outcome.PlacedAfter(boundingCrash, contactTime), maxPlacedAfter, "part %d", i)
 		}
-	}
+	})
 }
 
 // TestSoundRequestsBesideCrashingPartAdmitted compares the workspaces and the shared parts that
 // requests with the crashing part have as well.
 func TestSoundRequestsBesideCrashingPartAdmitted(t *testing.T) {
-	for seed := range uint64(20) {
+	forEachSeed(t, func(t *testing.T, seed uint64) {
 		part := crashingPart(1 << 60)
 		part.Workspaces = []int{0}
 		l := crashingLoad(seed, part)
@@ -91,18 +102,18 @@
 		before, _ := r.admittedFraction(0, crashingStart, sameWorkspace)
 		after, count := r.admittedFraction(bound, l.Length, sameWorkspace)
 		require.Greater(t, count, 20)
-		require.GreaterOrEqual(t, after, before/2, "seed %d", seed)
+		require.GreaterOrEqual(t, after, before/2)
 		others := func(a Arrival) bool { return a.Workspace != "w00" }
 		before, _ = r.admittedFraction(0, crashingStart, others)
 		after, _ = r.admittedFraction(bound, l.Length, others)
-		require.GreaterOrEqual(t, after, before/2, "seed %d", seed)
-	}
+		require.GreaterOrEqual(t, after, before/2)
+	})
 }
 
 // TestCrashesForOtherReasonsBlockNoPart plays requests that crash engines and have no part
 // in common but those of sound requests.
 func TestCrashesForOtherReasonsBlockNoPart(t *testing.T) {
-	for seed := range uint64(20) {
+	forEachSeed(t, func(t *testing.T, seed uint64) {
 		part := crashingPart(0)
 		part.WithoutPart = true
 		l := crashingLoad(seed, part)
@@ -110,6 +121,6 @@
 			l.Outages = append(l.Outages, Outage{Start: start, Length: 2 * time.Second, Engines: 4})
 		}
 		r := Simulate(l, Shares(l))
-		require.Zero(t, r.Quarantined, "seed %d: requests refused as quarantined", seed)
-	}
+		require.Zero(t, r.Quarantined, "requests refused as quarantined")
+	})
 }
