--- a/internal/admission/crashing_parts_test.go
+++ b/internal/admission/crashing_parts_test.go
@@ -116,6 +116,14 @@
 
 func workspaceOf(i int) string { return fmt.Sprint("w", i) }
 
+// crashToLimit has the part crash as many engines as it takes to block it, by requests of
+// different workspaces at different gates.
+func (l *crashLab) crashToLimit() {
+	for i := range partCrashLimit {
+		l.crash(i%len(l.gates), workspaceOf(i), crashing)
+	}
+}
+
 func TestCrashingPartBlockedAtAllGates(t *testing.T) {
 	lab := newCrashLab(5)
 	for i := range partCrashLimit {
@@ -279,9 +287,7 @@
 
 func TestGateThatStartsLearnsBlockedParts(t *testing.T) {
 	lab := newCrashLab(3)
-	for i := range partCrashLimit {
-		lab.crash(i%3, workspaceOf(i), crashing)
-	}
+	lab.crashToLimit()
 	lab.now += time.Minute
 	lab.restart(2)
 	lab.exchange(200 * time.Millisecond)
@@ -295,9 +301,7 @@
 // at the same moment.
 func TestBlockedPartSurvivesRestartOfAllGates(t *testing.T) {
 	lab := newCrashLab(3)
-	for i := range partCrashLimit {
-		lab.crash(i%3, workspaceOf(i), crashing)
-	}
+	lab.crashToLimit()
 	lab.settle()
 	stored := lab.gates[0].BlockedParts(lab.clock(0))
 	require.Len(t, stored, 1)
@@ -313,9 +317,7 @@
 
 func TestBlockOfPartEndsAndRepeats(t *testing.T) {
 	lab := newCrashLab(2)
-	for i := range partCrashLimit {
-		lab.crash(i%2, workspaceOf(i), crashing)
-	}
+	lab.crashToLimit()
 	lab.settle()
 	require.False(t, lab.crash(0, "w0", crashing))
 	lab.now += partBlockTime
--- a/internal/overload/crashing.go
+++ b/internal/overload/crashing.go
@@ -30,6 +30,8 @@
 type CrashingOutcome struct {
 	Crashes []time.Duration // of engines
 	Placed  []time.Duration // requests that reached an engine
+	// SharedHashes are the first parts of the requests.
+	SharedHashes map[uint64]bool
 }
 
 // PlacedAfter returns the requests that reached engines later than delay after the
@@ -53,7 +55,7 @@
 }
 
 func (sim *simulation) scheduleCrashing(p *CrashingPart) {
-	outcome := &CrashingOutcome{}
+	outcome := &CrashingOutcome{SharedHashes: make(map[uint64]bool)}
 	sim.result.Crashing = append(sim.result.Crashing, outcome)
 	sim.schedule(p.Start, func(now time.Duration) { sim.sendCrashing(now, p, outcome) })
 }
@@ -74,6 +76,7 @@
 		r.admissionRequest.Parts = []admission.Part{parts[0], {Hash: p.Hash, Tokens: 1}, parts[1]}
 	}
 	r.crashing = outcome
+	outcome.SharedHashes[r.sharedHash] = true
 	if d := sim.send(now, sim.chooseGate(w), r); d.Refused == "" {
 		outcome.Placed = append(outcome.Placed, now)
 		sim.place(now, r, d)
--- a/internal/overload/crashing_test.go
+++ b/internal/overload/crashing_test.go
@@ -103,6 +103,11 @@
 		after, count := r.admittedFraction(bound, l.Length, sameWorkspace)
 		require.Greater(t, count, 20)
 		require.GreaterOrEqual(t, after, before/2)
+		sameFirstPart := func(a Arrival) bool { return r.Crashing[0].SharedHashes[a.SharedHash] }
+		before, _ = r.admittedFraction(0, crashingStart, sameFirstPart)
+		after, count = r.admittedFraction(bound, l.Length, sameFirstPart)
+		require.Greater(t, count, 20)
+		require.GreaterOrEqual(t, after, before/2)
 		others := func(a Arrival) bool { return a.Workspace != "w00" }
 		before, _ = r.admittedFraction(0, crashingStart, others)
 		after, _ = r.admittedFraction(bound, l.Length, others)
