Log and count the request limits that targets name

A gate now decodes it, notes when a limit begins, changes and ends (`target request limit changed`), and counts such changes and the limited targets. No change of what is sent.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -99,6 +99,7 @@
 	health             *health
 	suspects           *suspects
 	backoffs           *backoffs
+	requestLimits      *requestLimits
 	retries            map[string]*retryCounts // by service
 	gateCount          int                     // number of gates that share the retry budget
 	peerReportLifetime time.Duration           // how long a peer's report counts
@@ -126,6 +127,7 @@
 		health:             newHealth(),
 		suspects:           newSuspects(),
 		backoffs:           newBackoffs(),
+		requestLimits:      newRequestLimits(),
 		retries:            make(map[string]*retryCounts),
 		gateCount:          1,
 		peerReportLifetime: minPeerReportLifetime,
@@ -305,6 +307,7 @@
 	defer c.mu.Unlock()
 	c.health.retain(live)
 	c.suspects.retain(live)
+	c.requestLimits.retain(live)
 	for id := range c.caches {
 		if !live(id) {
 			delete(c.caches, id)
--- a/internal/gate/codec.go
+++ b/internal/gate/codec.go
@@ -46,6 +46,8 @@
 	// Backoff is how long this gate must send nothing to a target that rejected the
 	// request; 0: not requested.
 	Backoff time.Duration
+	// RequestLimit is what the response says about the target's request limit.
+	RequestLimit admission.RequestLimit
 }
 
 // Codec translates between HTTP header fields and the gate's types.
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -11,46 +11,50 @@
 var latencyBuckets = []float64{0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.5, 0.75, 1, 1.5, 2.5, 5, 10, 15}
 
 type metrics struct {
-	requests         *prometheus.CounterVec
-	refusals         *prometheus.CounterVec
-	retries          *prometheus.CounterVec
-	sends            *prometheus.CounterVec
-	resumedStreams   prometheus.Counter
-	drainingTargets  prometheus.Counter
-	backoffs         prometheus.Counter
-	stalledStreams   prometheus.Counter
-	responseEnds     *prometheus.CounterVec
-	presumedCrashes  prometheus.Counter
-	blockedParts     prometheus.Gauge
-	firstByte        *prometheus.HistogramVec
-	responseDuration *prometheus.HistogramVec
-	prefillSpeed     *prometheus.GaugeVec
-	slowTargets      *prometheus.GaugeVec
-	tierWork         *prometheus.CounterVec
-	forfeitedShare   prometheus.Counter
-	unservedWork     prometheus.Counter
+	requests            *prometheus.CounterVec
+	refusals            *prometheus.CounterVec
+	retries             *prometheus.CounterVec
+	sends               *prometheus.CounterVec
+	resumedStreams      prometheus.Counter
+	drainingTargets     prometheus.Counter
+	backoffs            prometheus.Counter
+	requestLimitChanges prometheus.Counter
+	limitedTargets      prometheus.Gauge
+	stalledStreams      prometheus.Counter
+	responseEnds        *prometheus.CounterVec
+	presumedCrashes     prometheus.Counter
+	blockedParts        prometheus.Gauge
+	firstByte           *prometheus.HistogramVec
+	responseDuration    *prometheus.HistogramVec
+	prefillSpeed        *prometheus.GaugeVec
+	slowTargets         *prometheus.GaugeVec
+	tierWork            *prometheus.CounterVec
+	forfeitedShare      prometheus.Counter
+	unservedWork        prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
 	f := metric.NewFactory(reg, "mastichollow_gate")
 	return &metrics{
-		requests:         f.CounterVec("requests_total", "Requests by the status returned to the caller; 0: none.", "status"),
-		refusals:         f.CounterVec("refusals_total", "Requests that the gate refused or aborted, by reason.", "reason"),
-		retries:          f.CounterVec("retries_total", "Retries at another target, by the result of the previous send.", "reason"),
-		sends:            f.CounterVec("sends_total", "Sends to targets, by result.", "result"),
-		resumedStreams:   f.Counter("resumed_streams_total", "Streams resumed at another target."),
-		drainingTargets:  f.Counter("leaving_targets_total", "Targets that announced in a response that they are draining."),
-		backoffs:         f.Counter("target_pauses_total", "Backoffs requested by targets that rejected a request."),
-		stalledStreams:   f.Counter("stalled_streams_total", "Streams from targets aborted because no event arrived."),
-		responseEnds:     f.CounterVec("response_ends_total", "Responses of targets that were forwarded, by framing and by whether they were complete.", "framing", "end"),
-		presumedCrashes:  f.Counter("presumed_crashes_total", "Crashes of targets presumed from lost and refused connections."),
-		blockedParts:     f.Gauge("blocked_parts", "Parts of prompts that are blocked because they crash targets."),
-		firstByte:        f.HistogramVec("first_byte_seconds", "Time to the first byte of the response, in seconds.", latencyBuckets, "service"),
-		responseDuration: f.HistogramVec("answer_seconds", "Time to the end of the response, in seconds.", latencyBuckets, "service"),
-		prefillSpeed:     f.GaugeVec("engine_read_tokens_per_ms", "Prompt tokens prefilled by an engine per millisecond, queueing included.", "service"),
-		slowTargets:      f.GaugeVec("engine_slow_targets", "Targets whose time to the first event is far above that of their service.", "service"),
-		tierWork:         f.CounterVec("room_tokens_total", "Tokens of work of workspaces above their fair share, by admission tier and decision.", "room", "decision"),
-		forfeitedShare:   f.Counter("forfeited_share_tokens_total", "Tokens of work of fair shares that accrued while the token bucket was full."),
-		unservedWork:     f.Counter("unserved_tokens_total", "Tokens of work of workspaces above their fair share, admitted but not begun because the target failed."),
+		requests:            f.CounterVec("requests_total", "Requests by the status returned to the caller; 0: none.", "status"),
+		refusals:            f.CounterVec("refusals_total", "Requests that the gate refused or aborted, by reason.", "reason"),
+		retries:             f.CounterVec("retries_total", "Retries at another target, by the result of the previous send.", "reason"),
+		sends:               f.CounterVec("sends_total", "Sends to targets, by result.", "result"),
+		resumedStreams:      f.Counter("resumed_streams_total", "Streams resumed at another target."),
+		drainingTargets:     f.Counter("leaving_targets_total", "Targets that announced in a response that they are draining."),
+		backoffs:            f.Counter("target_pauses_total", "Backoffs requested by targets that rejected a request."),
+		requestLimitChanges: f.Counter("target_limit_changes_total", "Request limits of targets that began, changed or ended, by responses to this gate."),
+		limitedTargets:      f.Gauge("limited_targets", "Targets that name a request limit."),
+		stalledStreams:      f.Counter("stalled_streams_total", "Streams from targets aborted because no event arrived."),
+		responseEnds:        f.CounterVec("response_ends_total", "Responses of targets that were forwarded, by framing and by whether they were complete.", "framing", "end"),
+		presumedCrashes:     f.Counter("presumed_crashes_total", "Crashes of targets presumed from lost and refused connections."),
+		blockedParts:        f.Gauge("blocked_parts", "Parts of prompts that are blocked because they crash targets."),
+		firstByte:           f.HistogramVec("first_byte_seconds", "Time to the first byte of the response, in seconds.", latencyBuckets, "service"),
+		responseDuration:    f.HistogramVec("answer_seconds", "Time to the end of the response, in seconds.", latencyBuckets, "service"),
+		prefillSpeed:        f.GaugeVec("engine_read_tokens_per_ms", "Prompt tokens prefilled by an engine per millisecond, queueing included.", "service"),
+		slowTargets:         f.GaugeVec("engine_slow_targets", "Targets whose time to the first event is far above that of their service.", "service"),
+		tierWork:            f.CounterVec("room_tokens_total", "Tokens of work of workspaces above their fair share, by admission tier and decision.", "room", "decision"),
+		forfeitedShare:      f.Counter("forfeited_share_tokens_total", "Tokens of work of fair shares that accrued while the token bucket was full."),
+		unservedWork:        f.Counter("unserved_tokens_total", "Tokens of work of workspaces above their fair share, admitted but not begun because the target failed."),
 	}
 }
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -10,7 +11,6 @@
 	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/eventlog"
 	"github.com/mastichollow/mastichollow/internal/route"
-	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/upstream"
 )
 
@@ -126,7 +126,7 @@
 func (c *call) classifyResponse(d admission.Decision, resp *upstream.Response) sendOutcome {
 	meta := c.gate.codec.DecodeResponse(resp.Status, resp.Header)
 	if !meta.Misdirected {
-		c.applyTargetSignals(d.Target, meta)
+		c.applyTargetSignals(d, meta)
 	}
 	switch {
 	case meta.Misdirected:
@@ -149,9 +149,9 @@
 }
 
 // applyTargetSignals applies what a target signals in its response: that it is draining,
-// or a backoff.
-func (c *call) applyTargetSignals(instance target.Instance, meta ResponseMeta) {
-	g := c.gate
+// a backoff, or a request limit.
+func (c *call) applyTargetSignals(d admission.Decision, meta ResponseMeta) {
+	g, instance := c.gate, d.Target
 	now := g.config.Now()
 	if meta.Draining && g.directory.MarkDraining(instance.ID, instance.StartedMillis, now, true) {
 		g.metrics.drainingTargets.Inc()
@@ -165,6 +165,19 @@
 		g.config.Events.Event(logModule, "target pauses", eventlog.Text("request", c.meta.ID),
 			eventlog.Text("target", instance.ID), eventlog.Millis("for_ms", meta.Backoff))
 	}
+	if d.Lease.RecordRequestLimit(now, meta.RequestLimit) {
+		g.metrics.requestLimitChanges.Inc()
+		g.config.Events.Event(logModule, "target request limit changed", eventlog.Text("request", c.meta.ID),
+			eventlog.Text("target", instance.ID), eventlog.Text("per_second", limitText(meta.RequestLimit)))
+	}
+}
+
+// limitText returns a request limit for log lines: its value, or "none".
+func limitText(limit admission.RequestLimit) string {
+	if limit.Statement != admission.LimitNamed {
+		return "none"
+	}
+	return strconv.FormatFloat(limit.PerSecond, 'g', 4, 64)
 }
 
 // meansNotExecuted reports whether callers conclude from a status that the request did
