Keep what all gates send to a target within the request limit that it names

The class of fault is a backpressure signal that is dropped.

A limit holds for the sum over all gates, and there is no coordinator. Each limited target now has a few owners among the gates, at most one for each request per second of the limit: those with the highest demand for it, nearest first, which each gate computes from the reports that gates exchange anyway. Owners divide the rate by demand and pace their part with a token bucket that starts empty; the other gates send nothing. Gates that hear of less than half of the known ones use half of their part, so the two sides of a partition stay within the bound. First sends, retries and resumed streams all pass through the same placement. To placement a used-up limit is a full target, to shares it is lost capacity, and requests above the fair share get only rate that nobody else used. A limit ends with a response that names none to a request sent after it was last named, with the run of the target, or after ten minutes without any word; a limit of 0 leaves one request in 4 s, as its target could not end it otherwise. Negative, infinite and unreadable values tell nothing. Peers get what a gate heard itself, with its age; 4,096 limits are retained at most.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -100,10 +100,11 @@
 	suspects           *suspects
 	backoffs           *backoffs
 	requestLimits      *requestLimits
-	retries            map[string]*retryCounts // by service
-	gateCount          int                     // number of gates that share the retry budget
-	peerReportLifetime time.Duration           // how long a peer's report counts
-	capacity           float64                 // of all engines, tokens of work per second; 0: unknown
+	retries            map[string]*retryCounts  // by service
+	gateCount          int                      // number of gates that share the retry budget
+	peerReportLifetime time.Duration            // how long a peer's report counts
+	engines            map[string]engineService // by service
+	capacity           float64                  // of all engines, tokens of work per second; 0: unknown
 	levelComputedAt    time.Duration
 	fairShareLevel     float64 // tokens of work per shareWindow; negative: all demand fits
 	// meanServiceAboveLevel is the mean service, over shareWindow, of the workspaces whose
@@ -127,10 +128,11 @@
 		health:             newHealth(),
 		suspects:           newSuspects(),
 		backoffs:           newBackoffs(),
-		requestLimits:      newRequestLimits(),
+		requestLimits:      newRequestLimits(config.Site),
 		retries:            make(map[string]*retryCounts),
 		gateCount:          1,
 		peerReportLifetime: minPeerReportLifetime,
+		engines:            make(map[string]engineService),
 		fairShareLevel:     -1,
 		levelComputedAt:    -fairShareLevelInterval,
 		fleetUsage:         make(map[string]Usage),
@@ -161,6 +163,7 @@
 		return Decision{Refused: request.ReasonQuarantined, BlockedPart: block.parts[0], RetryAfter: block.until - now}
 	}
 	if req.Slots > 0 {
+		c.countEngines(req.Service, len(targets))
 		c.refreshFairShareLevel(now)
 		if !req.Retry {
 			c.usageTracker.add(now, req.Workspace, Usage{Requested: req.work()})
@@ -178,6 +181,8 @@
 	if decision.Refused == request.ReasonNoTarget {
 		if wait := c.backoffs.soonestEnd(now, targets); wait > 0 {
 			decision.Refused, decision.RetryAfter = request.ReasonOverloaded, wait
+		} else if c.requestLimits.limited(targets) {
+			decision.Refused, decision.RetryAfter = request.ReasonOverloaded, req.retryAfter()
 		}
 	}
 	return decision
@@ -212,10 +217,13 @@
 	skipEjected bool
 	// useHints also avoids targets that asked another gate to back off.
 	useHints bool
+	limits   *requestLimits
+	// aboveShare is set when the request is above the fair share of its workspace.
+	aboveShare bool
 }
 
 func (c *Controller) avoidedTargetsFor(now time.Duration, req *Request, targets []target.Instance) avoidedTargets {
-	avoided := avoidedTargets{exclude: req.Exclude, health: c.health, backoffs: c.backoffs, now: now, useHints: len(c.backoffs.hints) > 0}
+	avoided := avoidedTargets{exclude: req.Exclude, health: c.health, backoffs: c.backoffs, limits: c.requestLimits, now: now, useHints: len(c.backoffs.hints) > 0}
 	ejected := c.health.countEjected(now, targets)
 	avoided.skipEjected = ejected > 0 && float64(ejected) <= maxEjectedFraction*float64(len(targets))
 	return avoided
@@ -226,6 +234,11 @@
 		remainingBackoff(a.backoffs.local, a.now, instance) > 0 || a.useHints && remainingBackoff(a.backoffs.hints, a.now, instance) > 0
 }
 
+// limited reports whether the request limit of the target is used up.
+func (a *avoidedTargets) limited(instance *target.Instance) bool {
+	return a.limits.exhausted(a.now, instance, !a.aboveShare)
+}
+
 func (c *Controller) place(now time.Duration, req *Request, instance target.Instance, uncached int, overShare bool) Decision {
 	load := c.loads.total(instance.ID)
 	lease := &Lease{
@@ -239,8 +252,10 @@
 		promptTokensAhead: load.PendingPromptTokens + uncached,
 	}
 	c.loads.add(instance.ID, lease.load)
+	c.requestLimits.consume(now, &instance)
 	if req.Slots > 0 {
 		lease.work = req.work()
+		c.recordMeanWork(req.Service, lease.work)
 		c.cacheOf(instance.ID, req).recordUse(req.Parts)
 		served := Usage{Served: req.work()}
 		c.usageTracker.add(now, req.Workspace, served)
--- a/internal/admission/engine.go
+++ b/internal/admission/engine.go
@@ -72,6 +72,7 @@
 // limits of the request's tier.
 func (c *Controller) placeEngine(now time.Duration, req *Request, targets []target.Instance, avoided avoidedTargets) Decision {
 	limit := c.limitFor(now, req)
+	avoided.aboveShare = !limit.tier.WithinShare()
 	refusal := Decision{Refused: request.ReasonNoTarget, Tier: limit.tier, OverShare: limit.overShare, ShareMultiple: limit.shareMultiple}
 	candidates := c.candidates(req, targets, avoided)
 	model := c.modelOf(req.Service)
@@ -101,18 +102,28 @@
 // local region, then those of all regions, each by rendezvous hash of the shared prompt.
 func (c *Controller) candidates(req *Request, targets []target.Instance, avoided avoidedTargets) candidateList {
 	key := affinityHash(req.Parts, req.Hash)
-	var local, global candidateList
+	var local, global, limited candidateList
 	for i := range targets {
 		instance := &targets[i]
 		score := mixBits(key ^ instance.Hash)
 		if !global.accepts(score, maxCandidates) && !local.accepts(score, localCandidates) || avoided.contains(instance) {
 			continue
 		}
+		inRegion := c.config.Site.distance(instance) < remoteRegion
+		if avoided.limited(instance) {
+			if inRegion {
+				limited.add(score, i, localCandidates)
+			}
+			continue
+		}
 		global.add(score, i, maxCandidates)
-		if c.config.Site.distance(instance) < remoteRegion {
+		if inRegion {
 			local.add(score, i, localCandidates)
 		}
 	}
+	if limited.n > 0 && (local.n == 0 || limited.scores[0] > local.scores[0]) {
+		c.requestLimits.countDemand(avoided.now, &targets[limited.indexes[0]])
+	}
 	for i := 0; i < global.n && local.n < len(local.indexes); i++ {
 		if index := global.indexes[i]; !local.contains(index) {
 			local.indexes[local.n] = index
@@ -288,6 +299,6 @@
 	for _, usage := range c.fleetUsage {
 		demands = append(demands, usage.Requested)
 	}
-	c.fairShareLevel = maxMinShareLevel(demands, c.capacity*shareWindow.Seconds())
+	c.fairShareLevel = maxMinShareLevel(demands, c.usableCapacity()*shareWindow.Seconds())
 	c.meanServiceAboveLevel = meanServiceAbove(c.fairShareLevel, c.fleetUsage)
 }
--- a/internal/admission/plain.go
+++ b/internal/admission/plain.go
@@ -21,6 +21,11 @@
 		if avoided.contains(instance) {
 			continue
 		}
+		if avoided.limited(instance) {
+			c.requestLimits.countDemand(now, instance)
+			refusal = Decision{Refused: request.ReasonOverloaded, Target: *instance, Load: c.loads.total(instance.ID), RetryAfter: req.retryAfter()}
+			continue
+		}
 		slots := max(instance.Slots, 1)
 		load := c.loads.total(instance.ID)
 		if load.InFlight >= plainQueueFactor*slots {
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -19,6 +19,9 @@
 	Estimates map[string]EngineEstimate
 	// Backoffs holds the backoffs that targets requested of the gate, by target ID.
 	Backoffs map[string]Backoff
+	// RequestLimits holds what the gate heard of limited targets and sends to them, by
+	// target ID.
+	RequestLimits map[string]LimitReport
 }
 
 // Report returns the state of this gate.
@@ -29,6 +32,7 @@
 	return Report{
 		Crashes: c.suspects.listConfirmed(now), SuspectParts: suspectParts, ClearedParts: clearedParts, DisprovedCrashes: c.suspects.parts.listDisproved(now),
 		Loads: c.loads.localLoads(), Usage: c.usageTracker.localUsage(now), Suspects: c.suspects.listRecent(now), Backoffs: c.backoffs.listLocal(now), Estimates: c.localEstimates(),
+		RequestLimits: c.requestLimits.report(now),
 	}
 }
 
@@ -42,6 +46,7 @@
 	for id, backoff := range report.Backoffs {
 		recordBackoff(c.backoffs.hints, id, backoff.TargetStarted, now+backoff.Remaining)
 	}
+	c.requestLimits.merge(now, node, report.RequestLimits)
 	for f, targets := range report.Suspects {
 		for _, id := range targets {
 			c.suspects.mergeCrash(now, f, id)
--- a/internal/admission/request_limit.go
+++ b/internal/admission/request_limit.go
@@ -8,8 +8,19 @@
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
-// maxRequestLimits bounds the limits that a gate retains, about 100 bytes each.
-const maxRequestLimits = 4096
+const (
+	// limitEndRetention is how long the end of a limit is retained, so that reports of
+	// peers that have not noticed it do not revive the limit.
+	limitEndRetention = 10 * time.Second
+	// limitRetention is how long a limit counts without any word of its target.
+	limitRetention = 10 * time.Minute
+	// maxRequestLimits bounds the limits that a gate retains, about 1 kB each.
+	maxRequestLimits = 4096
+)
+
+// never is the time of what has not happened. Times that peers report may lie before the
+// start of this gate's clock.
+const never = time.Duration(math.MinInt64 / 2)
 
 // LimitStatement is what a response says about the request limit of its target.
 type LimitStatement uint8
@@ -31,38 +42,72 @@
 	PerSecond float64 // requests that the target accepts from all gates together
 }
 
-// requestLimits holds the request limits that targets name in their responses.
+// requestLimits keeps the requests that all gates together send to a target within the
+// rate that the target accepts.
 //
-// Invariant: a limit ends when a response to a request that was sent after the limit was
-// last named names none, or when the target restarts or is gone.
+// Each limited target has a few owners among the gates, at most one for each request per
+// second of the limit: those with the highest demand for it, nearest first. Every gate
+// computes them from the reports that gates exchange, so there is no coordinator. Owners
+// divide the rate by their demand and pace their part with a token bucket that starts empty;
+// other gates send nothing.
+//
+// Invariants:
+//   - The parts of owners that agree on the alive gates and their demand sum up to the limit.
+//   - A gate that hears of less than half of the known gates uses at most half of their
+//     part, since the others may have taken over the rest.
+//   - A limit ends when a response to a request that was sent after the limit was last named
+//     names none, or when the target restarts or is gone.
 type requestLimits struct {
+	site    Site
+	fleet   Fleet
 	targets map[string]*requestLimit // by target ID
 }
 
 // requestLimit is the state of one target.
 type requestLimit struct {
 	targetStarted int64
+	service       string // empty until a request was considered for the target
 	perSecond     float64
 	named         bool
-	namedAt       time.Duration // when a response last named the limit; negative: never
-	endedAt       time.Duration // when the newest request was sent whose response named none; negative: never
+	namedAt       time.Duration // when a response last named the limit
+	endedAt       time.Duration // when the newest request was sent whose response named none
+	// localNamedAt and localEndedAt are those of responses to this gate.
+	localNamedAt, localEndedAt time.Duration
+	changedAt                  time.Duration          // when the limit last began or ended
+	demand                     usageWindow            // of this gate
+	reportedDemand             float64                // of this gate, as peers know it
+	peers                      map[string]limitDemand // demand of peers, by node
+
+	tokens     float64
+	refilledAt time.Duration
+	fullSince  time.Duration // since when the bucket is full without a request; the last use if it is not full
 }
 
-func newRequestLimits() *requestLimits {
-	return &requestLimits{targets: make(map[string]*requestLimit)}
+type limitDemand struct {
+	receivedAt time.Duration
+	requests   float64
 }
 
-// stateOf returns the state of the run of a target, nil if there is no room for it.
-func (l *requestLimits) stateOf(instance *target.Instance) *requestLimit {
-	known := l.targets[instance.ID]
-	if known != nil && known.targetStarted == instance.StartedMillis {
+func newRequestLimits(site Site) *requestLimits {
+	return &requestLimits{site: site, targets: make(map[string]*requestLimit)}
+}
+
+// setFleet replaces the known fleet.
+func (l *requestLimits) setFleet(fleet Fleet) { l.fleet = fleet }
+
+// stateOf returns the state of a run of a target, nil if there is no room for it. Only the
+// target itself (authoritative) may replace the state of a later run.
+func (l *requestLimits) stateOf(now time.Duration, id string, targetStarted int64, authoritative bool) *requestLimit {
+	switch known := l.targets[id]; {
+	case known == nil && len(l.targets) >= maxRequestLimits:
+		return nil
+	case known != nil && known.targetStarted == targetStarted:
 		return known
-	}
-	if known == nil && len(l.targets) >= maxRequestLimits {
+	case known != nil && known.targetStarted > targetStarted && !authoritative:
 		return nil
 	}
-	state := &requestLimit{targetStarted: instance.StartedMillis, namedAt: -1, endedAt: -1}
-	l.targets[instance.ID] = state
+	state := &requestLimit{targetStarted: targetStarted, namedAt: never, endedAt: never, localNamedAt: never, localEndedAt: never, refilledAt: now, changedAt: now, peers: make(map[string]limitDemand)}
+	l.targets[id] = state
 	return state
 }
 
@@ -71,17 +116,20 @@
 func (l *requestLimits) record(now, sentAt time.Duration, instance *target.Instance, stated RequestLimit) bool {
 	switch stated.Statement {
 	case LimitNamed:
-		state := l.stateOf(instance)
+		state := l.stateOf(now, instance.ID, instance.StartedMillis, true)
 		if state == nil {
 			return false
 		}
-		return state.name(now, stated.PerSecond)
+		state.service = instance.Service
+		state.localNamedAt = now
+		return state.name(now, now, stated.PerSecond)
 	case LimitAbsent:
 		state := l.targets[instance.ID]
 		if state == nil || state.targetStarted != instance.StartedMillis {
 			return false
 		}
-		return state.end(sentAt)
+		state.localEndedAt = max(state.localEndedAt, sentAt)
+		return state.end(now, sentAt)
 	default:
 		return false
 	}
@@ -89,10 +137,13 @@
 
 // name applies that a response named the limit at a time. It reports whether the limit
 // changed.
-func (s *requestLimit) name(at time.Duration, perSecond float64) bool {
+func (s *requestLimit) name(now, at time.Duration, perSecond float64) bool {
 	if at <= s.endedAt || at < s.namedAt {
 		return false
 	}
+	if !s.named {
+		s.changedAt = now
+	}
 	changed := !s.named || s.perSecond != perSecond
 	s.named, s.namedAt, s.perSecond = true, at, perSecond
 	return changed
@@ -100,15 +151,28 @@
 
 // end applies that the response to a request sent at a time named no limit. It reports
 // whether the limit ended by that.
-func (s *requestLimit) end(sentAt time.Duration) bool {
+func (s *requestLimit) end(now, sentAt time.Duration) bool {
 	s.endedAt = max(s.endedAt, sentAt)
 	if !s.named || sentAt <= s.namedAt {
 		return false
 	}
-	s.named = false
+	s.named, s.changedAt = false, now
 	return true
 }
 
+// limitOf returns the state of a target that is limited, nil if it is not.
+func (l *requestLimits) limitOf(instance *target.Instance) *requestLimit {
+	if len(l.targets) == 0 {
+		return nil
+	}
+	state := l.targets[instance.ID]
+	if state == nil || !state.named || state.targetStarted != instance.StartedMillis {
+		return nil
+	}
+	state.service = instance.Service
+	return state
+}
+
 // validLimit reports whether a rate can be a limit.
 func validLimit(perSecond float64) bool { return perSecond >= 0 && !math.IsInf(perSecond, 0) }
 
--- a/internal/gate/harness_test.go
+++ b/internal/gate/harness_test.go
@@ -47,8 +47,13 @@
 
 func (testCodec) DecodeResponse(status int, h http.Header) ResponseMeta {
 	seconds, _ := strconv.ParseFloat(h.Get("Backoff"), 64)
+	var limit admission.RequestLimit
+	if perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
+		limit = admission.RequestLimit{Statement: admission.LimitNamed, PerSecond: perSecond}
+	}
 	return ResponseMeta{
-		NotExecuted: h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Sealed: h.Get("Seal") != "",
+		RequestLimit: limit,
+		NotExecuted:  h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Sealed: h.Get("Seal") != "",
 		Draining: h.Get("Draining") != "", Backoff: time.Duration(seconds * float64(time.Second)),
 	}
 }
--- a/internal/gate/target_signals_test.go
+++ b/internal/gate/target_signals_test.go
@@ -100,3 +100,40 @@
 	retryAfter := got.header.Get("Retry-After")
 	require.True(t, strings.HasPrefix(retryAfter, "2.") || strings.HasPrefix(retryAfter, "3."), retryAfter)
 }
+
+func TestTargetRequestLimitHonored(t *testing.T) {
+	for name, limited := range map[string]targetHandler{
+		"with a success":   respond(200, "Seal: m\r\nLimit: 0\r\n", "whole"),
+		"with a rejection": respond(503, "Not-Run: 1\r\nLimit: 0\r\n", ""),
+		"with a failure":   respond(500, "Limit: 0\r\n", "sorry"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, testRoutes(idempotent), limited, succeed("whole"))
+			for f.requestsByTarget(0)["t0"] == 0 {
+				f.send("/p/", "b")
+			}
+			before := len(f.receivedRequests())
+			for range 20 {
+				require.Equal(t, 200, f.send("/p/", "b").status)
+			}
+			require.LessOrEqual(t, f.requestsByTarget(before)["t0"], 1, "a limit of 0 leaves an occasional request")
+		})
+	}
+}
+
+// A request that could only go to limited targets is refused at once, with the time after which
+// to come back.
+func TestLimitedTargetsOnlyRefusedAtOnce(t *testing.T) {
+	f := newFixture(t, testRoutes(once), respond(200, "Seal: m\r\nLimit: 0\r\n", "whole"))
+	require.Equal(t, 200, f.send("/p/", "b").status)
+	refused := f.send("/p/", "b")
+	require.Equal(t, 503, refused.status)
+	require.NotEmpty(t, refused.header.Get("Retry-After"))
+	require.Len(t, f.receivedRequests(), 1)
+}
+
+func TestMisdirectedResponseLimitIgnored(t *testing.T) {
+	f := newFixture(t, testRoutes(once), respond(421, "Limit: 0\r\n", ""))
+	f.send("/p/", "b")
+	require.Zero(t, f.controller.LimitedTargets())
+}
--- a/internal/overload/simulation.go
+++ b/internal/overload/simulation.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/mastichollow/mastichollow/internal/admission"
@@ -50,6 +51,10 @@
 	// The gates can only detect them by the times to first events.
 	SlowEngines    int
 	SlowdownFactor float64
+	// LimitedEngines is the number of engines that name RequestLimit, in requests per second,
+	// in each response. A third of them do so all the time, the others for half of the load.
+	LimitedEngines int
+	RequestLimit   float64
 	// Outages are engine crashes. The gates detect them only by failed sends.
 	Outages []Outage
 	// CrashingParts are parts of prompts that crash engines.
@@ -95,6 +100,7 @@
 	Admit(now time.Duration, r *admission.Request, targets []target.Instance) admission.Decision
 	Report(now time.Duration) admission.Report
 	Merge(now time.Duration, node string, r admission.Report)
+	SetFleet(fleet admission.Fleet)
 }
 
 // request is a caller's request, with its retry.
@@ -112,6 +118,7 @@
 	retried                    bool
 	fairness                   *starvation.Meter
 	crashing                   *CrashingOutcome // nil: the request crashes no engine
+	limit                      admission.RequestLimit
 }
 
 // recordFirstEvent counts the request as in time or late and calls Lease.Began.
@@ -129,6 +136,7 @@
 		}
 		o.MaxWait = max(o.MaxWait, wait)
 	}
+	r.lease.RecordRequestLimit(now, r.limit)
 	r.lease.Began(now)
 }
 
@@ -169,8 +177,13 @@
 		sim.enginesByID[e.id] = e
 		sim.targets = append(sim.targets, target.Instance{ID: e.id, Service: "engines", Domain: "d", Slots: batchSlots, Hash: target.HashID(e.id)})
 	}
+	var alive []admission.FleetGate
+	for i := range load.Gates {
+		alive = append(alive, admission.NewFleetGate(gateName(i), "r"))
+	}
 	for i := range load.Gates {
 		sim.gates = append(sim.gates, newPolicy())
+		sim.gates[i].SetFleet(admission.Fleet{Node: gateName(i), Alive: alive, Known: len(alive)})
 		sim.schedule(time.Duration(i)*reportInterval/time.Duration(load.Gates), func(now time.Duration) { sim.sendReport(now, i) })
 	}
 	for i := range load.Workspaces {
@@ -186,6 +199,17 @@
 	return sim.result
 }
 
+func gateName(index int) string { return fmt.Sprint("gate", index) }
+
+// requestLimit returns what an engine states about its request limit.
+func (sim *simulation) requestLimit(now time.Duration, e *engine) admission.RequestLimit {
+	index := slices.Index(sim.engines, e)
+	if index >= sim.load.LimitedEngines || index%3 != 0 && now > sim.load.Length/2 {
+		return admission.RequestLimit{}
+	}
+	return admission.RequestLimit{Statement: admission.LimitNamed, PerSecond: sim.load.RequestLimit}
+}
+
 // schedule runs do after d.
 func (sim *simulation) schedule(d time.Duration, do func(now time.Duration)) {
 	sim.events.After(d, func() { do(sim.events.Now()) })
@@ -202,7 +226,7 @@
 	sim.schedule(sim.load.ReportDelay, func(now time.Duration) {
 		for i, g := range sim.gates {
 			if i != from && !lost {
-				g.Merge(now, fmt.Sprint("gate", from), r)
+				g.Merge(now, gateName(from), r)
 			}
 		}
 	})
@@ -321,6 +345,7 @@
 	}
 	r.lease = d.Lease
 	e := sim.enginesByID[d.Target.ID]
+	r.limit = sim.requestLimit(now, e)
 	e.accept(now, r)
 	if !e.stepping {
 		sim.runStep(e)
--- a/internal/overload/starvation_test.go
+++ b/internal/overload/starvation_test.go
@@ -69,3 +69,14 @@
 		requireNoStarvation(t, generateLoad(seed, hardSlowFraction, hardOfferedLoadRange))
 	}
 }
+
+// Request limits lower the capacity, at some engines only. Shares must follow it.
+func TestNoWorkspaceStarvesBesideRequestLimits(t *testing.T) {
+	const loads = 30
+	for seed := range uint64(loads) {
+		load := generateLoad(seed, 0, usualOfferedLoadRange)
+		load.LimitedEngines = load.Engines * 7 / 10
+		load.RequestLimit = 0.5 * load.TokensPerSecond / float64(load.Engines) / load.meanWork()
+		requireNoStarvation(t, load)
+	}
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -93,6 +93,8 @@
 	// number of observations behind each.
 	EngineEstimates map[string][4]int64 `cbor:"9,keyasint,omitempty"`
 	Crashes         *crashMessage       `cbor:"10,keyasint,omitempty"`
+	// RequestLimits holds the request limits of targets, by target ID.
+	RequestLimits map[string]limitMessage `cbor:"11,keyasint,omitempty"`
 }
 
 // Config configures an Exchange.
@@ -202,6 +204,7 @@
 	alive := e.expire(now)
 	e.metrics.alive.Set(float64(alive))
 	e.controller.SetGateCount(alive + 1)
+	e.controller.SetFleet(e.fleet(now))
 	data, err := e.encodeReport(now)
 	if err != nil {
 		e.config.Log.Error("encoding the load report failed", "error", err)
@@ -231,6 +234,30 @@
 	return len(e.peers)
 }
 
+// fleet returns the fleet as this gate knows it. Listed peers that a starting gate has not
+// heard of yet count as alive.
+func (e *Exchange) fleet(now time.Duration) admission.Fleet {
+	starting := now-e.startedAt < startupGrace
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	fleet := admission.Fleet{Node: e.config.Node, Known: 1, Alive: []admission.FleetGate{admission.NewFleetGate(e.config.Node, e.config.Region)}}
+	listed := make(map[string]bool, len(e.listed))
+	for _, a := range e.listed {
+		listed[a.Node] = true
+		fleet.Known++
+		if starting || e.peers[a.Node] != nil {
+			fleet.Alive = append(fleet.Alive, admission.NewFleetGate(a.Node, a.Region))
+		}
+	}
+	for node := range e.peers {
+		if !listed[node] {
+			fleet.Known++
+			fleet.Alive = append(fleet.Alive, admission.NewFleetGate(node, ""))
+		}
+	}
+	return fleet
+}
+
 // encodeReport encodes the report of this gate. It omits the suspects if the report exceeds
 // maxReportBytes with them.
 func (e *Exchange) encodeReport(now time.Duration) ([]byte, error) {
@@ -245,6 +272,8 @@
 		Usage:    make(map[string][2]int64, len(report.Usage)),
 		Draining: e.directory.LocalDrainNotices(now),
 		Crashes:  encodeCrashes(&report),
+
+		RequestLimits: encodeLimits(report.RequestLimits),
 	}
 	e.mu.Unlock()
 	if len(report.Backoffs) > 0 {
@@ -335,6 +364,7 @@
 		r.Backoffs[id] = admission.Backoff{TargetStarted: p[0], Remaining: time.Duration(p[1]) * time.Millisecond}
 	}
 	m.Crashes.decodeInto(&r)
+	r.RequestLimits = decodeLimits(m.RequestLimits)
 	e.controller.Merge(now, m.Node, r)
 	for id, started := range m.Draining {
 		if e.directory.MarkDraining(id, started, now, false) {
