Soak: targets that name request limits

In every fifth seed a target of each service at a time names a limit for 8 s; the calls that it gets from undisrupted gates must stay within the platform's bound.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -41,6 +41,7 @@
 	runsByCall map[string][]standin.Run // by call ID
 	drainedAt  map[string]time.Time     // by target ID: when its row with the draining state was written
 	crashes    []time.Time              // of targets, by calls with the crashing part
+	limitUses  []limitUse
 	violations []Violation
 }
 
@@ -74,6 +75,7 @@
 		c.checkRuns(r, runs)
 	}
 	c.checkCrashingPart(recordByID)
+	c.checkRequestLimits(recordByID)
 	return c.violations
 }
 
@@ -136,7 +138,8 @@
 		return
 	}
 	from := r.Start.Add(-minUndisruptedTime)
-	if c.gateUndisrupted(r.Gate, from, r.End) && c.history.Undisrupted(Subject{PartPlannedStop, r.Gate}, from, r.End) && c.history.AllUndisrupted(PartTarget, from, r.End) {
+	if c.gateUndisrupted(r.Gate, from, r.End) && c.history.Undisrupted(Subject{PartPlannedStop, r.Gate}, from, r.End) && c.history.AllUndisrupted(PartTarget, from, r.End) &&
+		c.history.AllUndisrupted(PartRequestLimit, from, r.End) {
 		c.addViolation("not served", r, "though only the store may be in trouble")
 	}
 }
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -23,7 +23,9 @@
 	PartStoreLink   Part = "store-link"
 	PartTarget      Part = "target" // the target or its link
 	PartStore       Part = "store"
-	PartTableChange Part = "table" // a change that some gates may not have applied yet
+	// PartRequestLimit is a target that names a request limit.
+	PartRequestLimit Part = "request-limit"
+	PartTableChange  Part = "table" // a change that some gates may not have applied yet
 )
 
 // interval is a time in which a subject was disrupted; to is zero while it lasts.
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -36,6 +36,7 @@
 	Violations []Violation
 	Plan       []Step
 	Crashes    int // of targets, by calls with the crashing part
+	LimitUses  int // times that a target named a request limit
 }
 
 const (
@@ -73,6 +74,7 @@
 	violations []Violation
 	drainedAt  map[string]time.Time
 	crashes    []time.Time // of targets, by calls with the crashing part
+	limitUses  []limitUse
 }
 
 // Run executes the plan of a seed against a new deployment and checks the outcome.
@@ -89,7 +91,7 @@
 	violations, err := d.check()
 	result := &Result{
 		Seed: seed, Profile: profile, Steps: len(steps), Plan: steps, Calls: len(d.records),
-		Statuses: make(map[int]int), Violations: violations, Crashes: len(d.crashes),
+		Statuses: make(map[int]int), Violations: violations, Crashes: len(d.crashes), LimitUses: len(d.limitUses),
 	}
 	for i := range d.records {
 		if d.records[i].AbandonedAt.IsZero() {
@@ -155,7 +157,9 @@
 func (d *deployment) execute(ctx context.Context, seed uint64, steps []Step) error {
 	stop := d.startCallers(ctx, seed, "a", false)
 	stopCrashers := d.startCrashers(ctx, seed)
+	stopLimiting := d.startLimiting(ctx, seed)
 	stepErr := d.runSteps(ctx, steps)
+	stopLimiting()
 	stopCrashers()
 	stop()
 	if err := errors.Join(stepErr, d.restore(ctx)); err != nil {
@@ -246,7 +250,7 @@
 
 // check returns all violations of the run.
 func (d *deployment) check() ([]Violation, error) {
-	c := &checker{history: d.history, operator: d.operator, records: d.records, runsByCall: d.ledger.Runs(), drainedAt: d.drainedAt, crashes: d.crashes}
+	c := &checker{history: d.history, operator: d.operator, records: d.records, runsByCall: d.ledger.Runs(), drainedAt: d.drainedAt, crashes: d.crashes, limitUses: d.limitUses}
 	c.check()
 	logs := make([]string, 0, len(d.gates))
 	for _, g := range d.gates {
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -41,6 +41,17 @@
 	require.GreaterOrEqual(t, result.Crashes, boundingCrash, "the part crashed too few targets")
 }
 
+func TestShortSoakWithRequestLimits(t *testing.T) {
+	t.Parallel()
+	const seed = limitingSeedStep
+	result, err := Run(t.Context(), seed, Config{
+		ProgramPath: processtest.Path("mastichollow-gate"), Dir: t.TempDir(), FaultDuration: 9 * time.Second, Gates: 3, Targets: 3, Callers: 4,
+	})
+	require.NoError(t, err)
+	require.Empty(t, result.Violations, "%v", result.Plan)
+	require.Positive(t, result.LimitUses)
+}
+
 func TestRegressionSeedsHaveCause(t *testing.T) {
 	_, err := RegressionSeeds()
 	require.NoError(t, err)
