Agent: keep what its target gets within the request limit that it names

An answer may now name one in Mastichollow-Request-Limit; the agent grants at that rate and reports no free slots while it is used up, so routers offer to others. It ends when an answer to a later request names none; 0 leaves one request in 4 s; unreadable values tell nothing. Routers send nothing to targets themselves and needed no change.

--- a/internal/agent/drop.go
+++ b/internal/agent/drop.go
@@ -39,11 +39,13 @@
 		s.queue.Remove(at.entry)
 	case phaseGranted:
 		s.granted--
+		s.requestLimit.giveBack()
 		s.releaseCapacity(at)
 		at.account.Cancel()
 	case phaseStaged:
 		i := slices.Index(s.staged, at)
 		s.staged = slices.Delete(s.staged, i, i+1)
+		s.requestLimit.giveBack()
 		s.releaseCapacity(at)
 		at.account.Cancel()
 	default:
--- a/internal/agent/load.go
+++ b/internal/agent/load.go
@@ -20,7 +20,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	report := wire.PoolTotals{Pool: pool, Queued: uint32(len(s.waiting))}
-	if s.closed == nil && s.exclusive == nil {
+	if s.closed == nil && s.exclusive == nil && s.requestLimit.wait(time.Now()) == 0 {
 		report.Free = uint32(max(s.slots-s.occupied(), 0))
 	}
 	totals := make(map[workspace.RowID]wire.Total)
--- a/internal/agent/run.go
+++ b/internal/agent/run.go
@@ -126,6 +126,7 @@
 		return a.failedCallResult(at, err)
 	}
 	defer func() { _ = answer.Close() }()
+	a.sched.recordRequestLimit(at, answer.Header())
 	return a.copyAnswer(at, answer)
 }
 
--- a/internal/agent/scheduler.go
+++ b/internal/agent/scheduler.go
@@ -51,7 +51,9 @@
 	waitingInteractive int                            // interactive attempts in phaseQueued
 	exclusive          *attempt                       // suspect that waits for exclusive use of the target, or has it
 	closed             *wire.Refuse                   // if set, nothing more is granted
-	meanSlotTime       time.Duration                  // moving average of the time for which a request occupies a slot
+	requestLimit       requestLimit
+	limitTimer         *time.Timer   // pending dispatch after the request limit was used up; nil if none
+	meanSlotTime       time.Duration // moving average of the time for which a request occupies a slot
 }
 
 func newScheduler(ledger *fairness.Ledger, limits *limit.ConcurrencyLimiter, slots, batchSlots int) *scheduler {
@@ -130,7 +132,7 @@
 // offers. s.mu is held.
 func (s *scheduler) dispatchLocked() {
 	s.startStaged()
-	for s.closed == nil && s.hasCapacity() {
+	for s.closed == nil && s.hasCapacity() && s.withinRequestLimit() {
 		at := s.popNext()
 		if at == nil {
 			return
@@ -209,6 +211,7 @@
 	s.adjustWaiting(at, -1)
 	at.phase = phaseGranted
 	s.granted++
+	s.requestLimit.take()
 	at.account = s.ledger.Start(at.entry.Workspace, at.entry.CostHint)
 	s.limits.Start(at.entry.Workspace, time.Now())
 	if at.offer.Class == request.ClassBatch {
--- a/internal/engine/options.go
+++ b/internal/engine/options.go
@@ -1,7 +1,10 @@
 package engine
 
 import (
+	"math"
 	"net/http"
+	"strconv"
+	"strings"
 	"time"
 
 	"github.com/mastichollow/mastichollow/internal/httpsend"
@@ -13,6 +16,22 @@
 	HeaderAttempt = "Mastichollow-Attempt" // attempt ID
 )
 
+// headerRequestLimit is the header with which an answer names the requests per second
+// (decimal) that the target accepts, for as long as its answers name it.
+const headerRequestLimit = "Mastichollow-Request-Limit"
+
+// RequestLimit returns the request limit that the header of an answer names. named is false
+// if it names none; valid is false if it cannot be read.
+func RequestLimit(h http.Header) (perSecond float64, named, valid bool) {
+	text := strings.TrimSpace(h.Get(headerRequestLimit))
+	if text == "" {
+		return 0, false, true
+	}
+	perSecond, err := strconv.ParseFloat(text, 64)
+	valid = err == nil && perSecond >= 0 && !math.IsInf(perSecond, 0)
+	return perSecond, valid, valid
+}
+
 // ProblemFenced is the last path element of the problem type with which a target
 // rejects a call whose fencing number is too low (status 409).
 const ProblemFenced = "fenced"
