Order lists of targets by the store's era before its revision

Cause: a list with a lower revision than the one before counted as older, at a gate, in a relay's feed and at its members, and all lists are lower until as many transactions were made again; the first one that counted was then taken for the first after the outage, so that what was missing from it was retained for 2.2 s more. The class of fault is a version that is compared across the lives of its counter.

A list's position is now the era and the number, in this order, also between relay and member.

--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -51,7 +51,7 @@
 	// lastDroppedRemoval is the sequence number of the newest removal that is no longer
 	// in removals.
 	lastDroppedRemoval uint64
-	revision           int64
+	revision           Revision
 	targetsAsOf        time.Duration // a time at which the target list was the newest
 	storeRecoveredAt   time.Duration // 0: the connection was never lost
 	// tableUnavailable and targetsUnavailable are set while this gate does not follow them
@@ -115,7 +115,7 @@
 }
 
 // CacheTargets is CacheTable for the target list.
-func (f *Feed) CacheTargets(listed []target.Instance, revision int64) {
+func (f *Feed) CacheTargets(listed []target.Instance, revision Revision) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.replaceTargets(listed, revision)
@@ -140,7 +140,7 @@
 
 // SetTargets stores the target list of a revision of the store, which was the newest at
 // asOf. recovered reports that the connection to the store was lost before this read.
-func (f *Feed) SetTargets(listed []target.Instance, revision int64, asOf time.Duration, recovered bool) {
+func (f *Feed) SetTargets(listed []target.Instance, revision Revision, asOf time.Duration, recovered bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.targetsUnavailable = false
@@ -155,8 +155,8 @@
 
 // replaceTargets replaces the target list unless the new one is older, and reports
 // whether the list changed. The caller holds mu.
-func (f *Feed) replaceTargets(listed []target.Instance, revision int64) bool {
-	if revision < f.revision {
+func (f *Feed) replaceTargets(listed []target.Instance, revision Revision) bool {
+	if revision.Before(f.revision) {
 		return false
 	}
 	f.revision = revision
@@ -245,7 +245,7 @@
 func (f *Feed) respond(req pollRequest, arrived time.Duration) (*pollResponse, <-chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.tableVersion == 0 || f.revision == 0 || !req.AnyAge && (f.tableUnavailable || f.targetsUnavailable) {
+	if f.tableVersion == 0 || f.revision == (Revision{}) || !req.AnyAge && (f.tableUnavailable || f.targetsUnavailable) {
 		return nil, nil, errStale
 	}
 	if req.AnyAge {
@@ -263,7 +263,7 @@
 // caller holds mu.
 func (f *Feed) changesSince(req pollRequest, arrived time.Duration) *pollResponse {
 	resp := &pollResponse{
-		Epoch: f.epoch, Sequence: f.sequence, Revision: f.revision,
+		Epoch: f.epoch, Sequence: f.sequence, Revision: f.revision.Number, TargetsEra: f.revision.Era,
 		Full:         req.Epoch != f.epoch || req.Sequence < f.lastDroppedRemoval || req.Sequence > f.sequence,
 		TableVersion: f.tableVersion, Confirmations: f.confirmations, TableAge: arrived - f.tableAsOf,
 	}
--- a/internal/relay/member.go
+++ b/internal/relay/member.go
@@ -50,7 +50,7 @@
 	ApplyTable(data []byte, asOf time.Duration) error
 	// ApplyTargets stores the full target list of a revision of the store. sinceRecovery
 	// is the time since the relay reconnected to the store; 0 if it never lost it.
-	ApplyTargets(listed []target.Instance, revision int64, sinceRecovery time.Duration)
+	ApplyTargets(listed []target.Instance, revision Revision, sinceRecovery time.Duration)
 }
 
 // Config configures a Member.
@@ -200,7 +200,7 @@
 	if !m.applyChanges(resp) {
 		return errors.New("response holds only changes, but no full target list was received")
 	}
-	m.config.View.ApplyTargets(m.targetList(), resp.Revision, resp.SinceRecovery)
+	m.config.View.ApplyTargets(m.targetList(), resp.revision(), resp.SinceRecovery)
 	m.position.Epoch, m.position.Sequence, m.position.Confirmations = resp.Epoch, resp.Sequence, resp.Confirmations
 	if !m.Served() {
 		m.config.Log.Info("served by a relay", "relay", relay.String(), "targets", len(m.targets), "table_version", resp.TableVersion)
@@ -228,6 +228,8 @@
 	return true
 }
 
+func (r *pollResponse) revision() Revision { return Revision{Era: r.TargetsEra, Number: r.Revision} }
+
 func (m *Member) targetList() []target.Instance {
 	all := make([]target.Instance, 0, len(m.targets))
 	for _, instance := range m.targets {
@@ -252,7 +254,7 @@
 	for _, instance := range resp.Targets {
 		listed = append(listed, instance.decode())
 	}
-	m.config.View.ApplyTargets(listed, resp.Revision, resp.SinceRecovery)
+	m.config.View.ApplyTargets(listed, resp.revision(), resp.SinceRecovery)
 	return nil
 }
 
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -9,6 +9,18 @@
 // Path is the HTTP path at which a gate serves its Feed to its peers.
 const Path = "/relay"
 
+// Revision is a revision of the metadata store. Numbers are comparable only within an era,
+// which rises when the store is restored from an older copy.
+type Revision struct {
+	Era    int64
+	Number int64
+}
+
+// Before reports whether r is older than other.
+func (r Revision) Before(other Revision) bool {
+	return r.Era < other.Era || r.Era == other.Era && r.Number < other.Number
+}
+
 // pollRequest describes the state of a member. It is zero in the first request to a relay,
 // except for TableVersion.
 type pollRequest struct {
@@ -31,7 +43,7 @@
 	Full    bool           `cbor:"3,keyasint"`
 	Targets []wireInstance `cbor:"4,keyasint,omitempty"`
 	Removed []string       `cbor:"5,keyasint,omitempty"` // IDs of removed targets
-	// Revision is the revision of the targets in the store.
+	// Revision is the number of the revision of the targets in the store, in TargetsEra.
 	Revision int64 `cbor:"6,keyasint"`
 	// SinceRecovery is the time between the relay's last reconnection to the store and the
 	// arrival of the request; 0 if the relay never lost the store. Entries of live targets
@@ -45,7 +57,8 @@
 	Confirmations uint64 `cbor:"10,keyasint"`
 	// TableAge is the time between the relay's last confirmation of the table and the
 	// arrival of the request; negative if the confirmation came later.
-	TableAge time.Duration `cbor:"11,keyasint"`
+	TableAge   time.Duration `cbor:"11,keyasint"`
+	TargetsEra int64         `cbor:"12,keyasint,omitempty"`
 }
 
 // wireInstance is the wire format of a target.Instance.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -26,7 +26,7 @@
 	version       int64
 	asOf          time.Duration
 	listed        map[string]target.Instance
-	revision      int64
+	revision      Revision
 	sinceRecovery time.Duration
 }
 
@@ -42,7 +42,7 @@
 	return nil
 }
 
-func (v *recordingView) ApplyTargets(listed []target.Instance, revision int64, sinceRecovery time.Duration) {
+func (v *recordingView) ApplyTargets(listed []target.Instance, revision Revision, sinceRecovery time.Duration) {
 	v.listed = make(map[string]target.Instance)
 	for _, in := range listed {
 		v.listed[in.ID] = in
@@ -112,11 +112,11 @@
 func TestMemberReceivesRelayState(t *testing.T) {
 	p := newPair(t)
 	p.setTable(3)
-	p.feed.SetTargets(instances(1, 2), 7, p.now(), false)
+	p.feed.SetTargets(instances(1, 2), Revision{Number: 7}, p.now(), false)
 	require.NoError(t, p.poll())
 	require.True(t, p.member.Served())
 	require.EqualValues(t, 3, p.view.version)
-	require.EqualValues(t, 7, p.view.revision)
+	require.Equal(t, Revision{Number: 7}, p.view.revision)
 	require.Len(t, p.view.listed, 2)
 	require.Zero(t, p.view.sinceRecovery)
 }
@@ -124,7 +124,7 @@
 func TestPollReturnsOnChange(t *testing.T) {
 	p := newPair(t)
 	p.setTable(3)
-	p.feed.SetTargets(instances(1, 2), 7, p.now(), false)
+	p.feed.SetTargets(instances(1, 2), Revision{Number: 7}, p.now(), false)
 	require.NoError(t, p.poll())
 	done := make(chan error, 1)
 	go func() { done <- p.poll() }()
@@ -133,7 +133,7 @@
 		t.Fatalf("poll returned without a change: %v", err)
 	case <-time.After(50 * time.Millisecond):
 	}
-	p.feed.SetTargets(instances(1), 8, p.now(), false)
+	p.feed.SetTargets(instances(1), Revision{Number: 8}, p.now(), false)
 	require.NoError(t, <-done)
 	require.Len(t, p.view.listed, 1)
 }
@@ -153,7 +153,7 @@
 			p := newPair(t)
 			newest := p.now()
 			p.setTable(3)
-			p.feed.SetTargets(instances(1), 7, p.now(), false)
+			p.feed.SetTargets(instances(1), Revision{Number: 7}, p.now(), false)
 			p.advance(c.age)
 			p.beforeRequest = func() { p.advance(c.before) }
 			p.beforeResponse = func() { p.advance(c.after) }
@@ -176,7 +176,7 @@
 		"targets unavailable": func(p *pair) { p.feed.MarkTargetsUnavailable() },
 		"old table": func(p *pair) {
 			p.advance(maxTableAge + time.Millisecond)
-			p.feed.SetTargets(instances(1), 8, p.now(), false)
+			p.feed.SetTargets(instances(1), Revision{Number: 8}, p.now(), false)
 		},
 		"old target list":        func(p *pair) { p.advance(maxTargetsAge + time.Millisecond); p.feed.SetTable(3, nil, p.now()) },
 		"no update for a minute": func(p *pair) { p.advance(time.Minute) },
@@ -185,7 +185,7 @@
 			t.Parallel()
 			p := newPair(t)
 			p.setTable(3)
-			p.feed.SetTargets(instances(1), 7, p.now(), false)
+			p.feed.SetTargets(instances(1), Revision{Number: 7}, p.now(), false)
 			require.NoError(t, p.poll())
 			makeStale(p)
 			start := time.Now()
@@ -202,7 +202,7 @@
 func TestMemberReceivesStoreRecovery(t *testing.T) {
 	p := newPair(t)
 	p.setTable(3)
-	p.feed.SetTargets(instances(1, 2), 7, p.now(), true)
+	p.feed.SetTargets(instances(1, 2), Revision{Number: 7}, p.now(), true)
 	p.advance(time.Second)
 	require.NoError(t, p.poll())
 	require.Equal(t, time.Second, p.view.sinceRecovery)
@@ -224,7 +224,7 @@
 				for i := range listed {
 					listed[i].Draining = rapid.Bool().Draw(t, "draining")
 				}
-				p.feed.SetTargets(listed, revision, p.now(), false)
+				p.feed.SetTargets(listed, Revision{Number: revision}, p.now(), false)
 			}
 			if rapid.IntRange(0, 5).Draw(t, "restart") == 0 {
 				p.feed.epoch++
@@ -242,10 +242,10 @@
 func TestMemberTooFarBehindGetsFullList(t *testing.T) {
 	p := newPair(t)
 	p.setTable(3)
-	p.feed.SetTargets(instances(1, 2), 1, p.now(), false)
+	p.feed.SetTargets(instances(1, 2), Revision{Number: 1}, p.now(), false)
 	require.NoError(t, p.poll())
 	for i := range maxRemovals + 5 {
-		p.feed.SetTargets(instances(i+10), int64(i+2), p.now(), false)
+		p.feed.SetTargets(instances(i+10), Revision{Number: int64(i + 2)}, p.now(), false)
 	}
 	require.Len(t, p.feed.removals, maxRemovals)
 	require.NoError(t, p.poll())
@@ -280,7 +280,7 @@
 				ids[i] = i
 			}
 			p.setTable(3)
-			p.feed.SetTargets(instances(ids...), 7, p.now(), false)
+			p.feed.SetTargets(instances(ids...), Revision{Number: 7}, p.now(), false)
 			require.NoError(b, p.poll())
 			b.ResetTimer()
 			for b.Loop() {
