Do not revive targets that left before the store was restored

The copy from which the store is restored lists targets as ready that have said since that they leave, or whose rows are gone. Class: an entry taken for news because it arrived later.

A gate remembers for two minutes which runs of targets left. For 8 s after the era rose, three report intervals of silence and the time in which live targets register again, an entry of such a run is draining, whatever it says; a restarted target, or one that left and came back after the restore, counts.

--- a/internal/target/draining.go
+++ b/internal/target/draining.go
@@ -14,6 +14,56 @@
 	drainNoticeReportTime = 4 * time.Second
 )
 
+// restoredRowLifetime is how long after a restore the store may list entries of targets that
+// have left: such an entry expires after three report intervals of silence, and a live target
+// writes its own within about two seconds.
+const restoredRowLifetime = 8 * time.Second
+
+// departure is a target that was listed as draining or was removed.
+type departure struct {
+	startedMillis int64 // start of the target, Unix milliseconds
+	at            time.Duration
+}
+
+// MarkRestored records that the store was restored from an older copy, which may list targets
+// as live that have left since. Until their entries have expired, targets that left before now
+// stay unavailable.
+func (d *Directory) MarkRestored(now time.Duration) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.restoredAt, d.restored = now, true
+}
+
+// applyDepartures returns the list with the targets marked as draining that left before the
+// store was restored, and records those that it lists as draining.
+func (d *Directory) applyDepartures(instances []Instance, now time.Duration) []Instance {
+	if now-d.restoredAt > restoredRowLifetime {
+		d.restored = false
+	}
+	for id, left := range d.departures {
+		if now-left.at > drainNoticeRetention {
+			delete(d.departures, id)
+		}
+	}
+	cloned := false
+	for i := range instances {
+		instance := &instances[i]
+		if instance.Draining {
+			d.departures[instance.ID] = departure{instance.StartedMillis, now}
+			continue
+		}
+		left, found := d.departures[instance.ID]
+		if !d.restored || !found || left.at > d.restoredAt || left.startedMillis != instance.StartedMillis {
+			continue
+		}
+		if !cloned {
+			instances, cloned = slices.Clone(instances), true
+		}
+		instances[i].Draining = true
+	}
+	return instances
+}
+
 // drainNotice is a target's announcement that it is draining.
 type drainNotice struct {
 	startedMillis int64 // start of the target, Unix milliseconds
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -41,6 +41,8 @@
 // Invariants:
 //   - An instance that was listed as draining, or was removed, is unavailable until its
 //     entry in the store lists it as live again.
+//   - An instance that left before the store was restored from a copy stays unavailable
+//     until the entries of the copy have expired.
 //   - An instance that announced its own drain is unavailable until it restarts, whatever
 //     its entry says.
 //   - Entries that expired while the store was unreachable stay available until
@@ -54,6 +56,11 @@
 	graceEnds map[string]time.Duration
 	// drainNotices holds the drains that targets announced, by target ID.
 	drainNotices map[string]drainNotice
+	// departures holds the targets that left recently, by target ID.
+	departures map[string]departure
+	// restored is set for restoredRowLifetime after restoredAt, when the store was restored.
+	restored   bool
+	restoredAt time.Duration
 }
 
 // Snapshot is an immutable state of a Directory.
@@ -64,7 +71,7 @@
 
 // NewDirectory returns a directory with no targets.
 func NewDirectory() *Directory {
-	d := &Directory{graceEnds: make(map[string]time.Duration), drainNotices: make(map[string]drainNotice)}
+	d := &Directory{graceEnds: make(map[string]time.Duration), drainNotices: make(map[string]drainNotice), departures: make(map[string]departure)}
 	d.current.Store(newSnapshot(nil))
 	return d
 }
@@ -95,7 +102,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	previous := d.Current()
-	instances = d.applyDrainNotices(instances, now)
+	instances = d.applyDrainNotices(d.applyDepartures(instances, now), now)
 	listed := newSnapshot(instances)
 	var change Change
 	for id, instance := range previous.byID {
@@ -108,6 +115,7 @@
 			continue
 		}
 		change.Removed = append(change.Removed, id)
+		d.departures[id] = departure{instance.StartedMillis, now}
 	}
 	for id, instance := range listed.byID {
 		previousInstance, known := previous.byID[id]
--- a/internal/target/instance_test.go
+++ b/internal/target/instance_test.go
@@ -123,3 +123,44 @@
 		require.Empty(t, d.Current().Available("letters"))
 	}
 }
+
+// The copy from which the store was restored lists targets as live that have left since.
+func TestDepartedTargetsUnavailableAfterRestore(t *testing.T) {
+	d := NewDirectory()
+	drained, removed, live := testInstance("drained"), testInstance("removed"), testInstance("live")
+	old := []Instance{drained, removed, live}
+	d.Replace(old, 0, false)
+	leaving := drained
+	leaving.Draining = true
+	d.Replace([]Instance{leaving, live}, time.Second, false)
+	require.Equal(t, []Instance{live}, d.Current().Available("letters"))
+
+	restoredAt := 4 * time.Second
+	d.MarkRestored(restoredAt)
+	for _, now := range []time.Duration{restoredAt, restoredAt + restoredRowLifetime} {
+		d.Replace(old, now, true)
+		require.Equal(t, []Instance{live}, d.Current().Available("letters"), "at %v", now)
+	}
+
+	d.Replace([]Instance{drained, removed}, restoredAt+time.Second, false)
+	d.Replace(old, restoredAt+2*time.Second, false)
+	require.Equal(t, []Instance{live}, d.Current().Available("letters"), "live left and came back after the restore")
+
+	restarted := drained
+	restarted.StartedMillis++
+	d.Replace([]Instance{restarted, removed, live}, restoredAt+3*time.Second, false)
+	require.Len(t, d.Current().Available("letters"), 2, "the target restarted")
+
+	d.Replace(old, restoredAt+restoredRowLifetime+time.Second, false)
+	require.Len(t, d.Current().Available("letters"), 3, "the entries have not expired: the targets are live")
+}
+
+func TestDeparturesForgotten(t *testing.T) {
+	d := NewDirectory()
+	for n := range 100 {
+		instance := testInstance("a")
+		instance.ID = string(rune('a' + n))
+		d.Replace([]Instance{instance}, time.Duration(n)*time.Minute, false)
+	}
+	require.LessOrEqual(t, len(d.departures), int(drainNoticeRetention/time.Minute)+1)
+}
