Identify a table by content and era beside its version

A version that came again with other content after a restore was ignored by gates, and by members of relays, until the next version: callers would be served by the lost change. And reading an older table, which the store lists until the operator has written the newest one again, confirmed the newer one in use, although a still newer one may be lost, with a key revoked: the key would have been accepted for longer than allowed. Class: a version compared across the lives of its counter, and an old read taken for a confirmation.

An edition is the version, the hash of the content and the newest era in which it was read. A higher version supersedes, also of an older era, since acknowledged writes are written again; the same version with other content does in a later era; a lower one never does, and in a later era does not confirm. Relays compare the hash too and pass the era on.

--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -236,7 +236,7 @@
 
 func TestNotReadyWithoutTableOrTargets(t *testing.T) {
 	f := newFixture(t, testRoutes(once), succeed("whole"))
-	f.table.table.Store(nil)
+	f.table.cached.Store(nil)
 	require.Equal(t, 503, f.send("/p/", "b").status)
 	require.Error(t, f.gate.Ready())
 	f.setTable(2, testRoutes(once))
@@ -260,16 +260,16 @@
 	c := NewTableCache(func() time.Duration { return now })
 	table, err := route.New(route.Config{Version: 1})
 	require.NoError(t, err)
-	c.Confirm(nil, 0)
 	if cached, _ := c.Current(); cached != nil {
 		t.Fatal("nothing was confirmed")
 	}
 	now = 10 * time.Second
-	c.Confirm(table, 9*time.Second)
+	edition := route.Edition{Version: 1}
+	c.Confirm(table, edition, 9*time.Second)
 	_, age := c.Current()
 	require.Equal(t, time.Second, age)
 	now = 20 * time.Second
-	c.Confirm(nil, 8*time.Second) // a late response does not extend the confirmation
+	c.Confirm(table, edition, 8*time.Second) // a late response does not extend the confirmation
 	_, age = c.Current()
 	require.Equal(t, 11*time.Second, age)
 }
--- a/internal/gate/harness_test.go
+++ b/internal/gate/harness_test.go
@@ -132,7 +132,7 @@
 		Limits:     route.Limits{BodyBytes: 1000},
 	})
 	require.NoError(f.t, err)
-	f.table.Confirm(table, 0)
+	f.table.Confirm(table, route.Edition{Version: version}, 0)
 }
 
 func (f *fixture) startTarget(id string, handler targetHandler) string {
--- a/internal/gate/table_cache.go
+++ b/internal/gate/table_cache.go
@@ -14,39 +14,58 @@
 // Invariant: the version never decreases during the life of the process.
 type TableCache struct {
 	confirmMu sync.Mutex // tables arrive from the store and from peers concurrently
-	table     atomic.Pointer[route.Table]
+	cached    atomic.Pointer[cachedTable]
 	confirmed atomic.Int64 // on the clock now
 	now       func() time.Duration
 }
 
+type cachedTable struct {
+	table   *route.Table
+	edition route.Edition
+}
+
 // NewTableCache returns a cache without a table. now is a clock that includes time
 // for which the machine was suspended.
 func NewTableCache(now func() time.Duration) *TableCache {
 	return &TableCache{now: now}
 }
 
-// Confirm stores a table that was the newest one at asOf or, if table is nil, confirms
-// that the cached one was. It reports whether the cached version increased.
-func (c *TableCache) Confirm(table *route.Table, asOf time.Duration) bool {
+// Confirm stores a table that the store had at asOf, if it supersedes the cached one.
+// updated reports whether it did, and confirmed whether the table that is cached now was the
+// newest one at asOf.
+func (c *TableCache) Confirm(table *route.Table, edition route.Edition, asOf time.Duration) (updated, confirmed bool) {
 	c.confirmMu.Lock()
 	defer c.confirmMu.Unlock()
-	cached := c.table.Load()
-	updated := table != nil && (cached == nil || table.Version() > cached.Version())
-	if updated {
-		c.table.Store(table)
+	cached := c.cached.Load()
+	switch {
+	case cached == nil || edition.Supersedes(cached.edition):
+		c.cached.Store(&cachedTable{table, edition})
+		updated = true
+	case !edition.Confirms(cached.edition):
+		return false, false
+	case edition.Same(cached.edition) && edition.Era > cached.edition.Era:
+		c.cached.Store(&cachedTable{cached.table, edition})
 	}
-	if c.table.Load() != nil && int64(asOf) > c.confirmed.Load() {
+	if int64(asOf) > c.confirmed.Load() {
 		c.confirmed.Store(int64(asOf))
 	}
-	return updated
+	return updated, true
+}
+
+// Edition returns the edition of the cached table, zero if there is none.
+func (c *TableCache) Edition() route.Edition {
+	if cached := c.cached.Load(); cached != nil {
+		return cached.edition
+	}
+	return route.Edition{}
 }
 
 // Current returns the cached table, nil if there is none yet, and its age: the time
 // since it was last confirmed to be the newest.
 func (c *TableCache) Current() (*route.Table, time.Duration) {
-	table := c.table.Load()
-	if table == nil {
+	cached := c.cached.Load()
+	if cached == nil {
 		return nil, 0
 	}
-	return table, c.now() - time.Duration(c.confirmed.Load())
+	return cached.table, c.now() - time.Duration(c.confirmed.Load())
 }
--- a/internal/relay/bootstrap_test.go
+++ b/internal/relay/bootstrap_test.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/route"
 )
 
 // A peer that lost the store must still serve its cached state to a gate that starts.
@@ -30,14 +32,14 @@
 // bootstrap, never replace it by an older one, and not act as a relay itself.
 func TestBootstrapServesStateFromRelay(t *testing.T) {
 	p := newPair(t)
-	p.feed.SetTable(3, []byte("table 3"), p.now())
+	p.feed.SetTable(route.Edition{Version: 3}, []byte("table 3"), p.now())
 	p.feed.SetTargets(instances(1), Revision{Number: 7}, p.now(), false)
 	p.feed.MarkTableUnavailable()
 	p.feed.MarkTargetsUnavailable()
 	p.advance(time.Second)
-	p.feed.CacheTable(5, []byte("table 5"), p.now())
+	p.feed.CacheTable(route.Edition{Version: 5}, []byte("table 5"), p.now())
 	p.feed.CacheTargets(instances(1, 2, 3), Revision{Number: 9})
-	p.feed.CacheTable(4, []byte("table 4"), p.now())
+	p.feed.CacheTable(route.Edition{Version: 4}, []byte("table 4"), p.now())
 	p.feed.CacheTargets(instances(1), Revision{Number: 8}) // both calls are outdated
 	require.NoError(t, p.member.Bootstrap(context.Background(), p.addr))
 	require.EqualValues(t, 5, p.view.version)
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -12,6 +12,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/fxamacker/cbor/v2"
 
+	"github.com/mastichollow/mastichollow/internal/route"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
@@ -58,7 +59,7 @@
 	// in the store.
 	tableUnavailable, targetsUnavailable bool
 
-	tableVersion  int64
+	edition       route.Edition // of table
 	table         []byte
 	confirmations uint64
 	tableAsOf     time.Duration // a time at which the table was the newest
@@ -88,28 +89,34 @@
 
 // SetTable stores a table that was read from the store, in the platform's encoding. Empty
 // data confirms the cached one. asOf is a time at which the table was the newest.
-func (f *Feed) SetTable(version int64, data []byte, asOf time.Duration) {
+func (f *Feed) SetTable(edition route.Edition, data []byte, asOf time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(data) > 0 && version > f.tableVersion {
-		f.tableVersion, f.table = version, data
-	}
+	f.replaceTable(edition, data)
 	f.tableAsOf = max(f.tableAsOf, asOf)
 	f.confirmations++
 	f.tableUnavailable = false
 	f.notify()
 }
 
+// replaceTable stores a table that supersedes the cached one. The caller holds mu.
+func (f *Feed) replaceTable(edition route.Edition, data []byte) {
+	switch {
+	case len(data) > 0 && edition.Supersedes(f.edition):
+		f.edition, f.table = edition, data
+	case edition.Same(f.edition):
+		f.edition.Era = max(f.edition.Era, edition.Era)
+	}
+}
+
 // CacheTable stores the table that this gate uses, which came from the store or from a
 // relay, so that peers can bootstrap from it while the store is unreachable. Empty data
 // confirms the cached table. It does not make this gate a relay.
-func (f *Feed) CacheTable(version int64, data []byte, asOf time.Duration) {
+func (f *Feed) CacheTable(edition route.Edition, data []byte, asOf time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if len(data) > 0 && version > f.tableVersion {
-		f.tableVersion, f.table = version, data
-	}
-	if version == f.tableVersion {
+	f.replaceTable(edition, data)
+	if edition.Same(f.edition) {
 		f.tableAsOf = max(f.tableAsOf, asOf)
 	}
 }
@@ -245,7 +252,7 @@
 func (f *Feed) respond(req pollRequest, arrived time.Duration) (*pollResponse, <-chan struct{}, error) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.tableVersion == 0 || f.revision == (Revision{}) || !req.AnyAge && (f.tableUnavailable || f.targetsUnavailable) {
+	if f.edition.Version == 0 || f.revision == (Revision{}) || !req.AnyAge && (f.tableUnavailable || f.targetsUnavailable) {
 		return nil, nil, errStale
 	}
 	if req.AnyAge {
@@ -265,12 +272,12 @@
 	resp := &pollResponse{
 		Epoch: f.epoch, Sequence: f.sequence, Revision: f.revision.Number, TargetsEra: f.revision.Era,
 		Full:         req.Epoch != f.epoch || req.Sequence < f.lastDroppedRemoval || req.Sequence > f.sequence,
-		TableVersion: f.tableVersion, Confirmations: f.confirmations, TableAge: arrived - f.tableAsOf,
+		TableVersion: f.edition.Version, TableEra: f.edition.Era, Confirmations: f.confirmations, TableAge: arrived - f.tableAsOf,
 	}
 	if f.storeRecoveredAt > 0 {
 		resp.SinceRecovery = max(arrived-f.storeRecoveredAt, time.Nanosecond)
 	}
-	if req.TableVersion != f.tableVersion {
+	if req.TableVersion != f.edition.Version || req.TableDigest != f.edition.Digest {
 		resp.Table = f.table
 	}
 	for _, e := range f.targets {
--- a/internal/relay/member.go
+++ b/internal/relay/member.go
@@ -16,6 +16,7 @@
 
 	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/internal/metric"
+	"github.com/mastichollow/mastichollow/internal/route"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
@@ -43,11 +44,11 @@
 
 // View is the cached state of a gate that the responses of a relay update.
 type View interface {
-	// TableVersion returns the version of the cached table, 0 if there is none.
-	TableVersion() int64
-	// ApplyTable stores a table in the platform's encoding. Empty data confirms the cached
-	// table. The table was the newest at asOf.
-	ApplyTable(data []byte, asOf time.Duration) error
+	// TableEdition returns the edition of the cached table, zero if there is none.
+	TableEdition() route.Edition
+	// ApplyTable stores a table in the platform's encoding, which was the newest at asOf in
+	// an era of the store. Empty data confirms the cached table.
+	ApplyTable(data []byte, era int64, asOf time.Duration) error
 	// ApplyTargets stores the full target list of a revision of the store. sinceRecovery
 	// is the time since the relay reconnected to the store; 0 if it never lost it.
 	ApplyTargets(listed []target.Instance, revision Revision, sinceRecovery time.Duration)
@@ -182,7 +183,8 @@
 	if relay != m.relay {
 		m.relay, m.position, m.targets = relay, pollRequest{}, nil
 	}
-	m.position.TableVersion = m.config.View.TableVersion()
+	edition := m.config.View.TableEdition()
+	m.position.TableVersion, m.position.TableDigest = edition.Version, edition.Digest
 	sentAt := m.config.Now()
 	resp, err := m.sendPoll(ctx, relay, m.position)
 	if err != nil {
@@ -194,7 +196,7 @@
 	if age := m.config.Now() - asOf; age > maxTableAge {
 		return errors.Newf("table of the relay is %d ms old", age.Milliseconds())
 	}
-	if err := m.config.View.ApplyTable(resp.Table, asOf); err != nil {
+	if err := m.config.View.ApplyTable(resp.Table, resp.TableEra, asOf); err != nil {
 		return err
 	}
 	if !m.applyChanges(resp) {
@@ -247,7 +249,7 @@
 	if err != nil {
 		return err
 	}
-	if err := m.config.View.ApplyTable(resp.Table, sentAt-resp.TableAge); err != nil {
+	if err := m.config.View.ApplyTable(resp.Table, resp.TableEra, sentAt-resp.TableAge); err != nil {
 		return err
 	}
 	listed := make([]target.Instance, 0, len(resp.Targets))
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -22,7 +22,7 @@
 }
 
 // pollRequest describes the state of a member. It is zero in the first request to a relay,
-// except for TableVersion.
+// except for the table.
 type pollRequest struct {
 	Epoch int64 `cbor:"1,keyasint"` // epoch of the feed that issued Sequence
 	// Sequence is the number of the last change of targets that the member applied.
@@ -33,6 +33,9 @@
 	Confirmations uint64 `cbor:"4,keyasint"`
 	// AnyAge requests the full cached state, regardless of its age.
 	AnyAge bool `cbor:"5,keyasint,omitempty"`
+	// TableDigest is the digest of the member's table: a version may have come again with
+	// other content.
+	TableDigest uint64 `cbor:"6,keyasint,omitempty"`
 }
 
 // pollResponse holds the changes since the state that a pollRequest describes.
@@ -51,7 +54,7 @@
 	SinceRecovery time.Duration `cbor:"7,keyasint"`
 
 	TableVersion int64 `cbor:"8,keyasint"`
-	// Table is the table in the platform's encoding; empty if the member has this version.
+	// Table is the table in the platform's encoding; empty if the member has it.
 	Table []byte `cbor:"9,keyasint,omitempty"`
 	// Confirmations counts the reads of the store that returned or confirmed the table.
 	Confirmations uint64 `cbor:"10,keyasint"`
@@ -59,6 +62,7 @@
 	// arrival of the request; negative if the confirmation came later.
 	TableAge   time.Duration `cbor:"11,keyasint"`
 	TargetsEra int64         `cbor:"12,keyasint,omitempty"`
+	TableEra   int64         `cbor:"13,keyasint,omitempty"`
 }
 
 // wireInstance is the wire format of a target.Instance.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -18,6 +18,7 @@
 	"pgregory.net/rapid"
 
 	_ "github.com/mastichollow/mastichollow/internal/fixedseed"
+	"github.com/mastichollow/mastichollow/internal/route"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
@@ -30,9 +31,9 @@
 	sinceRecovery time.Duration
 }
 
-func (v *recordingView) TableVersion() int64 { return v.version }
+func (v *recordingView) TableEdition() route.Edition { return route.Edition{Version: v.version} }
 
-func (v *recordingView) ApplyTable(data []byte, asOf time.Duration) error {
+func (v *recordingView) ApplyTable(data []byte, _ int64, asOf time.Duration) error {
 	if len(data) > 0 {
 		if _, err := fmt.Sscanf(string(data), "table %d", &v.version); err != nil {
 			return err
@@ -96,7 +97,7 @@
 }
 
 func (p *pair) setTable(version int64) {
-	p.feed.SetTable(version, fmt.Appendf(nil, "table %d", version), p.now())
+	p.feed.SetTable(route.Edition{Version: version}, fmt.Appendf(nil, "table %d", version), p.now())
 }
 
 func (p *pair) poll() error { return p.member.poll(context.Background(), p.addr) }
@@ -178,7 +179,10 @@
 			p.advance(maxTableAge + time.Millisecond)
 			p.feed.SetTargets(instances(1), Revision{Number: 8}, p.now(), false)
 		},
-		"old target list":        func(p *pair) { p.advance(maxTargetsAge + time.Millisecond); p.feed.SetTable(3, nil, p.now()) },
+		"old target list": func(p *pair) {
+			p.advance(maxTargetsAge + time.Millisecond)
+			p.feed.SetTable(route.Edition{Version: 3}, nil, p.now())
+		},
 		"no update for a minute": func(p *pair) { p.advance(time.Minute) },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -284,7 +288,7 @@
 			require.NoError(b, p.poll())
 			b.ResetTimer()
 			for b.Loop() {
-				p.feed.SetTable(3, nil, p.now())
+				p.feed.SetTable(route.Edition{Version: 3}, nil, p.now())
 				if err := p.poll(); err != nil {
 					b.Fatal(err)
 				}
