Soak: a store that is restored from copies

In every seventh seed the store is away for up to 2 s again and again and comes back from a copy up to 5 s old, with a higher era; what the operator and the targets wrote is written again within 2 s.

--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -37,6 +37,7 @@
 	Plan       []Step
 	Crashes    int // of targets, by calls with the crashing part
 	LimitUses  int // times that a target named a request limit
+	Restores   int // of the store from a copy
 }
 
 const (
@@ -75,6 +76,7 @@
 	drainedAt  map[string]time.Time
 	crashes    []time.Time // of targets, by calls with the crashing part
 	limitUses  []limitUse
+	restores   int // of the store
 }
 
 // Run executes the plan of a seed against a new deployment and checks the outcome.
@@ -91,7 +93,7 @@
 	violations, err := d.check()
 	result := &Result{
 		Seed: seed, Profile: profile, Steps: len(steps), Plan: steps, Calls: len(d.records),
-		Statuses: make(map[int]int), Violations: violations, Crashes: len(d.crashes), LimitUses: len(d.limitUses),
+		Statuses: make(map[int]int), Violations: violations, Crashes: len(d.crashes), LimitUses: len(d.limitUses), Restores: d.restores,
 	}
 	for i := range d.records {
 		if d.records[i].AbandonedAt.IsZero() {
@@ -158,7 +160,9 @@
 	stop := d.startCallers(ctx, seed, "a", false)
 	stopCrashers := d.startCrashers(ctx, seed)
 	stopLimiting := d.startLimiting(ctx, seed)
+	stopRestoring := d.startRestoring(ctx, seed)
 	stepErr := d.runSteps(ctx, steps)
+	stopRestoring()
 	stopLimiting()
 	stopCrashers()
 	stop()
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -52,6 +52,17 @@
 	require.Positive(t, result.LimitUses)
 }
 
+func TestShortSoakWithRestoredStore(t *testing.T) {
+	t.Parallel()
+	const seed = restoringSeedStep
+	result, err := Run(t.Context(), seed, Config{
+		ProgramPath: processtest.Path("mastichollow-gate"), Dir: t.TempDir(), FaultDuration: 9 * time.Second, Gates: 3, Targets: 3, Callers: 4,
+	})
+	require.NoError(t, err)
+	require.Empty(t, result.Violations, "%v", result.Plan)
+	require.Positive(t, result.Restores)
+}
+
 func TestRegressionSeedsHaveCause(t *testing.T) {
 	_, err := RegressionSeeds()
 	require.NoError(t, err)
