A resumed stream continues only with a response of its media type

Answers with an error status, plain successes, unsealed streams and whole heads in a body never entered a stream here, nor ended it like a complete one. But a sealed 200 without a Content-Type counted as a stream by its route, also as the continuation of one whose head named its type: its text was forwarded as events when none had been forwarded before.

A response without a media type no longer continues a stream that has one.

--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -78,6 +78,15 @@
 	return err == nil && mediaType == "text/event-stream"
 }
 
+// continuesStream reports whether a response may continue the stream whose head was
+// forwarded. If that named its media type, a response without one is no continuation.
+func (c *call) continuesStream(resp *upstream.Response) bool {
+	if c.w.Header().Get("Content-Type") != "" && resp.Header.Get("Content-Type") == "" {
+		return false
+	}
+	return c.isEventStream(resp)
+}
+
 // responseEnd returns the label of how forwarding a response ended.
 func responseEnd(err error) string {
 	if err == nil {
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -146,7 +146,7 @@
 // tried.
 func (c *call) forwardOrRetry(ctx context.Context, d admission.Decision, o sendOutcome) sendOutcome {
 	defer c.cancelSend(nil)
-	if c.headSent && !c.isEventStream(o.response) {
+	if c.headSent && !c.continuesStream(o.response) {
 		o.response.Body.Close()
 		return sendOutcome{result: admission.ResultFailed, mayHaveRun: true, err: errors.Newf("status %d without a stream to a resumed stream", o.response.Status)}
 	}
