Request limits: owners kept for 100 ms, ends reported by peers counted by their delay

The owners of a limited target were ranked for each request: at 3,000 gates a sort of 3,000 entries for each candidate. The end of a limit that a peer reports was counted from its arrival, so that it could outweigh a later response that still named the limit. A report whose limits exceed a datagram was not sent at all; the limits are left out now (TestReportWithManyRequestLimitsBounded: 4,000 of them).

--- a/internal/admission/limit_share.go
+++ b/internal/admission/limit_share.go
@@ -27,6 +27,12 @@
 	limitDemandFloor = 1
 	// limitEndReportAge is for how long a gate reports that a response named no limit.
 	limitEndReportAge = 5 * time.Second
+	// maxReportDelay bounds the time that a report takes to a peer, by which the times in it
+	// appear too late there.
+	maxReportDelay = 500 * time.Millisecond
+	// ownersInterval is how long the owners of a target are kept: they follow from reports,
+	// which come every 200 ms or more rarely.
+	ownersInterval = 100 * time.Millisecond
 )
 
 // FleetGate is a gate that may send requests to targets.
@@ -158,16 +164,24 @@
 	return max(1, int(count))
 }
 
-// owners returns the gates that send to a limited target: those with the highest demand for
-// it, by powers of two, and of these the ones in its region first.
+// owners returns the gates that send to a limited target.
 func (l *requestLimits) owners(now time.Duration, instance *target.Instance, state *requestLimit, rate float64) []FleetGate {
 	count := ownerCount(rate, len(l.fleet.Alive))
 	if count == len(l.fleet.Alive) {
 		return l.fleet.Alive
 	}
+	if len(state.owners) != count || now-state.ownersAt >= ownersInterval {
+		state.owners, state.ownersAt = l.rankGates(now, instance, state)[:count], now
+	}
+	return state.owners
+}
+
+// rankGates returns the alive gates by their demand for a limited target, by powers of two
+// so that small changes do not change the order, and of these the ones in its region first.
+func (l *requestLimits) rankGates(now time.Duration, instance *target.Instance, state *requestLimit) []FleetGate {
 	type ranked struct {
 		FleetGate
-		demand int // logarithm, so that small changes do not change the owners
+		demand int // logarithm
 		remote bool
 		score  uint64
 	}
@@ -188,11 +202,11 @@
 			return cmp.Compare(b.score, a.score)
 		}
 	})
-	owners := make([]FleetGate, count)
-	for i := range owners {
-		owners[i] = gates[i].FleetGate
+	ordered := make([]FleetGate, len(gates))
+	for i := range gates {
+		ordered[i] = gates[i].FleetGate
 	}
-	return owners
+	return ordered
 }
 
 // report returns what this gate reports, and removes state that has expired.
@@ -241,7 +255,7 @@
 			state.name(now, now-r.NamedAge, r.PerSecond)
 		}
 		if r.EndedAge >= 0 {
-			state.end(now, now-r.EndedAge)
+			state.end(now, now-r.EndedAge-maxReportDelay)
 		}
 		if _, known := state.peers[node]; known || len(state.peers) < len(l.fleet.Alive)+l.fleet.Known {
 			state.peers[node] = limitDemand{receivedAt: now, requests: r.Demand}
--- a/internal/admission/request_limit.go
+++ b/internal/admission/request_limit.go
@@ -78,9 +78,14 @@
 	reportedDemand             float64                // of this gate, as peers know it
 	peers                      map[string]limitDemand // demand of peers, by node
 
+	owners   []FleetGate // as computed at ownersAt
+	ownersAt time.Duration
+
+	// tokens are the requests that this gate may send now, as of refilledAt. fullSince is
+	// since when the bucket has been full, or its last use.
 	tokens     float64
 	refilledAt time.Duration
-	fullSince  time.Duration // since when the bucket is full without a request; the last use if it is not full
+	fullSince  time.Duration
 }
 
 type limitDemand struct {
--- a/internal/peers/limits_test.go
+++ b/internal/peers/limits_test.go
@@ -1,6 +1,7 @@
 package peers
 
 import (
+	"fmt"
 	"math"
 	"net/netip"
 	"testing"
@@ -9,6 +10,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/target"
 )
 
 func TestReportCarriesRequestLimits(t *testing.T) {
@@ -57,3 +59,16 @@
 	require.Len(t, heard.Alive, 2)
 	require.Equal(t, 4, heard.Known)
 }
+
+func TestReportWithManyRequestLimitsBounded(t *testing.T) {
+	a := newGate(t, "a")
+	for n := range 4000 {
+		many := []target.Instance{{ID: fmt.Sprintf("target-with-a-long-name-%d", n), Service: "s", Slots: 10}}
+		d := a.controller.Admit(0, request(n), many)
+		d.Lease.RecordRequestLimit(time.Millisecond, admission.RequestLimit{Statement: admission.LimitNamed, PerSecond: 2})
+		d.Lease.End(time.Millisecond, admission.ResultDone, many)
+	}
+	data, err := a.exchange.encodeReport(10 * time.Millisecond)
+	require.NoError(t, err)
+	require.LessOrEqual(t, len(data), maxReportBytes)
+}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -258,8 +258,8 @@
 	return fleet
 }
 
-// encodeReport encodes the report of this gate. It omits the suspects if the report exceeds
-// maxReportBytes with them.
+// encodeReport encodes the report of this gate. It omits the suspects, and then the request
+// limits, if the report exceeds maxReportBytes with them.
 func (e *Exchange) encodeReport(now time.Duration) ([]byte, error) {
 	report := e.controller.Report(now)
 	e.mu.Lock()
@@ -305,6 +305,10 @@
 		m.Suspects, m.Crashes = nil, nil
 		data, err = cbor.Marshal(m)
 	}
+	if err == nil && len(data) > maxReportBytes {
+		m.RequestLimits = nil
+		data, err = cbor.Marshal(m)
+	}
 	return data, err
 }
 
