Request limits: demand of peers counts until their next report

In fleets of more than some 60 gates a peer reports more rarely than every 4 s, and its demand for a limited target was then counted as none: each owner took nearly the whole limit. It counts for the time that its report does.

--- a/internal/admission/limit_share.go
+++ b/internal/admission/limit_share.go
@@ -138,7 +138,7 @@
 		return state.reportedDemand
 	}
 	demand, found := state.peers[node]
-	if !found || now-demand.receivedAt > minPeerReportLifetime {
+	if !found || now-demand.receivedAt > l.reportLifetime {
 		return 0
 	}
 	return demand.requests
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -67,6 +67,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.peerReportLifetime = max(lifetime, minPeerReportLifetime)
+	c.requestLimits.reportLifetime = c.peerReportLifetime
 }
 
 // SetGateCount sets the number of live gates, which share the retry budget.
--- a/internal/admission/request_limit.go
+++ b/internal/admission/request_limit.go
@@ -61,6 +61,8 @@
 	site    Site
 	fleet   Fleet
 	targets map[string]*requestLimit // by target ID
+	// reportLifetime is how long the demand that a peer reported counts.
+	reportLifetime time.Duration
 }
 
 // requestLimit is the state of one target.
@@ -94,7 +96,7 @@
 }
 
 func newRequestLimits(site Site) *requestLimits {
-	return &requestLimits{site: site, targets: make(map[string]*requestLimit)}
+	return &requestLimits{site: site, targets: make(map[string]*requestLimit), reportLifetime: minPeerReportLifetime}
 }
 
 // setFleet replaces the known fleet.
--- a/internal/admission/request_limit_test.go
+++ b/internal/admission/request_limit_test.go
@@ -452,3 +452,22 @@
 	c.Report(2 * limitRetention)
 	require.Empty(t, c.requestLimits.targets)
 }
+
+// In large fleets peers report rarely; their demand must count until the next report.
+func TestPeerDemandCountsForReportLifetime(t *testing.T) {
+	c := newTestController()
+	c.SetPeerReportLifetime(time.Minute)
+	c.SetFleet(Fleet{Node: "a", Known: 2, Alive: []FleetGate{NewFleetGate("a", "r"), NewFleetGate("b", "r")}})
+	engines := newEngines(1)
+	admitTo(t, c, 0, engines).Lease.RecordRequestLimit(0, namedLimit(10))
+	c.Merge(0, "b", Report{RequestLimits: map[string]LimitReport{engines[0].ID: {PerSecond: 10, NamedAge: 0, EndedAge: -1, Demand: 1000}}})
+	admitted := 0
+	for now := time.Duration(0); now < 30*time.Second; now += 50 * time.Millisecond {
+		if d := c.Admit(now, letterRequest("w", 7, int(now)), engines); d.Refused == "" {
+			admitted++
+			d.Lease.RecordRequestLimit(now, namedLimit(10))
+			d.Lease.End(now, ResultDone, engines)
+		}
+	}
+	require.Less(t, admitted, 30, "nearly all of the 300 requests are the peer's")
+}
