Test that shares follow request limits

A mutant that counts limited engines in full for shares survived TestNoWorkspaceStarvesBesideRequestLimits: its loads exceed the capacity anyway. The new test has demand that fits without limits.

--- a/internal/overload/starvation_test.go
+++ b/internal/overload/starvation_test.go
@@ -80,3 +80,28 @@
 		requireNoStarvation(t, load)
 	}
 }
+
+// All engines are limited to less than a third of the demand, which would fit without limits. A
+// workspace with most of the demand must not crowd out small ones.
+func TestSmallWorkspacesServedBesideLargeOneAtLimitedEngines(t *testing.T) {
+	const seeds, smallWorkspaces = 4, 10
+	var small, large Outcome
+	for seed := range uint64(seeds) {
+		load := &Load{
+			Kinds: requestKinds, Gates: 5, Engines: 12, Length: 16 * time.Second, ReportDelay: 200 * time.Millisecond, Seed: seed,
+			TokensPerSecond: 12 * tokensPerSecondPerEngine,
+		}
+		requestsPerSecond := load.TokensPerSecond / load.meanWork()
+		load.Workspaces = []Workspace{{Name: "large", RequestsPerSecond: 0.8 * requestsPerSecond}}
+		for i := range smallWorkspaces {
+			load.Workspaces = append(load.Workspaces, Workspace{Name: fmt.Sprint("small", i), RequestsPerSecond: 0.01 * requestsPerSecond})
+		}
+		load.LimitedEngines, load.RequestLimit = load.Engines, 0.3*requestsPerSecond/float64(load.Engines)
+		r := Simulate(load, Shares(load))
+		below := r.OutcomeExcept("large")
+		small.Requests, small.Refused = small.Requests+below.Requests, small.Refused+below.Refused
+		large.Requests, large.Refused = large.Requests+r.Workspaces["large"].Requests, large.Refused+r.Workspaces["large"].Refused
+	}
+	t.Logf("refused: %d of %d of small workspaces, %d of %d of the large one", small.Refused, small.Requests, large.Refused, large.Requests)
+	require.Less(t, float64(small.Refused)/float64(small.Requests), 2.0/3*float64(large.Refused)/float64(large.Requests))
+}
