--- a/internal/admission/request_limit_test.go
+++ b/internal/admission/request_limit_test.go
@@ -315,6 +315,20 @@
 	}
 }
 
+// After a quiet time every gate could hold a request for each limited target.
+func TestBurstAfterQuietTimeStaysWithinRequestLimits(t *testing.T) {
+	for _, gates := range []int{5, 33} {
+		f := newLimitFleet(5, gates, testedLimits...)
+		f.run(60*time.Second, func(now time.Duration) float64 {
+			if now > 6*time.Second && now < 54*time.Second {
+				return 0
+			}
+			return 300
+		})
+		f.requireWithinLimits(t)
+	}
+}
+
 // A limit that nobody uses up costs capacity for nothing.
 func TestRequestLimitIsUsed(t *testing.T) {
 	for _, gates := range []int{1, 5, 33} {
