--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -30,36 +30,32 @@
 	}
 }
 
-func TestShortSoakWithCrashingPart(t *testing.T) {
-	t.Parallel()
-	const seed = crashingSeedStep
+// runShortSoak plays a seed and requires that no guarantee was violated.
+func runShortSoak(t *testing.T, seed uint64) *Result {
+	t.Helper()
 	result, err := Run(t.Context(), seed, Config{
 		ProgramPath: processtest.Path("mastichollow-gate"), Dir: t.TempDir(), FaultDuration: 9 * time.Second, Gates: 3, Targets: 3, Callers: 4,
 	})
 	require.NoError(t, err)
 	require.Empty(t, result.Violations, "%v", result.Plan)
+	return result
+}
+
+func TestShortSoakWithCrashingPart(t *testing.T) {
+	t.Parallel()
+	result := runShortSoak(t, crashingSeedStep)
 	require.GreaterOrEqual(t, result.Crashes, boundingCrash, "the part crashed too few targets")
 }
 
 func TestShortSoakWithRequestLimits(t *testing.T) {
 	t.Parallel()
-	const seed = limitingSeedStep
-	result, err := Run(t.Context(), seed, Config{
-		ProgramPath: processtest.Path("mastichollow-gate"), Dir: t.TempDir(), FaultDuration: 9 * time.Second, Gates: 3, Targets: 3, Callers: 4,
-	})
-	require.NoError(t, err)
-	require.Empty(t, result.Violations, "%v", result.Plan)
+	result := runShortSoak(t, limitingSeedStep)
 	require.Positive(t, result.LimitUses)
 }
 
 func TestShortSoakWithRestoredStore(t *testing.T) {
 	t.Parallel()
-	const seed = restoringSeedStep
-	result, err := Run(t.Context(), seed, Config{
-		ProgramPath: processtest.Path("mastichollow-gate"), Dir: t.TempDir(), FaultDuration: 9 * time.Second, Gates: 3, Targets: 3, Callers: 4,
-	})
-	require.NoError(t, err)
-	require.Empty(t, result.Violations, "%v", result.Plan)
+	result := runShortSoak(t, restoringSeedStep)
 	require.Positive(t, result.Restores)
 }
 
