--- /dev/null
+++ b/review/_cases/caller.go
@@ -0,0 +1,95 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/mastichollow/mastichollow/platform/names"
+)
+
+// attempt is one attempt of a requester and what came of it.
+type attempt struct {
+	id, path, key string
+	sent          time.Time
+	status        int // 0: the connection ended without an answer
+	err           error
+	answered      time.Time
+}
+
+func (a *attempt) outcome() string {
+	if a.err != nil {
+		return fmt.Sprintf("no complete answer (%v)", a.err)
+	}
+	return strconv.Itoa(a.status)
+}
+
+func newAttemptID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
+
+// request describes what a requester sends.
+type request struct {
+	host, path, key string
+	body            []byte
+	timeout         time.Duration
+	// uploadTime is how long the requester's own link takes for the body; 0: sent at once.
+	uploadTime time.Duration
+}
+
+const uploadStep = 50 * time.Millisecond
+
+// send sends a request on a new connection and reads the answer.
+func send(gateAddr string, r request) attempt {
+	a := attempt{id: newAttemptID(), path: r.path, key: r.key, sent: time.Now()}
+	a.err = a.exchange(gateAddr, r)
+	a.answered = time.Now()
+	return a
+}
+
+func (a *attempt) exchange(gateAddr string, r request) error {
+	conn, err := net.DialTimeout("tcp4", gateAddr, time.Second)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	_ = conn.SetDeadline(a.sent.Add(r.timeout))
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", r.path, r.host,
+		names.AttemptID, a.id, names.Deadline, r.timeout.Milliseconds(), names.Key, r.key, len(r.body))
+	if _, err := io.WriteString(conn, head); err != nil {
+		return err
+	}
+	if err := upload(conn, r); err != nil {
+		return err
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return err
+	}
+	defer resp.Body.Close()
+	a.status = resp.StatusCode
+	_, err = io.Copy(io.Discard, resp.Body)
+	return err
+}
+
+// upload sends the body at an even rate.
+func upload(conn net.Conn, r request) error {
+	if r.uploadTime == 0 {
+		_, err := conn.Write(r.body)
+		return err
+	}
+	steps := max(int(r.uploadTime/uploadStep), 1)
+	begin := time.Now()
+	for step, sent := 1, 0; step <= steps; step++ {
+		end := len(r.body) * step / steps
+		if _, err := conn.Write(r.body[sent:end]); err != nil {
+			return err
+		}
+		sent = end
+		time.Sleep(time.Until(begin.Add(time.Duration(step) * r.uploadTime / time.Duration(steps))))
+	}
+	return nil
+}
