--- a/review/_cases/caller.go
+++ b/review/_cases/caller.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/mastichollow/mastichollow/platform/names"
@@ -45,12 +46,21 @@
 // send sends a request on a new connection and reads the answer.
 func send(gateAddr string, r request) attempt {
 	a := attempt{id: newAttemptID(), path: r.path, key: r.key, sent: time.Now()}
-	a.err = a.exchange(gateAddr, r)
+	a.err = a.exchange(gateAddr, r, io.Discard)
 	a.answered = time.Now()
 	return a
 }
 
-func (a *attempt) exchange(gateAddr string, r request) error {
+// sendForBody is send, and returns the body of the answer too.
+func sendForBody(gateAddr string, r request) (attempt, string) {
+	var body strings.Builder
+	a := attempt{id: newAttemptID(), path: r.path, key: r.key, sent: time.Now()}
+	a.err = a.exchange(gateAddr, r, &body)
+	a.answered = time.Now()
+	return a, body.String()
+}
+
+func (a *attempt) exchange(gateAddr string, r request, body io.Writer) error {
 	conn, err := net.DialTimeout("tcp4", gateAddr, time.Second)
 	if err != nil {
 		return err
@@ -71,7 +81,7 @@
 	}
 	defer resp.Body.Close()
 	a.status = resp.StatusCode
-	_, err = io.Copy(io.Discard, resp.Body)
+	_, err = io.Copy(body, resp.Body)
 	return err
 }
 
