--- a/review/_cases/flood.go
+++ b/review/_cases/flood.go
@@ -55,7 +55,7 @@
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	for _, g := range gates {
-		wg.Go(func() { bystanders(g, log, 200*time.Millisecond, stop) })
+		wg.Go(func() { bystanders(g, log, 50*time.Millisecond, stop) })
 		wg.Go(func() { documents(g, log, trouble, stop) })
 	}
 	time.Sleep(floods*floodInterval + documentTimeout)
