--- a/review/_cases/drill.go
+++ b/review/_cases/drill.go
@@ -15,7 +15,7 @@
 	// storeAway is how long the store is away in the drill, rewriteDelay how long after its
 	// return the operator and the workers have written again what it lost.
 	storeAway    = 500 * time.Millisecond
-	rewriteDelay = 3 * time.Second
+	rewriteDelay = 2 * time.Second
 	revokedPause = 40 * time.Millisecond
 )
 
