--- a/review/_cases/drill.go
+++ b/review/_cases/drill.go
@@ -20,12 +20,14 @@
 )
 
 func init() {
-	cases["drill"] = playDrill
+	cases["drill"] = func(l *lab, trouble bool) (bool, error) { return playDrill(l, trouble, false) }
+	cases["drill-all"] = func(l *lab, trouble bool) (bool, error) { return playDrill(l, trouble, true) }
 }
 
 // playDrill: a key was taken away; then the store comes back from an older copy while a
-// gate is started again as planned, and the holder of the key keeps sending.
-func playDrill(l *lab, trouble bool) (bool, error) {
+// gate, or each of them, is started again as planned, and the holder of the key keeps
+// sending.
+func playDrill(l *lab, trouble, all bool) (bool, error) {
 	l.putManifest(manifestTemplate)
 	var workers []*worker
 	for i, zone := range []string{"hooghly-a", "sundarban-a", "digha-a"} {
@@ -52,16 +54,23 @@
 	copied := l.store.Copy()
 	l.record("the store: a copy is made")
 	time.Sleep(300 * time.Millisecond)
-	l.putManifest(strings.Replace(strings.Replace(manifestTemplate, `"version":7`, `"version":9`, 1), `"api_keys":["`+otherKey+`"]`, `"api_keys":[]`, 1))
+	l.putManifest(strings.NewReplacer(`"version":7`, `"version":9`, `"`+otherKey+`"`, "").Replace(manifestTemplate))
 	acknowledged := time.Now()
-	stopped := gates[1]
+	stopped := gates[1:]
+	if all {
+		stopped = gates
+	}
 	time.Sleep(time.Until(acknowledged.Add(revokeTime - 2500*time.Millisecond)))
-	l.record("gate %s: SIGTERM", stopped.name)
-	stopped.mu.Lock()
-	done := stopped.done
-	stopped.mu.Unlock()
-	stopped.signal(syscall.SIGTERM)
-	<-done
+	for _, g := range stopped {
+		l.record("gate %s: SIGTERM", g.name)
+		g.signal(syscall.SIGTERM)
+	}
+	for _, g := range stopped {
+		g.mu.Lock()
+		done := g.done
+		g.mu.Unlock()
+		<-done
+	}
 	time.Sleep(time.Until(acknowledged.Add(revokeTime)))
 	if trouble {
 		l.record("the store: away")
@@ -76,11 +85,15 @@
 		})
 	}
 	time.Sleep(100 * time.Millisecond)
-	if err := stopped.start(false); err != nil {
-		return false, err
+	for _, g := range stopped {
+		if err := g.start(false); err != nil {
+			return false, err
+		}
 	}
-	if err := stopped.awaitReady(); err != nil {
-		return false, err
+	for _, g := range stopped {
+		if err := g.awaitReady(); err != nil {
+			return false, err
+		}
 	}
 	var late []attempt
 	for end := time.Now().Add(rewriteDelay + 2*time.Second); time.Now().Before(end); time.Sleep(revokedPause) {
