--- a/review/_cases/worker.go
+++ b/review/_cases/worker.go
@@ -137,8 +137,9 @@
 	w.mu.Lock()
 	w.runs = append(w.runs, current)
 	w.mu.Unlock()
+	w.lab.record("worker %s: runs %s of tenant %q", id, attempt, current.workspace)
 	if current.crashes && !w.harmless {
-		w.lab.record("worker %s: begins to run %s, which crashes it", id, attempt)
+		w.lab.record("worker %s: %s crashes it", id, attempt)
 		w.crash()
 		return
 	}
