review: cases 1, 3 and 4 stay inside the site's doses and check rules by name

Case 1 is faulty for 5 s at a time, case 3 plays without a leaving worker, case 4 checks LOST on kept connections. Free ports, and a stopped case ends its gates.

--- a/review/_cases/caller.go
+++ b/review/_cases/caller.go
@@ -18,7 +18,10 @@
 type attempt struct {
 	id, path, key string
 	sent          time.Time
-	status        int // 0: the connection ended without an answer
+	gate          string // empty: not recorded
+	kept          bool   // sent on a connection that had carried an answer
+	status        int    // 0: the connection ended without an answer
+	closes        bool   // the answer says that the connection ends
 	err           error
 	answered      time.Time
 }
@@ -66,6 +69,11 @@
 		return err
 	}
 	defer conn.Close()
+	return a.exchangeOn(conn, bufio.NewReader(conn), r, body)
+}
+
+// exchangeOn sends a request on a connection and reads the answer.
+func (a *attempt) exchangeOn(conn net.Conn, reader *bufio.Reader, r request, body io.Writer) error {
 	_ = conn.SetDeadline(a.sent.Add(r.timeout))
 	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n%s: %s\r\nContent-Length: %d\r\n\r\n", r.path, r.host,
 		names.AttemptID, a.id, names.Deadline, r.timeout.Milliseconds(), names.Key, r.key, len(r.body))
@@ -75,11 +83,12 @@
 	if err := upload(conn, r); err != nil {
 		return err
 	}
-	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	resp, err := http.ReadResponse(reader, nil)
 	if err != nil {
 		return err
 	}
 	defer resp.Body.Close()
+	a.closes = resp.Close
 	a.status = resp.StatusCode
 	_, err = io.Copy(body, resp.Body)
 	return err
@@ -103,3 +112,36 @@
 	}
 	return nil
 }
+
+// keptConn is a connection that has carried an answer.
+type keptConn struct {
+	conn   net.Conn
+	reader *bufio.Reader
+}
+
+func (c *keptConn) close() {
+	if c != nil {
+		c.conn.Close()
+	}
+}
+
+// send sends a request on the connection, or on a new one if there is none. It returns the
+// connection to keep, nil if it has ended.
+func (c *keptConn) send(gateAddr string, r request) (attempt, *keptConn) {
+	a := attempt{id: newAttemptID(), path: r.path, key: r.key, sent: time.Now(), kept: c != nil}
+	if c == nil {
+		conn, err := net.DialTimeout("tcp4", gateAddr, time.Second)
+		if err != nil {
+			a.err, a.answered = err, time.Now()
+			return a, nil
+		}
+		c = &keptConn{conn, bufio.NewReader(conn)}
+	}
+	a.err = a.exchangeOn(c.conn, c.reader, r, io.Discard)
+	a.answered = time.Now()
+	if a.err != nil || a.closes {
+		c.close()
+		return a, nil
+	}
+	return a, c
+}
--- a/review/_cases/flood.go
+++ b/review/_cases/flood.go
@@ -14,10 +14,16 @@
 	usualPeriod   = 770 * time.Millisecond // between two documents at a gate
 	documentBytes = 4 << 20                // max_body_bytes of the manifest
 	// documentUpload is the time for a document over a link of 5 Mbit/s.
-	documentUpload   = 7 * time.Second
-	documentTimeout  = 12 * time.Second
-	documentPath     = "/lohu930/1"
-	killsToBreakRule = 3 // on each of two gates
+	documentUpload  = 7 * time.Second
+	documentTimeout = 12 * time.Second
+	documentPath    = "/lohu930/1"
+	// keptConnections requesters at each gate send an order every keptPeriod, each on a
+	// connection of its own that it keeps.
+	keptConnections = 8
+	keptPeriod      = 200 * time.Millisecond
+	// allowedClosed is the number of requests from kept connections that a gate may pass on
+	// and close without an answer.
+	allowedClosed = 3
 )
 
 func init() {
@@ -55,13 +61,15 @@
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
 	for _, g := range gates {
-		wg.Go(func() { bystanders(g, log, 50*time.Millisecond, stop) })
+		for range keptConnections {
+			wg.Go(func() { keptOrders(g, log, stop) })
+		}
 		wg.Go(func() { documents(g, log, trouble, stop) })
 	}
 	time.Sleep(floods*floodInterval + documentTimeout)
 	close(stop)
 	wg.Wait()
-	return judgeKills(l, gates, workers, log), nil
+	return judgeClosed(l, gates, workers, log), nil
 }
 
 // documents sends the documents of one tenant at its usual rate and, with trouble, at
@@ -96,26 +104,42 @@
 	return t < floods*floodInterval && within >= floodInterval-floodTime-documentTimeout && within < floodInterval-documentTimeout
 }
 
-// judgeKills checks rule Fault: on two gates or more, processes end by themselves three
-// times, memory over the limit included, with no impairment there.
-func judgeKills(l *lab, gates []*gate, workers []*worker, log *attemptLog) bool {
-	broken := 0
-	for _, g := range gates {
-		g.mu.Lock()
-		l.record("gate %s: killed %d times for memory over %d MiB, peak %d MiB", g.name, len(g.kills), memoryLimitMB, g.peakByte>>20)
-		if len(g.kills) >= killsToBreakRule {
-			broken++
+// keptOrders sends orders on a kept connection, and on a new one after that has ended.
+func keptOrders(g *gate, log *attemptLog, stop <-chan struct{}) {
+	var conn *keptConn
+	for {
+		select {
+		case <-stop:
+			conn.close()
+			return
+		case <-time.After(keptPeriod):
 		}
-		g.mu.Unlock()
+		var a attempt
+		a, conn = conn.send(g.front(), request{host: testHost, path: orderPath, key: shopKey, body: []byte("one jar"), timeout: orderTimeout})
+		a.gate = g.name
+		log.add(a, g.name)
 	}
-	runs := allRuns(workers)
-	cut := 0
-	for _, a := range log.all {
-		if a.path == orderPath && a.err != nil && len(runs[a.id]) > 0 {
-			cut++
-			l.record("order %s of the other tenant was passed on to a worker and got no complete answer", a.id)
+}
+
+// judgeClosed checks rule LOST: a gate passes more than three requests from kept
+// connections on to sound workers and closes the connections without an answer. A gate
+// that is killed for its memory ends by itself, and so counts as running and in touch.
+func judgeClosed(l *lab, gates []*gate, workers []*worker, log *attemptLog) bool {
+	runs, broken := allRuns(workers), false
+	for _, g := range gates {
+		closed := 0
+		for _, a := range log.all {
+			if a.gate != g.name || !a.kept || a.status != 0 || a.err == nil || len(runs[a.id]) == 0 || a.answered.Sub(a.sent) >= orderTimeout {
+				continue
+			}
+			closed++
+			l.record("order %s from a kept connection was passed on to worker %s and closed by %s without an answer", a.id, runs[a.id][0].worker, g.name)
 		}
+		g.mu.Lock()
+		l.record("gate %s: ended %d times for memory over %d MiB, peak %d MiB; closed %d requests from kept connections without an answer, %d are allowed",
+			g.name, len(g.kills), memoryLimitMB, g.peakByte>>20, closed, allowedClosed)
+		g.mu.Unlock()
+		broken = broken || closed > allowedClosed
 	}
-	l.record("%d orders of the other tenant were passed on to a worker and got no complete answer", cut)
-	return broken >= 2
+	return broken
 }
--- a/review/_cases/gate.go
+++ b/review/_cases/gate.go
@@ -57,6 +57,7 @@
 	settings := strings.NewReplacer(
 		"@NODE@", g.name, "@IP@", fmt.Sprintf("%s.%d", g.lab.subnet, g.host), "@ZONE@", g.zone, "@REGION@", strings.TrimSuffix(g.zone, "-a"),
 		"@FIRST@", strconv.FormatBool(first), "@MEMORY@", strconv.Itoa(memoryLimitMB), "@STORE@", g.lab.store.Addr(),
+		"@FRONT@", g.front(), "@READY@", g.ready(), "@PEER@", strconv.Itoa(g.lab.base+peerPort), "@PEERLAST@", strconv.Itoa(g.lab.base+portCount-1),
 	).Replace(settingsTemplate)
 	file := filepath.Join(g.lab.tmp, g.name+".toml")
 	if err := os.WriteFile(file, []byte(settings), 0o600); err != nil {
--- a/review/_cases/lab.go
+++ b/review/_cases/lab.go
@@ -18,21 +18,26 @@
 	"github.com/mastichollow/mastichollow/platform/standin"
 )
 
+// The ports of a lab are a free base plus these offsets, the same on all its addresses.
 const (
-	storePort  = 8781
-	workerPort = 8782
-	frontPort  = 8783
-	readyPort  = 8780
-	// gateHost, workerHost and storeHost are the last bytes of the addresses of the first
-	// gate, the first worker and the store.
-	storeHost, gateHost, workerHost = 1, 10, 100
+	storePort  = 1
+	workerPort = 2
+	frontPort  = 3
+	readyPort  = 4
+	peerPort   = 5
+	portCount  = 20
 )
 
+// storeHost, gateHost and workerHost are the last bytes of the addresses of the store, the
+// first gate and the first worker.
+const storeHost, gateHost, workerHost = 1, 10, 100
+
 // lab is a deployment on a subnet of the loopback range of its own.
 type lab struct {
 	started time.Time
 	tmp     string
 	subnet  string // "127.x.y"
+	base    int    // of the ports
 	store   *standin.Store
 	gateRun []string // command of the deploy file
 
@@ -56,11 +61,17 @@
 	}
 	for range 50 {
 		l.subnet = fmt.Sprintf("127.%d.%d", 20+rand.IntN(200), rand.IntN(250))
-		if l.free() {
-			l.store, err = standin.ListenStore(l.addr(storeHost, storePort))
-			return l, err
+		l.base = 15000 + portCount*rand.IntN(800) // below the ephemeral ports
+		if !l.free() {
+			continue
+		}
+		if l.store, err = standin.ListenStore(l.addr(storeHost, storePort)); err != nil {
+			l.close()
+			return nil, err
 		}
+		return l, nil
 	}
+	l.close()
 	return nil, errors.New("no free loopback addresses")
 }
 
@@ -82,19 +93,26 @@
 	return command, err
 }
 
-func (l *lab) addr(host, port int) string { return fmt.Sprintf("%s.%d:%d", l.subnet, host, port) }
+func (l *lab) addr(host, offset int) string {
+	return fmt.Sprintf("%s.%d:%d", l.subnet, host, l.base+offset)
+}
 
-// free reports whether nothing listens on the addresses of the lab.
+// free reports whether nothing listens on the ports of the lab.
 func (l *lab) free() bool {
-	for _, addr := range []string{
-		l.addr(storeHost, storePort), l.addr(gateHost, frontPort), l.addr(gateHost+1, frontPort),
-		l.addr(gateHost, readyPort), l.addr(gateHost, 7400), l.addr(gateHost, 9464), l.addr(workerHost, workerPort),
-	} {
-		listener, err := net.Listen("tcp4", addr)
-		if err != nil {
-			return false
+	for offset := range portCount {
+		for _, host := range []int{storeHost, gateHost, gateHost + 1, workerHost} {
+			addr := l.addr(host, offset)
+			listener, err := net.Listen("tcp4", addr)
+			if err != nil {
+				return false
+			}
+			listener.Close()
+			socket, err := net.ListenPacket("udp4", addr)
+			if err != nil {
+				return false
+			}
+			socket.Close()
 		}
-		listener.Close()
 	}
 	return true
 }
--- a/review/_cases/main.go
+++ b/review/_cases/main.go
@@ -8,7 +8,9 @@
 	"flag"
 	"fmt"
 	"os"
+	"os/signal"
 	"sort"
+	"syscall"
 	"time"
 )
 
@@ -55,6 +57,14 @@
 		os.Exit(exitNotRun)
 	})
 	defer watchdog.Stop()
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	go func() {
+		<-signals
+		l.record("the case was stopped")
+		l.close()
+		os.Exit(exitNotRun)
+	}()
 	l.record("trouble: %v", trouble)
 	broken, err := play(l, trouble)
 	switch {
--- a/review/_cases/splice.go
+++ b/review/_cases/splice.go
@@ -23,8 +23,10 @@
 	// extraDelay is how late the second copy of an answer comes.
 	extraDelay   = 20 * time.Millisecond
 	spliceCaller = 8 // requesters with a kept connection at each gate
-	spliceTime   = 30 * time.Second
-	splicePause  = 100 * time.Millisecond
+	spliceTime   = 40 * time.Second
+	// spoilTime is how long the worker is faulty, every spoilPeriod; the site has 5 s.
+	spoilTime, spoilPeriod = 5 * time.Second, 9 * time.Second
+	splicePause            = 100 * time.Millisecond
 )
 
 func init() {
@@ -38,6 +40,7 @@
 	lab    *lab
 	id     string
 	faulty bool
+	begin  time.Time // of the traffic
 
 	mu      sync.Mutex
 	spoiled map[string]string // attempt whose answer was truncated, and whose copy followed
@@ -64,10 +67,14 @@
 		if _, err := io.Copy(io.Discard, req.Body); err != nil {
 			return
 		}
+		if expected := req.Header.Get(names.ExpectInstance); expected != "" && expected != w.id {
+			fmt.Fprintf(c, "HTTP/1.1 421 Misdirected Request\r\n%s: %s\r\nContent-Length: 0\r\n\r\n", names.AttemptID, attempt)
+			continue
+		}
 		w.lab.record("worker %s: runs %s", w.id, attempt)
 		time.Sleep(5 * time.Millisecond)
 		data := w.answer(attempt)
-		if w.faulty && previous != nil && rand.Float64() < spoiledShare {
+		if w.faulty && time.Since(w.begin)%spoilPeriod < spoilTime && previous != nil && rand.Float64() < spoiledShare {
 			head := bytes.Index(data, []byte("\r\n\r\n"))
 			begin := bytes.IndexByte(data, '\n') + 1
 			cut := begin + rand.IntN(head-begin)
@@ -93,7 +100,7 @@
 	l.putManifest(manifestTemplate)
 	var workers []*rawWorker
 	for i, zone := range []string{"hooghly-a", "sundarban-a"} {
-		w := &rawWorker{lab: l, id: fmt.Sprintf("i-%02x", i), faulty: trouble && i == 0, spoiled: make(map[string]string)}
+		w := &rawWorker{lab: l, id: fmt.Sprintf("i-%02x", i), faulty: trouble && i == 0, begin: l.started.Add(contactTime), spoiled: make(map[string]string)}
 		listener, err := net.Listen("tcp4", l.addr(workerHost+i, workerPort))
 		if err != nil {
 			return false, err
--- a/review/_cases/stream.go
+++ b/review/_cases/stream.go
@@ -19,8 +19,10 @@
 	prefill time.Duration // to the first event
 	gap     time.Duration // between two events
 	events  int
-	// pauseAfter is the event after which a request is preempted for pauseTime; 0: none.
+	// pauseAfter is the event after which a request is preempted for pauseTime; 0: none. The
+	// oldest requests, spared in number, are not preempted.
 	pauseAfter int
+	spared     int
 	pauseTime  time.Duration
 	// crashPart is the hash of the part of prompts that crashes the worker when it begins
 	// to write an answer; empty: none.
@@ -38,6 +40,7 @@
 	current.crashes = cfg.crashPart != "" && strings.Contains(r.Header.Get(names.PrefixHash), cfg.crashPart+":")
 	w.mu.Lock()
 	w.runs = append(w.runs, current)
+	newest := len(w.runs) > cfg.spared
 	w.mu.Unlock()
 	w.lab.record("worker %s: runs %s after event %d", id, attempt, after)
 	rw.Header().Set(names.ResponseSeal, "seal-"+attempt)
@@ -56,7 +59,7 @@
 		if control.Flush() != nil || n < cfg.events && !w.wait(id, attempt, r, cfg.gap) {
 			return
 		}
-		if n == cfg.pauseAfter {
+		if n == cfg.pauseAfter && newest {
 			w.lab.record("worker %s: preempts %s for %v", id, attempt, cfg.pauseTime)
 			if !w.wait(id, attempt, r, cfg.pauseTime) {
 				return
