MIXED: bytes of two responses joined on one connection

Cause: package upstream took whatever the framing completed for the response of the target. A truncated response is completed by the next one on the connection: in a head the truncated line takes in the status line and the first of two identifiers decided; in a body and a stream the second head is taken for content.

Change: package desync checks the raw head (fields that identify or frame a response occur once, no line takes in a status line where none can be quoted) and reads bodies through a filter that ends with an error at the head of the response to a call of this gate; identifiers that the connection and the pool carried tell it from a quotation. At the end of a body of known length, what follows on the connection shows whether it ended inside a head. A connection on which a response to another call was skipped is not reused. Counter mastichollow_gate_joined_responses_total.

--- a/Makefile
+++ b/Makefile
@@ -5,12 +5,13 @@
 SEEDS   ?= 50
 FRESH   ?= 5m
 JOBS    ?= 3
+FUZZTIME ?= 1m
 VERSION := $(shell git describe --tags --always --dirty 2>/dev/null || echo dev)
 LDFLAGS := -X github.com/mastichollow/mastichollow/internal/process.Version=$(VERSION)
 
 export CGO_ENABLED = 1
 
-.PHONY: build demo demo-platform up down test guarantees mutants bench soak soak-fresh lint format
+.PHONY: build demo demo-platform up down test guarantees mutants bench soak soak-fresh fuzz lint format
 
 build: ## Build the programs into bin/.
 	$(GO) build -ldflags "$(LDFLAGS)" -o bin/ ./cmd/...
@@ -35,9 +36,13 @@
 format: ## Format the code.
 	$(LINT) fmt ./...
 
-test: lint ## Check the format, run the linter and every test with the race detector.
+test: lint ## Check the format, run the linter, every test with the race detector and each fuzz test shortly.
 	$(GO) vet ./...
 	GO=$(GO) scripts/test.sh
+	GO=$(GO) scripts/fuzz.sh
+
+fuzz: ## Run each fuzz test for FUZZTIME.
+	GO=$(GO) FUZZTIME=$(FUZZTIME) scripts/fuzz.sh
 
 guarantees: ## Run the tests behind docs/GUARANTEES.md, a line for each promise.
 	GO=$(GO) scripts/guarantees.sh
--- a/internal/gate/codec.go
+++ b/internal/gate/codec.go
@@ -54,6 +54,9 @@
 type Codec interface {
 	// IDHeader returns the name of the field with the request's identifier.
 	IDHeader() string
+	// UniqueResponseFields returns the names of the fields that a target sends once per
+	// response, in canonical form.
+	UniqueResponseFields() []string
 	// DecodeRequest reads the caller's metadata. It never fails: malformed values
 	// count as missing.
 	DecodeRequest(h http.Header) RequestMeta
--- a/internal/gate/event_reader.go
+++ b/internal/gate/event_reader.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/desync"
 	"github.com/mastichollow/mastichollow/internal/upstream"
 )
 
@@ -22,6 +23,9 @@
 // errEventTruncated: the stream ended inside an event.
 var errEventTruncated = errors.New("stream ended inside an event")
 
+// errJoinedStream: the head of another response stands in the stream.
+var errJoinedStream = errors.New("stream takes in the head of another response")
+
 // errEventGap: a resumed stream does not continue where the previous one ended.
 var errEventGap = errors.New("resumed stream does not continue after the last event")
 
@@ -31,6 +35,7 @@
 // Invariants:
 //   - Only complete events are returned, and a stream that ends inside an event is an
 //     error, whatever its framing says.
+//   - An event that takes in the head of another response is not returned.
 //   - When the stream resumes after event resumeAfter, events up to that one are
 //     dropped, and a stream that skips an event is an error.
 type eventReader struct {
@@ -98,6 +103,13 @@
 		return nil, nil
 	}
 	chunk := pending[:size]
+	if i := desync.IndexFramedHead(chunk); i >= 0 {
+		size = completeEventsLen(pending[:i])
+		if size == 0 {
+			return nil, errors.Mark(errors.Mark(errJoinedStream, desync.ErrJoined), upstream.ErrLost)
+		}
+		chunk = pending[:size]
+	}
 	e.start += size
 	if e.resumeAfter == "" {
 		if id := findLastID(chunk); id != "" {
--- a/internal/gate/harness_test.go
+++ b/internal/gate/harness_test.go
@@ -29,6 +29,8 @@
 
 func (testCodec) IDHeader() string { return "Id" }
 
+func (testCodec) UniqueResponseFields() []string { return []string{"Id", "Seal"} }
+
 func (testCodec) DecodeRequest(h http.Header) RequestMeta {
 	ms, _ := strconv.Atoi(h.Get("Timeout-Ms"))
 	return RequestMeta{ID: h.Get("Id"), Key: h.Get("Key"), Timeout: time.Duration(ms) * time.Millisecond, LastEventID: h.Get("Last")}
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -21,6 +21,7 @@
 	requestLimitChanges prometheus.Counter
 	limitedTargets      prometheus.Gauge
 	stalledStreams      prometheus.Counter
+	joinedResponses     prometheus.Counter
 	responseEnds        *prometheus.CounterVec
 	presumedCrashes     prometheus.Counter
 	blockedParts        prometheus.Gauge
@@ -46,6 +47,7 @@
 		requestLimitChanges: f.Counter("target_limit_changes_total", "Request limits of targets that began, changed or ended, by responses to this gate."),
 		limitedTargets:      f.Gauge("limited_targets", "Targets that name a request limit."),
 		stalledStreams:      f.Counter("stalled_streams_total", "Streams from targets aborted because no event arrived."),
+		joinedResponses:     f.Counter("joined_responses_total", "Responses of targets that consist of the bytes of two responses."),
 		responseEnds:        f.CounterVec("response_ends_total", "Responses of targets that were forwarded, by framing and by whether they were complete.", "framing", "end"),
 		presumedCrashes:     f.Counter("presumed_crashes_total", "Crashes of targets presumed from lost and refused connections."),
 		blockedParts:        f.Gauge("blocked_parts", "Parts of prompts that are blocked because they crash targets."),
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -10,6 +10,7 @@
 	"github.com/cockroachdb/errors"
 
 	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/desync"
 	"github.com/mastichollow/mastichollow/internal/eventlog"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/route"
@@ -184,6 +185,9 @@
 	if o.result == admission.ResultDone {
 		return
 	}
+	if errors.Is(o.err, desync.ErrJoined) {
+		g.metrics.joinedResponses.Inc()
+	}
 	fields := []eventlog.Field{
 		eventlog.Text("request", c.meta.ID),
 		eventlog.Text("target", d.Target.ID), eventlog.Text("addr", d.Target.Addr), eventlog.Text("result", o.result.String()),
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -57,6 +57,7 @@
 		Header:       g.codec.EncodeRequest(c.r.Header, c.targetMeta(d, left)),
 		Body:         c.body,
 		IDHeader:     g.codec.IDHeader(),
+		UniqueFields: g.codec.UniqueResponseFields(),
 		MaxIdleTime:  c.maxIdleTime(),
 		MaxOpenConns: c.maxOpenConns(),
 	})
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -10,6 +10,8 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mastichollow/mastichollow/internal/desync"
 )
 
 const (
@@ -37,6 +39,9 @@
 	// IDHeader is the name of the header field with the call's identifier, which the
 	// target echoes in its response.
 	IDHeader string
+	// UniqueFields names, in canonical form, the fields that a target sends once per
+	// response, beside those of HTTP.
+	UniqueFields []string
 	// MaxIdleTime bounds the idle time of a reused connection; 0: only a new one.
 	MaxIdleTime time.Duration
 	// MaxOpenConns bounds the open connections to the address; 0: unlimited.
@@ -63,6 +68,9 @@
 	}
 	x := &exchange{pool: p, conn: c, call: &call, writeDone: make(chan error, 1)}
 	c.maybeSent.Store(false)
+	id := call.Header.Get(call.IDHeader)
+	c.history.Add(id)
+	p.history.Add(id)
 	x.stopCancelHook = context.AfterFunc(ctx, c.close)
 	response, err := x.run()
 	if err == nil {
@@ -147,6 +155,7 @@
 		if matches {
 			return x.newResponse(resp), nil
 		}
+		x.conn.notReusable = true
 		n, err := io.Copy(io.Discard, io.LimitReader(resp.Body, maxStrayBytes))
 		if strayBytes += n; err != nil || strayBytes >= maxStrayBytes || resp.Close {
 			return nil, errors.Mark(errors.Newf("response of %s belongs to another call and cannot be skipped", x.call.Addr), ErrMalformed)
@@ -154,11 +163,18 @@
 	}
 }
 
-// readHead reads the head of a response, of bounded length.
+// readHead reads the head of a response, of bounded length, and checks that it is the
+// head of one response.
 func (x *exchange) readHead() (*http.Response, error) {
-	x.conn.headLimiter.readingHead = true
-	defer func() { x.conn.headLimiter.readingHead = false }()
-	return http.ReadResponse(x.conn.reader, &http.Request{Method: x.call.Method})
+	reader, limiter := x.conn.reader, &x.conn.headLimiter
+	buffered, _ := reader.Peek(reader.Buffered())
+	limiter.begin(buffered)
+	resp, err := http.ReadResponse(reader, &http.Request{Method: x.call.Method})
+	head := limiter.end(reader.Buffered())
+	if err != nil {
+		return nil, err
+	}
+	return resp, desync.CheckHead(head, x.call.UniqueFields...)
 }
 
 func (x *exchange) wrapReadError(err error) error {
@@ -182,15 +198,26 @@
 }
 
 func (x *exchange) newResponse(resp *http.Response) *Response {
+	framing := framingOf(resp)
+	check := desync.Config{IDField: x.call.IDHeader, Known: x.knownID}
+	if framing == FramingLength {
+		check.Following = x.conn.following
+	}
 	return &Response{
 		Status:  resp.StatusCode,
 		Header:  resp.Header,
 		Length:  resp.ContentLength,
-		Framing: framingOf(resp),
-		Body:    &body{exchange: x, resp: resp},
+		Framing: framing,
+		Body:    &body{exchange: x, resp: resp, checked: desync.NewReader(resp.Body, check)},
 	}
 }
 
+// knownID reports whether this call, an earlier one on the connection or a recent one of
+// the pool has the identifier.
+func (x *exchange) knownID(id []byte) bool {
+	return x.conn.history.Contains(id) || x.pool.history.Contains(id)
+}
+
 // abort closes the connection and removes it from the pool.
 func (x *exchange) abort() {
 	x.stopCancelHook()
@@ -200,7 +227,7 @@
 // release returns the connection to the pool if the exchange ended cleanly, and closes
 // it otherwise.
 func (x *exchange) release(resp *http.Response) {
-	if resp.Close || !x.stopCancelHook() || x.conn.reader.Buffered() > 0 || !x.writeCompleted() {
+	if resp.Close || !x.stopCancelHook() || x.conn.notReusable || x.conn.reader.Buffered() > 0 || !x.writeCompleted() {
 		x.abort()
 		return
 	}
@@ -242,20 +269,27 @@
 type body struct {
 	exchange *exchange
 	resp     *http.Response
+	checked  *desync.Reader // of resp.Body
 	atEOF    bool
 	closed   bool
 }
 
 // Read implements io.Reader.
 func (b *body) Read(p []byte) (int, error) {
-	n, err := b.resp.Body.Read(p)
+	n, err := b.checked.Read(p)
 	if errors.Is(err, io.EOF) {
-		b.atEOF = true
-		return n, io.EOF
+		err = desync.CheckTrailer(b.resp.Trailer, b.exchange.call.UniqueFields...)
+		if err == nil {
+			b.atEOF = true
+			return n, io.EOF
+		}
 	}
 	if err != nil {
 		err = errors.Mark(errors.Wrapf(err, "reading the response of %s", b.exchange.call.Addr), ErrLost)
 	}
+	if errors.Is(err, desync.ErrJoined) {
+		err = errors.Mark(err, ErrMalformed)
+	}
 	return n, err
 }
 
--- a/internal/upstream/head_limiter.go
+++ b/internal/upstream/head_limiter.go
@@ -14,17 +14,34 @@
 // errHeadTooLong: the response heads of a call exceed maxHeadBytes.
 var errHeadTooLong = errors.Newf("response heads are longer than %d bytes", maxHeadBytes)
 
-// headLimiter reads from a connection and fails once the heads of a call's responses
-// are too long. Bodies are not counted, except for the part that is read into the
-// buffer with a head.
+// headLimiter reads from a connection, records the head that is being read and fails
+// once the heads of a call's responses are too long. Bodies are not counted, except for
+// the part that is read into the buffer with a head.
 type headLimiter struct {
 	raw         io.Reader
-	remaining   int  // bytes that heads may still have in this call
-	readingHead bool // a head is being read
+	remaining   int    // bytes that heads may still have in this call
+	readingHead bool   // a head is being read
+	recorded    []byte // the head that is being read, and what was read beyond it
+}
+
+// begin starts to record a head. buffered is its part that was read before.
+func (l *headLimiter) begin(buffered []byte) {
+	l.readingHead = true
+	l.recorded = append(l.recorded[:0], buffered...)
+}
+
+// end returns the recorded head without the last unread bytes, which do not belong to
+// it. The head is valid until the next call of begin or reset.
+func (l *headLimiter) end(unread int) []byte {
+	l.readingHead = false
+	return l.recorded[:max(0, len(l.recorded)-unread)]
 }
 
 // reset restores the limit for a new call.
-func (l *headLimiter) reset() { l.remaining = maxHeadBytes }
+func (l *headLimiter) reset() {
+	l.remaining = maxHeadBytes
+	l.recorded = nil
+}
 
 // Read implements io.Reader.
 func (l *headLimiter) Read(p []byte) (int, error) {
@@ -36,5 +53,6 @@
 	}
 	n, err := l.raw.Read(p[:min(len(p), l.remaining)])
 	l.remaining -= n
+	l.recorded = append(l.recorded, p[:n]...)
 	return n, err
 }
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -8,6 +8,8 @@
 // Invariants:
 //   - A call whose error is marked ErrNotSent has sent no byte.
 //   - A response that carries another call's identifier is never returned.
+//   - A response that consists of the bytes of two responses ends with an error
+//     (package desync).
 //   - A connection on which anything but one complete response was received is not
 //     reused.
 //
@@ -24,6 +26,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/mastichollow/mastichollow/internal/desync"
 )
 
 // Errors with which the errors of Pool.Do are marked.
@@ -60,6 +64,9 @@
 	idleSweepInterval = time.Second
 	// maxIdleConnsPerAddr bounds the idle connections per address.
 	maxIdleConnsPerAddr = 24
+	// historySize is the number of identifiers that a pool remembers: those of about a
+	// minute of the busiest gates.
+	historySize = 16 << 10
 )
 
 // Config configures a Pool.
@@ -75,6 +82,8 @@
 	mu     sync.Mutex
 	addrs  map[string]*addrConns
 	onDial func()
+	// history holds the identifiers of recent calls.
+	history *desync.History
 }
 
 // addrConns holds the connections to one address.
@@ -85,7 +94,7 @@
 
 // NewPool returns an empty pool. onDial, if not nil, is called for each new connection.
 func NewPool(config Config, onDial func()) *Pool {
-	return &Pool{config: config, addrs: make(map[string]*addrConns), onDial: onDial}
+	return &Pool{config: config, addrs: make(map[string]*addrConns), onDial: onDial, history: desync.NewHistory(historySize)}
 }
 
 // Run closes expired idle connections until ctx ends, and then all idle ones.
