MIXED: heads of joined responses at the other readers

A head that was cut after its version and continued by another response passed for one response, so a read of the targets returned the row of the table, and a stream of an agent took in another one.

Change: desync.Transport checks the heads that they read, and bounds them at 16 KiB (net/http: 10 MB); streams of agents refuse events that take in a head.

--- a/internal/desync/embedded.go
+++ b/internal/desync/embedded.go
@@ -11,9 +11,8 @@
 const (
 	// statusCodeEnd is the length of "HTTP/1.1 200".
 	statusCodeEnd = 12
-	// maxEmbeddedHead bounds the head of a second response, in bytes. It is the bound on
-	// heads of package upstream.
-	maxEmbeddedHead = 16 << 10
+	// maxEmbeddedHead bounds the head of a second response, in bytes.
+	maxEmbeddedHead = MaxHeadBytes
 )
 
 // verdict says what bytes that may be the head of a second response are.
--- a/internal/desync/head.go
+++ b/internal/desync/head.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"net/http"
+	"slices"
 )
 
 // framingFields are the fields that identify and frame any response. No response
@@ -51,10 +52,8 @@
 // takes in the head of a second response.
 func CheckTrailer(trailer http.Header, unique ...string) error {
 	for name, values := range trailer {
-		for _, field := range unique {
-			if field == name {
-				return joined("trailer section has the field %s of a head", name)
-			}
+		if slices.Contains(unique, name) {
+			return joined("trailer section has the field %s of a head", name)
 		}
 		for _, value := range values {
 			if indexStatusLine([]byte(value)) >= 0 {
@@ -70,10 +69,7 @@
 func checkField(line []byte, seen map[string]bool, unique []string) error {
 	rawName, _, _ := bytes.Cut(line, []byte(":"))
 	name := http.CanonicalHeaderKey(string(rawName))
-	identifying := framingFields[name]
-	for _, field := range unique {
-		identifying = identifying || field == name
-	}
+	identifying := isIdentifying(name, unique)
 	if identifying && !repeatableFields[name] {
 		if seen[name] {
 			return joined("response head repeats the field %s", name)
@@ -90,6 +86,11 @@
 	return nil
 }
 
+// isIdentifying reports whether a field identifies or frames a response.
+func isIdentifying(name string, unique []string) bool {
+	return framingFields[name] || slices.Contains(unique, name)
+}
+
 // trimLineEnd removes the line terminator.
 func trimLineEnd(line []byte) []byte {
 	line, found := bytes.CutSuffix(line, []byte("\n"))
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/desync"
 	"github.com/mastichollow/mastichollow/internal/httpsend"
 )
 
@@ -46,7 +47,7 @@
 		DisableKeepAlives: unpooled,
 		Dial:              options.Dial,
 	})
-	return &http.Client{Transport: transport, CheckRedirect: returnRedirect}
+	return &http.Client{Transport: desync.NewTransport(transport), CheckRedirect: returnRedirect}
 }
 
 // returnRedirect returns a redirect to the caller as the answer: following it
--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -6,12 +6,17 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mastichollow/mastichollow/internal/desync"
 )
 
 // errEventTooLarge is the error of a server-sent event that exceeds
 // Options.MaxEventBytes.
 var errEventTooLarge = errors.New("server-sent event is too large")
 
+// errJoinedStream is the error of a stream that takes in the head of another answer.
+var errJoinedStream = errors.New("stream takes in the head of another answer")
+
 const sseBufferBytes = 16 << 10
 
 // event is one server-sent event: its raw bytes up to and including the empty line
@@ -47,6 +52,9 @@
 		}
 		content := bytes.TrimRight(line, "\r\n")
 		if len(content) == 0 {
+			if desync.IndexFramedHead(ev.raw) >= 0 {
+				return event{}, errJoinedStream
+			}
 			return ev, nil
 		}
 		ev.addField(content)
--- a/internal/platform/serviceclient.go
+++ b/internal/platform/serviceclient.go
@@ -10,6 +10,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/desync"
 	"github.com/mastichollow/mastichollow/internal/httpsend"
 )
 
@@ -33,7 +34,7 @@
 	return &serviceClient{
 		base:       strings.TrimSuffix(base, "/"),
 		options:    options,
-		httpClient: &http.Client{Transport: transport, CheckRedirect: returnRedirect},
+		httpClient: &http.Client{Transport: desync.NewTransport(transport), CheckRedirect: returnRedirect},
 	}
 }
 
--- a/internal/relay/member.go
+++ b/internal/relay/member.go
@@ -15,6 +15,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/mastichollow/mastichollow/internal/clock"
+	"github.com/mastichollow/mastichollow/internal/desync"
 	"github.com/mastichollow/mastichollow/internal/metric"
 	"github.com/mastichollow/mastichollow/internal/route"
 	"github.com/mastichollow/mastichollow/internal/target"
@@ -83,10 +84,8 @@
 // NewMember returns a member that no relay serves yet.
 func NewMember(config Config, reg prometheus.Registerer) *Member {
 	return &Member{
-		config: config,
-		client: &http.Client{Transport: &http.Transport{
-			DisableCompression: true, MaxIdleConnsPerHost: 1, MaxResponseHeaderBytes: 4 << 10,
-		}},
+		config:     config,
+		client:     &http.Client{Transport: desync.NewTransport(&http.Transport{DisableCompression: true, MaxIdleConnsPerHost: 1})},
 		polls:      metric.NewFactory(reg, "mastichollow_relay").CounterVec("questions_total", "Poll requests to relays, by result.", "result"),
 		avoidUntil: make(map[netip.AddrPort]time.Duration),
 	}
--- a/internal/upstream/head_limiter.go
+++ b/internal/upstream/head_limiter.go
@@ -4,12 +4,13 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mastichollow/mastichollow/internal/desync"
 )
 
 // maxHeadBytes bounds the bytes of all response heads read for one call: its own,
-// interim ones (1xx) and those of other calls. Targets send some hundred bytes;
-// net/http would read a head of any length.
-const maxHeadBytes = 16 << 10
+// interim ones (1xx) and those of other calls.
+const maxHeadBytes = desync.MaxHeadBytes
 
 // errHeadTooLong: the response heads of a call exceed maxHeadBytes.
 var errHeadTooLong = errors.Newf("response heads are longer than %d bytes", maxHeadBytes)
