LOST: the memory for responses is bounded in its sum

A report of other operators: responses without end took the memory of a machine, and the requests of other clients ended with it. Here each reader of the gate was bounded, and nothing bounded the sum over connections.

Change: package budget. What is kept of responses beyond a small part of each (heads, events, bytes held back) is leased from 5 % of the VM's memory; a response that gets no more is lost, the small part needs no lease.

--- a/cmd/mastichollow-gate/start.go
+++ b/cmd/mastichollow-gate/start.go
@@ -14,6 +14,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/budget"
 	"github.com/mastichollow/mastichollow/internal/clock"
 	"github.com/mastichollow/mastichollow/internal/eventlog"
 	"github.com/mastichollow/mastichollow/internal/gate"
@@ -38,6 +39,9 @@
 	// bodyMemoryFraction is the fraction of the machine's memory that request bodies may
 	// use.
 	bodyMemoryFraction = 0.2
+	// responseMemoryFraction is the fraction of the machine's memory for what is kept of
+	// responses beyond a small part of each. Sound responses rarely need any.
+	responseMemoryFraction = 0.05
 	// callerConnectionFraction is the fraction of the machine's file descriptors that
 	// callers' connections may use before the gate closes each after its next response. The
 	// rest is for connections to targets and for bursts.
@@ -129,12 +133,13 @@
 		Candidates: exchange.RelayCandidates, View: watcher, Now: boot, Log: log.Named("relay"),
 	}, reg)
 	dials := metric.NewFactory(reg, "mastichollow_targets").Counter("connections_total", "New connections to targets.")
-	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, Now: monotonic}, dials.Inc)
+	responseMemory := budget.NewBytes(int64(responseMemoryFraction * float64(s.MemoryLimitBytes)))
+	pool := upstream.NewPool(upstream.Config{DialTimeout: dialTimeout, ResponseMemory: responseMemory, Now: monotonic}, dials.Inc)
 	watcher.OnTargetRemoved = pool.CloseIdle
 	g := gate.New(gate.Config{
 		MaxTableAgeForKeys: s.MaxTableAgeForKeys(), MaxTableAgeForDenials: s.MaxTableAgeForDenials(), MaxBufferedBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryLimitBytes)),
 		MaxKeepAliveConnections: int(callerConnectionFraction * float64(s.MaxFileDescriptors)), Domain: s.Domain, Now: monotonic, Events: events,
-		StoreUnreachable: watcher.Detached,
+		ResponseMemory: responseMemory, StoreUnreachable: watcher.Detached,
 	}, platform.Codec{}, table, directory, controller, pool, reg)
 	server, err := listen(s, g, feed, log)
 	if err != nil {
--- a/internal/desync/reader.go
+++ b/internal/desync/reader.go
@@ -5,11 +5,16 @@
 	"io"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mastichollow/mastichollow/internal/budget"
 )
 
 // heldReadSize is how many bytes are read at a time while the bytes before are held back.
 const heldReadSize = 4 << 10
 
+// heldMemoryFactor is the memory that a byte held back takes while its buffer grows.
+const heldMemoryFactor = 2
+
 // Config configures a Reader.
 type Config struct {
 	// IDField is the name of the header field with the identifier of a call.
@@ -20,6 +25,8 @@
 	// called if the body ends with what may be the start of a head; wait is set if that
 	// is so likely that it may wait briefly for them. Nil: nothing can follow the body.
 	Following func(wait bool) []byte
+	// Memory is the budget for what is held back beyond heldReadSize; nil: unlimited.
+	Memory *budget.Lease
 }
 
 // Reader reads the body of a response. It holds back bytes that may be the head of a
@@ -86,6 +93,10 @@
 		return
 	}
 	size := len(r.held)
+	if size > heldReadSize && r.config.Memory != nil && !r.config.Memory.Grow(heldMemoryFactor*heldReadSize) {
+		r.reject("no memory to hold back what may be the head of a second response")
+		return
+	}
 	r.held = append(r.held, make([]byte, heldReadSize)...)
 	n, err := r.source.Read(r.held[size:])
 	r.held = r.held[:size+n]
--- a/internal/engine/answer.go
+++ b/internal/engine/answer.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mastichollow/mastichollow/internal/budget"
 )
 
 const (
@@ -97,8 +99,8 @@
 
 // eventFrames returns a function that reads the next event of a stream whose end no event
 // marks. A stream that ends inside an event is truncated, whatever its framing says.
-func eventFrames(resp *http.Response, maxEventBytes int) func() (Frame, error) {
-	reader := newEventReader(resp.Body, maxEventBytes)
+func eventFrames(resp *http.Response, maxEventBytes int, memory *budget.Bytes) func() (Frame, error) {
+	reader := newEventReader(resp.Body, maxEventBytes, memory)
 	return func() (Frame, error) {
 		ev, err := reader.next()
 		if errors.Is(err, io.EOF) && !hasDelimitedBody(resp) {
--- a/internal/engine/client.go
+++ b/internal/engine/client.go
@@ -12,6 +12,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/budget"
 	"github.com/mastichollow/mastichollow/internal/desync"
 	"github.com/mastichollow/mastichollow/internal/httpsend"
 )
@@ -27,6 +28,7 @@
 	options        Options
 	reusingClient  *http.Client // reuses idle connections; for safe methods
 	unpooledClient *http.Client // opens a new connection for each call
+	memory         *budget.Bytes
 }
 
 func newClient(base string, options Options) *client {
@@ -36,6 +38,7 @@
 		options:        options,
 		reusingClient:  newHTTPClient(options, false),
 		unpooledClient: newHTTPClient(options, true),
+		memory:         budget.NewBytes(int64(options.MaxAnswerMemoryBytes)),
 	}
 }
 
--- a/internal/engine/decode_test.go
+++ b/internal/engine/decode_test.go
@@ -88,7 +88,7 @@
 // readEvents returns the data of each event in r, the raw bytes of all events, and the
 // error that ended reading.
 func readEvents(r io.Reader) (data []string, raw []byte, err error) {
-	reader := newEventReader(r, maxTestEvent)
+	reader := newEventReader(r, maxTestEvent, nil)
 	for {
 		ev, err := reader.next()
 		if err != nil {
@@ -157,7 +157,7 @@
 func BenchmarkEvents(b *testing.B) {
 	stream := strings.Repeat(tokenEvent, benchmarkTokens)
 	for b.Loop() {
-		reader := newEventReader(strings.NewReader(stream), defaultMaxEventBytes)
+		reader := newEventReader(strings.NewReader(stream), defaultMaxEventBytes, nil)
 		var m tokenCounter
 		for {
 			ev, err := reader.next()
--- a/internal/engine/model.go
+++ b/internal/engine/model.go
@@ -6,8 +6,14 @@
 	"net/http"
 
 	"github.com/cockroachdb/errors"
+
+	"github.com/mastichollow/mastichollow/internal/budget"
 )
 
+// bufferMemoryFactor is the memory that a byte of a buffered answer takes while its buffer
+// grows.
+const bufferMemoryFactor = 2
+
 // errTooLarge is the error of an unstreamed answer that exceeds
 // Options.MaxBufferedAnswerBytes.
 var errTooLarge = errors.New("answer is too large")
@@ -44,7 +50,7 @@
 // is complete after its [DONE] event. Events that are already buffered are joined
 // into one frame.
 func (m *ModelClient) streamFrames(resp *http.Response) func() (Frame, error) {
-	reader := newEventReader(resp.Body, m.options.MaxEventBytes)
+	reader := newEventReader(resp.Body, m.options.MaxEventBytes, m.memory)
 	var counter tokenCounter
 	done := false
 	return func() (Frame, error) {
@@ -87,7 +93,10 @@
 }
 
 func (m *ModelClient) readCompleteBody(resp *http.Response) ([]byte, error) {
-	data, err := io.ReadAll(io.LimitReader(resp.Body, int64(m.options.MaxBufferedAnswerBytes)+1))
+	lease := m.memory.Lease()
+	defer lease.Release()
+	body := budget.NewReader(io.LimitReader(resp.Body, int64(m.options.MaxBufferedAnswerBytes)+1), lease, bufferMemoryFactor)
+	data, err := io.ReadAll(body)
 	switch {
 	case err != nil:
 		return nil, eofToUnexpectedEOF(err)
--- a/internal/engine/options.go
+++ b/internal/engine/options.go
@@ -44,6 +44,7 @@
 	defaultProbeTimeout           = 2 * time.Second
 	defaultMaxBufferedAnswerBytes = 32 << 20 // bytes
 	defaultMaxEventBytes          = 1 << 20  // bytes
+	defaultMaxAnswerMemoryBytes   = 64 << 20 // bytes; side VMs have 216 MB
 	idleTimeout                   = 30 * time.Second
 	maxIdleConns                  = 256
 )
@@ -56,6 +57,7 @@
 	ProbeTimeout           time.Duration // default 2 s
 	MaxBufferedAnswerBytes int           // of a model's answer that is not streamed; default 32 MiB
 	MaxEventBytes          int           // of one server-sent event; default 1 MiB
+	MaxAnswerMemoryBytes   int           // of what is kept of all answers together; default 64 MiB
 	Dial                   httpsend.Dial // opens connections to the target; default: TCP
 }
 
@@ -70,6 +72,9 @@
 	if o.MaxEventBytes <= 0 {
 		o.MaxEventBytes = defaultMaxEventBytes
 	}
+	if o.MaxAnswerMemoryBytes <= 0 {
+		o.MaxAnswerMemoryBytes = defaultMaxAnswerMemoryBytes
+	}
 	return o
 }
 
--- a/internal/engine/service.go
+++ b/internal/engine/service.go
@@ -24,7 +24,7 @@
 	}
 	nextFrame := rawFrames(resp)
 	if mediaType(resp.Header) == mediaTypeEventStream {
-		nextFrame = eventFrames(resp, s.options.MaxEventBytes)
+		nextFrame = eventFrames(resp, s.options.MaxEventBytes, s.memory)
 	}
 	return &httpAnswer{resp: resp, watchdog: w, nextFrame: nextFrame, onStall: s.closeIdleConnections}, nil
 }
--- a/internal/engine/sse.go
+++ b/internal/engine/sse.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/budget"
 	"github.com/mastichollow/mastichollow/internal/desync"
 )
 
@@ -31,11 +32,12 @@
 type eventReader struct {
 	reader        *bufio.Reader
 	maxEventBytes int
-	last          event // its buffers are reused
+	memory        *budget.Lease // for the part of an event beyond sseBufferBytes
+	last          event         // its buffers are reused
 }
 
-func newEventReader(r io.Reader, maxEventBytes int) *eventReader {
-	return &eventReader{reader: bufio.NewReaderSize(r, sseBufferBytes), maxEventBytes: maxEventBytes}
+func newEventReader(r io.Reader, maxEventBytes int, memory *budget.Bytes) *eventReader {
+	return &eventReader{reader: bufio.NewReaderSize(r, sseBufferBytes), maxEventBytes: maxEventBytes, memory: memory.Lease()}
 }
 
 // next returns the next event, which is valid until the next call. It returns
@@ -43,9 +45,18 @@
 // inside an event.
 func (e *eventReader) next() (event, error) {
 	ev := event{raw: e.last.raw[:0], data: e.last.data[:0]}
-	defer func() { e.last = ev }()
+	defer func() {
+		e.last = ev
+		if cap(ev.raw) > sseBufferBytes {
+			e.last = event{}
+		}
+		e.memory.Release()
+	}()
 	for {
 		line, err := e.readLine(e.maxEventBytes - len(ev.raw))
+		if len(ev.raw) > sseBufferBytes && !e.memory.Grow(bufferMemoryFactor*int64(len(line))) {
+			return event{}, budget.ErrExhausted
+		}
 		ev.raw = append(ev.raw, line...)
 		if err != nil {
 			return event{}, eventReadError(err, len(ev.raw))
@@ -73,6 +84,9 @@
 		if err == nil && line == nil {
 			return part, nil
 		}
+		if !e.memory.Grow(bufferMemoryFactor * int64(len(part))) {
+			return nil, budget.ErrExhausted
+		}
 		line = append(line, part...)
 		if !errors.Is(err, bufio.ErrBufferFull) {
 			return line, err
--- a/internal/gate/event_reader.go
+++ b/internal/gate/event_reader.go
@@ -7,6 +7,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/budget"
 	"github.com/mastichollow/mastichollow/internal/desync"
 	"github.com/mastichollow/mastichollow/internal/upstream"
 )
@@ -18,8 +19,17 @@
 	// have some hundred bytes, and a gate with 112 MB of memory must survive some
 	// hundred streams with an event that never ends.
 	maxEventSize = 64 << 10
+	// freeEventBytes is the size of the buffer that needs no memory of the budget, so that
+	// no faulty target can take it from sound ones.
+	freeEventBytes = 8 << 10
+	// eventMemoryFactor is the memory that a byte added to the buffer takes, with that of
+	// the buffer that it replaces.
+	eventMemoryFactor = 2
 )
 
+// errEventMemory: the budget has no memory for a long event.
+var errEventMemory = errors.New("memory for responses is exhausted")
+
 // errEventTruncated: the stream ended inside an event.
 var errEventTruncated = errors.New("stream ended inside an event")
 
@@ -40,6 +50,7 @@
 //     dropped, and a stream that skips an event is an error.
 type eventReader struct {
 	body   io.Reader
+	memory *budget.Lease // for a buffer beyond freeEventBytes
 	buf    []byte
 	start  int // of the bytes not returned yet
 	end    int
@@ -52,8 +63,10 @@
 	resumeAfter string
 }
 
-func newEventReader(body io.Reader, resumeAfter string) *eventReader {
-	return &eventReader{body: body, buf: make([]byte, initialEventBuffer), lastID: resumeAfter, resumeAfter: resumeAfter}
+// newEventReader returns a reader of the events in body. memory is its share of the memory
+// for responses.
+func newEventReader(body io.Reader, resumeAfter string, memory *budget.Lease) *eventReader {
+	return &eventReader{body: body, memory: memory, buf: make([]byte, initialEventBuffer), lastID: resumeAfter, resumeAfter: resumeAfter}
 }
 
 // next returns the complete events that have arrived, at least one, or io.EOF at the end
@@ -84,6 +97,9 @@
 		if len(e.buf) >= maxEventSize {
 			return errors.Newf("event is longer than %d bytes", maxEventSize)
 		}
+		if len(e.buf) >= freeEventBytes && !e.memory.Grow(eventMemoryFactor*int64(len(e.buf))) {
+			return errEventMemory
+		}
 		e.buf = append(e.buf, make([]byte, len(e.buf))...)
 	}
 	n, err := e.body.Read(e.buf[e.end:])
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -167,7 +167,9 @@
 	}
 	stallWatchdog := c.startStreamWatchdog()
 	defer stallWatchdog.stop()
-	events := newEventReader(body, c.lastEventID)
+	memory := c.gate.config.ResponseMemory.Lease()
+	defer memory.Release()
+	events := newEventReader(body, c.lastEventID, memory)
 	for {
 		chunk, err := events.next()
 		if err != nil {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/budget"
 	"github.com/mastichollow/mastichollow/internal/eventlog"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/target"
@@ -31,9 +32,12 @@
 	MaxKeepAliveConnections int
 	// MaxBufferedBodyBytes bounds the bodies of all requests in flight.
 	MaxBufferedBodyBytes int64
-	Domain               string               // failure domain, for log lines
-	Now                  func() time.Duration // monotonic clock
-	Events               *eventlog.Log
+	// ResponseMemory bounds what is kept of all responses of targets together, beyond a
+	// small part of each; nil: unlimited.
+	ResponseMemory *budget.Bytes
+	Domain         string               // failure domain, for log lines
+	Now            func() time.Duration // monotonic clock
+	Events         *eventlog.Log
 	// StoreUnreachable reports whether the gate cannot reach the metadata store and
 	// relies on state from a peer; nil: never.
 	StoreUnreachable func() bool
--- a/internal/httpsend/httpsendtest/raw.go
+++ b/internal/httpsend/httpsendtest/raw.go
@@ -16,11 +16,16 @@
 type RawServer struct {
 	Requests  atomic.Int64 // requests received
 	OnRequest func()       // called for each request received, before the response; may be nil
-	response  string
+	response  func() string
 }
 
 // NewRawServer returns a server that accepts connections from l until the test ends.
 func NewRawServer(t testing.TB, l net.Listener, response string) *RawServer {
+	return NewRawServerFunc(t, l, func() string { return response })
+}
+
+// NewRawServerFunc is like NewRawServer; response returns the bytes for each request.
+func NewRawServerFunc(t testing.TB, l net.Listener, response func() string) *RawServer {
 	r := &RawServer{response: response}
 	t.Cleanup(func() { _ = l.Close() })
 	go r.accept(l)
@@ -48,5 +53,5 @@
 	if r.OnRequest != nil {
 		r.OnRequest()
 	}
-	_, _ = io.WriteString(conn, r.response)
+	_, _ = io.WriteString(conn, r.response())
 }
--- a/internal/process/processtest/processtest.go
+++ b/internal/process/processtest/processtest.go
@@ -82,6 +82,9 @@
 	}
 }
 
+// PID returns the process ID.
+func (p *Process) PID() int { return p.cmd.Process.Pid }
+
 // Signal sends s to the process.
 func (p *Process) Signal(s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/budget"
 	"github.com/mastichollow/mastichollow/internal/desync"
 )
 
@@ -66,7 +67,7 @@
 	if err != nil {
 		return nil, err
 	}
-	x := &exchange{pool: p, conn: c, call: &call, writeDone: make(chan error, 1)}
+	x := &exchange{pool: p, conn: c, call: &call, writeDone: make(chan error, 1), memory: p.config.ResponseMemory.Lease()}
 	c.maybeSent.Store(false)
 	id := call.Header.Get(call.IDHeader)
 	c.history.Add(id)
@@ -92,7 +93,8 @@
 	conn           *conn
 	call           *Call
 	stopCancelHook func() bool
-	writeDone      chan error // receives the result of the write
+	writeDone      chan error    // receives the result of the write
+	memory         *budget.Lease // of what is kept of the response
 }
 
 func (x *exchange) run() (*Response, error) {
@@ -139,7 +141,7 @@
 // readResponse returns the response to the call, and skips those to other calls.
 func (x *exchange) readResponse() (*Response, error) {
 	strayBytes := int64(0)
-	x.conn.headLimiter.reset()
+	x.conn.headLimiter.reset(x.memory)
 	for {
 		resp, err := x.readHead() //nolint:bodyclose // Response.Body closes the connection
 		if err != nil {
@@ -199,7 +201,7 @@
 
 func (x *exchange) newResponse(resp *http.Response) *Response {
 	framing := framingOf(resp)
-	check := desync.Config{IDField: x.call.IDHeader, Known: x.knownID}
+	check := desync.Config{IDField: x.call.IDHeader, Known: x.knownID, Memory: x.memory}
 	if framing == FramingLength {
 		check.Following = x.conn.following
 	}
@@ -220,6 +222,7 @@
 
 // abort closes the connection and removes it from the pool.
 func (x *exchange) abort() {
+	x.memory.Release()
 	x.stopCancelHook()
 	x.pool.discard(x.conn)
 }
@@ -231,6 +234,7 @@
 		x.abort()
 		return
 	}
+	x.memory.Release()
 	x.pool.putIdle(x.conn, idleTimeout(resp.Header))
 }
 
--- a/internal/upstream/head_limiter.go
+++ b/internal/upstream/head_limiter.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/budget"
 	"github.com/mastichollow/mastichollow/internal/desync"
 )
 
@@ -12,6 +13,18 @@
 // interim ones (1xx) and those of other calls.
 const maxHeadBytes = desync.MaxHeadBytes
 
+const (
+	// freeHeadBytes is the part of a call's heads that needs no memory of the budget, so
+	// that no faulty target can take it from sound ones.
+	freeHeadBytes = 4 << 10
+	// headMemoryFactor is the memory that a byte of a head takes: as received, in its
+	// line and in its field.
+	headMemoryFactor = 3
+)
+
+// errHeadMemory: the budget has no memory for a long head.
+var errHeadMemory = errors.New("memory for response heads is exhausted")
+
 // errHeadTooLong: the response heads of a call exceed maxHeadBytes.
 var errHeadTooLong = errors.Newf("response heads are longer than %d bytes", maxHeadBytes)
 
@@ -20,28 +33,31 @@
 // the part that is read into the buffer with a head.
 type headLimiter struct {
 	raw         io.Reader
-	remaining   int    // bytes that heads may still have in this call
-	readingHead bool   // a head is being read
-	recorded    []byte // the head that is being read, and what was read beyond it
+	memory      *budget.Lease // of the current call
+	remaining   int           // bytes that heads may still have in this call
+	readingHead bool          // a head is being read
+	recorded    []byte        // the head that is being read, and what was read beyond it
 }
 
 // begin starts to record a head. buffered is its part that was read before.
 func (l *headLimiter) begin(buffered []byte) {
 	l.readingHead = true
-	l.recorded = append(l.recorded[:0], buffered...)
+	l.recorded = append([]byte(nil), buffered...)
 }
 
 // end returns the recorded head without the last unread bytes, which do not belong to
-// it. The head is valid until the next call of begin or reset.
+// it.
 func (l *headLimiter) end(unread int) []byte {
 	l.readingHead = false
-	return l.recorded[:max(0, len(l.recorded)-unread)]
+	head := l.recorded[:max(0, len(l.recorded)-unread)]
+	l.recorded = nil
+	return head
 }
 
-// reset restores the limit for a new call.
-func (l *headLimiter) reset() {
+// reset restores the limit for a new call, with the lease for its heads.
+func (l *headLimiter) reset(memory *budget.Lease) {
 	l.remaining = maxHeadBytes
-	l.recorded = nil
+	l.memory = memory
 }
 
 // Read implements io.Reader.
@@ -52,7 +68,11 @@
 	if l.remaining <= 0 {
 		return 0, errHeadTooLong
 	}
-	n, err := l.raw.Read(p[:min(len(p), l.remaining)])
+	p = p[:min(len(p), l.remaining)]
+	if l.remaining <= maxHeadBytes-freeHeadBytes && !l.memory.Grow(headMemoryFactor*int64(len(p))) {
+		return 0, errHeadMemory
+	}
+	n, err := l.raw.Read(p)
 	l.remaining -= n
 	l.recorded = append(l.recorded, p[:n]...)
 	return n, err
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -27,6 +27,7 @@
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
 
+	"github.com/mastichollow/mastichollow/internal/budget"
 	"github.com/mastichollow/mastichollow/internal/desync"
 )
 
@@ -72,6 +73,9 @@
 // Config configures a Pool.
 type Config struct {
 	DialTimeout time.Duration
+	// ResponseMemory bounds what is kept of all responses together, beyond a small part
+	// of each; nil: unlimited.
+	ResponseMemory *budget.Bytes
 	// Now is a monotonic clock.
 	Now func() time.Duration
 }
