--- /dev/null
+++ b/cmd/mastichollow-gate/grace_test.go
@@ -0,0 +1,178 @@
+package main
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/platform/names"
+	"github.com/mastichollow/mastichollow/platform/platformtest"
+	"github.com/mastichollow/mastichollow/platform/standin"
+)
+
+const (
+	// arrivalInterval is the time between two requests to a gate that stops, on each route.
+	arrivalInterval = 50 * time.Millisecond
+	// beforeStop is how long requests are sent before the stop.
+	beforeStop = 300 * time.Millisecond
+	// promptTime is how long a refusal may take, on a busy machine too.
+	promptTime = time.Second
+)
+
+// lateTarget answers each request shortly before its deadline, with a whole body or
+// stream, and records the requests that it received.
+type lateTarget struct {
+	mu       sync.Mutex
+	received map[string]time.Time
+}
+
+func (l *lateTarget) serve(c net.Conn) {
+	defer c.Close()
+	reader := bufio.NewReader(c)
+	for {
+		req, err := http.ReadRequest(reader)
+		if err != nil {
+			return
+		}
+		if _, err := io.Copy(io.Discard, req.Body); err != nil {
+			return
+		}
+		id := req.Header.Get(names.AttemptID)
+		l.mu.Lock()
+		l.received[id] = time.Now()
+		l.mu.Unlock()
+		left, err := time.ParseDuration(req.Header.Get(names.Deadline) + "ms")
+		if err != nil {
+			return
+		}
+		time.Sleep(left - left/4)
+		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s", names.AttemptID, id, names.ResponseSeal, len(platformtest.FirstEvent), platformtest.FirstEvent)
+	}
+}
+
+func (l *lateTarget) got(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return !l.received[id].IsZero()
+}
+
+// arrival is a request to a gate that stops, and what became of it.
+type arrival struct {
+	id      string
+	timeout time.Duration // of the route
+	sent    time.Duration // since the stop
+	took    time.Duration
+	status  int
+	err     error // of the response; the connection of a stopped gate is refused
+}
+
+// In a planned stop, requests arrive at all times of the grace period, on new and on kept
+// connections, on routes whose timeouts fit into it or not. What reached a target is
+// answered; what is refused has not run and is told so at once; what fits is served.
+func TestRequestsDuringGracePeriodAreAnsweredOrRefusedUnrun(t *testing.T) {
+	for _, grace := range []time.Duration{4 * time.Second, 8 * time.Second} {
+		for _, kind := range []standin.Kind{standin.AtMostOnce, standin.Idempotent, standin.Stream, standin.ResumableStream} {
+			t.Run(fmt.Sprintf("grace %s, kind %d", grace, kind), func(t *testing.T) {
+				t.Parallel()
+				playGracePeriod(t, grace, kind)
+			})
+		}
+	}
+}
+
+func playGracePeriod(t *testing.T, grace time.Duration, kind standin.Kind) {
+	target := &lateTarget{received: make(map[string]time.Time)}
+	addr := serveTCP(t, target.serve)
+	timeouts := []time.Duration{grace / 8, grace / 2, grace - time.Second, 2 * grace}
+	table := standin.Table{Version: 7, Workspaces: map[string][]string{"shop": {"k"}}, SlotsPerTarget: 64}
+	store := platformtest.NewStore(t)
+	for i, timeout := range timeouts {
+		service := fmt.Sprintf("s%d", i)
+		table.Routes = append(table.Routes, standin.Route{Name: service, Host: "h.example", Prefix: "/" + service + "/", Service: service, Kind: kind, Timeout: timeout, MaxTargets: 1})
+		store.PutTarget(standin.TargetRow{ID: "i-" + service, Service: service, Addr: addr, Domain: "a", Slots: 64, State: names.StateReady, Sequence: 1})
+	}
+	require.NoError(t, store.PutTable(table))
+	g := startGateProcess(t, store, standin.VM{GracePeriod: grace})
+
+	stopTime := time.Now().Add(beforeStop)
+	time.AfterFunc(beforeStop, g.Stop)
+	var mu sync.Mutex
+	var arrivals []arrival
+	var callers sync.WaitGroup
+	kept := &http.Transport{MaxIdleConnsPerHost: 64}
+	defer kept.CloseIdleConnections()
+	for number := 0; time.Since(stopTime) < grace; number++ {
+		for i, timeout := range timeouts {
+			transport := kept
+			if number%2 == 0 {
+				transport = &http.Transport{DisableKeepAlives: true}
+			}
+			callers.Go(func() {
+				a := arrive(transport, g.CallerAddr, fmt.Sprintf("/s%d/1", i), fmt.Sprintf("%x", 0x1000+number*len(timeouts)+i), timeout, stopTime)
+				mu.Lock()
+				arrivals = append(arrivals, a)
+				mu.Unlock()
+			})
+		}
+		time.Sleep(arrivalInterval)
+	}
+	callers.Wait()
+	g.WaitExited()
+	checkArrivals(t, target, grace, arrivals)
+}
+
+// arrive sends one request whose caller waits longer than the route's timeout.
+func arrive(transport *http.Transport, addr, path, id string, timeout time.Duration, stopTime time.Time) arrival {
+	a := arrival{id: id, timeout: timeout, sent: time.Since(stopTime)}
+	req, err := standin.Call{ID: id, Host: "h.example", Path: path, Key: "k", Body: []byte("note"), Timeout: timeout + time.Minute}.Request()
+	if err != nil {
+		a.err = err
+		return a
+	}
+	req.URL.Host = addr
+	start := time.Now()
+	resp, err := transport.RoundTrip(req)
+	a.took, a.err = time.Since(start), err
+	if err != nil {
+		return a
+	}
+	defer resp.Body.Close()
+	a.status = resp.StatusCode
+	_, a.err = io.ReadAll(resp.Body)
+	a.took = time.Since(start)
+	return a
+}
+
+func checkArrivals(t *testing.T, target *lateTarget, grace time.Duration, arrivals []arrival) {
+	t.Helper()
+	served, refused := 0, 0
+	for _, a := range arrivals {
+		text := fmt.Sprintf("request %s, sent %s after the stop, timeout %s: status %d after %s, error %v", a.id, a.sent, a.timeout, a.status, a.took, a.err)
+		switch {
+		case a.sent < 0 && a.sent+a.timeout > grace-stopMargin:
+			// In hand when the stop began: it may be ended at its end.
+		case target.got(a.id):
+			require.NoError(t, a.err, "reached a target: %s", text)
+			require.Equal(t, http.StatusOK, a.status, "reached a target: %s", text)
+			served++
+		case a.status == http.StatusServiceUnavailable:
+			require.Less(t, a.took, promptTime, "refused late: %s", text)
+			refused++
+		default:
+			require.Error(t, a.err, "neither sent nor refused: %s", text)
+		}
+		if fits := a.sent > 0 && a.sent < balancerReactionTime/2 && a.sent+a.timeout < grace-stopMargin-promptTime; fits {
+			require.Equal(t, http.StatusOK, a.status, "it could be served: %s", text)
+		}
+	}
+	t.Logf("%d requests: %d served, %d refused", len(arrivals), served, refused)
+	require.Positive(t, served)
+	require.Positive(t, refused)
+}
--- a/cmd/mastichollow-gate/server.go
+++ b/cmd/mastichollow-gate/server.go
@@ -26,10 +26,10 @@
 	// maxHeaderBytes is above the limit that tables set for callers (16 KiB).
 	maxHeaderBytes = 64 << 10
 	// balancerReactionTime is how long the load balancer may still route callers to a gate
-	// that is not ready: two health checks, one a second. Later requests are refused,
-	// because the grace period would be too short for the longest streams.
+	// that is not ready: two health checks, one a second.
 	balancerReactionTime = 2500 * time.Millisecond
-	// stopMargin is the part of the grace period reserved for the exit of the process.
+	// stopMargin is the part of the grace period reserved for the last responses and the
+	// exit of the process.
 	stopMargin        = 700 * time.Millisecond
 	drainPollInterval = 50 * time.Millisecond
 )
@@ -94,20 +94,21 @@
 	s.logServeError("metrics", admin.Run(context.Background()))
 }
 
-// drain shuts the server down within the grace period. First the gate reports that it is
-// not ready, so that the load balancer routes new connections to other gates; after
-// balancerReactionTime it refuses new requests and closes each connection after its next
-// response.
+// drain shuts the server down within the grace period. The gate reports that it is not
+// ready, so that the load balancer routes new connections to other gates, closes each
+// connection after its next response, and refuses what may not end in time. Idle
+// connections are closed after balancerReactionTime.
 func (s *server) drain(grace time.Duration) {
 	s.log.Info("draining", "in_hand", s.gate.InFlight(), "grace_ms", grace.Milliseconds())
-	s.gate.Drain()
 	start := time.Now()
+	stop := start.Add(grace - stopMargin)
+	s.gate.Drain(stop)
 	time.Sleep(min(balancerReactionTime, grace/2))
-	s.gate.Close()
 	s.callerServer.SetKeepAlivesEnabled(false)
-	for time.Since(start) < grace-stopMargin && s.gate.InFlight() > 0 {
+	for time.Now().Before(stop) && s.gate.InFlight() > 0 {
 		time.Sleep(drainPollInterval)
 	}
+	s.gate.Close()
 	ctx, cancel := context.WithDeadline(context.Background(), start.Add(grace-stopMargin/2))
 	defer cancel()
 	if err := s.callerServer.Shutdown(ctx); err != nil {
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -97,14 +97,23 @@
 	if refused := c.authenticate(); refused != nil {
 		return refused
 	}
+	c.setDeadline()
+	if c.gate.mayOutlast(c.deadline) {
+		return c.refusalOfStoppingGate()
+	}
 	if refused := c.readBody(); refused != nil {
 		return refused
 	}
-	c.setDeadline()
 	c.setAdmissionRequest()
 	return nil
 }
 
+// refusalOfStoppingGate refuses a request that may not end before the process does.
+func (c *call) refusalOfStoppingGate() *refusal {
+	return unavailable(request.ReasonDraining, retryAfterOtherGate,
+		eventlog.Text("detail", "deadline after the end of the grace period"), eventlog.Millis("left_ms", time.Until(c.deadline)))
+}
+
 // aboveFairShare reports whether the request exceeds its workspace's fair share or
 // has no known workspace. It uses only the head of the request.
 func (c *call) aboveFairShare() bool {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -57,6 +57,9 @@
 	openConns         atomic.Int64 // callers' connections
 	draining          atomic.Bool
 	closed            atomic.Bool
+	stopTime          atomic.Pointer[time.Time] // by which requests must have ended; nil: none
+	stopped           context.Context           //nolint:containedctx // ends at stopTime
+	endRequests       context.CancelFunc
 	delay             schedulingDelay
 }
 
@@ -64,10 +67,12 @@
 func New(config Config, codec Codec, table *TableCache, directory *target.Directory,
 	controller *admission.Controller, pool *upstream.Pool, reg prometheus.Registerer,
 ) *Gate {
-	return &Gate{
+	g := &Gate{
 		config: config, codec: codec, tableCache: table, directory: directory,
 		controller: controller, pool: pool, metrics: newMetrics(reg),
 	}
+	g.stopped, g.endRequests = context.WithCancel(context.Background())
+	return g
 }
 
 // Ready returns nil if the gate can serve callers, or the reason why it cannot. The
@@ -112,11 +117,24 @@
 }
 
 // Drain makes the gate not ready and closes each caller's connection after its next
-// response.
-func (g *Gate) Drain() { g.draining.Store(true) }
+// response. From now on it refuses requests that have not been sent to a target and
+// whose deadline is after stop, the time by which all requests must have ended: they could
+// only be cut off. At stop, the requests that are still in flight get their final response.
+func (g *Gate) Drain(stop time.Time) {
+	g.stopTime.Store(&stop)
+	g.draining.Store(true)
+	time.AfterFunc(time.Until(stop), g.endRequests)
+}
+
+// mayOutlast reports whether a request with the deadline may be in flight at the end of a
+// planned stop.
+func (g *Gate) mayOutlast(deadline time.Time) bool {
+	stop := g.stopTime.Load()
+	return stop != nil && deadline.After(*stop)
+}
 
-// Close makes the gate refuse new requests, which could not complete before the
-// process exits. Requests in flight continue.
+// Close makes the gate refuse new requests, since the process is about to exit. Requests in
+// flight continue.
 func (g *Gate) Close() { g.closed.Store(true) }
 
 // InFlight returns the number of requests in flight.
@@ -172,5 +190,6 @@
 	defer g.bufferedBodyBytes.Add(-int64(len(c.body)))
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
+	defer context.AfterFunc(g.stopped, cancel)()
 	c.run(ctx)
 }
--- a/internal/gate/gate_test.go
+++ b/internal/gate/gate_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -313,7 +314,7 @@
 
 func TestDrainServesAndCloseRefuses(t *testing.T) {
 	f := newFixture(t, testRoutes(once), succeed("whole"))
-	f.gate.Drain()
+	f.gate.Drain(time.Now().Add(patientTimeout))
 	require.Error(t, f.gate.Ready())
 	got := f.send("/p/", "b")
 	require.Equal(t, 200, got.status)
@@ -323,6 +324,57 @@
 	require.Len(t, f.receivedRequests(), 1)
 }
 
+// A request that may not end before the process does is refused before it is sent.
+func TestStoppingGateRefusesRequestsThatMayOutlastIt(t *testing.T) {
+	kind := once
+	kind.Timeout = 20 * time.Second
+	f := newFixture(t, testRoutes(kind), succeed("whole"))
+	f.gate.Drain(time.Now().Add(10 * time.Second))
+	for timeout, status := range map[string]int{"3000": 200, "9000": 200, "10500": 503, "60000": 503} {
+		require.Equal(t, status, f.send("/p/", "b", "Timeout-Ms", timeout).status, timeout)
+	}
+	require.Len(t, f.receivedRequests(), 2)
+}
+
+// A request whose body arrives while the gate begins to stop has not been sent yet.
+func TestStoppingGateRefusesRequestNotSentYet(t *testing.T) {
+	f := newFixture(t, testRoutes(once), succeed("whole"))
+	reader, writer := io.Pipe()
+	req, err := http.NewRequest(http.MethodPost, f.server.URL+"/p/", reader)
+	require.NoError(t, err)
+	req.Host = "h.example"
+	for name, value := range map[string]string{"Id": "id-1", "Key": "k", "Timeout-Ms": "30000"} {
+		req.Header.Set(name, value)
+	}
+	go func() {
+		_, _ = io.WriteString(writer, "half")
+		for f.gate.InFlight() == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		f.gate.Drain(time.Now().Add(10 * time.Second))
+		writer.Close()
+	}()
+	resp, err := http.DefaultTransport.RoundTrip(req)
+	require.NoError(t, err)
+	resp.Body.Close()
+	require.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	require.Empty(t, f.receivedRequests())
+}
+
+// What is still in flight at the end of a stop gets a response that promises nothing.
+func TestRequestInFlightAtEndOfStopIsAnswered(t *testing.T) {
+	f := newFixture(t, testRoutes(once), func(c net.Conn, _ targetRequest) { _, _ = io.Copy(io.Discard, c) })
+	go func() {
+		for len(f.receivedRequests()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		f.gate.Drain(time.Now().Add(100 * time.Millisecond))
+	}()
+	got := f.send("/p/", "b", patient...)
+	require.NoError(t, got.err)
+	require.Equal(t, http.StatusGatewayTimeout, got.status)
+}
+
 func TestDisconnectedCallerRequestNotSent(t *testing.T) {
 	f := newFixture(t, testRoutes(once), succeed("whole"))
 	conn, remote := tcpPair(t)
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -50,6 +50,10 @@
 			c.refuseKey(refused)
 			return
 		}
+		if c.sends == 0 && c.gate.mayOutlast(c.deadline) {
+			c.refuse(c.refusalOfStoppingGate())
+			return
+		}
 		d := c.selectTarget(retryReason)
 		if d.Refused != "" {
 			c.refuseAdmission(d, retryReason)
@@ -218,6 +222,8 @@
 		c.abort(reason, detail...)
 	case !c.mayHaveRun && !o.mayHaveRun:
 		c.refuse(unavailable(reason, retryAfterShort, detail...))
+	case c.gate.stopped.Err() != nil:
+		c.refuse(failure(http.StatusGatewayTimeout, request.ReasonDraining, detail...))
 	case ctx.Err() != nil:
 		c.refuse(failure(http.StatusGatewayTimeout, request.ReasonDeadline, detail...))
 	default:
