--- a/internal/gate/framing_test.go
+++ b/internal/gate/framing_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"github.com/stretchr/testify/require"
@@ -107,6 +108,30 @@
 	}
 }
 
+// A target that stops inside its head and closes gave no answer, whatever the framing that
+// the head has announced up to there.
+func TestHeadCutBeforeCloseIsBadGateway(t *testing.T) {
+	for name, c := range map[string]struct {
+		kind      route.Route
+		responses []framedResponse
+	}{
+		"streamed": {streamOnce, framedResponses("text/event-stream", event(1), event(2))},
+		"plain":    {once, framedResponses("text/plain", "one ", "two")},
+	} {
+		for _, response := range c.responses {
+			headSize := response.rawSize() - len(strings.Join(response.pieces, "")+response.end)
+			var cut atomic.Int64
+			f := newFixture(t, testRoutes(c.kind), func(conn net.Conn, r targetRequest) { crashAfter(response, int(cut.Load()), false)(conn, r) })
+			for cut.Store(0); cut.Load() < int64(headSize); cut.Add(1) {
+				got := f.send("/p/", "body", patient...)
+				require.NoError(t, got.err, "%s, %s, cut at %d", name, response.framing, cut.Load())
+				require.Equal(t, http.StatusBadGateway, got.status, "%s, %s, cut at %d", name, response.framing, cut.Load())
+			}
+			require.Len(t, f.receivedRequests(), headSize, "each request is sent once")
+		}
+	}
+}
+
 // resumeEvents sends the events after the last one that the caller received, up to last.
 func resumeEvents(last int) targetHandler {
 	return func(c net.Conn, r targetRequest) {
