LOST: memory for request bodies is reserved before they are read

Cause: the bound on bodies was compared before a body was read and counted after it, so uploads that overlap all passed; a body of unknown length counted as 0. Each body was copied once more to be sent.

Change: memory is reserved before a body is read, at most half of it for one workspace; bodies up to 16 KiB need none. What gets none is refused at once, unrun. Large bodies are sent without a copy.

--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -2,14 +2,12 @@
 
 import (
 	"context"
-	"io"
 	"net/http"
 	"strconv"
 	"strings"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
-	"github.com/cockroachdb/errors"
 
 	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/eventlog"
@@ -48,6 +46,7 @@
 	service          *route.Service
 	workspace        string
 	body             []byte
+	bodyReserved     int64 // bytes of the gate's bodyMemory
 	deadline         time.Time
 	sends            int      // sends to targets that may have reached them
 	triedTargets     []string // IDs of targets
@@ -177,48 +176,6 @@
 	return nil
 }
 
-// readBody buffers the complete body, since a retry sends it again.
-func (c *call) readBody() *refusal {
-	limit := c.table.Limits().BodyBytes
-	if limit > 0 && c.r.ContentLength > limit {
-		return denied(http.StatusRequestEntityTooLarge, request.ReasonTooLarge)
-	}
-	if c.gate.bufferedBodyBytes.Load()+max(c.r.ContentLength, 0) > c.gate.config.MaxBufferedBodyBytes {
-		return unavailable(request.ReasonOverloaded, retryAfterLong, eventlog.Text("detail", "request body memory exhausted"))
-	}
-	body, err := c.readLimited(limit)
-	if errors.Is(err, errBodyTooLarge) {
-		return denied(http.StatusRequestEntityTooLarge, request.ReasonTooLarge)
-	}
-	if err != nil {
-		return denied(http.StatusBadRequest, request.ReasonMalformed, eventlog.Text("error", err.Error()))
-	}
-	c.gate.bufferedBodyBytes.Add(int64(len(body)))
-	c.body = body
-	return nil
-}
-
-var errBodyTooLarge = errors.New("request body exceeds the table's limit")
-
-func (c *call) readLimited(limit int64) ([]byte, error) {
-	if c.r.ContentLength == 0 {
-		return nil, nil
-	}
-	if c.r.ContentLength > 0 {
-		body := make([]byte, c.r.ContentLength)
-		_, err := io.ReadFull(c.r.Body, body)
-		return body, errors.Wrap(err, "reading the request body")
-	}
-	if limit <= 0 {
-		limit = c.gate.config.MaxBufferedBodyBytes
-	}
-	body, err := io.ReadAll(io.LimitReader(c.r.Body, limit+1))
-	if err == nil && int64(len(body)) > limit {
-		return nil, errBodyTooLarge
-	}
-	return body, errors.Wrap(err, "reading the request body")
-}
-
 func (c *call) setDeadline() {
 	timeout := c.meta.Timeout
 	if timeout <= 0 {
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -45,22 +45,22 @@
 
 // Gate serves callers. It implements http.Handler.
 type Gate struct {
-	config            Config
-	codec             Codec
-	tableCache        *TableCache
-	directory         *target.Directory
-	controller        *admission.Controller
-	pool              *upstream.Pool
-	metrics           *metrics
-	bufferedBodyBytes atomic.Int64
-	inFlight          atomic.Int64
-	openConns         atomic.Int64 // callers' connections
-	draining          atomic.Bool
-	closed            atomic.Bool
-	stopTime          atomic.Pointer[time.Time] // by which requests must have ended; nil: none
-	stopped           context.Context           //nolint:containedctx // ends at stopTime
-	endRequests       context.CancelFunc
-	delay             schedulingDelay
+	config      Config
+	codec       Codec
+	tableCache  *TableCache
+	directory   *target.Directory
+	controller  *admission.Controller
+	pool        *upstream.Pool
+	metrics     *metrics
+	bodyMemory  *bodyMemory
+	inFlight    atomic.Int64
+	openConns   atomic.Int64 // callers' connections
+	draining    atomic.Bool
+	closed      atomic.Bool
+	stopTime    atomic.Pointer[time.Time] // by which requests must have ended; nil: none
+	stopped     context.Context           //nolint:containedctx // ends at stopTime
+	endRequests context.CancelFunc
+	delay       schedulingDelay
 }
 
 // New returns a gate.
@@ -69,7 +69,7 @@
 ) *Gate {
 	g := &Gate{
 		config: config, codec: codec, tableCache: table, directory: directory,
-		controller: controller, pool: pool, metrics: newMetrics(reg),
+		controller: controller, pool: pool, metrics: newMetrics(reg), bodyMemory: newBodyMemory(config.MaxBufferedBodyBytes),
 	}
 	g.stopped, g.endRequests = context.WithCancel(context.Background())
 	return g
@@ -183,11 +183,11 @@
 		c.refuse(unavailable(request.ReasonOverloaded, retryAfterShort, eventlog.Text("detail", "gate scheduling delay above limit")))
 		return
 	}
+	defer c.releaseBody()
 	if refusal := c.prepare(); refusal != nil {
 		c.refuse(refusal)
 		return
 	}
-	defer g.bufferedBodyBytes.Add(-int64(len(c.body)))
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	defer context.AfterFunc(g.stopped, cancel)()
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -16,8 +16,8 @@
 )
 
 const (
-	// maxInlineBody is the size in bytes of the largest body that is written before
-	// the response is read; it fits into the buffers of a connection.
+	// maxInlineBody is the size in bytes of the largest body that is written with the head,
+	// before the response is read; it fits into the buffers of a connection.
 	maxInlineBody = 8 << 10
 	// initialHeadBuffer is the initial buffer size for the head of a request, in bytes.
 	initialHeadBuffer = 1024
@@ -113,7 +113,7 @@
 func (x *exchange) writeRequest() error {
 	call := x.call
 	var b bytes.Buffer
-	b.Grow(initialHeadBuffer + len(call.Body))
+	b.Grow(initialHeadBuffer + min(len(call.Body), maxInlineBody))
 	b.WriteString(call.Method)
 	b.WriteByte(' ')
 	b.WriteString(call.URI)
@@ -129,8 +129,15 @@
 		b.WriteString("\r\n")
 	}
 	b.WriteString("\r\n")
-	b.Write(call.Body)
-	_, err := x.conn.Write(b.Bytes())
+	if len(call.Body) <= maxInlineBody {
+		b.Write(call.Body)
+		_, err := x.conn.Write(b.Bytes())
+		return err
+	}
+	if _, err := x.conn.Write(b.Bytes()); err != nil {
+		return err
+	}
+	_, err := x.conn.Write(call.Body) // a large body is not copied
 	return err
 }
 
