CONFIG: a gate that starts after a restore doubts the store's table

Cause: a starting gate took the first table that it read for the newest one, whatever the era of the store said.

--- a/internal/gate/table_cache.go
+++ b/internal/gate/table_cache.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"math"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,7 +16,7 @@
 type TableCache struct {
 	confirmMu sync.Mutex // tables arrive from the store and from peers concurrently
 	cached    atomic.Pointer[cachedTable]
-	confirmed atomic.Int64 // on the clock now
+	confirmed atomic.Int64 // on the clock now; neverConfirmed until the first confirmation
 	now       func() time.Duration
 }
 
@@ -27,9 +28,30 @@
 // NewTableCache returns a cache without a table. now is a clock that includes time
 // for which the machine was suspended.
 func NewTableCache(now func() time.Duration) *TableCache {
-	return &TableCache{now: now}
+	c := &TableCache{now: now}
+	c.confirmed.Store(neverConfirmed)
+	return c
 }
 
+// neverConfirmed makes the age of a table longer than any bound but the longest duration.
+const neverConfirmed = math.MinInt64 / 2
+
+// SetUnconfirmed stores a table of which it is unknown whether it was ever the newest one, if
+// it supersedes the cached one and that is unconfirmed too. It reports whether it did.
+func (c *TableCache) SetUnconfirmed(table *route.Table, edition route.Edition) bool {
+	c.confirmMu.Lock()
+	defer c.confirmMu.Unlock()
+	cached := c.cached.Load()
+	if c.Confirmed() || cached != nil && !edition.Supersedes(cached.edition) {
+		return false
+	}
+	c.cached.Store(&cachedTable{table, edition})
+	return true
+}
+
+// Confirmed reports whether the cached table was ever confirmed to be the newest one.
+func (c *TableCache) Confirmed() bool { return c.confirmed.Load() != neverConfirmed }
+
 // Confirm stores a table that the store had at asOf, if it supersedes the cached one.
 // updated reports whether it did, and confirmed whether the table that is cached now was the
 // newest one at asOf.
