BUDGET: requests that crash targets are quarantined in time

Cause: crashes were counted per target ID, so a worker that starts again under its ID counted once. A single lost connection is no evidence, and a gate that has nothing else at the worker got none; evidence of peers counted for parts of prompts only. Suspects were reported for 5 s, and gates that restart forgot them.

Change: crashes are counted per run of a target. After a lone lost connection the gate looks whether the target still accepts any. A peer's evidence counts, suspects are reported with the time since each crash as long as they are remembered, and disproofs reach peers.

--- a/internal/admission/part_blocks.go
+++ b/internal/admission/part_blocks.go
@@ -49,11 +49,11 @@
 	}
 }
 
-// crashedWithout returns the IDs of the targets whose crashes are explained by blocked
-// parts that a request does not have.
-func (p *crashingParts) crashedWithout(now time.Duration, parts []Part) map[string]bool {
+// crashedWithout returns the runs of targets whose crashes are explained by blocked parts
+// that a request does not have.
+func (p *crashingParts) crashedWithout(now time.Duration, parts []Part) map[TargetRun]bool {
 	p.refreshBlocks(now)
-	explained := make(map[string]bool)
+	explained := make(map[TargetRun]bool)
 	for i := range p.blocks {
 		if p.blocks[i].hasParts(parts) {
 			continue
@@ -61,7 +61,7 @@
 		for _, part := range p.blocks[i].parts {
 			if suspect := p.suspects[part]; suspect != nil {
 				for run := range suspect.crashes {
-					explained[run.targetID()] = true
+					explained[run] = true
 				}
 			}
 		}
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -1,12 +1,18 @@
 package admission
 
-import "time"
+import (
+	"time"
+
+	"github.com/mastichollow/mastichollow/internal/target"
+)
 
 // Report is the state that a gate sends to its peers.
 type Report struct {
-	Loads    map[string]Load
-	Usage    map[string]Usage
-	Suspects map[Fingerprint][]string
+	Loads map[string]Load
+	Usage map[string]Usage
+	// Suspects holds, by request, the runs of targets that crashed while they ran it, with
+	// the time since.
+	Suspects map[Fingerprint]map[TargetRun]time.Duration
 	// Crashes holds the recent crashes of which the gate has evidence, with the time since.
 	Crashes map[TargetRun]time.Duration
 	// SuspectParts holds the crashes of the parts of prompts that the gate suspects, and
@@ -31,7 +37,7 @@
 	suspectParts, clearedParts := c.suspects.parts.report(now)
 	return Report{
 		Crashes: c.suspects.listConfirmed(now), SuspectParts: suspectParts, ClearedParts: clearedParts, DisprovedCrashes: c.suspects.parts.listDisproved(now),
-		Loads: c.loads.localLoads(), Usage: c.usageTracker.localUsage(now), Suspects: c.suspects.listRecent(now), Backoffs: c.backoffs.listLocal(now), Estimates: c.localEstimates(),
+		Loads: c.loads.localLoads(), Usage: c.usageTracker.localUsage(now), Suspects: c.suspects.report(now), Backoffs: c.backoffs.listLocal(now), Estimates: c.localEstimates(),
 		RequestLimits: c.requestLimits.report(now),
 	}
 }
@@ -47,17 +53,15 @@
 		recordBackoff(c.backoffs.hints, id, backoff.TargetStarted, now+backoff.Remaining)
 	}
 	c.requestLimits.merge(now, node, report.RequestLimits)
-	for f, targets := range report.Suspects {
-		for _, id := range targets {
-			c.suspects.mergeCrash(now, f, id)
-		}
+	for run, age := range report.DisprovedCrashes {
+		c.suspects.disprove(now-age, run)
+	}
+	for f, suspect := range report.Suspects {
+		c.suspects.mergeSuspect(now, f, suspect)
 	}
 	for run, age := range report.Crashes {
 		c.suspects.mergeConfirmed(now, run, age)
 	}
-	for run, age := range report.DisprovedCrashes {
-		c.suspects.parts.disproveCrash(now-age, run)
-	}
 	c.suspects.parts.merge(now, report.SuspectParts, report.ClearedParts)
 }
 
@@ -76,3 +80,10 @@
 	defer c.mu.Unlock()
 	c.gateCount = max(count, 1)
 }
+
+// RecordRefused records that a target refused a connection that carried no request.
+func (c *Controller) RecordRefused(now time.Duration, instance *target.Instance) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.suspects.recordUnreachable(now, instance)
+}
--- a/internal/admission/suspects.go
+++ b/internal/admission/suspects.go
@@ -1,15 +1,17 @@
 package admission
 
 import (
+	"cmp"
 	"maps"
+	"slices"
 	"time"
 
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
 const (
-	// crashLimit is the number of targets that a request may crash before it is
-	// quarantined. The platform allows three retries after the third crash.
+	// crashLimit is the number of crashes of targets after which a request is
+	// quarantined. A target that starts again under its ID may crash again. The platform allows three retries after the third crash.
 	crashLimit = 3
 	// suspectLifetime is how long a request that crashed targets is remembered. It is
 	// longer than a target's restart (some seconds) and the retries of the caller.
@@ -35,7 +37,7 @@
 // under another identifier.
 type Fingerprint uint64
 
-// suspects counts, for each request, the targets that crashed while they ran it.
+// suspects counts, for each request, the runs of targets that crashed while they ran it.
 //
 // A lost connection alone doesn't prove a crash. Each loss counts only with further
 // evidence: another connection to that target lost, or one refused, within crashWindow.
@@ -43,9 +45,9 @@
 // connections.
 type suspects struct {
 	crashes     map[Fingerprint]*suspect
-	losses      map[string][]loss        // by target ID, within the last crashWindow
-	crashedAt   map[string]time.Duration // by target ID, the last presumed crash
-	disprovedAt map[string]time.Duration // by target ID, when its presumed crash was disproved
+	losses      map[string][]loss           // by target ID, within the last crashWindow
+	crashedAt   map[TargetRun]time.Duration // presumed crashes of the last maxDisproofDelay
+	disprovedAt map[TargetRun]time.Duration // when presumed crashes were disproved
 	// completed holds the times at which requests completed. Requests that are sent over
 	// and over are in flight whenever a target crashes, and are no suspects. When
 	// completed is full, it becomes previousCompleted.
@@ -74,7 +76,7 @@
 const maxPresumedCrashes = 64
 
 type suspect struct {
-	targets   map[string]struct{}
+	runs      map[TargetRun]time.Duration // when they crashed
 	lastCrash time.Duration
 }
 
@@ -92,7 +94,7 @@
 func newSuspects() *suspects {
 	return &suspects{
 		crashes: make(map[Fingerprint]*suspect), losses: make(map[string][]loss),
-		crashedAt: make(map[string]time.Duration), disprovedAt: make(map[string]time.Duration),
+		crashedAt: make(map[TargetRun]time.Duration), disprovedAt: make(map[TargetRun]time.Duration),
 		completed: make(map[Fingerprint]time.Duration), confirmed: make(map[TargetRun]confirmedCrash), parts: newCrashingParts(),
 	}
 }
@@ -105,7 +107,7 @@
 	if len(recent) > 0 {
 		s.recordCrash(now, instance, false)
 	} else if crash, ok := s.confirmed[lost.run]; ok && now-crash.at <= peerEvidenceWindow {
-		s.parts.recordCrash(lost)
+		s.addLoss(now, lost)
 	}
 }
 
@@ -131,18 +133,24 @@
 func (s *suspects) recordCrash(now time.Duration, instance *target.Instance, refused bool) {
 	lost := s.recentLosses(now, instance.ID, crashWindow)
 	if len(lost) > 0 {
-		s.crashedAt[instance.ID] = now
+		maps.DeleteFunc(s.crashedAt, func(_ TargetRun, at time.Duration) bool { return now-at > maxDisproofDelay })
+		s.crashedAt[runOf(instance)] = now
 	}
 	isNew := s.confirmCrash(now, runOf(instance), true)
 	if isNew && len(s.presumed) < maxPresumedCrashes {
 		s.presumed = append(s.presumed, PresumedCrash{Target: instance.ID, Refused: refused, Requests: len(lost)})
 	}
 	for _, l := range lost {
-		s.addCrash(now, l.fingerprint, instance.ID)
-		s.parts.recordCrash(l)
+		s.addLoss(now, l)
 	}
 }
 
+// addLoss records that the connection of a request was lost by the crash of its target.
+func (s *suspects) addLoss(now time.Duration, l loss) {
+	s.addCrash(now, l.at, l.fingerprint, l.run)
+	s.parts.recordCrash(l)
+}
+
 // confirmCrash records evidence of a crash, and reports whether it is new.
 func (s *suspects) confirmCrash(at time.Duration, run TargetRun, local bool) bool {
 	if known, ok := s.confirmed[run]; ok && (known.local || !local) {
@@ -156,10 +164,13 @@
 // confirms single losses at this gate.
 func (s *suspects) mergeConfirmed(now time.Duration, run TargetRun, age time.Duration) {
 	at := now - age
+	if s.disprovedAfter(run, at) {
+		return
+	}
 	s.confirmCrash(at, run, false)
 	for _, l := range s.losses[run.targetID()] {
 		if l.run == run && (l.at-at).Abs() <= peerEvidenceWindow {
-			s.parts.recordCrash(l)
+			s.addLoss(now, l)
 		}
 	}
 }
@@ -177,50 +188,69 @@
 	return recent
 }
 
-// addCrash records that a request was in flight at the target when that crashed.
-func (s *suspects) addCrash(now time.Duration, f Fingerprint, target string) {
+// addCrash records that a request was in flight at the run of a target when that crashed.
+// at is the time of the crash.
+func (s *suspects) addCrash(now, at time.Duration, f Fingerprint, run TargetRun) {
 	if s.completedRecently(now, f) {
 		return
 	}
 	entry := s.crashes[f]
 	if entry == nil {
 		s.evictOldest(now)
-		entry = &suspect{targets: make(map[string]struct{})}
+		entry = &suspect{runs: make(map[TargetRun]time.Duration), lastCrash: at}
 		s.crashes[f] = entry
 	}
-	if _, known := entry.targets[target]; known {
+	if _, known := entry.runs[run]; known {
 		return // peers report the same crash repeatedly
 	}
-	entry.targets[target] = struct{}{}
-	entry.lastCrash = now
+	entry.runs[run] = at
+	entry.lastCrash = max(entry.lastCrash, at)
 }
 
-// mergeCrash applies a crash that a peer reported, unless it was disproved here. Peers
-// report it repeatedly.
-func (s *suspects) mergeCrash(now time.Duration, f Fingerprint, target string) {
-	if at, ok := s.disprovedAt[target]; !ok || now-at > 2*suspectReportAge {
-		s.addCrash(now, f, target)
+// mergeSuspect applies what a peer reported of a request, but for crashes that were
+// disproved. Peers report it repeatedly, as long as they remember it, so that a gate that
+// restarts learns it.
+func (s *suspects) mergeSuspect(now time.Duration, f Fingerprint, ages map[TargetRun]time.Duration) {
+	for run, age := range ages {
+		if at := now - age; age <= suspectLifetime && !s.disprovedAfter(run, at) {
+			s.addCrash(now, at, f, run)
+		}
 	}
 }
 
+// disprovedAfter reports whether the run responded after a presumed crash at the time at.
+func (s *suspects) disprovedAfter(run TargetRun, at time.Duration) bool {
+	disprovedAt, ok := s.disprovedAt[run]
+	return ok && at <= disprovedAt
+}
+
 // recordResponse records a complete response of a target. If it disproves a presumed crash,
 // that is cleared from all requests.
 func (s *suspects) recordResponse(now time.Duration, instance *target.Instance) {
-	target := instance.ID
-	at, ok := s.crashedAt[target]
+	run := runOf(instance)
+	at, ok := s.crashedAt[run]
 	if !ok || now-at < minDisproofDelay {
 		return
 	}
-	delete(s.crashedAt, target)
-	if now-at > maxDisproofDelay {
-		return
+	delete(s.crashedAt, run)
+	if now-at <= maxDisproofDelay {
+		s.disprove(now, run)
+	}
+}
+
+// disprove clears the presumed crashes of a run before the time at, at which it responded.
+func (s *suspects) disprove(at time.Duration, run TargetRun) {
+	maps.DeleteFunc(s.disprovedAt, func(_ TargetRun, before time.Duration) bool { return at-before > suspectLifetime })
+	s.disprovedAt[run] = max(at, s.disprovedAt[run])
+	if s.confirmed[run].at <= at {
+		delete(s.confirmed, run)
 	}
-	s.disprovedAt[target] = now
-	delete(s.confirmed, runOf(instance))
-	s.parts.disproveCrash(now, runOf(instance))
+	s.parts.disproveCrash(at, run)
 	for f, entry := range s.crashes {
-		delete(entry.targets, target)
-		if len(entry.targets) == 0 {
+		if crashedAt, ok := entry.runs[run]; ok && crashedAt <= at {
+			delete(entry.runs, run)
+		}
+		if len(entry.runs) == 0 {
 			delete(s.crashes, f)
 		}
 	}
@@ -229,7 +259,7 @@
 // retain removes the crash times of targets for which live returns false. The crashes
 // recorded against requests stay.
 func (s *suspects) retain(live func(id string) bool) {
-	removed := func(id string, _ time.Duration) bool { return !live(id) }
+	removed := func(run TargetRun, _ time.Duration) bool { return !live(run.targetID()) }
 	maps.DeleteFunc(s.losses, func(id string, _ []loss) bool { return !live(id) })
 	maps.DeleteFunc(s.crashedAt, removed)
 	maps.DeleteFunc(s.disprovedAt, removed)
@@ -269,7 +299,7 @@
 	return ok && now-at < suspectLifetime
 }
 
-// quarantined reports whether the request has crashed crashLimit targets. Crashes that a
+// quarantined reports whether the request has crashed targets crashLimit times. Crashes that a
 // blocked part explains do not count against a request without that part.
 func (s *suspects) quarantined(now time.Duration, f Fingerprint, parts []Part) bool {
 	entry := s.crashes[f]
@@ -280,33 +310,52 @@
 		delete(s.crashes, f)
 		return false
 	}
-	if len(entry.targets) < crashLimit {
+	if len(entry.runs) < crashLimit {
 		return false
 	}
 	explained := s.parts.crashedWithout(now, parts)
 	unexplained := 0
-	for id := range entry.targets {
-		if !explained[id] {
+	for run := range entry.runs {
+		if !explained[run] {
 			unexplained++
 		}
 	}
 	return unexplained >= crashLimit
 }
 
-// listRecent returns the suspects whose last crash was within suspectReportAge, with the
-// targets that they crashed.
-func (s *suspects) listRecent(now time.Duration) map[Fingerprint][]string {
-	recent := make(map[Fingerprint][]string)
+// report returns the suspects for peers: those of the last suspectReportAge, and of the
+// older ones the maxOldSuspects latest.
+func (s *suspects) report(now time.Duration) map[Fingerprint]map[TargetRun]time.Duration {
+	reported := make(map[Fingerprint]map[TargetRun]time.Duration)
+	var old []Fingerprint
 	for f, entry := range s.crashes {
-		if now-entry.lastCrash > suspectReportAge {
-			continue
-		}
-		for id := range entry.targets {
-			recent[f] = append(recent[f], id)
+		switch age := now - entry.lastCrash; {
+		case age <= suspectReportAge:
+			reported[f] = entry.report(now)
+		case age <= suspectLifetime:
+			old = append(old, f)
 		}
 	}
-	return recent
+	slices.SortFunc(old, func(a, b Fingerprint) int { return cmp.Compare(s.crashes[b].lastCrash, s.crashes[a].lastCrash) })
+	for _, f := range old[:min(len(old), maxOldSuspects)] {
+		reported[f] = s.crashes[f].report(now)
+	}
+	return reported
 }
 
-// suspectReportAge is how long after its last crash a suspect is reported to peers.
-const suspectReportAge = 5 * time.Second
+// report returns the crashed runs with the time since.
+func (s *suspect) report(now time.Duration) map[TargetRun]time.Duration {
+	ages := make(map[TargetRun]time.Duration, len(s.runs))
+	for run, at := range s.runs {
+		ages[run] = now - at
+	}
+	return ages
+}
+
+const (
+	// suspectReportAge is how long after a crash it is reported to peers, and after its last
+	// crash each suspect.
+	suspectReportAge = 5 * time.Second
+	// maxOldSuspects bounds the suspects with older crashes in a report.
+	maxOldSuspects = 32
+)
--- /dev/null
+++ b/internal/admission/suspects_test.go
@@ -0,0 +1,141 @@
+package admission
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/request"
+	"github.com/mastichollow/mastichollow/internal/target"
+)
+
+const poison Fingerprint = 7
+
+// crashAlone plays a crash of a target at which the gate had only the request poison.
+func crashAlone(c *Controller, now time.Duration, instance *target.Instance) {
+	c.mu.Lock()
+	c.suspects.recordLoss(now, instance, loss{fingerprint: poison})
+	c.mu.Unlock()
+}
+
+func isQuarantined(c *Controller, now time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.suspects.quarantined(now, poison, nil)
+}
+
+// A target that starts again under its ID crashes again: each run counts.
+func TestCrashesOfTargetThatKeepsItsIDCounted(t *testing.T) {
+	c := newTestController()
+	for n := range crashLimit {
+		now := time.Duration(n) * 4 * time.Second
+		require.False(t, isQuarantined(c, now), n)
+		instance := &target.Instance{ID: "i-1", StartedMillis: int64(1000 * (n + 1))}
+		crashAlone(c, now, instance)
+		c.RecordRefused(now+20*time.Millisecond, instance)
+		c.RecordRefused(now+40*time.Millisecond, instance)
+	}
+	require.True(t, isQuarantined(c, 12*time.Second))
+	d := c.Admit(13*time.Second, &Request{Workspace: "w", Service: "s", Fingerprint: poison}, newEngines(3))
+	require.Equal(t, request.ReasonQuarantined, d.Refused)
+}
+
+// The gate has no other request at the target. The evidence is a peer's, which arrives before
+// or after the loss.
+func TestPeerEvidenceCountsAgainstLoneRequest(t *testing.T) {
+	c := newTestController()
+	for n := range crashLimit {
+		now := time.Duration(n) * 4 * time.Second
+		instance := &target.Instance{ID: "i-1", StartedMillis: int64(n + 1)}
+		evidence := Report{Crashes: map[TargetRun]time.Duration{runOf(instance): 100 * time.Millisecond}}
+		if n%2 == 0 {
+			crashAlone(c, now, instance)
+			c.Merge(now+200*time.Millisecond, "peer", evidence)
+		} else {
+			c.Merge(now, "peer", evidence)
+			crashAlone(c, now+100*time.Millisecond, instance)
+		}
+	}
+	require.True(t, isQuarantined(c, 12*time.Second))
+}
+
+func TestLoneLossWithoutEvidenceIsNoCrash(t *testing.T) {
+	c := newTestController()
+	for n := range 2 * crashLimit {
+		crashAlone(c, time.Duration(n)*time.Second, &target.Instance{ID: "i-1", StartedMillis: int64(n)})
+	}
+	require.False(t, isQuarantined(c, 6*time.Second))
+}
+
+// quarantinePoison plays crashLimit crashes.
+func quarantinePoison(t *testing.T, c *Controller) {
+	t.Helper()
+	for n := range crashLimit {
+		instance := &target.Instance{ID: "i-1", StartedMillis: int64(n + 1)}
+		crashAlone(c, time.Duration(n)*time.Second, instance)
+		c.RecordRefused(time.Duration(n)*time.Second, instance)
+	}
+	require.True(t, isQuarantined(c, crashLimit*time.Second))
+}
+
+// Gates are stopped and started in turn, several times: those that start learn the quarantine
+// of those that run. It expires all the same.
+func TestQuarantineOutlastsRollsOfGates(t *testing.T) {
+	gates := []*Controller{newTestController(), newTestController()}
+	quarantinePoison(t, gates[0])
+	gates[1].Merge(4*time.Second, "gate", gates[0].Report(4*time.Second))
+	now := 20 * time.Second
+	for restarted := range 6 {
+		i := restarted % len(gates)
+		gates[i] = newTestController()
+		gates[i].Merge(now, "gate", gates[1-i].Report(now))
+		require.True(t, isQuarantined(gates[i], now), "restart %d", restarted)
+		now += 10 * time.Second
+	}
+	last := (crashLimit - 1) * time.Second // the last crash
+	for ; now <= last+suspectLifetime+time.Second; now += time.Second {
+		for i := range gates {
+			gates[i].Merge(now, "gate", gates[1-i].Report(now))
+		}
+	}
+	require.False(t, isQuarantined(gates[0], now), "gates must not keep it alive for each other")
+	require.False(t, isQuarantined(gates[1], now))
+}
+
+// A crash that one gate disproves is cleared at its peers, whose older reports do not bring
+// it back.
+func TestDisprovedCrashClearedAtPeers(t *testing.T) {
+	disproving, peer := newTestController(), newTestController()
+	instance := &target.Instance{ID: "i-1", StartedMillis: 1}
+	for _, c := range []*Controller{disproving, peer} {
+		crashAlone(c, 0, instance)
+		c.RecordRefused(0, instance)
+	}
+	before := peer.Report(time.Second)
+	require.Contains(t, before.Suspects, poison)
+	disproving.mu.Lock()
+	disproving.suspects.recordResponse(500*time.Millisecond, instance)
+	disproving.mu.Unlock()
+	disproving.Merge(time.Second, "peer", before)
+	require.Empty(t, disproving.Report(time.Second).Suspects)
+	peer.Merge(time.Second, "disproving", disproving.Report(time.Second))
+	require.Empty(t, peer.Report(time.Second).Suspects)
+	crashAlone(peer, 2*time.Second, instance)
+	peer.RecordRefused(2*time.Second, instance)
+	disproving.Merge(2*time.Second, "peer", peer.Report(2*time.Second))
+	require.Contains(t, disproving.Report(2*time.Second).Suspects, poison, "a later crash of the run counts")
+}
+
+// Reports stay bounded however many requests are suspected.
+func TestOldSuspectsInReportBounded(t *testing.T) {
+	c := newTestController()
+	c.mu.Lock()
+	for n := range 10 * maxOldSuspects {
+		c.suspects.addCrash(0, time.Duration(n)*time.Millisecond, Fingerprint(n), "i-1/1")
+	}
+	c.mu.Unlock()
+	reported := c.Report(time.Minute).Suspects
+	require.Len(t, reported, maxOldSuspects)
+	require.Contains(t, reported, Fingerprint(10*maxOldSuspects-1), "the latest")
+}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -45,22 +46,23 @@
 
 // Gate serves callers. It implements http.Handler.
 type Gate struct {
-	config      Config
-	codec       Codec
-	tableCache  *TableCache
-	directory   *target.Directory
-	controller  *admission.Controller
-	pool        *upstream.Pool
-	metrics     *metrics
-	bodyMemory  *bodyMemory
-	inFlight    atomic.Int64
-	openConns   atomic.Int64 // callers' connections
-	draining    atomic.Bool
-	closed      atomic.Bool
-	stopTime    atomic.Pointer[time.Time] // by which requests must have ended; nil: none
-	stopped     context.Context           //nolint:containedctx // ends at stopTime
-	endRequests context.CancelFunc
-	delay       schedulingDelay
+	config       Config
+	codec        Codec
+	tableCache   *TableCache
+	directory    *target.Directory
+	controller   *admission.Controller
+	pool         *upstream.Pool
+	metrics      *metrics
+	bodyMemory   *bodyMemory
+	inFlight     atomic.Int64
+	openConns    atomic.Int64 // callers' connections
+	draining     atomic.Bool
+	closed       atomic.Bool
+	stopTime     atomic.Pointer[time.Time] // by which requests must have ended; nil: none
+	stopped      context.Context           //nolint:containedctx // ends at stopTime
+	endRequests  context.CancelFunc
+	delay        schedulingDelay
+	targetChecks sync.Map // addresses of targets that are being checked
 }
 
 // New returns a gate.
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -192,6 +192,9 @@
 	if errors.Is(o.err, desync.ErrJoined) {
 		g.metrics.joinedResponses.Inc()
 	}
+	if o.result == admission.ResultLost && !errors.Is(o.err, upstream.ErrMalformed) {
+		g.checkTarget(d.Target)
+	}
 	fields := []eventlog.Field{
 		eventlog.Text("request", c.meta.ID),
 		eventlog.Text("target", d.Target.ID), eventlog.Text("addr", d.Target.Addr), eventlog.Text("result", o.result.String()),
--- a/internal/upstream/pool.go
+++ b/internal/upstream/pool.go
@@ -277,3 +277,13 @@
 	})
 	return errors.CombineErrors(err, sockoptErr)
 }
+
+// Refused reports whether addr refuses connections. It opens a connection and closes it.
+func (p *Pool) Refused(ctx context.Context, addr string) bool {
+	c, err := p.dial(ctx, addr)
+	if err != nil {
+		return errors.Is(err, syscall.ECONNREFUSED)
+	}
+	c.close()
+	return false
+}
