One budget by key for the bodies of requests at routers and gates

Both use budget.Keyed now; limits, refusals and their texts are as before. No lock is taken for a request without a reservation.

--- a/internal/budget/budget.go
+++ b/internal/budget/budget.go
@@ -1,6 +1,6 @@
 // Package budget bounds the memory that many users of one process share.
 //
-// Invariant: the leases of a budget never hold more bytes than its limit.
+// Invariant: the users of a budget never hold more bytes than its limit.
 package budget
 
 import "sync/atomic"
--- a/internal/budget/budget_test.go
+++ b/internal/budget/budget_test.go
@@ -44,3 +44,17 @@
 	lease.Release()
 	require.Zero(t, b.Used())
 }
+
+func TestKeyLeavesRoomForOthers(t *testing.T) {
+	b := NewKeyed[string](100, 60)
+	require.True(t, b.Grow("flood", 60))
+	require.False(t, b.Grow("flood", 1), "its part is used up")
+	require.True(t, b.Grow("other", 40))
+	require.False(t, b.Grow("other", 1), "the budget is used up")
+	b.Release("flood", 60)
+	require.Len(t, b.byKey, 1, "nothing is kept of a key that holds nothing")
+	require.True(t, b.Grow("other", 20))
+	all, ofKey := b.Used("other")
+	require.Equal(t, int64(60), all)
+	require.Equal(t, int64(60), ofKey)
+}
--- a/internal/gate/body_memory.go
+++ b/internal/gate/body_memory.go
@@ -3,10 +3,10 @@
 import (
 	"io"
 	"net/http"
-	"sync"
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/budget"
 	"github.com/mastichollow/mastichollow/internal/eventlog"
 	"github.com/mastichollow/mastichollow/internal/request"
 )
@@ -22,52 +22,10 @@
 	maxWorkspaceBodyFraction = 0.5
 )
 
-// bodyMemory is the memory for the bodies of requests in flight. It is reserved before a
-// body is read.
-//
-// Invariant: the reservations never exceed limit, and those of a workspace never
-// maxWorkspaceBodyFraction of it.
-type bodyMemory struct {
-	mu          sync.Mutex
-	limit       int64
-	used        int64
-	byWorkspace map[string]int64
-}
-
-func newBodyMemory(limit int64) *bodyMemory {
-	return &bodyMemory{limit: limit, byWorkspace: make(map[string]int64)}
-}
-
-// reserve reserves n bytes for a workspace and reports whether it could.
-func (m *bodyMemory) reserve(workspace string, n int64) bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.used+n > m.limit || m.byWorkspace[workspace]+n > int64(maxWorkspaceBodyFraction*float64(m.limit)) {
-		return false
-	}
-	m.used += n
-	m.byWorkspace[workspace] += n
-	return true
-}
-
-// release returns n reserved bytes of a workspace.
-func (m *bodyMemory) release(workspace string, n int64) {
-	if n == 0 {
-		return
-	}
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.used -= n
-	if m.byWorkspace[workspace] -= n; m.byWorkspace[workspace] == 0 {
-		delete(m.byWorkspace, workspace)
-	}
-}
-
-// inUse returns the reserved bytes.
-func (m *bodyMemory) inUse() int64 {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.used
+// newBodyMemory returns the memory for the bodies of requests in flight, by workspace. It is
+// reserved before a body is read.
+func newBodyMemory(limit int64) *budget.Keyed[string] {
+	return budget.NewKeyed[string](limit, int64(maxWorkspaceBodyFraction*float64(limit)))
 }
 
 var (
@@ -100,7 +58,7 @@
 	if more <= 0 {
 		return nil
 	}
-	if !c.gate.bodyMemory.reserve(c.workspace, more) {
+	if !c.gate.bodyMemory.Grow(c.workspace, more) {
 		return errNoMemoryForBody
 	}
 	c.bodyReserved += more
@@ -109,8 +67,10 @@
 
 // releaseBody returns the memory of the body.
 func (c *call) releaseBody() {
-	c.gate.bodyMemory.release(c.workspace, c.bodyReserved)
-	c.bodyReserved = 0
+	if c.bodyReserved > 0 {
+		c.gate.bodyMemory.Release(c.workspace, c.bodyReserved)
+		c.bodyReserved = 0
+	}
 }
 
 func (c *call) readLimited(limit int64) ([]byte, error) {
--- a/internal/gate/body_memory_test.go
+++ b/internal/gate/body_memory_test.go
@@ -29,6 +29,12 @@
 	return f
 }
 
+// bodyMemoryInUse returns the memory that bodies of all workspaces hold.
+func bodyMemoryInUse(f *fixture) int64 {
+	all, _ := f.gate.bodyMemory.Used("")
+	return all
+}
+
 // upload is a request whose body is sent in two halves.
 type upload struct {
 	conn net.Conn
@@ -73,8 +79,8 @@
 			for range uploads {
 				begun = append(begun, beginUpload(t, f, "k", size, chunked))
 			}
-			require.Eventually(t, func() bool { return f.gate.bodyMemory.inUse() > 0 && f.gate.InFlight() < uploads }, patientTimeout, time.Millisecond, "some are refused at once")
-			require.LessOrEqual(t, f.gate.bodyMemory.inUse(), int64(maxWorkspaceBodyFraction*(1<<20)))
+			require.Eventually(t, func() bool { return bodyMemoryInUse(f) > 0 && f.gate.InFlight() < uploads }, patientTimeout, time.Millisecond, "some are refused at once")
+			require.LessOrEqual(t, bodyMemoryInUse(f), int64(maxWorkspaceBodyFraction*(1<<20)))
 			require.Equal(t, http.StatusOK, f.send("/p/", strings.Repeat("s", freeBodyBytes/2), patient...).status, "a small body of the same workspace")
 			require.Equal(t, http.StatusOK, beginUpload(t, f, "w", size, chunked).end(t), "a large body of another workspace")
 			counts := make(map[int]int)
@@ -91,7 +97,7 @@
 			ends.Wait()
 			require.Positive(t, counts[http.StatusOK])
 			require.Equal(t, uploads, counts[http.StatusOK]+counts[http.StatusServiceUnavailable], "%v", counts)
-			require.Eventually(t, func() bool { return f.gate.bodyMemory.inUse() == 0 }, patientTimeout, time.Millisecond)
+			require.Eventually(t, func() bool { return bodyMemoryInUse(f) == 0 }, patientTimeout, time.Millisecond)
 			require.Len(t, f.receivedRequests(), counts[http.StatusOK]+2, "what was refused was not sent")
 		})
 	}
@@ -100,7 +106,7 @@
 func TestAbortedUploadReturnsItsMemory(t *testing.T) {
 	f := newUploadFixture(t, 200_000)
 	u := beginUpload(t, f, "k", 100_000, false)
-	require.Eventually(t, func() bool { return f.gate.bodyMemory.inUse() == 100_000-freeBodyBytes }, patientTimeout, time.Millisecond)
+	require.Eventually(t, func() bool { return bodyMemoryInUse(f) == 100_000-freeBodyBytes }, patientTimeout, time.Millisecond)
 	u.conn.Close()
-	require.Eventually(t, func() bool { return f.gate.bodyMemory.inUse() == 0 }, patientTimeout, time.Millisecond)
+	require.Eventually(t, func() bool { return bodyMemoryInUse(f) == 0 }, patientTimeout, time.Millisecond)
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -53,7 +53,7 @@
 	controller   *admission.Controller
 	pool         *upstream.Pool
 	metrics      *metrics
-	bodyMemory   *bodyMemory
+	bodyMemory   *budget.Keyed[string] // by workspace
 	inFlight     atomic.Int64
 	openConns    atomic.Int64 // callers' connections
 	draining     atomic.Bool
--- a/internal/router/bodymemory.go
+++ b/internal/router/bodymemory.go
@@ -1,8 +1,7 @@
 package router
 
 import (
-	"sync"
-
+	"github.com/mastichollow/mastichollow/internal/budget"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/workspace"
 )
@@ -14,38 +13,33 @@
 // bodyMemory bounds the memory for the bodies of requests in flight. Memory is
 // reserved before a body is read, and released with the first byte of the answer.
 type bodyMemory struct {
-	limit int64 // bytes
-
-	mu          sync.Mutex
-	total       int64
-	byWorkspace map[workspace.RowID]int64
+	*budget.Keyed[workspace.RowID]
+	rowLimit int64 // bytes that one workspace may hold
 }
 
 // bodyReservation is the memory reserved for one body. It is not safe for concurrent
 // use.
 type bodyReservation struct {
-	memory *bodyMemory
+	memory bodyMemory
 	row    workspace.RowID
 	bytes  int64
 }
 
-func newBodyMemory(limit int64) *bodyMemory {
-	return &bodyMemory{limit: limit, byWorkspace: make(map[workspace.RowID]int64)}
+func newBodyMemory(limit int64) bodyMemory {
+	rowLimit := limit / workspaceMemoryDivisor
+	return bodyMemory{budget.NewKeyed[workspace.RowID](limit, rowLimit), rowLimit}
 }
 
 // reserve reserves size bytes for a body of a request of row, or returns a refusal.
-func (m *bodyMemory) reserve(row workspace.RowID, size int64) (*bodyReservation, *request.RefusedError) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	switch {
-	case m.byWorkspace[row]+size > m.limit/workspaceMemoryDivisor:
-		return nil, newRefusal(request.ReasonOverloaded, "bodies of the workspace's requests take %d bytes at this router", m.byWorkspace[row])
-	case m.total+size > m.limit:
-		return nil, newRefusal(request.ReasonOverloaded, "bodies of requests take %d bytes at this router", m.total)
+func (m bodyMemory) reserve(row workspace.RowID, size int64) (*bodyReservation, *request.RefusedError) {
+	if m.Grow(row, size) {
+		return &bodyReservation{memory: m, row: row, bytes: size}, nil
 	}
-	m.total += size
-	m.byWorkspace[row] += size
-	return &bodyReservation{memory: m, row: row, bytes: size}, nil
+	total, ofRow := m.Used(row)
+	if ofRow+size > m.rowLimit {
+		return nil, newRefusal(request.ReasonOverloaded, "bodies of the workspace's requests take %d bytes at this router", ofRow)
+	}
+	return nil, newRefusal(request.ReasonOverloaded, "bodies of requests take %d bytes at this router", total)
 }
 
 // shrinkTo returns what the body does not need.
@@ -55,13 +49,6 @@
 func (r *bodyReservation) release() { r.free(r.bytes) }
 
 func (r *bodyReservation) free(n int64) {
-	memory := r.memory
-	memory.mu.Lock()
-	defer memory.mu.Unlock()
 	r.bytes -= n
-	memory.total -= n
-	memory.byWorkspace[r.row] -= n
-	if memory.byWorkspace[r.row] == 0 {
-		delete(memory.byWorkspace, r.row)
-	}
+	r.memory.Release(r.row, n)
 }
--- a/internal/router/fleet_test.go
+++ b/internal/router/fleet_test.go
@@ -320,7 +320,6 @@
 }
 
 func (f *fixture) reservedBodyBytes() int64 {
-	f.router.bodyMemory.mu.Lock()
-	defer f.router.bodyMemory.mu.Unlock()
-	return f.router.bodyMemory.total
+	total, _ := f.router.bodyMemory.Used(0)
+	return total
 }
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -26,7 +26,7 @@
 	metrics     *metrics
 	index       indexCache
 	pending     *pendingLimiter
-	bodyMemory  *bodyMemory
+	bodyMemory  bodyMemory
 	retryBudget *retryBudget
 	dropper     *connectionDropper
 	stopping    atomic.Bool
