desync: one check of a field for raw and parsed heads

The transport built a map and a line for each value of a field to call the check of raw heads, and repeated its condition for repeated fields. Both call checkQuote and occursOnce now; what is refused is as before.

--- a/internal/desync/head.go
+++ b/internal/desync/head.go
@@ -64,23 +64,30 @@
 	return nil
 }
 
-// checkField checks one line after the status line. seen holds the unique fields of the
-// lines before.
+// checkField checks one line after the status line. seen holds the fields of the lines
+// before that occur once.
 func checkField(line []byte, seen map[string]bool, unique []string) error {
 	rawName, _, _ := bytes.Cut(line, []byte(":"))
 	name := http.CanonicalHeaderKey(string(rawName))
-	identifying := isIdentifying(name, unique)
-	if identifying && !repeatableFields[name] {
+	if occursOnce(name, unique) {
 		if seen[name] {
-			return joined("response head repeats the field %s", name)
+			return repeated(name)
 		}
 		seen[name] = true
 	}
+	return checkQuote(name, line, unique)
+}
+
+func repeated(name string) error { return joined("response head repeats the field %s", name) }
+
+// checkQuote checks that the line of a field takes in no status line, but where its value
+// may quote one.
+func checkQuote(name string, line []byte, unique []string) error {
 	i := indexStatusLine(line)
 	if i < 0 {
 		return nil
 	}
-	if identifying || i == 0 || bytes.IndexByte([]byte(quotePrefixes), line[i-1]) < 0 {
+	if isIdentifying(name, unique) || i == 0 || bytes.IndexByte([]byte(quotePrefixes), line[i-1]) < 0 {
 		return joined("line %q of a response head takes in a status line", line)
 	}
 	return nil
@@ -91,11 +98,16 @@
 	return framingFields[name] || slices.Contains(unique, name)
 }
 
+// occursOnce reports whether no response repeats a field.
+func occursOnce(name string, unique []string) bool {
+	return isIdentifying(name, unique) && !repeatableFields[name]
+}
+
 // trimLineEnd removes the line terminator.
 func trimLineEnd(line []byte) []byte {
 	line, found := bytes.CutSuffix(line, []byte("\n"))
 	if found {
-		line, _ = bytes.CutSuffix(line, []byte("\r"))
+		line = trimCR(line)
 	}
 	return line
 }
--- a/internal/desync/transport.go
+++ b/internal/desync/transport.go
@@ -48,14 +48,14 @@
 		return joined("status %q takes in a status line", resp.Status)
 	}
 	for name, values := range resp.Header {
+		if len(values) > 1 && occursOnce(name, t.unique) {
+			return repeated(name)
+		}
 		for _, value := range values {
-			if err := checkField([]byte(name+": "+value), make(map[string]bool), t.unique); err != nil {
+			if err := checkQuote(name, []byte(name+": "+value), t.unique); err != nil {
 				return err
 			}
 		}
-		if len(values) > 1 && isIdentifying(name, t.unique) && !repeatableFields[name] {
-			return joined("response head repeats the field %s", name)
-		}
 	}
 	return nil
 }
