One record of disproved crashes, suspects in the message of crashes

suspects kept the times of disproofs that crashingParts keeps as well, and went through all suspects again for each repeated report of a disproof. It asks crashingParts now and returns early.

Reports between gates wrote the run of a target out for each suspect, beside a message that names each run once. Suspects had no test on the wire: TestCrashesRoundTrip has them.

--- a/internal/admission/crashing_parts.go
+++ b/internal/admission/crashing_parts.go
@@ -127,7 +127,7 @@
 // addCrash records a crash against a part, unless a request with the part completed
 // since.
 func (p *crashingParts) addCrash(part uint64, crash PartCrash) {
-	if at, ok := p.disproved[crash.Run]; ok && at >= crash.At {
+	if p.disprovedAfter(crash.Run, crash.At) {
 		return
 	}
 	if _, begun := p.begun[crash.Run]; !begun && !crash.Waiting {
@@ -266,9 +266,16 @@
 	p.cleared[part] = at
 }
 
+// disprovedAfter reports whether the run responded at the time at or later, which disproves
+// its presumed crashes until then.
+func (p *crashingParts) disprovedAfter(run TargetRun, at time.Duration) bool {
+	respondedAt, ok := p.disproved[run]
+	return ok && at <= respondedAt
+}
+
 // disproveCrash removes a presumed crash of a target that responded later from all parts.
 func (p *crashingParts) disproveCrash(respondedAt time.Duration, run TargetRun) {
-	if at, ok := p.disproved[run]; ok && at >= respondedAt {
+	if p.disprovedAfter(run, respondedAt) {
 		return
 	}
 	setBounded(p.disproved, run, respondedAt)
--- a/internal/admission/suspects.go
+++ b/internal/admission/suspects.go
@@ -11,7 +11,8 @@
 
 const (
 	// crashLimit is the number of crashes of targets after which a request is
-	// quarantined. A target that starts again under its ID may crash again. The platform allows three retries after the third crash.
+	// quarantined. A target that starts again under its ID may crash again. The platform
+	// allows three retries after the third crash.
 	crashLimit = 3
 	// suspectLifetime is how long a request that crashed targets is remembered. It is
 	// longer than a target's restart (some seconds) and the retries of the caller.
@@ -44,10 +45,9 @@
 // The crash is cleared if the target continues to respond, as it does after a reset of its
 // connections.
 type suspects struct {
-	crashes     map[Fingerprint]*suspect
-	losses      map[string][]loss           // by target ID, within the last crashWindow
-	crashedAt   map[TargetRun]time.Duration // presumed crashes of the last maxDisproofDelay
-	disprovedAt map[TargetRun]time.Duration // when presumed crashes were disproved
+	crashes   map[Fingerprint]*suspect
+	losses    map[string][]loss           // by target ID, within the last crashWindow
+	crashedAt map[TargetRun]time.Duration // presumed crashes of the last maxDisproofDelay
 	// completed holds the times at which requests completed. Requests that are sent over
 	// and over are in flight whenever a target crashes, and are no suspects. When
 	// completed is full, it becomes previousCompleted.
@@ -94,7 +94,7 @@
 func newSuspects() *suspects {
 	return &suspects{
 		crashes: make(map[Fingerprint]*suspect), losses: make(map[string][]loss),
-		crashedAt: make(map[TargetRun]time.Duration), disprovedAt: make(map[TargetRun]time.Duration),
+		crashedAt: make(map[TargetRun]time.Duration),
 		completed: make(map[Fingerprint]time.Duration), confirmed: make(map[TargetRun]confirmedCrash), parts: newCrashingParts(),
 	}
 }
@@ -164,7 +164,7 @@
 // confirms single losses at this gate.
 func (s *suspects) mergeConfirmed(now time.Duration, run TargetRun, age time.Duration) {
 	at := now - age
-	if s.disprovedAfter(run, at) {
+	if s.parts.disprovedAfter(run, at) {
 		return
 	}
 	s.confirmCrash(at, run, false)
@@ -212,18 +212,12 @@
 // restarts learns it.
 func (s *suspects) mergeSuspect(now time.Duration, f Fingerprint, ages map[TargetRun]time.Duration) {
 	for run, age := range ages {
-		if at := now - age; age <= suspectLifetime && !s.disprovedAfter(run, at) {
+		if at := now - age; age <= suspectLifetime && !s.parts.disprovedAfter(run, at) {
 			s.addCrash(now, at, f, run)
 		}
 	}
 }
 
-// disprovedAfter reports whether the run responded after a presumed crash at the time at.
-func (s *suspects) disprovedAfter(run TargetRun, at time.Duration) bool {
-	disprovedAt, ok := s.disprovedAt[run]
-	return ok && at <= disprovedAt
-}
-
 // recordResponse records a complete response of a target. If it disproves a presumed crash,
 // that is cleared from all requests.
 func (s *suspects) recordResponse(now time.Duration, instance *target.Instance) {
@@ -240,8 +234,9 @@
 
 // disprove clears the presumed crashes of a run before the time at, at which it responded.
 func (s *suspects) disprove(at time.Duration, run TargetRun) {
-	maps.DeleteFunc(s.disprovedAt, func(_ TargetRun, before time.Duration) bool { return at-before > suspectLifetime })
-	s.disprovedAt[run] = max(at, s.disprovedAt[run])
+	if s.parts.disprovedAfter(run, at) {
+		return // peers report it repeatedly
+	}
 	if s.confirmed[run].at <= at {
 		delete(s.confirmed, run)
 	}
@@ -259,10 +254,8 @@
 // retain removes the crash times of targets for which live returns false. The crashes
 // recorded against requests stay.
 func (s *suspects) retain(live func(id string) bool) {
-	removed := func(run TargetRun, _ time.Duration) bool { return !live(run.targetID()) }
 	maps.DeleteFunc(s.losses, func(id string, _ []loss) bool { return !live(id) })
-	maps.DeleteFunc(s.crashedAt, removed)
-	maps.DeleteFunc(s.disprovedAt, removed)
+	maps.DeleteFunc(s.crashedAt, func(run TargetRun, _ time.Duration) bool { return !live(run.targetID()) })
 }
 
 // evictOldest frees an entry for one more suspect if there are maxSuspects.
--- a/internal/peers/crashes.go
+++ b/internal/peers/crashes.go
@@ -15,6 +15,8 @@
 	// SuspectParts holds the crashes of parts of prompts, by part hash.
 	SuspectParts map[uint64][]partCrashMessage `cbor:"4,keyasint,omitempty"`
 	ClearedParts map[uint64]int64              `cbor:"5,keyasint,omitempty"`
+	// Suspects holds, by request fingerprint, the crashes while it ran.
+	Suspects map[uint64]map[int]int64 `cbor:"6,keyasint,omitempty"`
 }
 
 type partCrashMessage struct {
@@ -27,11 +29,12 @@
 
 // encodeCrashes returns nil if the report has no crashes.
 func encodeCrashes(report *admission.Report) *crashMessage {
-	if len(report.Crashes)+len(report.DisprovedCrashes)+len(report.SuspectParts)+len(report.ClearedParts) == 0 {
+	if len(report.Crashes)+len(report.DisprovedCrashes)+len(report.SuspectParts)+len(report.ClearedParts)+len(report.Suspects) == 0 {
 		return nil
 	}
 	m := &crashMessage{
 		SuspectParts: make(map[uint64][]partCrashMessage, len(report.SuspectParts)), ClearedParts: make(map[uint64]int64, len(report.ClearedParts)),
+		Suspects: make(map[uint64]map[int]int64, len(report.Suspects)),
 	}
 	indexes := make(map[admission.TargetRun]int)
 	indexOf := func(run admission.TargetRun) int {
@@ -51,6 +54,9 @@
 		return encoded
 	}
 	m.Crashes, m.Disproved = encodeAges(report.Crashes), encodeAges(report.DisprovedCrashes)
+	for f, runs := range report.Suspects {
+		m.Suspects[uint64(f)] = encodeAges(runs)
+	}
 	for part, crashes := range report.SuspectParts {
 		for _, crash := range crashes {
 			encoded := partCrashMessage{Run: indexOf(crash.Run), AgeMillis: crash.At.Milliseconds(), Waiting: crash.Waiting}
@@ -73,6 +79,10 @@
 		return
 	}
 	report.Crashes, report.DisprovedCrashes = m.decodeAges(m.Crashes), m.decodeAges(m.Disproved)
+	report.Suspects = make(map[admission.Fingerprint]map[admission.TargetRun]time.Duration, len(m.Suspects))
+	for f, runs := range m.Suspects {
+		report.Suspects[admission.Fingerprint(f)] = m.decodeAges(runs)
+	}
 	report.SuspectParts = make(map[uint64][]admission.PartCrash, len(m.SuspectParts))
 	for part, crashes := range m.SuspectParts {
 		for _, encoded := range crashes {
--- a/internal/peers/crashes_test.go
+++ b/internal/peers/crashes_test.go
@@ -18,6 +18,9 @@
 			1 << 63: {{Run: "e1/a", At: time.Second, Workspaces: []admission.WorkspaceID{7, 1 << 31}}, {Run: "e4/d", At: 9 * time.Second, Waiting: true}},
 		},
 		ClearedParts: map[uint64]time.Duration{5: 40 * time.Millisecond},
+		Suspects: map[admission.Fingerprint]map[admission.TargetRun]time.Duration{
+			1 << 63: {"e1/a": time.Second, "e5/f": time.Minute}, 7: {"e1/a": time.Second},
+		},
 	}
 	data, err := cbor.Marshal(message{Crashes: encodeCrashes(&report)})
 	require.NoError(t, err)
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -80,11 +80,8 @@
 	Loads map[string][3]int `cbor:"4,keyasint"`
 	// Usage holds, by workspace, the fields of admission.Usage in their order.
 	Usage map[string][2]int64 `cbor:"5,keyasint"`
-	// Field 6 held the IDs of targets by request fingerprint.
+	// Field 6 held the IDs of targets by request fingerprint; Crashes has their runs now.
 
-	// Suspects holds, by request fingerprint, the runs of targets that crashed and the
-	// time since (ms).
-	Suspects map[uint64]map[admission.TargetRun]int64 `cbor:"12,keyasint,omitempty"`
 	// Draining holds, by ID, the starts (Unix ms) of targets that announced to the sender
 	// that they are draining.
 	Draining map[string]int64 `cbor:"7,keyasint,omitempty"`
@@ -297,18 +294,9 @@
 			m.EngineEstimates[service] = [4]int64{int64(estimate.Speed * fixedPointScale), int64(estimate.Overhead * fixedPointScale), int64(estimate.SpeedObservations), int64(estimate.OverheadObservations)}
 		}
 	}
-	if len(report.Suspects) > 0 {
-		m.Suspects = make(map[uint64]map[admission.TargetRun]int64, len(report.Suspects))
-		for f, runs := range report.Suspects {
-			m.Suspects[uint64(f)] = make(map[admission.TargetRun]int64, len(runs))
-			for run, age := range runs {
-				m.Suspects[uint64(f)][run] = age.Milliseconds()
-			}
-		}
-	}
 	data, err := cbor.Marshal(m)
 	if err == nil && len(data) > maxReportBytes {
-		m.Suspects, m.Crashes = nil, nil
+		m.Crashes = nil
 		data, err = cbor.Marshal(m)
 	}
 	if err == nil && len(data) > maxReportBytes {
@@ -352,7 +340,6 @@
 	r := admission.Report{
 		Loads:     make(map[string]admission.Load, len(m.Loads)),
 		Usage:     make(map[string]admission.Usage, len(m.Usage)),
-		Suspects:  make(map[admission.Fingerprint]map[admission.TargetRun]time.Duration, len(m.Suspects)),
 		Backoffs:  make(map[string]admission.Backoff, len(m.Backoffs)),
 		Estimates: make(map[string]admission.EngineEstimate, len(m.EngineEstimates)),
 	}
@@ -367,13 +354,6 @@
 	for workspace, u := range m.Usage {
 		r.Usage[workspace] = admission.Usage{Requested: float64(max(u[0], 0)), Served: float64(max(u[1], 0))}
 	}
-	for f, runs := range m.Suspects {
-		ages := make(map[admission.TargetRun]time.Duration, len(runs))
-		for run, age := range runs {
-			ages[run] = time.Duration(max(age, 0)) * time.Millisecond
-		}
-		r.Suspects[admission.Fingerprint(f)] = ages
-	}
 	for id, p := range m.Backoffs {
 		r.Backoffs[id] = admission.Backoff{TargetStarted: p[0], Remaining: time.Duration(p[1]) * time.Millisecond}
 	}
