Tests of the gate's program share their targets and callers

Three raw targets of the new tests read requests as platformtest does, and two callers sent the same request. They use platformtest.StartTarget, RespondWhole and callGate; the checks are the same.

--- a/cmd/mastichollow-gate/endless_test.go
+++ b/cmd/mastichollow-gate/endless_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -57,10 +56,10 @@
 		},
 	}))
 	for i := range faultyTargets {
-		addr := serveTCP(t, func(c net.Conn) { respondEndlessly(c, i) })
+		addr := platformtest.StartTarget(t, func(c net.Conn, r *http.Request) { respondEndlessly(c, r, i) })
 		store.PutTarget(standin.TargetRow{ID: fmt.Sprintf("f%d", i), Service: "faulty", Addr: addr, Domain: "a", Slots: faultySlots, State: names.StateReady, Sequence: 1})
 	}
-	sound := serveTCP(t, func(c net.Conn) { respondToEach(c, "done") })
+	sound := platformtest.StartTarget(t, func(c net.Conn, r *http.Request) { platformtest.RespondWhole(c, r, "done") })
 	store.PutTarget(standin.TargetRow{ID: "s", Service: "sound", Addr: sound, Domain: "a", Slots: faultySlots, State: names.StateReady, Sequence: 1})
 	g := startGateProcess(t, store, standin.VM{MemoryMB: smallestVMMemory})
 	idle := g.peakMemory(t)
@@ -99,56 +98,12 @@
 	g.WaitExited()
 }
 
-// callGate sends one request and returns the body, and whether the response is complete
-// with status 200.
-func callGate(t *testing.T, transport *http.Transport, addr, path, id string, timeout time.Duration) (string, bool) {
-	t.Helper()
-	req, err := standin.Call{ID: id, Host: "h.example", Path: path, Key: "k", Body: []byte("note"), Timeout: timeout}.Request()
-	if err != nil {
-		t.Error(err)
-		return "", false
-	}
-	req.URL.Host = addr
-	resp, err := transport.RoundTrip(req)
-	if err != nil {
-		return err.Error(), false
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return string(body), err == nil && resp.StatusCode == http.StatusOK
-}
-
 // respondEndlessly sends one of the faulty responses and then nothing more. first varies
 // between targets.
-func respondEndlessly(c net.Conn, first int) {
-	defer c.Close()
-	reader := bufio.NewReader(c)
-	req, err := http.ReadRequest(reader)
-	if err != nil {
-		return
-	}
-	id := req.Header.Get(names.AttemptID)
+func respondEndlessly(c net.Conn, r *http.Request, first int) {
+	id := r.Header.Get(names.AttemptID)
 	responses := faultyResponses(id)
 	var number int
 	_, _ = fmt.Sscanf(id, "%x", &number)
-	if _, err := io.WriteString(c, responses[(first+number)%len(responses)]); err != nil {
-		return
-	}
-	_, _ = io.Copy(io.Discard, reader) // until the gate closes the connection
-}
-
-// respondToEach answers each request with body.
-func respondToEach(c net.Conn, body string) {
-	defer c.Close()
-	reader := bufio.NewReader(c)
-	for {
-		req, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
-			return
-		}
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s", names.AttemptID, req.Header.Get(names.AttemptID), names.ResponseSeal, len(body), body)
-	}
+	_, _ = io.WriteString(c, responses[(first+number)%len(responses)])
 }
--- a/cmd/mastichollow-gate/grace_test.go
+++ b/cmd/mastichollow-gate/grace_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -33,28 +32,17 @@
 	received map[string]time.Time
 }
 
-func (l *lateTarget) serve(c net.Conn) {
-	defer c.Close()
-	reader := bufio.NewReader(c)
-	for {
-		req, err := http.ReadRequest(reader)
-		if err != nil {
-			return
-		}
-		if _, err := io.Copy(io.Discard, req.Body); err != nil {
-			return
-		}
-		id := req.Header.Get(names.AttemptID)
-		l.mu.Lock()
-		l.received[id] = time.Now()
-		l.mu.Unlock()
-		left, err := time.ParseDuration(req.Header.Get(names.Deadline) + "ms")
-		if err != nil {
-			return
-		}
-		time.Sleep(left / 2)
-		fmt.Fprintf(c, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: s\r\nContent-Length: %d\r\n\r\n%s", names.AttemptID, id, names.ResponseSeal, len(platformtest.FirstEvent), platformtest.FirstEvent)
+func (l *lateTarget) respond(c net.Conn, r *http.Request) {
+	l.mu.Lock()
+	l.received[r.Header.Get(names.AttemptID)] = time.Now()
+	l.mu.Unlock()
+	left, err := time.ParseDuration(r.Header.Get(names.Deadline) + "ms")
+	if err != nil {
+		c.Close()
+		return
 	}
+	time.Sleep(left / 2)
+	platformtest.RespondWhole(c, r, platformtest.FirstEvent)
 }
 
 func (l *lateTarget) got(id string) bool {
@@ -89,7 +77,7 @@
 
 func playGracePeriod(t *testing.T, grace time.Duration, kind standin.Kind) {
 	target := &lateTarget{received: make(map[string]time.Time)}
-	addr := serveTCP(t, target.serve)
+	addr := platformtest.StartTarget(t, target.respond)
 	timeouts := []time.Duration{grace / 8, grace / 2, grace - time.Second, 2 * grace}
 	table := standin.Table{Version: 7, Workspaces: map[string][]string{"shop": {"k"}}, SlotsPerTarget: 64}
 	store := platformtest.NewStore(t)
@@ -131,12 +119,11 @@
 // arrive sends one request whose caller waits longer than the route's timeout.
 func arrive(transport *http.Transport, addr, path, id string, timeout time.Duration, stopTime time.Time) arrival {
 	a := arrival{id: id, timeout: timeout, sent: time.Since(stopTime)}
-	req, err := standin.Call{ID: id, Host: "h.example", Path: path, Key: "k", Body: []byte("note"), Timeout: timeout + time.Minute}.Request()
+	req, err := newRequest(addr, path, id, timeout+time.Minute)
 	if err != nil {
 		a.err = err
 		return a
 	}
-	req.URL.Host = addr
 	start := time.Now()
 	resp, err := transport.RoundTrip(req)
 	a.took, a.err = time.Since(start), err
--- a/cmd/mastichollow-gate/process_test.go
+++ b/cmd/mastichollow-gate/process_test.go
@@ -1,12 +1,14 @@
 package main
 
 import (
-	"net"
+	"io"
+	"net/http"
 	"net/netip"
 	"os"
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/require"
 
@@ -54,20 +56,29 @@
 	return 0
 }
 
-// serveTCP accepts connections until the test ends and returns the address.
-func serveTCP(t *testing.T, serve func(net.Conn)) string {
+// newRequest returns a request to the gate at addr (IP:port).
+func newRequest(addr, path, id string, timeout time.Duration) (*http.Request, error) {
+	req, err := standin.Call{ID: id, Host: "h.example", Path: path, Key: "k", Body: []byte("note"), Timeout: timeout}.Request()
+	if err == nil {
+		req.URL.Host = addr
+	}
+	return req, err
+}
+
+// callGate sends one request and returns the body, and whether the response is complete
+// with status 200.
+func callGate(t *testing.T, transport *http.Transport, addr, path, id string, timeout time.Duration) (string, bool) {
 	t.Helper()
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go serve(c)
-		}
-	}()
-	return l.Addr().String()
+	req, err := newRequest(addr, path, id, timeout)
+	if err != nil {
+		t.Error(err)
+		return "", false
+	}
+	resp, err := transport.RoundTrip(req)
+	if err != nil {
+		return err.Error(), false
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return string(body), err == nil && resp.StatusCode == http.StatusOK
 }
--- a/cmd/mastichollow-gate/stop_test.go
+++ b/cmd/mastichollow-gate/stop_test.go
@@ -15,7 +15,6 @@
 
 	"github.com/mastichollow/mastichollow/platform/names"
 	"github.com/mastichollow/mastichollow/platform/platformtest"
-	"github.com/mastichollow/mastichollow/platform/standin"
 )
 
 // requestTimeout fits into the grace period, so that requests are taken during the stop too.
@@ -68,7 +67,7 @@
 				default:
 				}
 				id := fmt.Sprintf("%x%04x", caller+1, n)
-				body, ok := sendRequest(t, transport, g.CallerAddr, id)
+				body, ok := callGate(t, transport, g.CallerAddr, "/letters/1", id, requestTimeout)
 				if !ok {
 					time.Sleep(time.Millisecond)
 				}
@@ -96,23 +95,3 @@
 		require.Equal(t, platformtest.FirstEvent+platformtest.SecondEvent, responses[id], id)
 	}
 }
-
-// sendRequest sends one request and returns the body of the response, and whether the
-// response is complete with status 200.
-func sendRequest(t *testing.T, transport *http.Transport, callerAddr, id string) (string, bool) {
-	req, err := standin.Call{
-		ID: id, Host: "h.example", Path: "/letters/1", Key: "k", Body: []byte("note"), Timeout: requestTimeout,
-	}.Request()
-	if err != nil {
-		t.Error(err)
-		return "", false
-	}
-	req.URL.Host = callerAddr
-	resp, err := transport.RoundTrip(req)
-	if err != nil {
-		return "", false
-	}
-	defer resp.Body.Close()
-	body, err := io.ReadAll(resp.Body)
-	return string(body), err == nil && resp.StatusCode == http.StatusOK
-}
