--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -69,9 +69,10 @@
 	}
 	x := &exchange{pool: p, conn: c, call: &call, writeDone: make(chan error, 1), memory: p.config.ResponseMemory.Lease()}
 	c.maybeSent.Store(false)
-	id := call.Header.Get(call.IDHeader)
-	c.history.Add(id)
-	p.history.Add(id)
+	if id := call.Header.Get(call.IDHeader); id != "" {
+		c.history.Add(id)
+		p.history.Add(id)
+	}
 	x.stopCancelHook = context.AfterFunc(ctx, c.close)
 	response, err := x.run()
 	if err == nil {
--- a/internal/upstream/joined_test.go
+++ b/internal/upstream/joined_test.go
@@ -199,6 +199,18 @@
 	}
 }
 
+// A call without an identifier makes no identifier known, not even the empty one.
+func TestResponseToCallWithoutIDQuotingEmptyIDAccepted(t *testing.T) {
+	body := "HTTP/1.1 200 OK\r\n" + idHeader + ":\r\n\r\n"
+	raw := fmt.Sprintf("HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", len(body), body)
+	const addr = "192.0.2.1:1"
+	p, _ := newTestPool()
+	addPairedConn(t, p, addr, func(c net.Conn, _ int, _ string) { _, _ = io.WriteString(c, raw) })
+	got := get(p, addr, "")
+	require.NoError(t, got.err)
+	require.Equal(t, body, got.body)
+}
+
 // FuzzJoinedResponses cuts a response at any byte, and lets any other response and any
 // bytes follow.
 func FuzzJoinedResponses(f *testing.F) {
