Allowed regions: requests stay in the regions of their route and workspace

Cause: a route or a workspace may be restricted to regions, and no gate knew of it.

Each send is restricted by the table under which the request was accepted and by the newest one. Targets get the bit of their region when the directory is filled, and the choice of a target tests one mask. Ejections, backoffs and limits count within the allowed regions. Without any available target there, the request is refused with no_allowed_target at once.

--- a/cmd/mastichollow-gate/start.go
+++ b/cmd/mastichollow-gate/start.go
@@ -115,7 +115,7 @@
 		Site:  admission.Site{Region: s.Region, Domain: s.Domain, Regions: s.Regions},
 		Retry: admission.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 	})
-	directory := target.NewDirectory()
+	directory := target.NewDirectory(s.Regions)
 	exchange, err := peers.Listen(peers.Config{
 		Node: s.Node, Domain: s.Domain, Region: s.Region, Listen: s.PeerAddr, Start: startedMillis, Now: monotonic, Log: log.Named("peers"),
 	}, controller, directory, reg)
--- a/internal/admission/backoff.go
+++ b/internal/admission/backoff.go
@@ -49,11 +49,14 @@
 	return max(backoff.until-now, 0)
 }
 
-// soonestEnd returns the time until the first local backoff among targets ends; 0 means
-// that none of them has one.
-func (b *backoffs) soonestEnd(now time.Duration, targets []target.Instance) time.Duration {
+// soonestEnd returns the time until the first local backoff among the targets in regions
+// ends; 0 means that none of them has one.
+func (b *backoffs) soonestEnd(now time.Duration, regions target.RegionSet, targets []target.Instance) time.Duration {
 	soonest := time.Duration(0)
 	for i := range targets {
+		if !regions.Contains(targets[i].Region) {
+			continue
+		}
 		if remaining := remainingBackoff(b.local, now, &targets[i]); remaining > 0 && (soonest == 0 || remaining < soonest) {
 			soonest = remaining
 		}
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -33,6 +33,8 @@
 	Fingerprint Fingerprint
 	// Retry is set when the request was placed before.
 	Retry bool
+	// Regions holds the regions in which the request may be served.
+	Regions target.RegionSet
 	// Exclude lists the IDs of the targets that the request was already sent to.
 	Exclude []string
 }
@@ -179,15 +181,37 @@
 		c.recordShareUse(req, decision.Tier, decision.Refused != "")
 	}
 	if decision.Refused == request.ReasonNoTarget {
-		if wait := c.backoffs.soonestEnd(now, targets); wait > 0 {
+		if !anyAllowed(req.Regions, targets) {
+			decision.Refused = request.ReasonNoAllowedTarget
+		} else if wait := c.backoffs.soonestEnd(now, req.Regions, targets); wait > 0 {
 			decision.Refused, decision.RetryAfter = request.ReasonOverloaded, wait
-		} else if c.requestLimits.limited(targets) {
+		} else if c.requestLimits.limited(req.Regions, targets) {
 			decision.Refused, decision.RetryAfter = request.ReasonOverloaded, req.retryAfter()
 		}
 	}
 	return decision
 }
 
+// anyAllowed reports whether one of targets is in a region of the set, or the set is not
+// restricted.
+func anyAllowed(regions target.RegionSet, targets []target.Instance) bool {
+	return regions.Unrestricted() || slices.ContainsFunc(targets, func(instance target.Instance) bool { return regions.Contains(instance.Region) })
+}
+
+// countAllowed returns how many of targets are in a region of the set.
+func countAllowed(regions target.RegionSet, targets []target.Instance) int {
+	if regions.Unrestricted() {
+		return len(targets)
+	}
+	allowed := 0
+	for i := range targets {
+		if regions.Contains(targets[i].Region) {
+			allowed++
+		}
+	}
+	return allowed
+}
+
 // choose places the request on a target that is not avoided, or refuses it.
 func (c *Controller) choose(now time.Duration, req *Request, targets []target.Instance, avoided avoidedTargets) Decision {
 	if req.Slots == 0 {
@@ -205,11 +229,12 @@
 	return retries
 }
 
-// avoidedTargets selects the targets that a request must not go to: those it was already
-// sent to, those that asked this gate to back off, and ejected ones. Ejections are
-// ignored while more than maxEjectedFraction of the service's targets are ejected, since
+// avoidedTargets selects the targets that a request must not go to: those in other regions,
+// those it was already sent to, those that asked this gate to back off, and ejected ones. Ejections are
+// ignored while more than maxEjectedFraction of the targets that are left are ejected, since
 // that would help nobody.
 type avoidedTargets struct {
+	regions     target.RegionSet
 	exclude     []string
 	health      *health
 	backoffs    *backoffs
@@ -223,14 +248,14 @@
 }
 
 func (c *Controller) avoidedTargetsFor(now time.Duration, req *Request, targets []target.Instance) avoidedTargets {
-	avoided := avoidedTargets{exclude: req.Exclude, health: c.health, backoffs: c.backoffs, limits: c.requestLimits, now: now, useHints: len(c.backoffs.hints) > 0}
-	ejected := c.health.countEjected(now, targets)
-	avoided.skipEjected = ejected > 0 && float64(ejected) <= maxEjectedFraction*float64(len(targets))
+	avoided := avoidedTargets{regions: req.Regions, exclude: req.Exclude, health: c.health, backoffs: c.backoffs, limits: c.requestLimits, now: now, useHints: len(c.backoffs.hints) > 0}
+	ejected := c.health.countEjected(now, req.Regions, targets)
+	avoided.skipEjected = ejected > 0 && float64(ejected) <= maxEjectedFraction*float64(countAllowed(req.Regions, targets))
 	return avoided
 }
 
 func (a *avoidedTargets) contains(instance *target.Instance) bool {
-	return slices.Contains(a.exclude, instance.ID) || a.skipEjected && !a.health.usable(a.now, instance.ID) ||
+	return !a.regions.Contains(instance.Region) || slices.Contains(a.exclude, instance.ID) || a.skipEjected && !a.health.usable(a.now, instance.ID) ||
 		remainingBackoff(a.backoffs.local, a.now, instance) > 0 || a.useHints && remainingBackoff(a.backoffs.hints, a.now, instance) > 0
 }
 
--- a/internal/admission/health.go
+++ b/internal/admission/health.go
@@ -57,11 +57,11 @@
 	return t == nil || now >= t.ejectedUntil
 }
 
-// countEjected returns how many of targets are ejected.
-func (h *health) countEjected(now time.Duration, targets []target.Instance) int {
+// countEjected returns how many of the targets in regions are ejected.
+func (h *health) countEjected(now time.Duration, regions target.RegionSet, targets []target.Instance) int {
 	ejected := 0
 	for id, t := range h.targets {
-		if now < t.ejectedUntil && slices.ContainsFunc(targets, func(instance target.Instance) bool { return instance.ID == id }) {
+		if now < t.ejectedUntil && slices.ContainsFunc(targets, func(instance target.Instance) bool { return instance.ID == id && regions.Contains(instance.Region) }) {
 			ejected++
 		}
 	}
--- a/internal/admission/limit_share.go
+++ b/internal/admission/limit_share.go
@@ -268,9 +268,9 @@
 }
 
 // limited reports whether any of targets is limited.
-func (l *requestLimits) limited(targets []target.Instance) bool {
+func (l *requestLimits) limited(regions target.RegionSet, targets []target.Instance) bool {
 	for i := range targets {
-		if l.limitOf(&targets[i]) != nil {
+		if regions.Contains(targets[i].Region) && l.limitOf(&targets[i]) != nil {
 			return true
 		}
 	}
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -88,8 +88,7 @@
 	if c.table == nil {
 		return unavailable(request.ReasonNotReady, retryAfterOtherGate)
 	}
-	path, _, _ := strings.Cut(c.r.RequestURI, "?")
-	c.route = c.table.Match(c.r.Host, path)
+	c.route = c.table.Match(c.r.Host, c.path())
 	if c.route == nil {
 		return c.deny(http.StatusNotFound, request.ReasonNotFound)
 	}
@@ -107,6 +106,12 @@
 	return nil
 }
 
+// path returns the path of the request without its query.
+func (c *call) path() string {
+	path, _, _ := strings.Cut(c.r.RequestURI, "?")
+	return path
+}
+
 // refusalOfStoppingGate refuses a request that may not end before the process does.
 func (c *call) refusalOfStoppingGate() *refusal {
 	return unavailable(request.ReasonDraining, retryAfterOtherGate,
--- a/internal/gate/harness_test.go
+++ b/internal/gate/harness_test.go
@@ -98,7 +98,7 @@
 
 func newFixture(t *testing.T, routes []route.Route, handlers ...targetHandler) *fixture {
 	t.Helper()
-	f := &fixture{t: t, directory: target.NewDirectory()}
+	f := &fixture{t: t, directory: target.NewDirectory(map[string]string{"d": "r", "e": "s"})}
 	start := time.Now()
 	now := func() time.Duration { return time.Since(start) }
 	f.controller = admission.NewController(admission.Config{
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -15,6 +15,7 @@
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/route"
 	"github.com/mastichollow/mastichollow/internal/socket"
+	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/upstream"
 )
 
@@ -92,6 +93,7 @@
 	c.admissionRequest.FirstTokenObjective = c.remainingObjective()
 	c.admissionRequest.Retry = retryReason != ""
 	c.admissionRequest.Exclude = c.triedTargets
+	c.admissionRequest.Regions = c.allowedRegions()
 	d := g.controller.Admit(g.config.Now(), &c.admissionRequest, g.directory.Current().Available(c.admissionRequest.Service))
 	c.decision = d
 	if d.Refused != "" {
@@ -104,6 +106,31 @@
 	return d
 }
 
+// allowedRegions returns the regions in which the request may be served: those that the
+// table allows under which it was accepted, and also the newest table.
+func (c *call) allowedRegions() target.RegionSet {
+	regions := c.gate.directory.Regions()
+	allowed := regions.Allowed(c.route.AllowedRegions).Intersect(c.allowedByWorkspace(c.table, regions))
+	newest, _ := c.gate.tableCache.Current()
+	if newest == c.table {
+		return allowed
+	}
+	if newestRoute := newest.Match(c.r.Host, c.path()); newestRoute != nil {
+		allowed = allowed.Intersect(regions.Allowed(newestRoute.AllowedRegions))
+	}
+	return allowed.Intersect(c.allowedByWorkspace(newest, regions))
+}
+
+// allowedByWorkspace returns the regions that a table allows to the workspace of the key.
+// It includes keys that callers send to public routes.
+func (c *call) allowedByWorkspace(table *route.Table, regions *target.Regions) target.RegionSet {
+	ws := table.Authenticate(c.meta.Key)
+	if ws == nil {
+		return target.RegionSet{}
+	}
+	return regions.Allowed(ws.AllowedRegions)
+}
+
 // refuseKey ends a request whose key is no longer accepted.
 func (c *call) refuseKey(refused *refusal) {
 	switch {
@@ -119,7 +146,7 @@
 // refuseAdmission ends a request that the admission controller did not admit.
 func (c *call) refuseAdmission(d admission.Decision, retryReason string) {
 	detail := []eventlog.Field{
-		eventlog.Text("service", c.admissionRequest.Service), eventlog.Text("first_choice", d.Target.ID),
+		eventlog.Text("service", c.admissionRequest.Service), eventlog.Bool("restricted", !c.admissionRequest.Regions.Unrestricted()), eventlog.Text("first_choice", d.Target.ID),
 		eventlog.Bool("over_share", d.OverShare),
 		eventlog.Int("share_percent", int(100*d.ShareMultiple)), eventlog.Text("after", retryReason),
 	}
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -26,7 +26,7 @@
 
 func newGate(t *testing.T, node string) *gate {
 	t.Helper()
-	g := &gate{controller: admission.NewController(admission.Config{}), directory: target.NewDirectory()}
+	g := &gate{controller: admission.NewController(admission.Config{}), directory: target.NewDirectory(nil)}
 	var err error
 	g.exchange, err = Listen(Config{
 		Node: node, Region: "r", Listen: "127.0.0.1:0", Start: 1, Now: func() time.Duration { return g.now }, Log: hclog.NewNullLogger(),
--- a/internal/request/request.go
+++ b/internal/request/request.go
@@ -88,6 +88,7 @@
 	ReasonQueueFull        Reason = "queue_full"
 	ReasonDeadline         Reason = "deadline"
 	ReasonNoTarget         Reason = "no_target"
+	ReasonNoAllowedTarget  Reason = "no_allowed_target"
 	ReasonDraining         Reason = "draining"
 	ReasonNotReady         Reason = "not_ready"
 	ReasonClaimUnavailable Reason = "claim_unavailable"
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -50,6 +50,8 @@
 	// MaxTargets is the maximum number of targets to which one request may be sent.
 	MaxTargets int
 	Services   []WeightedService
+	// AllowedRegions names the regions in which the requests may be served; empty: all.
+	AllowedRegions []string
 }
 
 // WeightedService is a service with its weight among the services of a route.
@@ -72,6 +74,8 @@
 type Workspace struct {
 	Name string
 	Keys []string
+	// AllowedRegions names the regions in which the requests may be served; empty: all.
+	AllowedRegions []string
 }
 
 // Limits are the limits that hold for the whole fleet.
--- a/internal/target/draining.go
+++ b/internal/target/draining.go
@@ -91,7 +91,7 @@
 		listedInstance.Draining = listedInstance.Draining || listedID == id
 		instances = append(instances, listedInstance)
 	}
-	d.current.Store(newSnapshot(instances))
+	d.current.Store(d.newSnapshot(instances))
 	return true
 }
 
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -24,6 +24,8 @@
 	StartedMillis int64
 	// Hash is HashID(ID); a Directory sets it.
 	Hash uint64
+	// Region is the region of Domain; a Directory sets it.
+	Region RegionBit
 }
 
 // HashID returns the hash of a target ID for rendezvous hashing.
@@ -48,6 +50,7 @@
 //   - Entries that expired while the store was unreachable stay available until
 //     storeReturnGrace after the store is back.
 type Directory struct {
+	regions *Regions
 	current atomic.Pointer[Snapshot]
 
 	mu sync.Mutex // held while the snapshot is replaced
@@ -69,17 +72,18 @@
 	byID     map[string]Instance
 }
 
-// NewDirectory returns a directory with no targets.
-func NewDirectory() *Directory {
-	d := &Directory{graceEnds: make(map[string]time.Duration), drainNotices: make(map[string]drainNotice), departures: make(map[string]departure)}
-	d.current.Store(newSnapshot(nil))
+// NewDirectory returns a directory with no targets. The argument maps the names of failure
+// domains to those of their regions.
+func NewDirectory(domainRegions map[string]string) *Directory {
+	d := &Directory{regions: NewRegions(domainRegions), graceEnds: make(map[string]time.Duration), drainNotices: make(map[string]drainNotice), departures: make(map[string]departure)}
+	d.current.Store(d.newSnapshot(nil))
 	return d
 }
 
-func newSnapshot(instances []Instance) *Snapshot {
+func (d *Directory) newSnapshot(instances []Instance) *Snapshot {
 	snapshot := &Snapshot{services: make(map[string][]Instance), byID: make(map[string]Instance, len(instances))}
 	for _, instance := range instances {
-		instance.Hash = HashID(instance.ID)
+		instance.Hash, instance.Region = HashID(instance.ID), d.regions.Of(instance.Domain)
 		snapshot.byID[instance.ID] = instance
 		if !instance.Draining {
 			snapshot.services[instance.Service] = append(snapshot.services[instance.Service], instance)
@@ -91,6 +95,9 @@
 	return snapshot
 }
 
+// Regions returns the regions of the failure domains.
+func (d *Directory) Regions() *Regions { return d.regions }
+
 // Current returns the newest snapshot.
 func (d *Directory) Current() *Snapshot { return d.current.Load() }
 
@@ -103,7 +110,7 @@
 	defer d.mu.Unlock()
 	previous := d.Current()
 	instances = d.applyDrainNotices(d.applyDepartures(instances, now), now)
-	listed := newSnapshot(instances)
+	listed := d.newSnapshot(instances)
 	var change Change
 	for id, instance := range previous.byID {
 		if _, stillListed := listed.byID[id]; stillListed {
@@ -126,7 +133,7 @@
 			change.Draining = append(change.Draining, id)
 		}
 	}
-	d.current.Store(newSnapshot(instances))
+	d.current.Store(d.newSnapshot(instances))
 	return change
 }
 
--- a/internal/target/instance_test.go
+++ b/internal/target/instance_test.go
@@ -12,7 +12,7 @@
 }
 
 func TestDrainingAndRemovedTargetsUnavailable(t *testing.T) {
-	d := NewDirectory()
+	d := NewDirectory(nil)
 	a, b := testInstance("a"), testInstance("b")
 	c := d.Replace([]Instance{a, b}, 0, false)
 	require.ElementsMatch(t, []string{"a", "b"}, c.Added)
@@ -26,7 +26,7 @@
 }
 
 func TestExpiredEntriesRetainedAfterStoreReturn(t *testing.T) {
-	d := NewDirectory()
+	d := NewDirectory(nil)
 	a, b := testInstance("a"), testInstance("b")
 	d.Replace([]Instance{a, b}, 0, false)
 
@@ -54,7 +54,7 @@
 // The entry of a draining target expires while the store is unavailable: it gets no grace
 // period.
 func TestDrainingTargetNotRetainedAfterExpiry(t *testing.T) {
-	d := NewDirectory()
+	d := NewDirectory(nil)
 	a := testInstance("a")
 	a.Draining = true
 	d.Replace([]Instance{a}, 0, false)
@@ -63,7 +63,7 @@
 }
 
 func TestRestartUnderSameIDReportedAsAdded(t *testing.T) {
-	d := NewDirectory()
+	d := NewDirectory(nil)
 	a := testInstance("a")
 	d.Replace([]Instance{a}, 0, false)
 	a.StartedMillis = 2
@@ -74,7 +74,7 @@
 // The store may list a target as live after it announced its drain: the entry is outdated,
 // or the store recovered with old entries.
 func TestDrainNoticeOverridesStoreEntry(t *testing.T) {
-	d := NewDirectory()
+	d := NewDirectory(nil)
 	a, b := testInstance("a"), testInstance("b")
 	d.Replace([]Instance{a, b}, 0, false)
 	require.True(t, d.MarkDraining("a", a.StartedMillis, 0, true))
@@ -96,7 +96,7 @@
 }
 
 func TestDrainNoticeBeforeFirstListing(t *testing.T) {
-	d := NewDirectory()
+	d := NewDirectory(nil)
 	a := testInstance("a")
 	d.MarkDraining("a", a.StartedMillis, 0, false)
 	d.Replace([]Instance{a}, time.Second, false)
@@ -104,7 +104,7 @@
 }
 
 func TestLocalDrainNoticesOnlyLocalAndRecent(t *testing.T) {
-	d := NewDirectory()
+	d := NewDirectory(nil)
 	d.MarkDraining("local", 1, 0, true)
 	d.MarkDraining("reported", 1, 0, false)
 	require.Equal(t, map[string]int64{"local": 1}, d.LocalDrainNotices(drainNoticeReportTime-time.Millisecond))
@@ -114,7 +114,7 @@
 }
 
 func TestDrainNoticeRetainedWhileListed(t *testing.T) {
-	d := NewDirectory()
+	d := NewDirectory(nil)
 	a := testInstance("a")
 	d.Replace([]Instance{a}, 0, false)
 	d.MarkDraining("a", a.StartedMillis, 0, true)
@@ -126,7 +126,7 @@
 
 // The copy from which the store was restored lists targets as live that have left since.
 func TestDepartedTargetsUnavailableAfterRestore(t *testing.T) {
-	d := NewDirectory()
+	d := NewDirectory(nil)
 	drained, removed, live := testInstance("drained"), testInstance("removed"), testInstance("live")
 	old := []Instance{drained, removed, live}
 	d.Replace(old, 0, false)
@@ -156,7 +156,7 @@
 }
 
 func TestDeparturesForgotten(t *testing.T) {
-	d := NewDirectory()
+	d := NewDirectory(nil)
 	for n := range 100 {
 		instance := testInstance("a")
 		instance.ID = string(rune('a' + n))
