Retry budget: a retry that reaches no target is returned

reserveRetry consumed the budget before the next target was chosen and did not return it when admission refused the retry, the key was revoked or the target was unreachable. While all other targets were full, callers got fewer retries than the budget allows. A call now holds an acquired retry until a send may have reached a target, and returns it otherwise.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -266,14 +266,21 @@
 	return Decision{Target: instance, Lease: lease, Load: load, UncachedTokens: uncached, OverShare: overShare}
 }
 
-// AcquireRetry reports whether the fleet's retry budget allows one more send for a
-// request of the service, and if so consumes it.
-func (c *Controller) AcquireRetry(now time.Duration, service string) bool {
+// AcquireRetry acquires one retry of the service from the fleet's retry budget, or
+// returns nil if the budget is exhausted.
+func (c *Controller) AcquireRetry(now time.Duration, service string) *Retry {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.config.Retry.acquire(c.retriesOf(service), now, c.gateCount)
 }
 
+// ReturnRetry returns a retry that reached no target to the budget.
+func (c *Controller) ReturnRetry(retry *Retry) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	retry.giveBack()
+}
+
 // TakePresumedCrashes returns the crashes presumed since the previous call.
 func (c *Controller) TakePresumedCrashes() []PresumedCrash {
 	c.mu.Lock()
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -178,13 +178,13 @@
 	}
 	retried := 0
 	for range 100 {
-		if c.AcquireRetry(0, "orders") {
+		if c.AcquireRetry(0, "orders") != nil {
 			retried++
 		}
 	}
 	require.LessOrEqual(t, retried, 25, "0.2 of 100 requests and half of the slack of 10")
 	require.Greater(t, retried, 10)
-	require.False(t, c.AcquireRetry(9*time.Second, "orders"), "the retries are still within the window")
+	require.Nil(t, c.AcquireRetry(9*time.Second, "orders"), "the retries are still within the window")
 }
 
 func TestCrashingRequestQuarantined(t *testing.T) {
--- a/internal/admission/retry.go
+++ b/internal/admission/retry.go
@@ -31,8 +31,21 @@
 	return index
 }
 
-// acquire reports whether the budget allows one more retry, and if so consumes it.
-func (b RetryBudget) acquire(counts *retryCounts, now time.Duration, gates int) bool {
+// Retry is one retry acquired from the budget.
+type Retry struct {
+	counts       *retryCounts
+	bucketNumber int64 // in which it was counted
+}
+
+// giveBack no longer counts the retry, unless it has left the window.
+func (r *Retry) giveBack() {
+	if index := r.bucketNumber % retryWindowBuckets; r.counts.bucketNumbers[index] == r.bucketNumber {
+		r.counts.retries[index]--
+	}
+}
+
+// acquire counts one more retry, or returns nil if the budget does not allow it.
+func (b RetryBudget) acquire(counts *retryCounts, now time.Duration, gates int) *Retry {
 	span := max(b.Window/retryWindowBuckets, time.Millisecond)
 	current := counts.bucket(now, span)
 	oldest := int64(now/span) - retryWindowBuckets + 1
@@ -45,10 +58,10 @@
 	}
 	allowed := retryBudgetFraction * (b.Ratio*requests + b.Slack/float64(max(gates, 1)))
 	if retried+1 > allowed {
-		return false
+		return nil
 	}
 	counts.retries[current]++
-	return true
+	return &Retry{counts, counts.bucketNumbers[current]}
 }
 
 func (b RetryBudget) countRequest(counts *retryCounts, now time.Duration) {
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -48,8 +48,9 @@
 	body             []byte
 	bodyReserved     int64 // bytes of the gate's bodyMemory
 	deadline         time.Time
-	sends            int      // sends to targets that may have reached them
-	triedTargets     []string // IDs of targets
+	sends            int              // sends to targets that may have reached them
+	retry            *admission.Retry // budget acquired for the next send; nil: none
+	triedTargets     []string         // IDs of targets
 	admissionRequest admission.Request
 	decision         admission.Decision // of the latest send
 
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -30,7 +30,7 @@
 	mayHaveRun bool
 	// done: the caller received its final response.
 	done bool
-	// retryReserved: the retry budget for one more send has been consumed.
+	// retryReserved: the retry budget for one more send has been acquired.
 	retryReserved bool
 	// noRetry: no other target may continue, since part of the response has been
 	// forwarded.
@@ -44,6 +44,7 @@
 	if c.callerDisconnected() {
 		c.abort(request.ReasonCallerGone, eventlog.Text("detail", "before the first send"))
 	}
+	defer c.returnRetry()
 	retryReason := ""
 	for tried := 0; tried < maxTargetsTried; tried++ {
 		if refused := c.recheckKey(); refused != nil {
@@ -167,7 +168,8 @@
 }
 
 // reserveRetry reports whether the request may be sent to one more target after o, and
-// consumes the retry budget for it.
+// acquires the retry budget for it, unless it is still held from a send that did not reach
+// its target.
 func (c *call) reserveRetry(ctx context.Context, o sendOutcome) bool {
 	if (o.mayHaveRun || c.mayHaveRun) && c.route.RetryPolicy == route.AtMostOnce {
 		return false
@@ -178,7 +180,29 @@
 	if c.sends == 0 {
 		return true // no target received it: the next send is no retry
 	}
-	return c.sends < c.route.MaxTargets && c.gate.controller.AcquireRetry(c.gate.config.Now(), c.admissionRequest.Service)
+	if c.sends >= c.route.MaxTargets {
+		return false
+	}
+	if c.retry == nil {
+		c.retry = c.gate.controller.AcquireRetry(c.gate.config.Now(), c.admissionRequest.Service)
+	}
+	return c.retry != nil
+}
+
+// returnRetry returns the retry budget that was acquired for a send that did not happen,
+// because admission refused the retry, the key was revoked or the target was unreachable.
+func (c *call) returnRetry() {
+	if c.retry != nil {
+		c.gate.controller.ReturnRetry(c.retry)
+		c.retry = nil
+	}
+}
+
+// countSend counts a send that may have reached its target. The retry budget acquired for
+// it is consumed.
+func (c *call) countSend() {
+	c.sends++
+	c.retry = nil
 }
 
 // endSend ends the lease of a send and logs the send if it failed.
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -66,7 +66,7 @@
 		defer cancel(nil)
 		return c.classifySendError(ctx, err)
 	}
-	c.sends++
+	c.countSend()
 	c.sendCtx, c.cancelSend = ctx, cancel
 	return c.classifyResponse(d, resp)
 }
@@ -106,7 +106,7 @@
 func (c *call) classifySendError(ctx context.Context, err error) sendOutcome {
 	notSent := errors.Is(err, upstream.ErrNotSent)
 	if !notSent {
-		c.sends++
+		c.countSend()
 	}
 	unresponsive := errors.Is(context.Cause(ctx), errUnresponsive)
 	switch {
