Model of cached prompts: parts that a target cannot have read do not count as cached

Controller.place recorded the parts of a prompt as cached, and nothing took them back when the target was unreachable, rejected the request or was another one. The tokens that the target had to read for the next request with these parts were underestimated. Lease.End now reverts the use after these results. A part stays cached if another request used it since its insertion. A result that does not prove that the prompt is unread changes nothing.

--- a/internal/admission/cache.go
+++ b/internal/admission/cache.go
@@ -1,14 +1,25 @@
 package admission
 
-import "container/list"
+import (
+	"container/list"
+	"time"
+)
 
 // promptCache models the prompt parts that one engine caches, with least-recently-used
 // eviction. It covers only the requests that this gate sent.
 type promptCache struct {
 	capacity int // tokens
 	used     int
-	parts    map[uint64]*list.Element
-	order    *list.List // most recently used in front
+	parts    map[uint64]*list.Element // of *cachedPart
+	order    *list.List               // most recently used in front
+}
+
+type cachedPart struct {
+	Part
+	insertedAt time.Duration
+	// uses counts the requests placed with the part since then, but for those that the
+	// engine cannot have read.
+	uses int
 }
 
 func newPromptCache(capacity int) *promptCache {
@@ -28,24 +39,53 @@
 	return total
 }
 
-// recordUse records that the engine read the parts. The last one is unique to the
-// request and not worth caching.
-func (c *promptCache) recordUse(parts []Part) {
+// recordUse records that the parts are sent to the engine. The last one is unique to the
+// request and not worth caching. The parts count as cached from the placement on, because
+// the engine reads requests in order of arrival.
+func (c *promptCache) recordUse(now time.Duration, parts []Part) {
 	if len(parts) == 0 {
 		return
 	}
 	for _, part := range parts[:len(parts)-1] {
 		if element, cached := c.parts[part.Hash]; cached {
 			c.order.MoveToFront(element)
+			entryOf(element).uses++
 			continue
 		}
-		c.parts[part.Hash] = c.order.PushFront(part)
+		c.parts[part.Hash] = c.order.PushFront(&cachedPart{part, now, 1})
 		c.used += part.Tokens
 	}
 	for c.used > c.capacity && c.order.Len() > 0 {
-		oldest := c.order.Back()
-		part, _ := c.order.Remove(oldest).(Part)
-		delete(c.parts, part.Hash)
-		c.used -= part.Tokens
+		c.remove(c.order.Back())
+	}
+}
+
+// revertUse reverts recordUse for a request placed at a time that the engine cannot have
+// read. Parts that no other request used since their insertion are no longer cached.
+func (c *promptCache) revertUse(placedAt time.Duration, parts []Part) {
+	if len(parts) == 0 {
+		return
+	}
+	for _, part := range parts[:len(parts)-1] {
+		element, cached := c.parts[part.Hash]
+		if !cached || entryOf(element).insertedAt > placedAt {
+			continue
+		}
+		entryOf(element).uses--
+		if entryOf(element).uses <= 0 {
+			c.remove(element)
+		}
 	}
 }
+
+func (c *promptCache) remove(element *list.Element) {
+	part := entryOf(element)
+	c.order.Remove(element)
+	delete(c.parts, part.Hash)
+	c.used -= part.Tokens
+}
+
+func entryOf(element *list.Element) *cachedPart {
+	entry, _ := element.Value.(*cachedPart)
+	return entry
+}
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -256,7 +256,7 @@
 	if req.Slots > 0 {
 		lease.work = req.work()
 		c.recordMeanWork(req.Service, lease.work)
-		c.cacheOf(instance.ID, req).recordUse(req.Parts)
+		c.cacheOf(instance.ID, req).recordUse(now, req.Parts)
 		served := Usage{Served: req.work()}
 		c.usageTracker.add(now, req.Workspace, served)
 		usage := c.fleetUsage[req.Workspace]
--- a/internal/admission/lease.go
+++ b/internal/admission/lease.go
@@ -33,6 +33,11 @@
 	return [...]string{"done", "rejected", "unreachable", "failed", "lost", "misdirected", "withdrawn"}[r]
 }
 
+// unread reports whether the result proves that the target has not read the prompt.
+func (r Result) unread() bool {
+	return r == ResultRejected || r == ResultUnreachable || r == ResultMisdirected
+}
+
 // Lease is the load that a placed request holds at a target. It must be ended exactly
 // once.
 type Lease struct {
@@ -102,6 +107,9 @@
 		c.refund(l)
 	}
 	id := l.target.ID
+	if cache := c.caches[id]; cache != nil && result.unread() {
+		cache.revertUse(l.placedAt, l.parts)
+	}
 	c.loads.add(id, Load{InFlight: -l.load.InFlight, PendingPromptTokens: -l.load.PendingPromptTokens, Tokens: -l.load.Tokens})
 	switch result {
 	case ResultDone:
