Reports between gates: older crash suspects are named in turn

Suspected requests were named in each report for 2 minutes, suspected parts for as long as they are blocked: every 200 ms, also to other regions, where bytes are billed. Requests and parts without a crash in the last 5 s are now named once in 13 reports (2.6 s). 13 is a prime, so that a peer that gets every second or third report learns all of them. Recent ones are in each report as before. For three rotations after a peer appears or starts again, reports name all, so a gate that starts learns them as fast as before.

--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -1,6 +1,8 @@
 package admission
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/mastichollow/mastichollow/internal/target"
@@ -42,6 +44,29 @@
 	}
 }
 
+// oldSuspectRounds is the number of reports over which each older suspect is named once: 2.6 s
+// at one report each 200 ms. It is a prime, so that a peer that gets only every second or
+// third report learns all of them too.
+const oldSuspectRounds = 13
+
+// OmitOldSuspects removes the requests and parts without a crash in the last
+// suspectReportAge from the report, except those whose turn it is in a round. Each of them
+// has its turn once in oldSuspectRounds rounds.
+func (r *Report) OmitOldSuspects(round uint64) {
+	hasTurn := func(hash uint64) bool { return hash%oldSuspectRounds == round%oldSuspectRounds }
+	maps.DeleteFunc(r.Suspects, func(f Fingerprint, ages map[TargetRun]time.Duration) bool {
+		for _, age := range ages {
+			if age <= suspectReportAge {
+				return false
+			}
+		}
+		return !hasTurn(uint64(f))
+	})
+	maps.DeleteFunc(r.SuspectParts, func(part uint64, crashes []PartCrash) bool {
+		return !hasTurn(part) && !slices.ContainsFunc(crashes, func(crash PartCrash) bool { return crash.At <= suspectReportAge })
+	})
+}
+
 // Merge applies the report of a peer.
 func (c *Controller) Merge(now time.Duration, node string, report Report) {
 	c.mu.Lock()
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -61,6 +61,9 @@
 	// minMissedReports is the minimum number of reports that a peer must miss to count as
 	// down. It sets the timeout in fleets that are too large for minPeerTimeout.
 	minMissedReports = 3.5
+	// fullReportRotations is the time, in rotations, for which reports name all suspects
+	// after a peer has started: one of three reports must arrive.
+	fullReportRotations = 3
 )
 
 // Address is a gate as the platform's metadata store lists it.
@@ -124,6 +127,9 @@
 	sequence   uint64
 	// nextLocal and nextRemote are the positions in the rotations of peers.
 	nextLocal, nextRemote int
+	// fullReportsUntil is the time until which reports name all suspects, for a peer that
+	// has started.
+	fullReportsUntil time.Duration
 }
 
 // peerState is the state of a peer that reported within the peer timeout.
@@ -264,6 +270,9 @@
 	report := e.controller.Report(now)
 	e.mu.Lock()
 	e.sequence++
+	if now > e.fullReportsUntil {
+		report.OmitOldSuspects(e.sequence)
+	}
 	m := message{
 		Node:     e.config.Node,
 		Start:    e.config.Start,
@@ -373,6 +382,9 @@
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	p := e.peers[m.Node]
+	if p == nil || m.Start > p.start {
+		e.fullReportsUntil = now + fullReportRotations*e.rotationTime()
+	}
 	if p == nil {
 		p = &peerState{}
 		e.peers[m.Node] = p
--- a/internal/peers/recipients.go
+++ b/internal/peers/recipients.go
@@ -45,7 +45,17 @@
 // gates use the same rotation, so reports arrive from a peer as often as they are sent
 // to it. The caller holds mu.
 func (e *Exchange) peerTimeout() time.Duration {
+	return max(minPeerTimeout, time.Duration(minMissedReports*e.rounds()*float64(reportInterval)))
+}
+
+// rounds returns the rounds between two reports to a peer, without remoteRounds. The caller
+// holds mu.
+func (e *Exchange) rounds() float64 {
 	local, remote := e.splitByRegion()
-	rounds := max(float64(len(local))/maxLocalPerRound, float64(len(remote))/maxRemotePerRound)
-	return max(minPeerTimeout, time.Duration(minMissedReports*rounds*float64(reportInterval)))
+	return max(float64(len(local))/maxLocalPerRound, float64(len(remote))/maxRemotePerRound)
+}
+
+// rotationTime returns the longest time between two reports to a peer. The caller holds mu.
+func (e *Exchange) rotationTime() time.Duration {
+	return time.Duration(max(remoteRounds, e.rounds()) * float64(reportInterval))
 }
