Relay: a long poll that times out with a recent state is answered as no change

A relay answered a long poll without changes with status 503, like a refusal. Its members then read the store themselves and came back after 500 ms. The relay now answers it with an ordinary response without changes if its state may still be passed on. The response has the age of the table as before, so it confirms nothing, and members of earlier versions understand it. After such a response, the wait of the next poll ends as soon as the state is too old, so that members leave the relay no later than the age limits say.

TestTimedOutPollKeepsMemberServed failed before (status 503).

--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -14,7 +14,8 @@
 //     from a time before it sent the poll request, on a clock that includes suspended
 //     time.
 //   - A target list never replaces a newer one.
-//   - A relay whose cached state is too old refuses to serve.
+//   - A relay whose cached state is too old refuses to serve. If it is recent but did not
+//     change during a long poll, the response is "no change" with the age of the table.
 //
 // There is no leader election: every gate ranks the alive gates of its domain by a hash
 // of their node names (rendezvous hashing) and polls those that rank above it, highest
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -45,6 +45,9 @@
 
 	mu      sync.Mutex
 	changed chan struct{} // closed at the next change
+	// changedAt is the time of the last change: members that have all changes know no more
+	// than they did then.
+	changedAt time.Duration
 	// sequence numbers the changes of targets.
 	sequence uint64
 	targets  map[string]targetEntry
@@ -84,7 +87,7 @@
 // notify wakes the waiting poll requests. The caller holds mu.
 func (f *Feed) notify() {
 	close(f.changed)
-	f.changed = make(chan struct{})
+	f.changed, f.changedAt = make(chan struct{}), f.now()
 }
 
 // SetTable stores a table that was read from the store, in the platform's encoding. Empty
@@ -227,10 +230,12 @@
 	_, _ = w.Write(data) // an error means that the member disconnected
 }
 
-// awaitChanges returns the response to a poll request as soon as there are changes. It
-// fails with errStale after longPollTimeout.
+// awaitChanges returns the response to a poll request as soon as there are changes. At the
+// end of the wait it returns a response without changes, or fails with errStale if the
+// cached state is too old. The response tells the age of the table, so that it is no
+// confirmation to the member.
 func (f *Feed) awaitChanges(ctx context.Context, req pollRequest, arrived time.Duration) (*pollResponse, error) {
-	timeout := time.NewTimer(longPollTimeout)
+	timeout := time.NewTimer(f.waitTimeout())
 	defer timeout.Stop()
 	for {
 		resp, changed, err := f.respond(req, arrived)
@@ -240,7 +245,7 @@
 		select {
 		case <-changed:
 		case <-timeout.C:
-			return nil, errStale
+			return f.unchanged(req, arrived)
 		case <-ctx.Done():
 			return nil, errors.Wrap(ctx.Err(), "member has gone")
 		}
@@ -258,14 +263,42 @@
 	if req.AnyAge {
 		return f.changesSince(pollRequest{}, arrived), nil, nil
 	}
-	now := f.now()
 	sameEpoch := req.Epoch == f.epoch
-	if sameEpoch && req.Sequence == f.sequence && req.Confirmations == f.confirmations || now-f.tableAsOf > maxTableAge || now-f.targetsAsOf > maxTargetsAge {
+	if sameEpoch && req.Sequence == f.sequence && req.Confirmations == f.confirmations || f.usableFor() < 0 {
 		return nil, f.changed, nil
 	}
 	return f.changesSince(req, arrived), nil, nil
 }
 
+// usableFor returns the time for which the cached state may still be passed on; negative if
+// it is too old. The caller holds mu.
+func (f *Feed) usableFor() time.Duration {
+	now := f.now()
+	return min(maxTableAge-(now-f.tableAsOf), maxTargetsAge-(now-f.targetsAsOf))
+}
+
+// waitTimeout returns how long a poll request that arrives now waits for changes. If there
+// was none for longPollTimeout, members were answered without changes, and the wait ends as
+// soon as the state is too old: members then still have time to read the store themselves.
+func (f *Feed) waitTimeout() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.now()-f.changedAt < longPollTimeout {
+		return longPollTimeout
+	}
+	return min(longPollTimeout, max(0, f.usableFor())+time.Millisecond)
+}
+
+// unchanged returns a response without changes, or fails with errStale.
+func (f *Feed) unchanged(req pollRequest, arrived time.Duration) (*pollResponse, error) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.tableUnavailable || f.targetsUnavailable || f.usableFor() < 0 {
+		return nil, errStale
+	}
+	return f.changesSince(req, arrived), nil
+}
+
 // changesSince returns the changes since the state of the member that req describes. The
 // caller holds mu.
 func (f *Feed) changesSince(req pollRequest, arrived time.Duration) *pollResponse {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -203,6 +203,44 @@
 	}
 }
 
+// Guards against members that leave their relay, and all call the store, because nothing
+// changed during a long poll. A relay whose state is still recent answers it as "no change",
+// which is no confirmation of the table.
+func TestTimedOutPollKeepsMemberServed(t *testing.T) {
+	t.Parallel()
+	p := newPair(t)
+	p.setTable(3)
+	newest := p.now()
+	p.feed.SetTargets(instances(1), Revision{Number: 7}, p.now(), false)
+	require.NoError(t, p.poll())
+	p.advance(maxTargetsAge / 2)
+	require.NoError(t, p.poll())
+	require.True(t, p.member.Served())
+	require.LessOrEqual(t, p.view.asOf, newest, "asOf must not be later than the confirmation")
+	require.Len(t, p.view.listed, 1)
+
+	p.setTable(4)
+	require.NoError(t, p.poll())
+	require.EqualValues(t, 4, p.view.version)
+}
+
+// Guards against members that stay with a relay whose state grows too old after a poll that
+// timed out: keys and targets may have been removed since.
+func TestMemberLeavesRelayOnceStateIsTooOld(t *testing.T) {
+	t.Parallel()
+	p := newPair(t)
+	p.setTable(3)
+	p.feed.SetTargets(instances(1), Revision{Number: 7}, p.now(), false)
+	require.NoError(t, p.poll())
+	p.advance(longPollTimeout)
+	require.NoError(t, p.poll())
+	start := time.Now()
+	timer := time.AfterFunc(20*time.Millisecond, func() { p.advance(maxTargetsAge - longPollTimeout + time.Millisecond) })
+	defer timer.Stop()
+	require.Error(t, p.poll())
+	require.Less(t, time.Since(start), longPollTimeout, "no later than the state is too old")
+}
+
 func TestMemberReceivesStoreRecovery(t *testing.T) {
 	p := newPair(t)
 	p.setTable(3)
