Evacuated failure domains: their targets get no new requests

Cause: the operator evacuates a failure domain by a row beside the routing table, which gates did not read.

The directory leaves the targets of evacuated domains out of the available ones. Relays pass the list on with its era and revision, a change ends the pending polls of members, and a gate that bootstraps gets it before the targets.

--- a/internal/gate/regions_test.go
+++ b/internal/gate/regions_test.go
@@ -122,3 +122,46 @@
 	require.Equal(t, 502, f.send("/p/", "body", patient...).status)
 	f.requireOnlyAt("t0", 1)
 }
+
+// Without a target outside of the evacuated failure domains, waiting would only delay the
+// refusal.
+func TestRefusedAtOnceWhileEvacuated(t *testing.T) {
+	for _, c := range []struct {
+		name      string
+		routes    []route.Route
+		evacuated []string
+		reason    string // "": served at t1
+	}{
+		{"all targets", restrictedTo(once), []string{"d", "e"}, `"no_target"`},
+		{"all allowed targets", restrictedTo(once, "r"), []string{"d"}, `"no_allowed_target"`},
+		{"other targets", restrictedTo(once), []string{"d"}, ""},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := newRegionFixture(t, c.routes, succeed("whole"), succeed("whole"))
+			f.directory.SetEvacuated(c.evacuated)
+			got := f.send("/p/", "body", patient...)
+			if c.reason == "" {
+				require.Equal(t, 200, got.status)
+				f.requireOnlyAt("t1", 1)
+				return
+			}
+			require.Equal(t, 503, got.status)
+			require.Contains(t, got.body, c.reason)
+			require.NotEmpty(t, got.header.Get("Retry-After"))
+			require.Empty(t, f.receivedRequests())
+		})
+	}
+}
+
+// A request whose first target is evacuated while it runs there is retried elsewhere, and a
+// response that is under way is forwarded.
+func TestEvacuationDuringRequest(t *testing.T) {
+	for name, first := range map[string]targetHandler{"retried": closeConn(), "completed": succeed("whole")} {
+		var f *fixture
+		f = newRegionFixture(t, restrictedTo(idempotent), func(conn net.Conn, r targetRequest) {
+			f.directory.SetEvacuated([]string{"d"})
+			first(conn, r)
+		}, succeed("whole"))
+		require.Equal(t, 200, f.send("/p/", "body", patient...).status, name)
+	}
+}
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -63,6 +64,10 @@
 	table         []byte
 	confirmations uint64
 	tableAsOf     time.Duration // a time at which the table was the newest
+
+	evacuations       target.EvacuationList // Held counts from evacuationsSetAt
+	evacuationsSetAt  time.Duration
+	evacuationChanges uint64
 }
 
 type targetEntry struct {
@@ -128,6 +133,32 @@
 	f.replaceTargets(listed, revision)
 }
 
+// SetEvacuations records the evacuated failure domains as this gate knows them, and wakes
+// members' polls if they changed. It does so whether or not this gate follows the store.
+func (f *Feed) SetEvacuations(list target.EvacuationList) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := !slices.Equal(list.Domains, f.evacuations.Domains) || !maps.EqualFunc(list.Held, f.evacuations.Held, func(time.Duration, time.Duration) bool { return true })
+	f.evacuations, f.evacuationsSetAt = list, f.now()
+	if changed {
+		f.evacuationChanges++
+		f.notify()
+	}
+}
+
+func (f *Feed) addEvacuations(resp *pollResponse) {
+	list := &f.evacuations
+	resp.EvacuationChanges, resp.Evacuated, resp.EvacuationEra, resp.EvacuationRevision = f.evacuationChanges, list.Domains, list.Era, list.Revision
+	for domain, remaining := range list.Held {
+		if remaining -= f.now() - f.evacuationsSetAt; remaining > 0 {
+			if resp.HeldEvacuations == nil {
+				resp.HeldEvacuations = make(map[string]time.Duration)
+			}
+			resp.HeldEvacuations[domain] = remaining
+		}
+	}
+}
+
 // MarkTableUnavailable records that this gate no longer follows the table in the store.
 // The feed refuses to serve members until the next call of SetTable.
 func (f *Feed) MarkTableUnavailable() {
@@ -260,7 +291,7 @@
 	}
 	now := f.now()
 	sameEpoch := req.Epoch == f.epoch
-	if sameEpoch && req.Sequence == f.sequence && req.Confirmations == f.confirmations || now-f.tableAsOf > maxTableAge || now-f.targetsAsOf > maxTargetsAge {
+	if sameEpoch && req.Sequence == f.sequence && req.Confirmations == f.confirmations && req.EvacuationChanges == f.evacuationChanges || now-f.tableAsOf > maxTableAge || now-f.targetsAsOf > maxTargetsAge {
 		return nil, f.changed, nil
 	}
 	return f.changesSince(req, arrived), nil, nil
@@ -274,6 +305,7 @@
 		Full:         req.Epoch != f.epoch || req.Sequence < f.lastDroppedRemoval || req.Sequence > f.sequence,
 		TableVersion: f.edition.Version, TableEra: f.edition.Era, Confirmations: f.confirmations, TableAge: arrived - f.tableAsOf,
 	}
+	f.addEvacuations(resp)
 	if f.storeRecoveredAt > 0 {
 		resp.SinceRecovery = max(arrived-f.storeRecoveredAt, time.Nanosecond)
 	}
--- a/internal/relay/member.go
+++ b/internal/relay/member.go
@@ -53,6 +53,8 @@
 	// ApplyTargets stores the full target list of a revision of the store. sinceRecovery
 	// is the time since the relay reconnected to the store; 0 if it never lost it.
 	ApplyTargets(listed []target.Instance, revision Revision, sinceRecovery time.Duration)
+	// ApplyEvacuations stores the list of evacuated failure domains.
+	ApplyEvacuations(list target.EvacuationList)
 }
 
 // Config configures a Member.
@@ -189,6 +191,8 @@
 	if err != nil {
 		return err
 	}
+	// Applied whatever the age of the table: an old list never ends an evacuation.
+	m.config.View.ApplyEvacuations(resp.evacuations())
 	// TableAge counts back from the arrival of the request, which is after sentAt. The
 	// result is therefore never later than the relay's confirmation of the table.
 	asOf := sentAt - resp.TableAge
@@ -202,7 +206,7 @@
 		return errors.New("response holds only changes, but no full target list was received")
 	}
 	m.config.View.ApplyTargets(m.targetList(), resp.revision(), resp.SinceRecovery)
-	m.position.Epoch, m.position.Sequence, m.position.Confirmations = resp.Epoch, resp.Sequence, resp.Confirmations
+	m.position.Epoch, m.position.Sequence, m.position.Confirmations, m.position.EvacuationChanges = resp.Epoch, resp.Sequence, resp.Confirmations, resp.EvacuationChanges
 	if !m.Served() {
 		m.config.Log.Info("served by a relay", "relay", relay.String(), "targets", len(m.targets), "table_version", resp.TableVersion)
 	}
@@ -248,6 +252,7 @@
 	if err != nil {
 		return err
 	}
+	m.config.View.ApplyEvacuations(resp.evacuations())
 	if err := m.config.View.ApplyTable(resp.Table, resp.TableEra, sentAt-resp.TableAge); err != nil {
 		return err
 	}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -36,6 +36,8 @@
 	// TableDigest is the digest of the member's table: a version may have come again with
 	// other content.
 	TableDigest uint64 `cbor:"6,keyasint,omitempty"`
+	// EvacuationChanges is the value in the last response that the member applied.
+	EvacuationChanges uint64 `cbor:"7,keyasint,omitempty"`
 }
 
 // pollResponse holds the changes since the state that a pollRequest describes.
@@ -63,6 +65,20 @@
 	TableAge   time.Duration `cbor:"11,keyasint"`
 	TargetsEra int64         `cbor:"12,keyasint,omitempty"`
 	TableEra   int64         `cbor:"13,keyasint,omitempty"`
+
+	// EvacuationChanges counts the changes of the fields below.
+	EvacuationChanges uint64 `cbor:"14,keyasint,omitempty"`
+	// Evacuated lists the evacuated failure domains at a revision of the store.
+	Evacuated          []string `cbor:"15,keyasint,omitempty"`
+	EvacuationEra      int64    `cbor:"16,keyasint,omitempty"`
+	EvacuationRevision int64    `cbor:"17,keyasint,omitempty"`
+	// HeldEvacuations holds, by failure domain, how long an evacuation from before a restore
+	// of the store goes on.
+	HeldEvacuations map[string]time.Duration `cbor:"18,keyasint,omitempty"`
+}
+
+func (r *pollResponse) evacuations() target.EvacuationList {
+	return target.EvacuationList{Domains: r.Evacuated, Era: r.EvacuationEra, Revision: r.EvacuationRevision, Held: r.HeldEvacuations}
 }
 
 // wireInstance is the wire format of a target.Instance.
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -29,6 +29,7 @@
 	listed        map[string]target.Instance
 	revision      Revision
 	sinceRecovery time.Duration
+	evacuations   target.EvacuationList
 }
 
 func (v *recordingView) TableEdition() route.Edition { return route.Edition{Version: v.version} }
@@ -51,6 +52,8 @@
 	v.revision, v.sinceRecovery = revision, sinceRecovery
 }
 
+func (v *recordingView) ApplyEvacuations(list target.EvacuationList) { v.evacuations = list }
+
 // pair is a relay and a member with a common clock.
 type pair struct {
 	mu      sync.Mutex
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -47,6 +47,7 @@
 //     until the entries of the copy have expired.
 //   - An instance that announced its own drain is unavailable until it restarts, whatever
 //     its entry says.
+//   - An instance in an evacuated failure domain is listed but unavailable.
 //   - Entries that expired while the store was unreachable stay available until
 //     storeReturnGrace after the store is back.
 type Directory struct {
@@ -64,6 +65,7 @@
 	// restored is set for restoredRowLifetime after restoredAt, when the store was restored.
 	restored   bool
 	restoredAt time.Duration
+	evacuated  map[string]bool // names of failure domains
 }
 
 // Snapshot is an immutable state of a Directory.
@@ -85,7 +87,7 @@
 	for _, instance := range instances {
 		instance.Hash, instance.Region = HashID(instance.ID), d.regions.Of(instance.Domain)
 		snapshot.byID[instance.ID] = instance
-		if !instance.Draining {
+		if !instance.Draining && !d.evacuated[instance.Domain] {
 			snapshot.services[instance.Service] = append(snapshot.services[instance.Service], instance)
 		}
 	}
