--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"maps"
 	"net/http"
 	"slices"
 	"strings"
@@ -66,6 +67,10 @@
 	table         []byte
 	confirmations uint64
 	tableAsOf     time.Duration // a time at which the table was the newest
+
+	evacuations       target.EvacuationList // Held counts from evacuationsSetAt
+	evacuationsSetAt  time.Duration
+	evacuationChanges uint64
 }
 
 type targetEntry struct {
@@ -131,6 +136,32 @@
 	f.replaceTargets(listed, revision)
 }
 
+// SetEvacuations records the evacuated failure domains as this gate knows them, and wakes
+// members' polls if they changed. It does so whether or not this gate follows the store.
+func (f *Feed) SetEvacuations(list target.EvacuationList) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	changed := !slices.Equal(list.Domains, f.evacuations.Domains) || !maps.EqualFunc(list.Held, f.evacuations.Held, func(time.Duration, time.Duration) bool { return true })
+	f.evacuations, f.evacuationsSetAt = list, f.now()
+	if changed {
+		f.evacuationChanges++
+		f.notify()
+	}
+}
+
+func (f *Feed) addEvacuations(resp *pollResponse) {
+	list := &f.evacuations
+	resp.EvacuationChanges, resp.Evacuated, resp.EvacuationEra, resp.EvacuationRevision = f.evacuationChanges, list.Domains, list.Era, list.Revision
+	for domain, remaining := range list.Held {
+		if remaining -= f.now() - f.evacuationsSetAt; remaining > 0 {
+			if resp.HeldEvacuations == nil {
+				resp.HeldEvacuations = make(map[string]time.Duration)
+			}
+			resp.HeldEvacuations[domain] = remaining
+		}
+	}
+}
+
 // MarkTableUnavailable records that this gate no longer follows the table in the store.
 // The feed refuses to serve members until the next call of SetTable.
 func (f *Feed) MarkTableUnavailable() {
@@ -264,7 +295,7 @@
 		return f.changesSince(pollRequest{}, arrived), nil, nil
 	}
 	sameEpoch := req.Epoch == f.epoch
-	if sameEpoch && req.Sequence == f.sequence && req.Confirmations == f.confirmations || f.usableFor() < 0 {
+	if sameEpoch && req.Sequence == f.sequence && req.Confirmations == f.confirmations && req.EvacuationChanges == f.evacuationChanges || f.usableFor() < 0 {
 		return nil, f.changed, nil
 	}
 	return f.changesSince(req, arrived), nil, nil
@@ -307,6 +338,7 @@
 		Full:         req.Epoch != f.epoch || req.Sequence < f.lastDroppedRemoval || req.Sequence > f.sequence,
 		TableVersion: f.edition.Version, TableEra: f.edition.Era, Confirmations: f.confirmations, TableAge: arrived - f.tableAsOf,
 	}
+	f.addEvacuations(resp)
 	if f.storeRecoveredAt > 0 {
 		resp.SinceRecovery = max(arrived-f.storeRecoveredAt, time.Nanosecond)
 	}
