Cold targets get few requests: owners, pace, and which targets are not known to be warm

Cause: a target of a service with a cold phase crashes if all gates together send it more than a few requests per second after its start, and gates cannot rely on messages to agree.

Change: internal/warmup chooses a few owners for each cold target among the gates that the store lists, and paces each by a bucket of one request that starts empty, so that the bound holds even for two disjoint views of the fleet. target.Directory knows until when a target is treated as cold: from its entry, from failed connections, restarts, reused addresses and ended evacuations, and for a gate that was suspended. Requests whose first choice a cold target is use its pace; others go to their next candidate. Relays carry the remaining time. Services without a cold phase are served as before.

--- a/cmd/mastichollow-gate/start.go
+++ b/cmd/mastichollow-gate/start.go
@@ -124,13 +124,14 @@
 	}
 	table := gate.NewTableCache(boot)
 	feed := relay.NewFeed(startedMillis, boot)
+	feed.Steady = monotonic
 	watcher := &platform.Watcher{
 		Store: platform.NewStore(s.StoreAddr), Settings: s, Table: table, Directory: directory,
 		Controller: controller, Peers: exchange, Boot: boot, Steady: monotonic, Start: startedMillis,
 		Log: log.Named("platform"), Feed: feed, BootstrapPeers: exchange.AliveAddrs,
 	}
 	watcher.Relay = relay.NewMember(relay.Config{
-		Candidates: exchange.RelayCandidates, View: watcher, Now: boot, Log: log.Named("relay"),
+		Candidates: exchange.RelayCandidates, View: watcher, Now: boot, Steady: monotonic, Log: log.Named("relay"),
 	}, reg)
 	dials := metric.NewFactory(reg, "mastichollow_targets").Counter("connections_total", "New connections to targets.")
 	responseMemory := budget.NewBytes(int64(responseMemoryFraction * float64(s.MemoryLimitBytes)))
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -8,6 +8,7 @@
 
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/target"
+	"github.com/mastichollow/mastichollow/internal/warmup"
 )
 
 // generatedTokenWeight is the work of a generated token relative to that of a prompt
@@ -35,6 +36,9 @@
 	Retry bool
 	// Regions holds the regions in which the request may be served.
 	Regions target.RegionSet
+	// TargetsOutdated is set if this gate was suspended since it read the list of targets: any
+	// of them may have become cold.
+	TargetsOutdated bool
 	// Exclude lists the IDs of the targets that the request was already sent to.
 	Exclude []string
 }
@@ -58,6 +62,8 @@
 	ShareMultiple float64
 	// BlockedPart is the hash of the part for which the request was refused; 0: none.
 	BlockedPart uint64
+	// Diverted is set if the first choice was a cold target that did not get the request.
+	Diverted bool
 	// RetryAfter is when a refused caller may try again; 0 if unknown.
 	RetryAfter time.Duration
 }
@@ -102,6 +108,8 @@
 	suspects           *suspects
 	backoffs           *backoffs
 	requestLimits      *requestLimits
+	warmup             *warmup.Pacer
+	coldUse            ColdUse
 	retries            map[string]*retryCounts  // by service
 	gateCount          int                      // number of gates that share the retry budget
 	peerReportLifetime time.Duration            // how long a peer's report counts
@@ -131,6 +139,7 @@
 		suspects:           newSuspects(),
 		backoffs:           newBackoffs(),
 		requestLimits:      newRequestLimits(config.Site),
+		warmup:             warmup.NewPacer(),
 		retries:            make(map[string]*retryCounts),
 		gateCount:          1,
 		peerReportLifetime: minPeerReportLifetime,
@@ -177,6 +186,9 @@
 		avoided.useHints = false
 		decision = c.choose(now, req, targets, avoided)
 	}
+	if decision.Diverted {
+		c.coldUse.Diverted++
+	}
 	if req.Slots > 0 {
 		c.recordShareUse(req, decision.Tier, decision.Refused != "")
 	}
@@ -187,6 +199,8 @@
 			decision.Refused, decision.RetryAfter = request.ReasonOverloaded, wait
 		} else if c.requestLimits.limited(req.Regions, targets) {
 			decision.Refused, decision.RetryAfter = request.ReasonOverloaded, req.retryAfter()
+		} else if wait := c.coldWait(targets, &avoided); wait > 0 {
+			decision.Refused, decision.RetryAfter = request.ReasonOverloaded, wait
 		}
 	}
 	return decision
@@ -243,12 +257,15 @@
 	// useHints also avoids targets that asked another gate to back off.
 	useHints bool
 	limits   *requestLimits
+	// allCold is set if no target is known to be warm.
+	allCold bool
 	// aboveShare is set when the request is above the fair share of its workspace.
 	aboveShare bool
 }
 
 func (c *Controller) avoidedTargetsFor(now time.Duration, req *Request, targets []target.Instance) avoidedTargets {
 	avoided := avoidedTargets{regions: req.Regions, exclude: req.Exclude, health: c.health, backoffs: c.backoffs, limits: c.requestLimits, now: now, useHints: len(c.backoffs.hints) > 0}
+	avoided.allCold = req.TargetsOutdated && c.warmup.HasPlan(req.Service)
 	ejected := c.health.countEjected(now, req.Regions, targets)
 	avoided.skipEjected = ejected > 0 && float64(ejected) <= maxEjectedFraction*float64(countAllowed(req.Regions, targets))
 	return avoided
@@ -264,7 +281,7 @@
 	return a.limits.exhausted(a.now, instance, !a.aboveShare)
 }
 
-func (c *Controller) place(now time.Duration, req *Request, instance target.Instance, uncached int, overShare bool) Decision {
+func (c *Controller) place(now time.Duration, req *Request, instance target.Instance, uncached int, overShare, cold bool) Decision {
 	load := c.loads.total(instance.ID)
 	lease := &Lease{
 		controller:        c,
@@ -278,6 +295,10 @@
 	}
 	c.loads.add(instance.ID, lease.load)
 	c.requestLimits.consume(now, &instance)
+	if cold {
+		c.warmup.Consume(now, &instance, c.regionOf(&instance), req.Workspace)
+		c.coldUse.Sends++
+	}
 	if req.Slots > 0 {
 		lease.work = req.work()
 		c.recordMeanWork(req.Service, lease.work)
@@ -308,6 +329,16 @@
 	return presumed
 }
 
+// TakeCrashedTargets returns the IDs of the targets that are presumed to have crashed, since a
+// second connection was lost, since the previous call.
+func (c *Controller) TakeCrashedTargets() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	crashed := c.suspects.crashed
+	c.suspects.crashed = nil
+	return crashed
+}
+
 // TakePartBlockChanges returns the blocks of crashing parts that began or ended since the
 // previous call, and the number of parts that are blocked.
 func (c *Controller) TakePartBlockChanges(now time.Duration) ([]PartBlockChange, int) {
@@ -348,6 +379,7 @@
 	c.health.retain(live)
 	c.suspects.retain(live)
 	c.requestLimits.retain(live)
+	c.warmup.Retain(live)
 	for id := range c.caches {
 		if !live(id) {
 			delete(c.caches, id)
--- a/internal/admission/engine.go
+++ b/internal/admission/engine.go
@@ -74,7 +74,8 @@
 	limit := c.limitFor(now, req)
 	avoided.aboveShare = !limit.tier.WithinShare()
 	refusal := Decision{Refused: request.ReasonNoTarget, Tier: limit.tier, OverShare: limit.overShare, ShareMultiple: limit.shareMultiple}
-	candidates := c.candidates(req, targets, avoided)
+	candidates, diverted := c.candidates(req, targets, avoided)
+	refusal.Diverted = diverted
 	model := c.modelOf(req.Service)
 	for i, index := range candidates.indexes[:candidates.n] {
 		instance := targets[index]
@@ -85,7 +86,8 @@
 			refusal.RetryAfter = req.retryAfter()
 		}
 		if limit.fits(req, load, uncached, model.readableTokens(instance.ID, limit.waitFraction, req.FirstTokenObjective)) {
-			decision := c.place(now, req, instance, uncached, limit.overShare)
+			decision := c.place(now, req, instance, uncached, limit.overShare, avoided.cold(&instance))
+			decision.Diverted = diverted
 			if limit.bucket != nil {
 				limit.bucket.consume(req.work())
 				decision.Lease.bucket = limit.bucket
@@ -99,10 +101,13 @@
 }
 
 // candidates returns the targets to try for a request, in order: first those of the
-// local region, then those of all regions, each by rendezvous hash of the shared prompt.
-func (c *Controller) candidates(req *Request, targets []target.Instance, avoided avoidedTargets) candidateList {
+// local region, then those of all regions, each by rendezvous hash of the shared prompt. A cold
+// target is among them only if this gate may send the request to it; diverted reports whether
+// the first choice is a cold target that it may not go to.
+func (c *Controller) candidates(req *Request, targets []target.Instance, avoided avoidedTargets) (list candidateList, diverted bool) {
 	key := affinityHash(req.Parts, req.Hash)
 	var local, global, limited candidateList
+	var cold coldCandidates
 	for i := range targets {
 		instance := &targets[i]
 		score := mixBits(key ^ instance.Hash)
@@ -116,6 +121,10 @@
 			}
 			continue
 		}
+		if avoided.cold(instance) {
+			c.addCold(&cold, req, instance, &avoided, score, i, inRegion)
+			continue
+		}
 		global.add(score, i, maxCandidates)
 		if inRegion {
 			local.add(score, i, localCandidates)
@@ -124,13 +133,17 @@
 	if limited.n > 0 && (local.n == 0 || limited.scores[0] > local.scores[0]) {
 		c.requestLimits.countDemand(avoided.now, &targets[limited.indexes[0]])
 	}
+	warmLocal := local.n > 0
 	for i := 0; i < global.n && local.n < len(local.indexes); i++ {
 		if index := global.indexes[i]; !local.contains(index) {
 			local.indexes[local.n] = index
 			local.n++
 		}
 	}
-	return local
+	if cold.global.n > 0 {
+		return c.chooseCold(req, targets, &avoided, &cold, local, global, warmLocal)
+	}
+	return local, false
 }
 
 // Tier is the admission tier of a request. It depends on how much of its fair share the
--- a/internal/admission/plain.go
+++ b/internal/admission/plain.go
@@ -14,7 +14,7 @@
 // placePlain places the request on the nearest target with a free slot, otherwise on the
 // one with the shortest queue relative to its slots.
 func (c *Controller) placePlain(now time.Duration, req *Request, targets []target.Instance, avoided avoidedTargets) Decision {
-	cheapest, minCost := -1, 0.0
+	cheapest, minCost, anyCold := -1, 0.0, false
 	refusal := Decision{Refused: request.ReasonNoTarget}
 	for i := range targets {
 		instance := &targets[i]
@@ -27,6 +27,10 @@
 			continue
 		}
 		slots := max(instance.Slots, 1)
+		if avoided.cold(instance) {
+			anyCold = true
+			continue
+		}
 		load := c.loads.total(instance.ID)
 		if load.InFlight >= plainQueueFactor*slots {
 			refusal = Decision{Refused: request.ReasonOverloaded, Target: *instance, Load: load, RetryAfter: req.retryAfter()}
@@ -41,8 +45,17 @@
 			cheapest, minCost = i, cost
 		}
 	}
-	if cheapest < 0 {
-		return refusal
+	diverted := false
+	if anyCold {
+		var coldChoice int
+		if coldChoice, diverted = c.placeColdPlain(req, targets, &avoided, cheapest >= 0); coldChoice >= 0 {
+			return c.place(now, req, targets[coldChoice], 0, false, true)
+		}
+	}
+	decision := refusal
+	if cheapest >= 0 {
+		decision = c.place(now, req, targets[cheapest], 0, false, false)
 	}
-	return c.place(now, req, targets[cheapest], 0, false)
+	decision.Diverted = diverted
+	return decision
 }
--- a/internal/admission/suspects.go
+++ b/internal/admission/suspects.go
@@ -53,6 +53,8 @@
 	// completed is full, it becomes previousCompleted.
 	completed, previousCompleted map[Fingerprint]time.Duration
 	presumed                     []PresumedCrash // not taken yet
+	// crashed holds the targets whose crash a second lost connection shows, not taken yet.
+	crashed []string
 	// confirmed holds the recent crashes of which this gate or a peer has evidence.
 	confirmed map[TargetRun]confirmedCrash
 	parts     *crashingParts
@@ -140,6 +142,9 @@
 	if isNew && len(s.presumed) < maxPresumedCrashes {
 		s.presumed = append(s.presumed, PresumedCrash{Target: instance.ID, Refused: refused, Requests: len(lost)})
 	}
+	if isNew && !refused && len(s.crashed) < maxPresumedCrashes {
+		s.crashed = append(s.crashed, instance.ID)
+	}
 	for _, l := range lost {
 		s.addLoss(now, l)
 	}
--- /dev/null
+++ b/internal/gate/cold_test.go
@@ -0,0 +1,115 @@
+package gate
+
+import (
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/route"
+	"github.com/mastichollow/mastichollow/internal/target"
+	"github.com/mastichollow/mastichollow/internal/warmup"
+)
+
+// newColdFixture has a cold phase of an hour. The gate owns no cold target.
+func newColdFixture(t *testing.T, routes []route.Route, handlers ...targetHandler) *fixture {
+	t.Helper()
+	f := newFixture(t, routes, handlers...)
+	f.gate.controller.SetWarmupPlans(map[string]warmup.Plan{"letters": {Owners: 1, PerSecond: 1}})
+	f.gate.controller.SetGates("g", []warmup.Gate{{Node: "other"}})
+	listed := append([]target.Instance(nil), f.directory.Current().Available("letters")...)
+	for i := range listed {
+		listed[i].ColdReported = true
+	}
+	f.directory = target.NewDirectory(nil)
+	f.gate.directory = f.directory
+	f.directory.SetColdPhases(map[string]time.Duration{"letters": time.Hour})
+	f.directory.Replace(listed, 0, false)
+	return f
+}
+
+// setCold makes a target report that it is cold.
+func (f *fixture) setCold(id string) {
+	var listed []target.Instance
+	for _, instance := range f.directory.Current().Available("letters") {
+		if instance.ID == id {
+			instance.ReportedColdUntil = time.Hour
+		}
+		listed = append(listed, instance)
+	}
+	f.directory.Replace(listed, f.gate.config.Now(), false)
+}
+
+func TestColdTargetNotUsedByOtherGates(t *testing.T) {
+	f := newColdFixture(t, testRoutes(once), succeed("whole"), succeed("whole"))
+	f.setCold("t0")
+	for range 10 {
+		require.Equal(t, 200, f.send("/p/", "body", patient...).status)
+	}
+	f.requireOnlyAt("t1", 10)
+	f.setCold("t1")
+	got := f.send("/p/", "body", patient...)
+	require.Equal(t, 503, got.status)
+	require.Contains(t, got.body, "overloaded")
+	require.NotEmpty(t, got.header.Get("Retry-After"))
+}
+
+// A retry or a resumed stream must not reach a target that became cold since the first send.
+func TestRetriesRespectColdTargets(t *testing.T) {
+	for name, first := range map[string]targetHandler{"retry": closeConn(), "resumed stream": streamEvents(1, 2, false)} {
+		t.Run(name, func(t *testing.T) {
+			var f *fixture
+			var once sync.Once
+			handler := func(conn net.Conn, r targetRequest) {
+				once.Do(func() { f.setCold(map[string]string{"t0": "t1", "t1": "t0"}[r.target]) })
+				first(conn, r)
+			}
+			f = newColdFixture(t, testRoutes(resumable), handler, handler)
+			got := f.send("/p/", "body", patient...)
+			require.True(t, got.err != nil || got.status == 502, "status %d", got.status)
+			require.Len(t, f.receivedRequests(), 1)
+		})
+	}
+}
+
+// useDirectory replaces the directory by one in which the target is warm.
+func (f *fixture) useDirectory(addr string) {
+	f.directory = target.NewDirectory(nil)
+	f.gate.directory = f.directory
+	f.directory.SetColdPhases(map[string]time.Duration{"letters": time.Hour})
+	f.directory.Replace([]target.Instance{{ID: "t0", Addr: addr, Service: "letters", Domain: "d", Slots: 8, ColdReported: true}}, 0, false)
+}
+
+func (f *fixture) coldCount() int { return f.directory.Current().ColdCount(f.gate.config.Now()) }
+
+// A target that refused a connection may have restarted under its ID: it may be cold when it is
+// back.
+func TestUnreachableTargetColdWhenBack(t *testing.T) {
+	f := newColdFixture(t, testRoutes(once))
+	f.useDirectory(closedAddr(t))
+	require.Zero(t, f.coldCount())
+	require.Equal(t, 503, f.send("/p/", "body", patient...).status)
+	require.Equal(t, 1, f.coldCount())
+}
+
+// Two connections that are lost at a time show that the target crashed.
+func TestCrashedTargetColdWhenBack(t *testing.T) {
+	f := newColdFixture(t, testRoutes(once))
+	hold := make(chan struct{})
+	var arrived, ends sync.WaitGroup
+	arrived.Add(2)
+	f.useDirectory(f.startTarget("t0", func(c net.Conn, _ targetRequest) {
+		arrived.Done()
+		<-hold
+		c.Close()
+	}))
+	for range 2 {
+		ends.Go(func() { f.send("/p/", "body", patient...) })
+	}
+	arrived.Wait()
+	close(hold)
+	ends.Wait()
+	require.Equal(t, 1, f.coldCount())
+}
--- a/internal/gate/engines.go
+++ b/internal/gate/engines.go
@@ -29,6 +29,7 @@
 			g.publishEngines(slowTargets)
 			g.publishShareUses()
 			g.publishCrashes()
+			g.publishColdUse()
 			g.metrics.limitedTargets.Set(float64(g.controller.LimitedTargets()))
 		}
 	}
@@ -70,6 +71,18 @@
 	}
 }
 
+// publishColdUse publishes the number of cold targets and what became of the requests for them
+// since the previous publication.
+func (g *Gate) publishColdUse() {
+	cold, use := g.directory.Current().ColdCount(g.config.Now()), g.controller.TakeColdUse()
+	g.metrics.coldTargets.Set(float64(cold))
+	g.metrics.coldSends.Add(float64(use.Sends))
+	g.metrics.coldDiversions.Add(float64(use.Diverted))
+	if use.Sends+use.Diverted > 0 {
+		g.config.Events.Event(logModule, "cold targets", eventlog.Int("targets", cold), eventlog.Int("sends", use.Sends), eventlog.Int("diverted", use.Diverted))
+	}
+}
+
 // maxShareLines bounds the log lines on the use of fair shares per publication.
 const maxShareLines = 8
 
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -20,6 +20,9 @@
 	backoffs            prometheus.Counter
 	requestLimitChanges prometheus.Counter
 	limitedTargets      prometheus.Gauge
+	coldTargets         prometheus.Gauge
+	coldSends           prometheus.Counter
+	coldDiversions      prometheus.Counter
 	stalledStreams      prometheus.Counter
 	joinedResponses     prometheus.Counter
 	responseEnds        *prometheus.CounterVec
@@ -46,6 +49,9 @@
 		backoffs:            f.Counter("target_pauses_total", "Backoffs requested by targets that rejected a request."),
 		requestLimitChanges: f.Counter("target_limit_changes_total", "Request limits of targets that began, changed or ended, by responses to this gate."),
 		limitedTargets:      f.Gauge("limited_targets", "Targets that name a request limit."),
+		coldTargets:         f.Gauge("cold_targets", "Available targets that are treated as cold."),
+		coldSends:           f.Counter("cold_sends_total", "Requests that were sent to cold targets."),
+		coldDiversions:      f.Counter("cold_diversions_total", "Requests whose first choice was a cold target that did not get them."),
 		stalledStreams:      f.Counter("stalled_streams_total", "Streams from targets aborted because no event arrived."),
 		joinedResponses:     f.Counter("joined_responses_total", "Responses of targets that consist of the bytes of two responses."),
 		responseEnds:        f.CounterVec("response_ends_total", "Responses of targets that were forwarded, by framing and by whether they were complete.", "framing", "end"),
--- a/internal/gate/regions_test.go
+++ b/internal/gate/regions_test.go
@@ -138,7 +138,7 @@
 	} {
 		t.Run(c.name, func(t *testing.T) {
 			f := newRegionFixture(t, c.routes, succeed("whole"), succeed("whole"))
-			f.directory.SetEvacuated(c.evacuated)
+			f.directory.SetEvacuated(c.evacuated, 0)
 			got := f.send("/p/", "body", patient...)
 			if c.reason == "" {
 				require.Equal(t, 200, got.status)
@@ -159,7 +159,7 @@
 	for name, first := range map[string]targetHandler{"retried": closeConn(), "completed": succeed("whole")} {
 		var f *fixture
 		f = newRegionFixture(t, restrictedTo(idempotent), func(conn net.Conn, r targetRequest) {
-			f.directory.SetEvacuated([]string{"d"})
+			f.directory.SetEvacuated([]string{"d"}, 0)
 			first(conn, r)
 		}, succeed("whole"))
 		require.Equal(t, 200, f.send("/p/", "body", patient...).status, name)
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -94,7 +94,9 @@
 	c.admissionRequest.Retry = retryReason != ""
 	c.admissionRequest.Exclude = c.triedTargets
 	c.admissionRequest.Regions = c.allowedRegions()
-	d := g.controller.Admit(g.config.Now(), &c.admissionRequest, g.directory.Current().Available(c.admissionRequest.Service))
+	now := g.config.Now()
+	c.admissionRequest.TargetsOutdated = g.directory.Outdated(now)
+	d := g.controller.Admit(now, &c.admissionRequest, g.directory.Current().Available(c.admissionRequest.Service))
 	c.decision = d
 	if d.Refused != "" {
 		return d
@@ -216,6 +218,7 @@
 	if o.result == admission.ResultDone {
 		return
 	}
+	g.markUnreachable(d.Target.ID, o.result)
 	if errors.Is(o.err, desync.ErrJoined) {
 		g.metrics.joinedResponses.Inc()
 	}
--- a/internal/gate/target_check.go
+++ b/internal/gate/target_check.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
@@ -24,6 +25,20 @@
 		time.Sleep(targetCheckDelay)
 		if g.pool.Refused(context.Background(), instance.Addr) {
 			g.controller.RecordRefused(g.config.Now(), &instance)
+			g.directory.MarkUnreachable(instance.ID, g.config.Now())
 		}
 	}()
 }
+
+// markUnreachable tells the directory of targets that may have restarted, as far as the result
+// of a send to the target tells: they may be cold when they are back.
+func (g *Gate) markUnreachable(id string, result admission.Result) {
+	switch result {
+	case admission.ResultUnreachable, admission.ResultMisdirected:
+		g.directory.MarkUnreachable(id, g.config.Now())
+	case admission.ResultLost:
+		for _, crashed := range g.controller.TakeCrashedTargets() {
+			g.directory.MarkUnreachable(crashed, g.config.Now())
+		}
+	}
+}
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -41,8 +41,10 @@
 // Feed caches the configuration table and the targets of this gate and serves them to
 // its peers.
 type Feed struct {
-	now   func() time.Duration // includes suspended time
-	epoch int64                // distinguishes the incarnations of the feed
+	now func() time.Duration // includes suspended time
+	// Steady is the clock of target.Instance.ReportedColdUntil; nil: now.
+	Steady func() time.Duration
+	epoch  int64 // distinguishes the incarnations of the feed
 
 	mu      sync.Mutex
 	changed chan struct{} // closed at the next change
@@ -312,9 +314,10 @@
 	if req.TableVersion != f.edition.Version || req.TableDigest != f.edition.Digest {
 		resp.Table = f.table
 	}
+	steadyNow := steady(f.Steady, f.now)()
 	for _, e := range f.targets {
 		if resp.Full || e.sequence > req.Sequence {
-			resp.Targets = append(resp.Targets, encodeInstance(e.instance))
+			resp.Targets = append(resp.Targets, encodeInstance(e.instance, steadyNow))
 		}
 	}
 	slices.SortFunc(resp.Targets, func(x, y wireInstance) int { return strings.Compare(x.ID, y.ID) })
--- a/internal/relay/member.go
+++ b/internal/relay/member.go
@@ -64,7 +64,9 @@
 	Candidates func() []netip.AddrPort
 	View       View
 	Now        func() time.Duration // includes suspended time
-	Log        hclog.Logger
+	// Steady is the clock of target.Instance.ReportedColdUntil; nil: Now.
+	Steady func() time.Duration
+	Log    hclog.Logger
 }
 
 // Member polls a relay for changes of the table and the targets in the store.
@@ -226,9 +228,10 @@
 	for _, id := range resp.Removed {
 		delete(m.targets, id)
 	}
+	steadyNow := steady(m.config.Steady, m.config.Now)()
 	// A target that was removed and listed again is both in Removed and in Targets.
 	for _, instance := range resp.Targets {
-		m.targets[instance.ID] = instance.decode()
+		m.targets[instance.ID] = instance.decode(steadyNow)
 	}
 	return true
 }
@@ -256,9 +259,10 @@
 	if err := m.config.View.ApplyTable(resp.Table, resp.TableEra, sentAt-resp.TableAge); err != nil {
 		return err
 	}
+	steadyNow := steady(m.config.Steady, m.config.Now)()
 	listed := make([]target.Instance, 0, len(resp.Targets))
 	for _, instance := range resp.Targets {
-		listed = append(listed, instance.decode())
+		listed = append(listed, instance.decode(steadyNow))
 	}
 	m.config.View.ApplyTargets(listed, resp.revision(), resp.SinceRecovery)
 	return nil
@@ -293,3 +297,11 @@
 	pollResp := &pollResponse{}
 	return pollResp, errors.Wrap(cbor.Unmarshal(data, pollResp), "decoding the poll response")
 }
+
+// steady returns the first clock, or fallback if it is nil.
+func steady(clock, fallback func() time.Duration) func() time.Duration {
+	if clock == nil {
+		return fallback
+	}
+	return clock
+}
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -90,14 +90,28 @@
 	Slots    int    `cbor:"5,keyasint"`
 	Draining bool   `cbor:"6,keyasint,omitempty"`
 	Born     int64  `cbor:"7,keyasint"`
+	// ColdReported and ColdLeft are those of the entry, ColdLeft as of the response.
+	ColdReported bool          `cbor:"8,keyasint,omitempty"`
+	ColdLeft     time.Duration `cbor:"9,keyasint,omitempty"`
 }
 
-func encodeInstance(instance target.Instance) wireInstance {
-	return wireInstance{instance.ID, instance.Addr, instance.Service, instance.Domain, instance.Slots, instance.Draining, instance.StartedMillis}
+// encodeInstance encodes an entry at now, on the clock of its ReportedColdUntil.
+func encodeInstance(instance target.Instance, now time.Duration) wireInstance {
+	return wireInstance{
+		instance.ID, instance.Addr, instance.Service, instance.Domain, instance.Slots, instance.Draining, instance.StartedMillis,
+		instance.ColdReported, max(instance.ReportedColdUntil-now, 0),
+	}
 }
 
-func (w wireInstance) decode() target.Instance {
-	return target.Instance{
+// decode decodes an entry that was received at now. The time that it was on its way is not
+// subtracted from ColdLeft.
+func (w wireInstance) decode(now time.Duration) target.Instance {
+	instance := target.Instance{
 		ID: w.ID, Addr: w.Addr, Service: w.Service, Domain: w.Domain, Slots: w.Slots, Draining: w.Draining, StartedMillis: w.Born,
+		ColdReported: w.ColdReported,
+	}
+	if w.ColdLeft > 0 {
+		instance.ReportedColdUntil = now + w.ColdLeft
 	}
+	return instance
 }
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -7,6 +7,8 @@
 
 import (
 	"cmp"
+	"iter"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -68,6 +70,11 @@
 	Slots int
 	// CacheTokens is the capacity of a model engine's KV cache in tokens.
 	CacheTokens int
+	// ColdPhase is how long a target is cold after its start, and ColdPerSecond how many
+	// requests per second it tolerates until then. If ColdPerSecond is 0, the service has no
+	// cold phase.
+	ColdPhase     time.Duration
+	ColdPerSecond float64
 }
 
 // Workspace is a customer of the fleet.
@@ -185,6 +192,9 @@
 	return nil
 }
 
+// Services returns all services, in no particular order.
+func (t *Table) Services() iter.Seq[*Service] { return maps.Values(t.services) }
+
 // Service returns the service with the given name, or nil.
 func (t *Table) Service(name string) *Service { return t.services[name] }
 
--- a/internal/target/draining.go
+++ b/internal/target/draining.go
@@ -23,6 +23,7 @@
 type departure struct {
 	startedMillis int64 // start of the target, Unix milliseconds
 	at            time.Duration
+	addr          string
 }
 
 // MarkRestored records that the store was restored from an older copy, which may list targets
@@ -49,7 +50,7 @@
 	for i := range instances {
 		instance := &instances[i]
 		if instance.Draining {
-			d.departures[instance.ID] = departure{instance.StartedMillis, now}
+			d.departures[instance.ID] = departure{instance.StartedMillis, now, instance.Addr}
 			continue
 		}
 		left, found := d.departures[instance.ID]
--- a/internal/target/evacuation.go
+++ b/internal/target/evacuation.go
@@ -104,9 +104,9 @@
 }
 
 // SetEvacuated replaces the names of the evacuated failure domains. Their targets stay listed
-// but are not available, whether they were listed before or are listed later. It reports
-// whether the names changed.
-func (d *Directory) SetEvacuated(domains []string) bool {
+// but are not available, whether they were listed before or are listed later. When an
+// evacuation ends, they are not known to be warm. It reports whether the names changed.
+func (d *Directory) SetEvacuated(domains []string, now time.Duration) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	evacuated := make(map[string]bool, len(domains))
@@ -116,7 +116,8 @@
 	if maps.Equal(evacuated, d.evacuated) {
 		return false
 	}
+	d.recordEvacuationEnds(evacuated, now)
 	d.evacuated = evacuated
-	d.current.Store(d.newSnapshot(slices.Collect(maps.Values(d.Current().byID))))
+	d.rebuild()
 	return true
 }
--- a/internal/target/evacuation_test.go
+++ b/internal/target/evacuation_test.go
@@ -67,28 +67,28 @@
 	d := NewDirectory(nil)
 	a, b := testInstance("a"), testInstance("b")
 	b.Domain = "b"
-	require.True(t, d.SetEvacuated([]string{"b"}))
-	require.False(t, d.SetEvacuated([]string{"b"}))
+	require.True(t, d.SetEvacuated([]string{"b"}, 0))
+	require.False(t, d.SetEvacuated([]string{"b"}, 0))
 	change := d.Replace([]Instance{a, b}, 0, false)
 	require.ElementsMatch(t, []string{"a", "b"}, change.Added)
 	require.Len(t, d.Current().Available("letters"), 1)
 	require.True(t, d.Current().Contains("b"))
 
-	require.True(t, d.SetEvacuated([]string{"a", "b"}))
+	require.True(t, d.SetEvacuated([]string{"a", "b"}, 0))
 	require.Empty(t, d.Current().Available("letters"))
 	a.Draining = true
 	require.Equal(t, []string{"a"}, d.Replace([]Instance{a, b}, time.Second, false).Draining)
 	require.True(t, d.MarkDraining("b", b.StartedMillis, time.Second, true))
-	require.True(t, d.SetEvacuated(nil))
+	require.True(t, d.SetEvacuated(nil, 0))
 	require.Empty(t, d.Current().Available("letters"), "draining targets stay unavailable")
 }
 
 func TestEvacuatedTargetRetainedWhileStoreReturns(t *testing.T) {
 	d := NewDirectory(nil)
 	d.Replace([]Instance{testInstance("a")}, 0, false)
-	d.SetEvacuated([]string{"a"})
+	d.SetEvacuated([]string{"a"}, 0)
 	require.True(t, d.Replace(nil, time.Second, true).Empty())
 	require.Empty(t, d.Current().Available("letters"))
-	d.SetEvacuated(nil)
+	d.SetEvacuated(nil, 0)
 	require.Len(t, d.Current().Available("letters"), 1)
 }
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -26,6 +26,14 @@
 	Hash uint64
 	// Region is the region of Domain; a Directory sets it.
 	Region RegionBit
+	// ColdUntil is until when the target is treated as cold, on the monotonic clock of the
+	// process; 0: never. A Directory sets it.
+	ColdUntil time.Duration
+	// ColdReported says that the entry tells how long the target stays cold, and
+	// ReportedColdUntil until when, counted from the time at which this gate first saw the
+	// content of the entry; 0: it is warm.
+	ColdReported      bool
+	ReportedColdUntil time.Duration
 }
 
 // HashID returns the hash of a target ID for rendezvous hashing.
@@ -66,6 +74,15 @@
 	restored   bool
 	restoredAt time.Duration
 	evacuated  map[string]bool // names of failure domains
+	// coldPhases holds how long targets are cold after their start, by service.
+	coldPhases map[string]time.Duration
+	// notWarmSince holds, by target ID, since when a target is not known to be warm.
+	notWarmSince map[string]time.Duration
+	// listedSince holds, by target ID, since when targets are listed whose first entry did not
+	// report whether they are cold.
+	listedSince map[string]time.Duration
+	// listedAt is when the last list was applied, or neverOutdated.
+	listedAt atomic.Int64
 }
 
 // Snapshot is an immutable state of a Directory.
@@ -77,7 +94,8 @@
 // NewDirectory returns a directory with no targets. The argument maps the names of failure
 // domains to those of their regions.
 func NewDirectory(domainRegions map[string]string) *Directory {
-	d := &Directory{regions: NewRegions(domainRegions), graceEnds: make(map[string]time.Duration), drainNotices: make(map[string]drainNotice), departures: make(map[string]departure)}
+	d := &Directory{regions: NewRegions(domainRegions), graceEnds: make(map[string]time.Duration), drainNotices: make(map[string]drainNotice), departures: make(map[string]departure), notWarmSince: make(map[string]time.Duration), listedSince: make(map[string]time.Duration)}
+	d.listedAt.Store(int64(neverOutdated))
 	d.current.Store(d.newSnapshot(nil))
 	return d
 }
@@ -86,6 +104,7 @@
 	snapshot := &Snapshot{services: make(map[string][]Instance), byID: make(map[string]Instance, len(instances))}
 	for _, instance := range instances {
 		instance.Hash, instance.Region = HashID(instance.ID), d.regions.Of(instance.Domain)
+		instance.ColdUntil = d.coldUntil(&instance)
 		snapshot.byID[instance.ID] = instance
 		if !instance.Draining && !d.evacuated[instance.Domain] {
 			snapshot.services[instance.Service] = append(snapshot.services[instance.Service], instance)
@@ -112,6 +131,8 @@
 	defer d.mu.Unlock()
 	previous := d.Current()
 	instances = d.applyDrainNotices(d.applyDepartures(instances, now), now)
+	d.recordNotWarm(previous, instances, now)
+	d.listedAt.Store(int64(now))
 	listed := d.newSnapshot(instances)
 	var change Change
 	for id, instance := range previous.byID {
@@ -124,7 +145,9 @@
 			continue
 		}
 		change.Removed = append(change.Removed, id)
-		d.departures[id] = departure{instance.StartedMillis, now}
+		delete(d.notWarmSince, id)
+		delete(d.listedSince, id)
+		d.departures[id] = departure{instance.StartedMillis, now, instance.Addr}
 	}
 	for id, instance := range listed.byID {
 		previousInstance, known := previous.byID[id]
