--- a/internal/router/problem.go
+++ b/internal/router/problem.go
@@ -62,6 +62,7 @@
 	request.ReasonQueueFull:        {http.StatusTooManyRequests, "Queue of the workspace is full"},
 	request.ReasonDeadline:         {http.StatusGatewayTimeout, "Deadline has passed"},
 	request.ReasonNoTarget:         {http.StatusServiceUnavailable, "No target is available"},
+	request.ReasonNoAllowedTarget:  {http.StatusServiceUnavailable, "No target is available in the allowed regions"},
 	request.ReasonDraining:         {http.StatusServiceUnavailable, "Target is leaving"},
 	request.ReasonNotReady:         {http.StatusServiceUnavailable, "Not ready"},
 	request.ReasonClaimUnavailable: {http.StatusServiceUnavailable, "Claims cannot be made now"},
