--- a/internal/admission/cold_test.go
+++ b/internal/admission/cold_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 	"time"
 
@@ -190,3 +191,73 @@
 		})
 	}
 }
+
+// coldFleet is a fleet of gates with one cold target among its targets.
+type coldFleet struct {
+	gates   []*Controller
+	targets []target.Instance
+	sent    []time.Duration // to the cold target
+}
+
+// newColdFleet has 27 gates, of which the first inFirstView see another list than the others.
+func newColdFleet(inFirstView int, slots int) *coldFleet {
+	f := &coldFleet{targets: newEngines(8)}
+	for i := range f.targets {
+		f.targets[i].Slots = max(slots, 6)
+	}
+	f.targets[0].ColdUntil = time.Hour
+	var views [2][]warmup.Gate
+	viewOf := func(gate int) int {
+		if gate < inFirstView {
+			return 0
+		}
+		return 1
+	}
+	for i := range 27 {
+		views[viewOf(i)] = append(views[viewOf(i)], warmup.Gate{Node: fmt.Sprint("g", i), Region: "r"})
+	}
+	for i := range 27 {
+		c := newTestController()
+		c.SetWarmupPlans(map[string]warmup.Plan{"letters": warmup.NewPlan(10, 20)})
+		c.SetGates(fmt.Sprint("g", i), views[viewOf(i)])
+		f.gates = append(f.gates, c)
+	}
+	return f
+}
+
+// All gates together must keep the bound of a cold target, with every kind of send, while gates
+// see one list of gates or two disjoint ones, and the target must still be warmed up.
+func TestFleetKeepsColdBound(t *testing.T) {
+	for _, slots := range []int{0, 64} {
+		for _, inFirstView := range []int{0, 13} {
+			t.Run(fmt.Sprint(slots, " slots, ", inFirstView, " gates partitioned"), func(t *testing.T) {
+				f := newColdFleet(inFirstView, slots)
+				rng := rand.New(rand.NewPCG(1, 2))
+				for n := range 60_000 {
+					now := time.Duration(n) * 200 * time.Microsecond
+					req := letterRequest(fmt.Sprint("w", rng.IntN(5)), rng.Uint64N(200), n)
+					req.Slots, req.Retry = slots, n%10 == 0
+					if req.Retry {
+						req.Exclude = []string{f.targets[1+rng.IntN(7)].ID}
+					}
+					d := f.gates[rng.IntN(len(f.gates))].Admit(now, req, f.targets)
+					if d.Refused != "" {
+						continue
+					}
+					if d.Target.ID == "e0" {
+						f.sent = append(f.sent, now)
+					}
+					d.Lease.Began(now)
+					d.Lease.End(now, ResultDone, f.targets)
+				}
+				for i, first := 0, 0; i < len(f.sent); i++ {
+					for f.sent[i]-f.sent[first] >= time.Second {
+						first++
+					}
+					require.LessOrEqual(t, i-first+1, 20)
+				}
+				require.Greater(t, len(f.sent), 40, "in 12 s")
+			})
+		}
+	}
+}
--- a/internal/gate/cold_test.go
+++ b/internal/gate/cold_test.go
@@ -113,3 +113,14 @@
 	ends.Wait()
 	require.Equal(t, 1, f.coldCount())
 }
+
+// The targets of a gate that was suspended since its last list may have restarted meanwhile.
+func TestSuspendedGateTreatsTargetsAsCold(t *testing.T) {
+	f := newColdFixture(t, testRoutes(once), succeed("whole"))
+	listed := f.directory.Current().Available("letters")
+	f.directory.Replace(listed, -time.Minute, false)
+	require.Equal(t, 503, f.send("/p/", "body", patient...).status)
+	f.directory.Replace(listed, f.gate.config.Now(), false)
+	require.Equal(t, 200, f.send("/p/", "body", patient...).status)
+	f.requireOnlyAt("t0", 1)
+}
