Cold targets: a timed-out connection alone is no sign of a restart

Cause: each failed connection marked a target as not known to be warm for its cold phase plus 2 s.

Change: a refused connection counts at once; timeouts count if they span a second without any response of the target, and not while the gate's scheduling delay is high.

Ruled out: targets that are listed as cold; their entries told 0 to 8 of them.

Measured: the two new tests fail with the rule before.

--- a/internal/gate/cold_test.go
+++ b/internal/gate/cold_test.go
@@ -3,13 +3,17 @@
 import (
 	"net"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/stretchr/testify/require"
 
+	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/route"
 	"github.com/mastichollow/mastichollow/internal/target"
+	"github.com/mastichollow/mastichollow/internal/upstream"
 	"github.com/mastichollow/mastichollow/internal/warmup"
 )
 
@@ -124,3 +128,39 @@
 	require.Equal(t, 200, f.send("/p/", "body", patient...).status)
 	f.requireOnlyAt("t0", 1)
 }
+
+// Guards against targets that count as cold because connections from a busy gate time out: a
+// flooded gate treated up to 49 of 55 targets as cold that were warm.
+func TestSingleTimeoutIsNoRestart(t *testing.T) {
+	f := newColdFixture(t, testRoutes(once), succeed("whole"))
+	timeout := sendOutcome{result: admission.ResultUnreachable, err: errors.Mark(errors.New("i/o timeout"), upstream.ErrUnreachable)}
+	f.gate.markNotWarm("t0", timeout)
+	f.gate.markNotWarm("t0", timeout)
+	require.Zero(t, f.coldCount())
+	f.gate.markNotWarm("t0", sendOutcome{result: admission.ResultUnreachable, err: errors.Wrap(syscall.ECONNREFUSED, "connecting")})
+	require.Equal(t, 1, f.coldCount())
+}
+
+func TestTimeoutsOfLateGateAreNoRestart(t *testing.T) {
+	f := newColdFixture(t, testRoutes(once), succeed("whole"))
+	f.gate.delay.mean.Store(int64(2 * readyMaxDelay))
+	timeout := sendOutcome{result: admission.ResultUnreachable, err: errors.New("i/o timeout")}
+	f.gate.silent.recordTimeout("t0", f.gate.config.Now()-time.Minute)
+	f.gate.markNotWarm("t0", timeout)
+	require.Zero(t, f.coldCount())
+	f.gate.delay.mean.Store(0)
+	f.gate.markNotWarm("t0", timeout)
+	require.Equal(t, 1, f.coldCount(), "a target that was silent for a minute may have restarted")
+}
+
+func TestTargetSilentOnlyWithoutResponse(t *testing.T) {
+	var s silentTargets
+	require.False(t, s.recordTimeout("a", 0))
+	require.False(t, s.recordTimeout("a", minSilence-1))
+	require.True(t, s.recordTimeout("a", minSilence))
+	s.recordResponse("a")
+	require.False(t, s.recordTimeout("a", 2*minSilence))
+	require.False(t, s.recordTimeout("b", 5*minSilence))
+	s.retain(func(id string) bool { return id == "b" })
+	require.False(t, s.recordTimeout("a", 9*minSilence), "forgotten with the target")
+}
--- a/internal/gate/engines.go
+++ b/internal/gate/engines.go
@@ -30,6 +30,7 @@
 			g.publishShareUses()
 			g.publishCrashes()
 			g.publishColdUse()
+			g.silent.retain(g.directory.Current().Contains)
 			g.metrics.limitedTargets.Set(float64(g.controller.LimitedTargets()))
 		}
 	}
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -63,6 +63,7 @@
 	endRequests  context.CancelFunc
 	delay        schedulingDelay
 	targetChecks sync.Map // addresses of targets that are being checked
+	silent       silentTargets
 }
 
 // New returns a gate.
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -242,7 +242,7 @@
 	if o.result == admission.ResultDone {
 		return
 	}
-	g.markUnreachable(d.Target.ID, o.result)
+	g.markNotWarm(d.Target.ID, o)
 	if errors.Is(o.err, desync.ErrJoined) {
 		g.metrics.joinedResponses.Inc()
 	}
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -127,6 +127,7 @@
 func (c *call) classifyResponse(d admission.Decision, resp *upstream.Response) sendOutcome {
 	meta := c.gate.codec.DecodeResponse(resp.Status, resp.Header)
 	if !meta.Misdirected {
+		c.gate.silent.recordResponse(d.Target.ID)
 		c.applyTargetSignals(d, meta)
 	}
 	switch {
