--- a/cmd/mastichollow-gate/process_test.go
+++ b/cmd/mastichollow-gate/process_test.go
@@ -25,7 +25,8 @@
 type gateProcess struct {
 	*processtest.Process
 	standin.VM
-	pid int
+	pid         int
+	metricsAddr string
 }
 
 // startGateProcess starts a gate and waits until it is ready.
@@ -35,7 +36,7 @@
 	metrics := netip.MustParseAddrPort(processtest.FreeAddr(t))
 	boot := platformtest.WriteSettings(t, store, vm)
 	p := processtest.Start(t, "mastichollow-gate", "gate", nil, "--boot", boot, "--metrics-port", strconv.Itoa(int(metrics.Port())))
-	g := &gateProcess{Process: p, VM: vm, pid: p.PID()}
+	g := &gateProcess{Process: p, VM: vm, pid: p.PID(), metricsAddr: metrics.String()}
 	processtest.Eventually(t, "the gate is ready", func() bool { return standin.IsReady(vm.ReadyAddr) })
 	return g
 }
