Account of what untrusted callers make a process hold, by address and workspace

A parsed head costs up to 18 times its bytes, and neither connections nor heads nor small bodies were bounded in their sum. internal/connlimit charges each connection for itself, for the bytes and lines of its heads as they are read and for its body. When memory or connections are exhausted, the address or workspace that holds the most loses connections first, never one whose request may have been forwarded; the gate protects a connection before the first send and doesn't forward a request whose connection was closed. The listeners for the load balancer, peers and metrics have accounts of their own. A head has 6 s and 20 KiB (before: 10 s, 64 KiB), an unread body of a refused request and an unread refusal 5 s, a body 15 s.

--- a/cmd/mastichollow-gate/server.go
+++ b/cmd/mastichollow-gate/server.go
@@ -10,6 +10,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/prometheus/client_golang/prometheus"
 
+	"github.com/mastichollow/mastichollow/internal/connlimit"
 	"github.com/mastichollow/mastichollow/internal/gate"
 	"github.com/mastichollow/mastichollow/internal/process"
 	"github.com/mastichollow/mastichollow/internal/relay"
@@ -17,14 +18,6 @@
 )
 
 const (
-	// headerTimeout and idleTimeout are above the limits that tables set for callers
-	// (3 s and 15 s, of which callers use four fifths), so that the gate does not close a
-	// connection on which a caller is sending a request. With longer timeouts idle
-	// connections accumulate.
-	headerTimeout = 10 * time.Second
-	idleTimeout   = 16 * time.Second
-	// maxHeaderBytes is above the limit that tables set for callers (16 KiB).
-	maxHeaderBytes = 64 << 10
 	// balancerReactionTime is how long the load balancer may still route callers to a gate
 	// that is not ready: two health checks, one a second.
 	balancerReactionTime = 2500 * time.Millisecond
@@ -32,6 +25,9 @@
 	// exit of the process.
 	stopMargin        = 700 * time.Millisecond
 	drainPollInterval = 50 * time.Millisecond
+	// exchangeTimeout bounds reading a request of the load balancer or of a peer, and
+	// writing its response, long polls of peers included.
+	exchangeTimeout = 10 * time.Second
 )
 
 // server serves callers, the load balancer and peers.
@@ -42,10 +38,11 @@
 	callerServer                                *http.Server
 	readyServer                                 *http.Server
 	peerServer                                  *http.Server
+	stats                                       *connlimit.Stats
 }
 
 // listen opens the listeners.
-func listen(s *platform.Settings, g *gate.Gate, feed *relay.Feed, log hclog.Logger) (*server, error) {
+func listen(s *platform.Settings, g *gate.Gate, feed *relay.Feed, log hclog.Logger, stats *connlimit.Stats) (*server, error) {
 	callers, err := net.Listen("tcp4", s.CallerAddr)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening for callers on %s", s.CallerAddr)
@@ -61,15 +58,39 @@
 	peerMux := http.NewServeMux()
 	peerMux.Handle("POST "+relay.Path, feed)
 	debugLogger := log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
-	return &server{
-		gate: g, log: log, callerListener: callers, readyListener: ready, peerListener: peers,
-		callerServer: &http.Server{
-			Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
-			MaxHeaderBytes: maxHeaderBytes, ErrorLog: debugLogger, ConnContext: gate.ConnContext, ConnState: g.ConnState,
+	srv := &server{
+		gate: g, log: log, stats: stats,
+		callerListener: connlimit.NewListener(callers, connlimit.NewAccount(callerLimits(s)), stats, "callers"),
+		readyListener:  connlimit.NewListener(ready, connlimit.NewAccount(connlimit.SmallLimits), stats, "readiness"),
+		peerListener:   connlimit.NewListener(peers, connlimit.NewAccount(peerLimits(s)), stats, "peers"),
+		callerServer:   &http.Server{Handler: g, ErrorLog: debugLogger, ConnContext: gate.ConnContext, ConnState: g.ConnState},
+		readyServer: &http.Server{
+			Handler: platform.ReadyHandler(g.Ready), ReadTimeout: exchangeTimeout, WriteTimeout: exchangeTimeout, ErrorLog: debugLogger,
 		},
-		readyServer: &http.Server{Handler: platform.ReadyHandler(g.Ready), ReadHeaderTimeout: headerTimeout, ErrorLog: debugLogger},
-		peerServer:  &http.Server{Handler: peerMux, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout, ErrorLog: debugLogger},
-	}, nil
+		peerServer: &http.Server{Handler: peerMux, ReadTimeout: exchangeTimeout, WriteTimeout: exchangeTimeout, ErrorLog: debugLogger},
+	}
+	for _, each := range []*http.Server{srv.callerServer, srv.readyServer, srv.peerServer} {
+		connlimit.Configure(each)
+	}
+	return srv, nil
+}
+
+// callerLimits returns the limits for what callers make the gate hold.
+func callerLimits(s *platform.Settings) connlimit.Limits {
+	return connlimit.Limits{
+		Memory: int64(callerMemoryFraction * float64(s.MemoryLimitBytes)),
+		Conns:  int(maxCallerConnectionFraction * float64(s.MaxFileDescriptors)),
+	}
+}
+
+// peerLimits returns the limits for what peers make the gate hold: a connection for each
+// member of the relay and some for gates that start.
+func peerLimits(s *platform.Settings) connlimit.Limits {
+	conns := maxPeerConnections
+	if s.MaxFileDescriptors > 0 {
+		conns = min(conns, int(maxPeerConnectionFraction*float64(s.MaxFileDescriptors)))
+	}
+	return connlimit.Limits{Memory: int64(peerMemoryFraction * float64(s.MemoryLimitBytes)), Conns: conns}
 }
 
 func (s *server) serve() {
@@ -86,7 +107,7 @@
 
 // serveAdmin serves metrics. If it cannot listen, the gate still serves callers.
 func (s *server) serveAdmin(reg *prometheus.Registry, addr string) {
-	admin, err := process.NewAdmin(addr, reg, s.gate.Ready)
+	admin, err := process.NewAdmin(addr, reg, s.gate.Ready, s.stats)
 	if err != nil {
 		s.log.Error("metrics are not served", "error", err)
 		return
--- a/cmd/mastichollow-gate/start.go
+++ b/cmd/mastichollow-gate/start.go
@@ -16,6 +16,7 @@
 	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/budget"
 	"github.com/mastichollow/mastichollow/internal/clock"
+	"github.com/mastichollow/mastichollow/internal/connlimit"
 	"github.com/mastichollow/mastichollow/internal/eventlog"
 	"github.com/mastichollow/mastichollow/internal/gate"
 	"github.com/mastichollow/mastichollow/internal/metric"
@@ -46,6 +47,18 @@
 	// callers' connections may use before the gate closes each after its next response. The
 	// rest is for connections to targets and for bursts.
 	callerConnectionFraction = 0.3
+	// maxCallerConnectionFraction is the fraction of the machine's file descriptors that
+	// callers' connections may use at all. Each may need one more to a target; the rest is
+	// reserved for the store, peers, metrics and the load balancer.
+	maxCallerConnectionFraction = 0.45
+	// callerMemoryFraction is the fraction of the machine's memory that callers' connections,
+	// heads and bodies may use together. With the response memory and the gate's own state
+	// (25 MB) this is less than the memory of the smallest machines (112 MB).
+	callerMemoryFraction = 0.4
+	// maxPeerConnections is several times the number of gates of the deployments.
+	maxPeerConnections        = 256
+	maxPeerConnectionFraction = 1.0 / 16
+	peerMemoryFraction        = 1.0 / 32
 )
 
 // flags are the command-line flags.
@@ -141,7 +154,7 @@
 		MaxKeepAliveConnections: int(callerConnectionFraction * float64(s.MaxFileDescriptors)), Domain: s.Domain, Now: monotonic, Events: events,
 		ResponseMemory: responseMemory, StoreUnreachable: watcher.Detached,
 	}, platform.Codec{}, table, directory, controller, pool, reg)
-	server, err := listen(s, g, feed, log)
+	server, err := listen(s, g, feed, log, connlimit.NewStats(reg, log.Named("connections")))
 	if err != nil {
 		return nil, err
 	}
--- a/internal/gate/body_memory.go
+++ b/internal/gate/body_memory.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"net/http"
+	"time"
 
 	"github.com/cockroachdb/errors"
 
@@ -15,6 +16,8 @@
 	// freeBodyBytes is the size up to which a body needs no memory of the budget: a flood of
 	// large bodies must not keep small requests out.
 	freeBodyBytes = 16 << 10
+	// bodyTimeout bounds the time to read a body. It is the longest timeout of requests.
+	bodyTimeout = defaultTimeout
 	// initialBodyBuffer is the initial buffer size in bytes for a body of unknown length.
 	initialBodyBuffer = 1024
 	// maxWorkspaceBodyFraction is the fraction of the memory for bodies that one
@@ -39,6 +42,11 @@
 	if limit > 0 && c.r.ContentLength > limit {
 		return denied(http.StatusRequestEntityTooLarge, request.ReasonTooLarge)
 	}
+	if c.r.ContentLength == 0 {
+		return nil
+	}
+	control := http.NewResponseController(c.w)
+	_ = control.SetReadDeadline(time.Now().Add(bodyTimeout)) // the recorders of tests have none
 	body, err := c.readLimited(limit)
 	switch {
 	case errors.Is(err, errNoMemoryForBody):
@@ -48,12 +56,16 @@
 	case err != nil:
 		return denied(http.StatusBadRequest, request.ReasonMalformed, eventlog.Text("error", err.Error()))
 	}
+	_ = control.SetReadDeadline(time.Time{})
 	c.body = body
 	return nil
 }
 
 // reserveBody reserves memory for the body up to a size of n bytes.
 func (c *call) reserveBody(n int64) error {
+	if !c.chargeBody(n) {
+		return errNoMemoryForBody
+	}
 	more := n - freeBodyBytes - c.bodyReserved
 	if more <= 0 {
 		return nil
@@ -74,9 +86,6 @@
 }
 
 func (c *call) readLimited(limit int64) ([]byte, error) {
-	if c.r.ContentLength == 0 {
-		return nil, nil
-	}
 	if c.r.ContentLength > 0 {
 		if err := c.reserveBody(c.r.ContentLength); err != nil {
 			return nil, err
@@ -91,6 +100,9 @@
 // readUnsized reads a body of unknown length, at most limit bytes if it is positive. The
 // memory of the growing buffer is reserved before it grows.
 func (c *call) readUnsized(limit int64) ([]byte, error) {
+	if err := c.reserveBody(initialBodyBuffer); err != nil {
+		return nil, err
+	}
 	body := make([]byte, 0, initialBodyBuffer)
 	for {
 		if len(body) == cap(body) {
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -47,6 +47,7 @@
 	workspace        string
 	body             []byte
 	bodyReserved     int64 // bytes of the gate's bodyMemory
+	bodyCharged      int64 // bytes charged to the caller's connection
 	deadline         time.Time
 	sends            int      // sends to targets that may have reached them
 	triedTargets     []string // IDs of targets
@@ -148,6 +149,9 @@
 		return c.deny(http.StatusUnauthorized, request.ReasonUnauthorized)
 	}
 	c.workspace = ws.Name
+	if conn := c.callerConn(); conn != nil {
+		conn.SetWorkspace(ws.Name)
+	}
 	return nil
 }
 
@@ -243,6 +247,7 @@
 func (c *call) refuse(refused *refusal) {
 	c.gate.metrics.refusals.WithLabelValues(string(refused.reason)).Inc()
 	c.status = refused.status
+	c.boundRefusal()
 	refused.write(c.w)
 	c.logRequestEnd(string(refused.reason), refused.detail...)
 }
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -190,6 +190,9 @@
 		c.refuse(refusal)
 		return
 	}
+	if !c.protect() {
+		c.abort(request.ReasonCallerGone, eventlog.Text("detail", "connection closed to keep a limit"))
+	}
 	ctx, cancel := context.WithDeadline(r.Context(), c.deadline)
 	defer cancel()
 	defer context.AfterFunc(g.stopped, cancel)()
--- a/internal/process/member/member.go
+++ b/internal/process/member/member.go
@@ -16,6 +16,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"golang.org/x/sync/errgroup"
 
+	"github.com/mastichollow/mastichollow/internal/connlimit"
 	"github.com/mastichollow/mastichollow/internal/fleet"
 	"github.com/mastichollow/mastichollow/internal/platform"
 	"github.com/mastichollow/mastichollow/internal/process"
@@ -32,6 +33,8 @@
 	Endpoint *transport.Endpoint
 	Store    *fleet.Store
 	Table    *platform.ResilientTable
+	// Connections counts the connections that listeners close to keep a limit.
+	Connections *connlimit.Stats
 
 	settings *Settings
 }
@@ -79,7 +82,8 @@
 			Timeout:    s.PlatformTimeout,
 			Registerer: reg,
 		}),
-		settings: s,
+		Connections: connlimit.NewStats(reg, log.Named("connections")),
+		settings:    s,
 	}, nil
 }
 
@@ -95,7 +99,7 @@
 	if err != nil {
 		return err
 	}
-	admin, err := process.NewAdmin(m.settings.Admin, m.Registry, spec.Ready)
+	admin, err := process.NewAdmin(m.settings.Admin, m.Registry, spec.Ready, m.Connections)
 	if err != nil {
 		return err
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -19,9 +19,16 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"github.com/mastichollow/mastichollow/internal/connlimit"
 )
 
-const adminHeaderTimeout = 5 * time.Second
+const (
+	// adminTimeout bounds reading a request and writing its response.
+	adminTimeout = 10 * time.Second
+	// maxScrapes bounds the copies of all metrics that are held at once.
+	maxScrapes = 4
+)
 
 // Version is the version of the programs, set by the linker.
 var Version = "dev"
@@ -74,14 +81,15 @@
 }
 
 // NewAdmin listens on addr (IP:port). ready returns nil when the process can accept
-// requests; otherwise its error is the body of the answer to /readyz.
-func NewAdmin(addr string, reg *prometheus.Registry, ready func() error) (*Admin, error) {
+// requests; otherwise its error is the body of the answer to /readyz. stats, which may be nil,
+// counts the connections that are closed to keep a limit.
+func NewAdmin(addr string, reg *prometheus.Registry, ready func() error, stats *connlimit.Stats) (*Admin, error) {
 	listener, err := net.Listen("tcp", addr)
 	if err != nil {
 		return nil, errors.Wrapf(err, "listening for admin requests on %q", addr)
 	}
 	mux := http.NewServeMux()
-	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{}))
+	mux.Handle("GET /metrics", promhttp.HandlerFor(reg, promhttp.HandlerOpts{MaxRequestsInFlight: maxScrapes}))
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) {
 		_, _ = fmt.Fprintln(w, "ok")
 	})
@@ -92,8 +100,10 @@
 		}
 		_, _ = fmt.Fprintln(w, "ready")
 	})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: adminHeaderTimeout}
-	return &Admin{listener: listener, server: server}, nil
+	server := &http.Server{Handler: mux, ReadTimeout: adminTimeout, WriteTimeout: adminTimeout}
+	connlimit.Configure(server)
+	limited := connlimit.NewListener(listener, connlimit.NewAccount(connlimit.SmallLimits), stats, "metrics")
+	return &Admin{listener: limited, server: server}, nil
 }
 
 // Addr returns the address that the admin listener is bound to.
