Bounds for callers of routers and for reports from invented gates

A report between gates is not authenticated, and each name that it invents took memory: gates now hold 128 peers more than the store lists, and drop reports above the size that gates send.

TestPeersOfInventedNamesBounded fails without the bound: 1,281 peers, bound 130. go test ./cmd/mastichollow-router/... ./internal/peers/... passes.

--- a/cmd/mastichollow-router/settings.go
+++ b/cmd/mastichollow-router/settings.go
@@ -5,6 +5,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/mastichollow/mastichollow/internal/connlimit"
 	"github.com/mastichollow/mastichollow/internal/placement"
 	"github.com/mastichollow/mastichollow/internal/process/member"
 	check "github.com/mastichollow/mastichollow/internal/process/settings"
@@ -18,17 +19,18 @@
 	Listen      string `help:"Address of the listener for callers (HTTP)." placeholder:"IP:PORT"`
 	FleetListen string `help:"Address of the fleet listener (UDP)." placeholder:"IP:PORT"`
 
-	Deadline    time.Duration `help:"Time for a request that names none in X-Request-Timeout." default:"10m"`
-	MaxDeadline time.Duration `help:"Longest time that a caller may ask for." default:"1h"`
-	BodyLimit   int64         `help:"Bytes of a request body." default:"4194304"`
-	HeaderLimit int           `help:"Bytes of a request's header fields." default:"32768"`
-	PromptLimit int           `help:"Bytes of all message contents of a chat completion." default:"2097152"`
-	BodiesLimit int64         `help:"Bytes of the bodies of all requests in hand; one workspace may take a quarter." default:"67108864"`
-	SpillAfter  time.Duration `help:"Time that a request waits before agents of other regions without known free slots are asked." default:"1s"`
-	MaxRetries  int           `help:"Retries of one request." default:"3"`
-	RetryRatio  float64       `help:"Retries that a workspace earns with each request." default:"0.1"`
-	Route       []string      `help:"Exception to RFC 9110: service:METHOD:/path-prefix:repeatable or service:METHOD:/path-prefix:once. May be given more than once." placeholder:"ROUTE"`
-	DrainDelay  time.Duration `help:"Time between the failure of /readyz and the end of accepting connections at a stop." default:"2s"`
+	Deadline         time.Duration `help:"Time for a request that names none in X-Request-Timeout." default:"10m"`
+	MaxDeadline      time.Duration `help:"Longest time that a caller may ask for." default:"1h"`
+	BodyLimit        int64         `help:"Bytes of a request body." default:"4194304"`
+	HeaderLimit      int           `help:"Bytes of a request's header fields." default:"32768"`
+	PromptLimit      int           `help:"Bytes of all message contents of a chat completion." default:"2097152"`
+	BodiesLimit      int64         `help:"Bytes of the bodies of all requests in hand; one workspace may take a quarter." default:"67108864"`
+	ConnectionsLimit int64         `help:"Bytes charged for the connections of callers and the heads that they send." default:"268435456"`
+	SpillAfter       time.Duration `help:"Time that a request waits before agents of other regions without known free slots are asked." default:"1s"`
+	MaxRetries       int           `help:"Retries of one request." default:"3"`
+	RetryRatio       float64       `help:"Retries that a workspace earns with each request." default:"0.1"`
+	Route            []string      `help:"Exception to RFC 9110: service:METHOD:/path-prefix:repeatable or service:METHOD:/path-prefix:once. May be given more than once." placeholder:"ROUTE"`
+	DrainDelay       time.Duration `help:"Time between the failure of /readyz and the end of accepting connections at a stop." default:"2s"`
 
 	routes []router.Route
 }
@@ -47,6 +49,9 @@
 		errs.Check("route", err)
 		s.routes = append(s.routes, route)
 	}
+	if s.ConnectionsLimit < connlimit.ConnBytes {
+		errs.Check("connections-limit", errors.Newf("%d bytes are less than one connection takes", s.ConnectionsLimit))
+	}
 	errs.Add(s.routerConfig().CheckLimits())
 	return errs.Join()
 }
--- a/cmd/mastichollow-router/settings_test.go
+++ b/cmd/mastichollow-router/settings_test.go
@@ -11,7 +11,7 @@
 	err := s.validate()
 	for _, fault := range []string{
 		"--id", "--domain", "--region", `--listen: "router.example:80"`, "--fleet-listen", "--admin", "--table-url", "--vms-url",
-		"--fleet-key", "--platform-timeout", "--route", "body limit", "deadline",
+		"--fleet-key", "--platform-timeout", "--route", "--connections-limit", "body limit", "deadline",
 	} {
 		require.ErrorContains(t, err, fault)
 	}
--- a/cmd/mastichollow-router/start.go
+++ b/cmd/mastichollow-router/start.go
@@ -2,14 +2,17 @@
 
 import (
 	"context"
+	"math"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/go-hclog"
 
 	"github.com/mastichollow/mastichollow/internal/clock"
+	"github.com/mastichollow/mastichollow/internal/connlimit"
 	"github.com/mastichollow/mastichollow/internal/process/member"
 	"github.com/mastichollow/mastichollow/internal/router"
 	"github.com/mastichollow/mastichollow/internal/target"
@@ -62,13 +65,26 @@
 		return nil, errors.Wrapf(err, "listening for callers on %q", s.Listen)
 	}
 	server := &http.Server{
-		Handler:           r,
+		Handler:           connlimit.Protected(r),
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       idleTimeout,
 		MaxHeaderBytes:    headerLimitFactor * s.HeaderLimit,
 		ErrorLog:          m.Log.Named("http").StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
-	return &parts{member: m, router: r, listener: listener, server: server, drainDelay: s.DrainDelay}, nil
+	connlimit.Configure(server)
+	limits := connlimit.Limits{Memory: s.ConnectionsLimit, Conns: maxCallerConnections()}
+	limited := connlimit.NewListener(listener, connlimit.NewAccount(limits), m.Connections, "callers")
+	return &parts{member: m, router: r, listener: limited, server: server, drainDelay: s.DrainDelay}, nil
+}
+
+// maxCallerConnections returns how many connections callers may have: half of the descriptors
+// that the process may open, so that the rest is left for the fleet and the platform.
+func maxCallerConnections() int {
+	var limit syscall.Rlimit
+	if err := syscall.Getrlimit(syscall.RLIMIT_NOFILE, &limit); err != nil {
+		return 0
+	}
+	return int(min(limit.Cur, math.MaxInt32) / 2)
 }
 
 func (p *parts) memberSpec() *member.Spec {
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -50,6 +50,10 @@
 	maxRemotePerRound = 12
 	// maxReportBytes bounds an encoded report, below the size limit of a UDP datagram.
 	maxReportBytes = 32 << 10
+	// maxUnlistedPeers bounds the peers that the store does not list: some that start, or all
+	// while the list was not read yet. Reports are not authenticated, and each name takes
+	// memory.
+	maxUnlistedPeers = 128
 	// startupGrace is how long after its start a gate treats listed peers that have not
 	// reported yet as alive: some rounds of reports.
 	startupGrace = 3 * time.Second
@@ -320,6 +324,10 @@
 			continue
 		}
 		e.metrics.received.Add(float64(n))
+		if n > maxReportBytes {
+			e.metrics.faulty.Inc()
+			continue
+		}
 		e.mergeReport(buf[:n], from)
 	}
 }
@@ -374,6 +382,9 @@
 	defer e.mu.Unlock()
 	p := e.peers[m.Node]
 	if p == nil {
+		if !e.mayAdd(m.Node) {
+			return false
+		}
 		p = &peerState{}
 		e.peers[m.Node] = p
 		e.config.Log.Info("peer discovered", "peer", m.Node)
@@ -384,6 +395,12 @@
 	return true
 }
 
+// mayAdd reports whether a peer that is not known yet may be added. The caller holds mu.
+func (e *Exchange) mayAdd(node string) bool {
+	isNode := func(a Address) bool { return a.Node == node }
+	return len(e.peers) < len(e.listed)+maxUnlistedPeers || slices.ContainsFunc(e.listed, isNode)
+}
+
 // ListedCount returns the number of peers that the store lists, and false if the list
 // was not read yet.
 func (e *Exchange) ListedCount() (int, bool) {
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -204,3 +204,21 @@
 	require.InEpsilon(t, a.controller.Engines()[0].Speed, b.controller.Engines()[0].Speed, 0.01)
 	require.Greater(t, b.controller.Engines()[0].Speed, 80.0, "the true speed is at least 100 tokens per millisecond")
 }
+
+// Reports from invented names must not make a gate hold state for each of them, nor keep out
+// the peers that the store lists.
+func TestPeersOfInventedNamesBounded(t *testing.T) {
+	g := newGate(t, "a")
+	g.exchange.SetPeers([]Address{g.address("listed", "r")})
+	merge := func(node string) {
+		data, err := cbor.Marshal(message{Node: node, Start: 1, Sequence: 1})
+		require.NoError(t, err)
+		g.exchange.mergeReport(data, netip.AddrPort{})
+	}
+	for i := range 10 * maxUnlistedPeers {
+		merge(fmt.Sprint("invented", i))
+	}
+	merge("listed")
+	require.Contains(t, g.exchange.peers, "listed")
+	require.LessOrEqual(t, len(g.exchange.peers), maxUnlistedPeers+2)
+}
