--- a/cmd/mastichollow-gate/untrusted_test.go
+++ b/cmd/mastichollow-gate/untrusted_test.go
@@ -106,6 +106,7 @@
 	t      *testing.T
 	memory int64 // most memory that the process may use, in bytes
 	maxFDs int
+	sent   *sync.Map // IDs of the requests that reached the target
 }
 
 func startUntrustedGate(t *testing.T, maxFDs int) *untrustedGate {
@@ -114,10 +115,14 @@
 		Version: 7, Workspaces: map[string][]string{"shop": {"k"}}, SlotsPerTarget: faultySlots,
 		Routes: []standin.Route{{Name: "orders", Host: "h.example", Prefix: "/orders/", Service: "sound", Kind: standin.AtMostOnce, Timeout: faultyTimeout, MaxTargets: 1}},
 	}))
-	sound := platformtest.StartTarget(t, func(c net.Conn, r *http.Request) { platformtest.RespondWhole(c, r, "done") })
+	sent := &sync.Map{}
+	sound := platformtest.StartTarget(t, func(c net.Conn, r *http.Request) {
+		sent.Store(r.Header.Get(names.AttemptID), true)
+		platformtest.RespondWhole(c, r, "done")
+	})
 	store.PutTarget(standin.TargetRow{ID: "s", Service: "sound", Addr: sound, Domain: "a", Slots: faultySlots, State: names.StateReady, Sequence: 1})
 	vm := standin.VM{MemoryMB: untrustedMemoryMB, MaxFDs: maxFDs}
-	return &untrustedGate{gateProcess: startGateProcess(t, store, vm), t: t, memory: untrustedMemoryMB << 20, maxFDs: maxFDs}
+	return &untrustedGate{gateProcess: startGateProcess(t, store, vm), t: t, memory: untrustedMemoryMB << 20, maxFDs: maxFDs, sent: sent}
 }
 
 func (g *untrustedGate) openFiles() int {
@@ -140,6 +145,7 @@
 			}
 		})
 	}
+	clients.Go(func() { g.sendOrdinaryRequests(stop) })
 	files := 0
 	for end := time.Now().Add(untrustedDuration); time.Now().Before(end); time.Sleep(pauseBetweenWrites) {
 		files = max(files, g.openFiles())
@@ -153,6 +159,41 @@
 	require.Less(g.t, files, g.maxFDs, "open files")
 }
 
+// sendOrdinaryRequests sends requests until stop is closed, on kept and on new connections.
+// Whether they are answered depends on the clients; one that is refused or whose connection
+// is closed must not have reached the target.
+func (g *untrustedGate) sendOrdinaryRequests(stop <-chan struct{}) {
+	kept := &http.Transport{}
+	defer kept.CloseIdleConnections()
+	answered, number := 0, 0
+	for ; !isDone(stop); number++ {
+		transport := kept
+		if number%2 == 0 {
+			transport = &http.Transport{DisableKeepAlives: true}
+		}
+		id := fmt.Sprintf("%x", 0x100000+number)
+		req, err := newRequest(g.CallerAddr, "/orders/1", id, faultyTimeout)
+		if err != nil {
+			g.t.Error(err)
+			return
+		}
+		resp, err := transport.RoundTrip(req)
+		status := 0
+		if err == nil {
+			status = resp.StatusCode
+			_ = resp.Body.Close()
+		}
+		if status == http.StatusOK {
+			answered++
+		}
+		if _, reached := g.sent.Load(id); reached && (status == 0 || status == http.StatusServiceUnavailable) {
+			g.t.Errorf("request %s reached the target: status %d, error %v", id, status, err)
+		}
+		time.Sleep(pauseBetweenWrites)
+	}
+	g.t.Logf("%d of %d ordinary requests answered meanwhile", answered, number)
+}
+
 // checkAnswers waits until an ordinary request is answered.
 func (g *untrustedGate) checkAnswers() {
 	transport := &http.Transport{}
