--- a/internal/connlimit/stats.go
+++ b/internal/connlimit/stats.go
@@ -20,6 +20,8 @@
 	log      hclog.Logger
 	closes   *prometheus.CounterVec
 	refusals *prometheus.CounterVec
+	held     *prometheus.GaugeVec // collected by Collect, as conns
+	conns    *prometheus.GaugeVec
 	lastLine sync.Map // of *atomic.Int64, by message, listener and cause: time in ns
 	started  time.Time
 
@@ -29,11 +31,14 @@
 
 // NewStats returns the stats of the listeners of a process.
 func NewStats(reg prometheus.Registerer, log hclog.Logger) *Stats {
-	f := metric.NewFactory(reg, "mastichollow_connections")
+	const namespace = "mastichollow_connections"
+	f, collected := metric.NewFactory(reg, namespace), metric.NewFactory(nil, namespace)
 	s := &Stats{
 		log: log, started: time.Now(), accounts: make(map[string]*Account),
 		closes:   f.CounterVec("closed_total", "Connections closed to keep a limit, by listener and limit.", "listener", "limit"),
 		refusals: f.CounterVec("refused_total", "Connections, heads and bodies that did not fit into a limit, by listener and limit.", "listener", "limit"),
+		held:     collected.GaugeVec("held_bytes", "Memory charged for the connections of a listener and what they sent.", "listener"),
+		conns:    collected.GaugeVec("open", "Connections of a listener.", "listener"),
 	}
 	if reg != nil {
 		reg.MustRegister(s)
@@ -41,26 +46,23 @@
 	return s
 }
 
-var (
-	heldDesc = prometheus.NewDesc("mastichollow_connections_held_bytes", "Memory charged for the connections of a listener and what they sent.", []string{"listener"}, nil)
-	openDesc = prometheus.NewDesc("mastichollow_connections_open", "Connections of a listener.", []string{"listener"}, nil)
-)
-
 // Describe implements prometheus.Collector.
 func (s *Stats) Describe(ch chan<- *prometheus.Desc) {
-	ch <- heldDesc
-	ch <- openDesc
+	s.held.Describe(ch)
+	s.conns.Describe(ch)
 }
 
-// Collect implements prometheus.Collector.
+// Collect implements prometheus.Collector: it reads the accounts.
 func (s *Stats) Collect(ch chan<- prometheus.Metric) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for name, account := range s.accounts {
 		bytes, conns := account.Used()
-		ch <- prometheus.MustNewConstMetric(heldDesc, prometheus.GaugeValue, float64(bytes), name)
-		ch <- prometheus.MustNewConstMetric(openDesc, prometheus.GaugeValue, float64(conns), name)
+		s.held.WithLabelValues(name).Set(float64(bytes))
+		s.conns.WithLabelValues(name).Set(float64(conns))
 	}
+	s.held.Collect(ch)
+	s.conns.Collect(ch)
 }
 
 func (s *Stats) watch(name string, account *Account) {
--- a/internal/gate/caller_conn_test.go
+++ b/internal/gate/caller_conn_test.go
@@ -39,11 +39,12 @@
 	write(first.conn, first.rest)
 	<-arrived
 	second := beginUpload(t, f, "k", 4, false)
-	_, err := http.ReadResponse(bufio.NewReader(second.conn), nil)
+	_, err := second.conn.Read(make([]byte, 1))
 	require.Error(t, err, "there is no room")
 	close(release)
 	resp, err := http.ReadResponse(bufio.NewReader(first.conn), nil)
 	require.NoError(t, err)
+	defer resp.Body.Close()
 	body, err := io.ReadAll(resp.Body)
 	require.NoError(t, err)
 	require.Equal(t, "whole", string(body))
--- a/internal/standin/host.go
+++ b/internal/standin/host.go
@@ -14,6 +14,8 @@
 
 const (
 	headerTimeout = 5 * time.Second
+	// maxHeaderBytes is above the header limit of routers (32 KiB).
+	maxHeaderBytes = 64 << 10
 	// shutdownTimeout bounds the time for open calls to finish at a stop.
 	shutdownTimeout  = 3 * time.Second
 	relistenInterval = 20 * time.Millisecond
@@ -87,6 +89,7 @@
 	server := &http.Server{
 		Handler:           h.handler,
 		ReadHeaderTimeout: headerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
 	served := make(chan error, 1)
