A send is decided again right before its first byte

A gate without processor time sent requests to targets seconds after they were chosen, so that drained targets got requests over 4 s after their announcement, and a key could be revoked in between. The pool now asks a check of the caller right before the first byte, after a connection was acquired; the gate repeats the availability of the target and the check of the key there. A request that was not sent is placed again (result unsent). The head of a large request is written before the body's goroutine starts, so that the check covers it.

schedulingDelay.addSample uses compare-and-swap: two goroutines store samples.

--- a/internal/admission/lease.go
+++ b/internal/admission/lease.go
@@ -26,11 +26,14 @@
 	ResultMisdirected
 	// ResultWithdrawn: the gate or the caller aborted the request.
 	ResultWithdrawn
+	// ResultUnsent: the gate did not send the request, since the target was no longer
+	// available right before the send.
+	ResultUnsent
 )
 
 // String returns the result's label in metrics.
 func (r Result) String() string {
-	return [...]string{"done", "rejected", "unreachable", "failed", "lost", "misdirected", "withdrawn"}[r]
+	return [...]string{"done", "rejected", "unreachable", "failed", "lost", "misdirected", "withdrawn", "unsent"}[r]
 }
 
 // Lease is the load that a placed request holds at a target. It must be ended exactly
@@ -131,7 +134,7 @@
 // request that the caller or the gate aborted counts as served.
 func (l *Lease) unserved(result Result) bool {
 	switch result {
-	case ResultRejected, ResultUnreachable, ResultMisdirected, ResultFailed, ResultLost:
+	case ResultRejected, ResultUnreachable, ResultMisdirected, ResultFailed, ResultLost, ResultUnsent:
 		return !l.began && l.work > 0
 	default:
 		return false
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -238,7 +238,7 @@
 	switch r {
 	case admission.ResultRejected:
 		return request.ReasonOverloaded
-	case admission.ResultUnreachable, admission.ResultMisdirected:
+	case admission.ResultUnreachable, admission.ResultMisdirected, admission.ResultUnsent:
 		return request.ReasonTargetDown
 	case admission.ResultWithdrawn:
 		return request.ReasonDeadline
--- a/internal/gate/scheduling_delay.go
+++ b/internal/gate/scheduling_delay.go
@@ -103,11 +103,17 @@
 	d.highDuration.Add(int64(elapsed))
 }
 
-// addSample adds one measured delay to the moving average.
+// addSample adds one measured delay to the moving average. The goroutines that send and that
+// receive the probes both call it.
 func (d *schedulingDelay) addSample(sample time.Duration) {
 	sample = min(max(sample, 0), maxDelaySample)
-	mean := time.Duration(d.mean.Load())
-	d.mean.Store(int64(mean + time.Duration(delaySampleWeight*float64(sample-mean))))
+	for {
+		old := d.mean.Load()
+		mean := time.Duration(old)
+		if d.mean.CompareAndSwap(old, int64(mean+time.Duration(delaySampleWeight*float64(sample-mean)))) {
+			return
+		}
+	}
 }
 
 func (d *schedulingDelay) high() bool { return time.Duration(d.mean.Load()) > readyMaxDelay }
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -11,6 +11,7 @@
 	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/eventlog"
 	"github.com/mastichollow/mastichollow/internal/route"
+	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/upstream"
 )
 
@@ -37,7 +38,24 @@
 	minHeadTimeout = time.Second
 )
 
-var errUnresponsive = errors.New("target sent no response head in time")
+var (
+	errUnresponsive = errors.New("target sent no response head in time")
+	errNotAvailable = errors.New("target is no longer available")
+	errKeyRefused   = errors.New("key is no longer accepted")
+)
+
+// checkSend repeats, right before the first byte of a send, what was decided when its
+// target was chosen: a gate without processor time sends seconds later, when the target may
+// drain and the key may be revoked.
+func (c *call) checkSend(instance *target.Instance) error {
+	if !c.gate.directory.Current().Accepts(instance) {
+		return errNotAvailable
+	}
+	if c.recheckKey() != nil {
+		return errKeyRefused
+	}
+	return nil
+}
 
 // send sends the request to one target and classifies the head of its response.
 func (c *call) send(ctx context.Context, d admission.Decision) sendOutcome {
@@ -60,6 +78,7 @@
 		UniqueFields: g.codec.UniqueResponseFields(),
 		MaxIdleTime:  c.maxIdleTime(),
 		MaxOpenConns: c.maxOpenConns(),
+		Check:        func() error { return c.checkSend(&d.Target) },
 	})
 	headWatchdog.stop()
 	if err != nil {
@@ -114,6 +133,9 @@
 		return sendOutcome{result: admission.ResultFailed, mayHaveRun: true, err: errUnresponsive}
 	case ctx.Err() != nil && !unresponsive:
 		return sendOutcome{result: admission.ResultWithdrawn, mayHaveRun: !notSent, err: err}
+	case errors.Is(err, errNotAvailable) || errors.Is(err, errKeyRefused):
+		c.gate.metrics.withheldSends.Inc()
+		return sendOutcome{result: admission.ResultUnsent, err: err}
 	case errors.Is(err, upstream.ErrBusy):
 		return sendOutcome{result: admission.ResultRejected, err: err}
 	case notSent:
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -178,6 +178,14 @@
 // caller must not modify the slice.
 func (s *Snapshot) Available(service string) []Instance { return s.services[service] }
 
+// Accepts reports whether the target, as an earlier snapshot listed it, still accepts new
+// requests.
+func (s *Snapshot) Accepts(instance *Instance) bool {
+	available := s.services[instance.Service]
+	i, found := slices.BinarySearchFunc(available, instance.ID, func(a Instance, id string) int { return strings.Compare(a.ID, id) })
+	return found && available[i].Addr == instance.Addr && available[i].StartedMillis == instance.StartedMillis
+}
+
 // Len returns the number of targets, including draining ones.
 func (s *Snapshot) Len() int { return len(s.byID) }
 
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -47,6 +47,10 @@
 	MaxIdleTime time.Duration
 	// MaxOpenConns bounds the open connections to the address; 0: unlimited.
 	MaxOpenConns int
+	// Check is called right before the first byte is sent, which may be long after Do was
+	// called if the process gets little processor time. Its error ends the call, marked
+	// ErrNotSent; nil: no check.
+	Check func() error
 }
 
 // Response is a target's response. Its Body must be closed.
@@ -99,19 +103,24 @@
 }
 
 func (x *exchange) run() (*Response, error) {
-	if len(x.call.Body) <= maxInlineBody {
-		err := x.writeRequest()
+	err := x.writeHead()
+	if err != nil || len(x.call.Body) <= maxInlineBody {
 		x.writeDone <- err
-		if err != nil {
-			return nil, errors.Wrapf(err, "sending to %s", x.call.Addr)
-		}
 	} else {
-		go func() { x.writeDone <- x.writeRequest() }()
+		go func() {
+			_, err := x.conn.Write(x.call.Body) // a large body is not copied
+			x.writeDone <- err
+		}()
+	}
+	if err != nil {
+		return nil, errors.Wrapf(err, "sending to %s", x.call.Addr)
 	}
 	return x.readResponse()
 }
 
-func (x *exchange) writeRequest() error {
+// writeHead writes the head of the request, with the body if that is at most maxInlineBody.
+// A head fits into the buffers of a connection, like maxInlineBody.
+func (x *exchange) writeHead() error {
 	call := x.call
 	var b bytes.Buffer
 	b.Grow(initialHeadBuffer + min(len(call.Body), maxInlineBody))
@@ -132,13 +141,13 @@
 	b.WriteString("\r\n")
 	if len(call.Body) <= maxInlineBody {
 		b.Write(call.Body)
-		_, err := x.conn.Write(b.Bytes())
-		return err
 	}
-	if _, err := x.conn.Write(b.Bytes()); err != nil {
-		return err
+	if call.Check != nil {
+		if err := call.Check(); err != nil {
+			return err
+		}
 	}
-	_, err := x.conn.Write(call.Body) // a large body is not copied
+	_, err := x.conn.Write(b.Bytes())
 	return err
 }
 
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -279,3 +279,25 @@
 	require.Equal(t, defaultIdleTimeout, idleTimeout(http.Header{}))
 	require.Equal(t, defaultIdleTimeout, idleTimeout(http.Header{"Keep-Alive": {"max=3"}}))
 }
+
+// A call that waited long for a connection or for processor time must not reach a target
+// that drains by then: the check right before the first byte ends it, whatever its size.
+func TestFailedCheckSendsNothing(t *testing.T) {
+	received := make(chan struct{}, 4)
+	addr := serve(t, func(c net.Conn, _ int, id string) {
+		received <- struct{}{}
+		_, _ = io.WriteString(c, response(id, "whole"))
+	})
+	errDraining := errors.New("drains")
+	for _, size := range []int{0, 1, 2 * maxInlineBody} {
+		p, _ := newTestPool()
+		_, err := doWith(context.Background(), p, Call{
+			Addr: addr, Method: http.MethodPost, URI: "/", Host: "h.example", Header: http.Header{idHeader: {"a"}},
+			Body: make([]byte, size), IDHeader: idHeader, Check: func() error { return errDraining },
+		})
+		require.True(t, errors.Is(err, ErrNotSent), "%d bytes: %v", size, err)
+		require.True(t, errors.Is(err, errDraining), "%v", err)
+		require.Empty(t, p.addrs, "the connection is closed")
+	}
+	require.Empty(t, received)
+}
