A flooded gate bounds what it works on and refuses early

Callers of flooded gates got no response, and a gate held 7,132 open files: every connection was accepted, every request taken in hand, and each refusal decoded the whole head, read the body and collected a log line that was dropped.

Gauges name where requests wait.

--- a/cmd/mastichollow-gate/server.go
+++ b/cmd/mastichollow-gate/server.go
@@ -62,7 +62,7 @@
 	peerMux.Handle("POST "+relay.Path, feed)
 	debugLogger := log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
 	return &server{
-		gate: g, log: log, callerListener: callers, readyListener: ready, peerListener: peers,
+		gate: g, log: log, callerListener: g.LimitConnections(callers), readyListener: ready, peerListener: peers,
 		callerServer: &http.Server{
 			Handler: g, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
 			MaxHeaderBytes: maxHeaderBytes, ErrorLog: debugLogger, ConnContext: gate.ConnContext, ConnState: g.ConnState,
--- a/cmd/mastichollow-gate/start.go
+++ b/cmd/mastichollow-gate/start.go
@@ -46,6 +46,18 @@
 	// callers' connections may use before the gate closes each after its next response. The
 	// rest is for connections to targets and for bursts.
 	callerConnectionFraction = 0.3
+	// maxConnectionFraction is the fraction of the descriptors that callers' connections may
+	// use at all, and requestDescriptorFraction that of which each request in hand may use
+	// one for its target. A fifth is left for the store, peers, the load balancer and idle
+	// connections to targets.
+	maxConnectionFraction     = 0.4
+	requestDescriptorFraction = 0.4
+	// requestMemoryFraction is the fraction of the machine's memory for requests in hand
+	// apart from bodies, and requestMemory what one takes in bytes: stacks and buffers of
+	// two connections. 1,500 requests in hand take at most 60 kB each (measured with bodies
+	// and responses by TestManyFaultyTargetsMemoryBound).
+	requestMemoryFraction = 0.5
+	requestMemory         = 32 << 10
 )
 
 // flags are the command-line flags.
@@ -139,6 +151,7 @@
 	g := gate.New(gate.Config{
 		MaxTableAgeForKeys: s.MaxTableAgeForKeys(), MaxTableAgeForDenials: s.MaxTableAgeForDenials(), MaxBufferedBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryLimitBytes)),
 		MaxKeepAliveConnections: int(callerConnectionFraction * float64(s.MaxFileDescriptors)), Domain: s.Domain, Now: monotonic, Events: events,
+		MaxConnections: int(maxConnectionFraction * float64(s.MaxFileDescriptors)), MaxRequests: maxRequests(s),
 		ResponseMemory: responseMemory, StoreUnreachable: watcher.Detached,
 	}, platform.Codec{}, table, directory, controller, pool, reg)
 	server, err := listen(s, g, feed, log)
@@ -148,6 +161,15 @@
 	return &parts{gate: g, peers: exchange, pool: pool, server: server, watcher: watcher}, nil
 }
 
+// maxRequests returns how many requests in hand the machine's memory and descriptors hold.
+func maxRequests(s *platform.Settings) int {
+	byMemory := int(requestMemoryFraction * float64(s.MemoryLimitBytes) / requestMemory)
+	if s.MaxFileDescriptors <= 0 {
+		return byMemory
+	}
+	return min(byMemory, int(requestDescriptorFraction*float64(s.MaxFileDescriptors)))
+}
+
 // run starts the background tasks, each in its own goroutine.
 func (p *parts) run(ctx context.Context, reg *prometheus.Registry) {
 	go p.watcher.Run(ctx, reg)
--- a/internal/eventlog/event.go
+++ b/internal/eventlog/event.go
@@ -55,6 +55,16 @@
 	l.Event(module, message, fields...)
 }
 
+// AllowBulk reports whether a bulk event would be written now, so that its fields need not
+// be collected otherwise. If not, it counts a dropped line.
+func (l *Log) AllowBulk() bool {
+	if l.limiter.Tokens() < reservedLines {
+		l.drop()
+		return false
+	}
+	return true
+}
+
 func formatEvent(module, message string, fields []Field) []byte {
 	b := make([]byte, 0, eventSize)
 	b = append(b, `{"@level":"info","@message":`...)
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -11,6 +11,7 @@
 
 	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/eventlog"
+	"github.com/mastichollow/mastichollow/internal/intake"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/route"
 	"github.com/mastichollow/mastichollow/internal/upstream"
@@ -45,6 +46,9 @@
 	route            *route.Route
 	service          *route.Service
 	workspace        string
+	stage            stage
+	entered          bool         // counted as in hand
+	turn             *intake.Turn // nil: none
 	body             []byte
 	bodyReserved     int64 // bytes of the gate's bodyMemory
 	deadline         time.Time
@@ -71,6 +75,7 @@
 }
 
 func (g *Gate) newCall(w http.ResponseWriter, r *http.Request) *call {
+	g.stages[stageDecode].Add(1)
 	return &call{
 		gate: g, w: w, r: r,
 		meta:    g.codec.DecodeRequest(r.Header),
@@ -100,9 +105,15 @@
 	if c.gate.mayOutlast(c.deadline) {
 		return c.refusalOfStoppingGate()
 	}
+	if refused := c.enter(); refused != nil {
+		limitDiscard(c.w, c.r)
+		return refused
+	}
+	c.enterStage(stageBody)
 	if refused := c.readBody(); refused != nil {
 		return refused
 	}
+	c.enterStage(stageAdmission)
 	c.setAdmissionRequest()
 	return nil
 }
@@ -113,20 +124,6 @@
 		eventlog.Text("detail", "deadline after the end of the grace period"), eventlog.Millis("left_ms", time.Until(c.deadline)))
 }
 
-// aboveFairShare reports whether the request exceeds its workspace's fair share or
-// has no known workspace. It uses only the head of the request.
-func (c *call) aboveFairShare() bool {
-	table, _ := c.gate.tableCache.Current()
-	if table == nil {
-		return true
-	}
-	ws := table.Authenticate(c.meta.Key)
-	if ws == nil {
-		return true
-	}
-	return c.gate.controller.ExceedsFairShare(c.gate.config.Now(), ws.Name, c.meta.PromptTokens, c.meta.expectedOutput(0))
-}
-
 // deny refuses a request that the table does not allow: permanently, or temporarily if
 // the table is so old that a newer one may allow it.
 func (c *call) deny(status int, reason request.Reason) *refusal {
@@ -250,6 +247,10 @@
 // logRequestEnd counts the request and logs its outcome.
 func (c *call) logRequestEnd(outcome string, detail ...eventlog.Field) {
 	c.gate.metrics.requests.WithLabelValues(statusLabel(c.status)).Inc()
+	bulk := c.status == http.StatusServiceUnavailable
+	if bulk && !c.gate.config.Events.AllowBulk() {
+		return
+	}
 	fields := make([]eventlog.Field, 0, 32)
 	fields = append(fields,
 		eventlog.Int("format", eventlog.FormatVersion),
@@ -270,7 +271,7 @@
 		fields = append(fields, c.engineLogFields()...)
 	}
 	fields = append(fields, detail...)
-	if c.status == http.StatusServiceUnavailable {
+	if bulk {
 		c.gate.config.Events.BulkEvent(logModule, "request ended", fields...)
 		return
 	}
--- a/internal/gate/codec.go
+++ b/internal/gate/codec.go
@@ -60,6 +60,9 @@
 	// DecodeRequest reads the caller's metadata. It never fails: malformed values
 	// count as missing.
 	DecodeRequest(h http.Header) RequestMeta
+	// DecodeSize reads the caller's metadata without the parts of the prompt, which take most
+	// of the time.
+	DecodeSize(h http.Header) RequestMeta
 	// EncodeRequest returns the header fields for a target: the caller's fields that
 	// may be forwarded, and those that the gate sets.
 	EncodeRequest(caller http.Header, meta TargetMeta) http.Header
--- a/internal/gate/engines.go
+++ b/internal/gate/engines.go
@@ -29,6 +29,7 @@
 			g.publishEngines(slowTargets)
 			g.publishShareUses()
 			g.publishCrashes()
+			g.publishQueues()
 			g.metrics.limitedTargets.Set(float64(g.controller.LimitedTargets()))
 		}
 	}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -40,6 +40,7 @@
 func (c *call) forward(ctx context.Context, d admission.Decision, o sendOutcome) sendOutcome {
 	resp := o.response
 	defer resp.Body.Close()
+	c.enterStage(stageWrite)
 	control := http.NewResponseController(c.w)
 	// Without a write deadline, a caller that reads nothing would keep the target's
 	// connection in use forever.
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"net"
 	"net/http"
 	"sync"
@@ -14,7 +13,7 @@
 	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/budget"
 	"github.com/mastichollow/mastichollow/internal/eventlog"
-	"github.com/mastichollow/mastichollow/internal/request"
+	"github.com/mastichollow/mastichollow/internal/intake"
 	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/upstream"
 )
@@ -31,6 +30,12 @@
 	// each is closed after its next response, so that idle connections don't
 	// exhaust the file descriptors; 0: unlimited.
 	MaxKeepAliveConnections int
+	// MaxConnections bounds the callers' connections of a listener of LimitConnections; 0:
+	// unlimited.
+	MaxConnections int
+	// MaxRequests bounds the requests in hand, by what the machine's memory and file
+	// descriptors hold; 0: unlimited.
+	MaxRequests int
 	// MaxBufferedBodyBytes bounds the bodies of all requests in flight.
 	MaxBufferedBodyBytes int64
 	// ResponseMemory bounds what is kept of all responses of targets together, beyond a
@@ -55,7 +60,9 @@
 	metrics      *metrics
 	bodyMemory   *budget.Keyed[string] // by workspace
 	inFlight     atomic.Int64
-	openConns    atomic.Int64 // callers' connections
+	connections  *connections // of callers
+	intake       *intake.Control
+	stages       [stageCount]atomic.Int64 // requests by stage
 	draining     atomic.Bool
 	closed       atomic.Bool
 	stopTime     atomic.Pointer[time.Time] // by which requests must have ended; nil: none
@@ -72,7 +79,9 @@
 	g := &Gate{
 		config: config, codec: codec, tableCache: table, directory: directory,
 		controller: controller, pool: pool, metrics: newMetrics(reg), bodyMemory: newBodyMemory(config.MaxBufferedBodyBytes),
+		connections: newConnections(), intake: newIntake(config.MaxRequests),
 	}
+	g.delay.onTick, g.delay.queueDelay = g.intake.Tick, g.intake.OldestWait
 	g.stopped, g.endRequests = context.WithCancel(context.Background())
 	return g
 }
@@ -93,6 +102,12 @@
 	if g.delay.high() {
 		return errSchedulingDelay
 	}
+	if g.config.MaxConnections > 0 && int(g.connections.open.Load()) >= g.config.MaxConnections {
+		return errManyConnections
+	}
+	if g.intake.Full() {
+		return errManyRequests
+	}
 	if g.directory.Current().Len() == 0 {
 		return errNoTargets
 	}
@@ -142,9 +157,9 @@
 // InFlight returns the number of requests in flight.
 func (g *Gate) InFlight() int { return int(g.inFlight.Load()) }
 
-// maxDiscardedBody bounds the bytes that are read and discarded of the body of a
-// request that is refused before it is read. The largest prompts of the deployments
-// have 72 kB.
+// maxDiscardedBody is the size in bytes of the largest body that is read and discarded, to
+// keep the connection, if the request is refused by its head. The largest prompts of the
+// deployments have 72 kB.
 const maxDiscardedBody = 128 << 10
 
 type connKey struct{}
@@ -155,18 +170,11 @@
 	return context.WithValue(ctx, connKey{}, c)
 }
 
-// ConnState counts callers' open connections. It is meant for http.Server.ConnState.
-func (g *Gate) ConnState(_ net.Conn, state http.ConnState) {
-	switch state {
-	case http.StateNew:
-		g.openConns.Add(1)
-	case http.StateClosed, http.StateHijacked:
-		g.openConns.Add(-1)
-	}
-}
+// ConnState tracks callers' open connections. It is meant for http.Server.ConnState.
+func (g *Gate) ConnState(c net.Conn, state http.ConnState) { g.connections.setState(c, state) }
 
 func (g *Gate) tooManyConnections() bool {
-	return g.config.MaxKeepAliveConnections > 0 && int(g.openConns.Load()) > g.config.MaxKeepAliveConnections
+	return g.config.MaxKeepAliveConnections > 0 && int(g.connections.open.Load()) > g.config.MaxKeepAliveConnections
 }
 
 // ServeHTTP implements http.Handler.
@@ -175,17 +183,13 @@
 	defer g.inFlight.Add(-1)
 	if g.draining.Load() || g.delay.sustained() || g.tooManyConnections() || g.storeUnreachable() {
 		// The load balancer routes the caller's next connection to another gate.
-		w.Header().Set("Connection", "close")
+		w.Header()["Connection"] = closeOption
 	}
-	c := g.newCall(w, r)
-	if g.delay.overloaded() && c.aboveFairShare() {
-		// Closing a connection with unread bytes resets it, and the caller would lose
-		// the refusal.
-		_, _ = io.Copy(io.Discard, io.LimitReader(r.Body, maxDiscardedBody)) // the caller may have disconnected
-		c.refuse(unavailable(request.ReasonOverloaded, retryAfterShort, eventlog.Text("detail", "gate scheduling delay above limit")))
+	if g.refuseEarly(w, r) {
 		return
 	}
-	defer c.releaseBody()
+	c := g.newCall(w, r)
+	defer c.end()
 	if refusal := c.prepare(); refusal != nil {
 		c.refuse(refusal)
 		return
--- a/internal/gate/harness_test.go
+++ b/internal/gate/harness_test.go
@@ -37,6 +37,8 @@
 	return RequestMeta{ID: h.Get("Id"), Key: h.Get("Key"), Timeout: time.Duration(ms) * time.Millisecond, LastEventID: h.Get("Last")}
 }
 
+func (c testCodec) DecodeSize(h http.Header) RequestMeta { return c.DecodeRequest(h) }
+
 func (testCodec) EncodeRequest(caller http.Header, meta TargetMeta) http.Header {
 	h := http.Header{"Id": {caller.Get("Id")}, "Instance": {meta.TargetID}, "Time-Left-Ms": {strconv.Itoa(int(meta.TimeLeft.Milliseconds()))}}
 	if meta.LastEventID != "" {
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -1,9 +1,12 @@
 package gate
 
 import (
+	"net/http"
+
 	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/mastichollow/mastichollow/internal/metric"
+	"github.com/mastichollow/mastichollow/internal/request"
 )
 
 // latencyBuckets, in seconds, range from a plain response within the failure domain
@@ -33,11 +36,19 @@
 	tierWork            *prometheus.CounterVec
 	forfeitedShare      prometheus.Counter
 	unservedWork        prometheus.Counter
+	queues              *prometheus.GaugeVec
+	openConnections     prometheus.Gauge
+	requestBound        prometheus.Gauge
+	schedulingDelay     prometheus.Gauge
+	earlyRefusals       prometheus.Counter
+	closedIdle          prometheus.Counter
+	// overloaded and unavailable are those of refusals and requests.
+	overloaded, unavailable prometheus.Counter
 }
 
 func newMetrics(reg prometheus.Registerer) *metrics {
 	f := metric.NewFactory(reg, "mastichollow_gate")
-	return &metrics{
+	m := &metrics{
 		requests:            f.CounterVec("requests_total", "Requests by the status returned to the caller; 0: none.", "status"),
 		refusals:            f.CounterVec("refusals_total", "Requests that the gate refused or aborted, by reason.", "reason"),
 		retries:             f.CounterVec("retries_total", "Retries at another target, by the result of the previous send.", "reason"),
@@ -60,5 +71,14 @@
 		tierWork:            f.CounterVec("room_tokens_total", "Tokens of work of workspaces above their fair share, by admission tier and decision.", "room", "decision"),
 		forfeitedShare:      f.Counter("forfeited_share_tokens_total", "Tokens of work of fair shares that accrued while the token bucket was full."),
 		unservedWork:        f.Counter("unserved_tokens_total", "Tokens of work of workspaces above their fair share, admitted but not begun because the target failed."),
+		queues:              f.GaugeVec("queue_requests", "Requests in the gate by where they are: connections in the kernel's backlog (accept), heads being read (read), and the stages of a request.", "queue"),
+		openConnections:     f.Gauge("open_connections", "Connections of callers."),
+		requestBound:        f.Gauge("request_bound", "Requests in hand above which workspaces with more than an even portion are refused; 0: none."),
+		schedulingDelay:     f.Gauge("scheduling_delay_seconds", "Mean time that ready connections and requests wait for processor time, in seconds."),
+		earlyRefusals:       f.Counter("early_refusals_total", "Requests that an overloaded gate refused by their head alone."),
+		closedIdle:          f.Counter("closed_idle_connections_total", "Idle connections of callers closed because too many were open."),
 	}
+	m.overloaded = m.refusals.WithLabelValues(string(request.ReasonOverloaded))
+	m.unavailable = m.requests.WithLabelValues(statusLabel(http.StatusServiceUnavailable))
+	return m
 }
--- a/internal/gate/refusal.go
+++ b/internal/gate/refusal.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"io"
 	"math/rand/v2"
 	"net/http"
 	"strconv"
@@ -19,6 +20,8 @@
 	errNoTargets        = errors.New("no targets are known yet")
 	errStaleTable       = errors.New("table is too old to take keys")
 	errSchedulingDelay  = errors.New("gate runs late")
+	errManyConnections  = errors.New("gate has too many connections")
+	errManyRequests     = errors.New("gate has too many requests in hand")
 	errStoreUnreachable = errors.New("gate cannot reach the metadata store itself")
 )
 
@@ -62,13 +65,14 @@
 }
 
 func (r *refusal) write(w http.ResponseWriter) {
+	h := w.Header()
 	if r.retryAfter > 0 {
 		jitter := 1 + retryAfterJitter*rand.Float64()
-		w.Header().Set("Retry-After", strconv.FormatFloat(r.retryAfter.Seconds()*jitter, 'f', 2, 64))
+		h["Retry-After"] = []string{retryAfterText(time.Duration(jitter * float64(r.retryAfter)))}
 	}
-	w.Header().Set("Content-Type", "application/json")
 	body := `{"reason":"` + string(r.reason) + `"}` + "\n"
-	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	h["Content-Type"] = contentTypeJSON
+	h["Content-Length"] = []string{strconv.Itoa(len(body))}
 	w.WriteHeader(r.status)
-	_, _ = w.Write([]byte(body))
+	_, _ = io.WriteString(w, body)
 }
--- a/internal/gate/scheduling_delay.go
+++ b/internal/gate/scheduling_delay.go
@@ -45,6 +45,11 @@
 	probeSent atomic.Int64 // when the probe in flight was sent; 0: none
 	// highDuration is for how long the delay has been high, as of the last tick.
 	highDuration atomic.Int64
+	// onTick, if not nil, is called with the time and the mean at each tick. queueDelay, if
+	// not nil, returns how long requests wait in the gate's own queue, which the probes don't
+	// show.
+	onTick     func(now, mean time.Duration)
+	queueDelay func(now time.Duration) time.Duration
 }
 
 // measure sends probes until ctx ends. It returns an error if the pipe cannot be opened
@@ -68,10 +73,13 @@
 		tick := now()
 		tickDelay := tick - lastTick - delayProbeInterval
 		d.updateHighDuration(tick - lastTick)
+		if d.onTick != nil {
+			d.onTick(tick, time.Duration(d.mean.Load()))
+		}
 		lastTick = tick
 		if sent := d.probeSent.Load(); sent != 0 {
 			// The previous probe is still in flight.
-			d.addSample(tick - time.Duration(sent))
+			d.addSample(tick - time.Duration(sent) + d.inQueue(tick))
 			continue
 		}
 		d.probeSent.Store(int64(tick - max(tickDelay, 0)))
@@ -89,8 +97,16 @@
 		if _, err := r.Read(one[:]); err != nil {
 			return
 		}
-		d.addSample(now() - time.Duration(d.probeSent.Swap(0)))
+		received := now()
+		d.addSample(received - time.Duration(d.probeSent.Swap(0)) + d.inQueue(received))
+	}
+}
+
+func (d *schedulingDelay) inQueue(now time.Duration) time.Duration {
+	if d.queueDelay == nil {
+		return 0
 	}
+	return d.queueDelay(now)
 }
 
 // updateHighDuration adds the time since the last tick if the delay is high, and resets
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -54,6 +54,8 @@
 	if c.recheckKey() != nil {
 		return errKeyRefused
 	}
+	c.releaseTurn()
+	c.enterStage(stageTarget)
 	return nil
 }
 
@@ -67,6 +69,7 @@
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	headWatchdog := c.startHeadWatchdog(cancel)
+	c.enterStage(stageAdmission)
 	resp, err := g.pool.Do(ctx, upstream.Call{
 		Addr:         d.Target.Addr,
 		Method:       c.r.Method,
