--- a/internal/gate/harness_test.go
+++ b/internal/gate/harness_test.go
@@ -83,7 +83,7 @@
 
 // fixture is a gate under test with targets on loopback.
 type fixture struct {
-	t          *testing.T
+	t          testing.TB
 	gate       *Gate
 	table      *TableCache
 	directory  *target.Directory
@@ -98,7 +98,7 @@
 // targetHandler responds to one request on the raw connection of a target.
 type targetHandler func(c net.Conn, r targetRequest)
 
-func newFixture(t *testing.T, routes []route.Route, handlers ...targetHandler) *fixture {
+func newFixture(t testing.TB, routes []route.Route, handlers ...targetHandler) *fixture {
 	t.Helper()
 	f := &fixture{t: t, directory: target.NewDirectory()}
 	start := time.Now()
--- a/internal/gate/overload_test.go
+++ b/internal/gate/overload_test.go
@@ -182,6 +182,7 @@
 	}, patientTimeout, 10*time.Millisecond, "the queue is named")
 	close(release)
 	for _, c := range conns {
+		require.NoError(t, c.SetDeadline(time.Now().Add(patientTimeout)))
 		buf := make([]byte, 64)
 		n, err := c.Read(buf)
 		require.NoError(t, err)
@@ -195,6 +196,7 @@
 	f, addr := limitedFixture(t, limit, succeed("whole"))
 	request := "POST /p/ HTTP/1.1\r\nHost: h.example\r\nKey: k\r\nId: a\r\nTimeout-Ms: 30000\r\nContent-Length: 0\r\n\r\n"
 	roundTrip := func(c net.Conn) {
+		require.NoError(t, c.SetDeadline(time.Now().Add(patientTimeout)))
 		write(c, request)
 		buf := make([]byte, 64)
 		n, err := c.Read(buf)
