--- a/cmd/mastichollow-gate/start.go
+++ b/cmd/mastichollow-gate/start.go
@@ -47,14 +47,14 @@
 	// rest is for connections to targets and for bursts.
 	callerConnectionFraction = 0.3
 	// maxConnectionFraction is the fraction of the descriptors that callers' connections may
-	// use at all, and requestDescriptorFraction that of which each request in hand may use
+	// use at all, and requestDescriptorFraction that of which each request in flight may use
 	// one for its target. A fifth is left for the store, peers, the load balancer and idle
 	// connections to targets.
 	maxConnectionFraction     = 0.4
 	requestDescriptorFraction = 0.4
-	// requestMemoryFraction is the fraction of the machine's memory for requests in hand
+	// requestMemoryFraction is the fraction of the machine's memory for requests in flight
 	// apart from bodies, and requestMemory what one takes in bytes: stacks and buffers of
-	// two connections. 1,500 requests in hand take at most 60 kB each (measured with bodies
+	// two connections. 1,500 requests in flight take at most 60 kB each (measured with bodies
 	// and responses by TestManyFaultyTargetsMemoryBound).
 	requestMemoryFraction = 0.5
 	requestMemory         = 32 << 10
@@ -161,7 +161,7 @@
 	return &parts{gate: g, peers: exchange, pool: pool, server: server, watcher: watcher}, nil
 }
 
-// maxRequests returns how many requests in hand the machine's memory and descriptors hold.
+// maxRequests returns how many requests in flight the machine's memory and descriptors hold.
 func maxRequests(s *platform.Settings) int {
 	byMemory := int(requestMemoryFraction * float64(s.MemoryLimitBytes) / requestMemory)
 	if s.MaxFileDescriptors <= 0 {
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -47,7 +47,7 @@
 	service          *route.Service
 	workspace        string
 	stage            stage
-	entered          bool         // counted as in hand
+	entered          bool         // counted as in flight
 	turn             *intake.Turn // nil: none
 	body             []byte
 	bodyReserved     int64 // bytes of the gate's bodyMemory
--- a/internal/gate/gate.go
+++ b/internal/gate/gate.go
@@ -33,7 +33,7 @@
 	// MaxConnections bounds the callers' connections of a listener of LimitConnections; 0:
 	// unlimited.
 	MaxConnections int
-	// MaxRequests bounds the requests in hand, by what the machine's memory and file
+	// MaxRequests bounds the requests in flight, by what the machine's memory and file
 	// descriptors hold; 0: unlimited.
 	MaxRequests int
 	// MaxBufferedBodyBytes bounds the bodies of all requests in flight.
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -73,7 +73,7 @@
 		unservedWork:        f.Counter("unserved_tokens_total", "Tokens of work of workspaces above their fair share, admitted but not begun because the target failed."),
 		queues:              f.GaugeVec("queue_requests", "Requests in the gate by where they are: connections in the kernel's backlog (accept), heads being read (read), and the stages of a request.", "queue"),
 		openConnections:     f.Gauge("open_connections", "Connections of callers."),
-		requestBound:        f.Gauge("request_bound", "Requests in hand above which workspaces with more than an even portion are refused; 0: none."),
+		requestBound:        f.Gauge("request_bound", "Requests in flight above which workspaces with more than an even portion are refused; 0: none."),
 		schedulingDelay:     f.Gauge("scheduling_delay_seconds", "Mean time that ready connections and requests wait for processor time, in seconds."),
 		earlyRefusals:       f.Counter("early_refusals_total", "Requests that an overloaded gate refused by their head alone."),
 		closedIdle:          f.Counter("closed_idle_connections_total", "Idle connections of callers closed because too many were open."),
--- a/internal/gate/overload.go
+++ b/internal/gate/overload.go
@@ -15,7 +15,7 @@
 	// scheduling delay is high. Each takes some 0.2 ms: together a tenth of readyMaxDelay on
 	// a whole core, and about all of it on the smallest share (0.109).
 	maxTurns = 32
-	// maxWaitingForTurn bounds the requests that wait for a turn: what a third of a core
+	// maxWaitingForTurn bounds the requests that wait for a turn: what a fifth of a core
 	// prepares in maxTurnWait.
 	maxWaitingForTurn = 256
 	// maxTurnWait is half of the shortest latency objective of streams, like overloadDelay.
@@ -23,7 +23,7 @@
 	// maxTurnHold is far longer than a turn takes whose body has arrived.
 	maxTurnHold = 100 * time.Millisecond
 	// minRequestBound is the value below which a high delay does not lower the bound of
-	// requests in hand: what the smallest gates have in hand under their usual load.
+	// requests in flight, so that a late gate still serves.
 	minRequestBound = 32
 	// maxRetryAfterDelay bounds the delay that a late gate names. It is below a third of the
 	// time that callers of streams have, up to which they honour it.
@@ -34,7 +34,7 @@
 
 func newIntake(maxRequests int) *intake.Control {
 	return intake.New(intake.Config{
-		MaxInHand: maxRequests, MinInHand: min(minRequestBound, maxRequests), Turns: maxTurns,
+		MaxInFlight: maxRequests, MinInFlight: min(minRequestBound, maxRequests), Turns: maxTurns,
 		MaxWaiting: maxWaitingForTurn, MaxWait: maxTurnWait, MaxHold: maxTurnHold,
 		HighDelay: readyMaxDelay, OverloadDelay: overloadDelay,
 	})
@@ -83,12 +83,12 @@
 	}
 }
 
-// enter counts the request as in hand and waits for its turn. It returns nil if the request
+// enter counts the request as in flight and waits for its turn. It returns nil if the request
 // may go on.
 func (c *call) enter() *refusal {
 	g := c.gate
 	if c.entered = g.intake.Enter(c.workspace); !c.entered {
-		return unavailable(request.ReasonOverloaded, g.overloadRetryAfter(), eventlog.Text("detail", "too many requests in hand"))
+		return unavailable(request.ReasonOverloaded, g.overloadRetryAfter(), eventlog.Text("detail", "too many requests in flight"))
 	}
 	if c.turn = g.intake.Acquire(g.config.Now(), c.workspace); c.turn == nil {
 		return nil
@@ -117,7 +117,7 @@
 }
 
 // refuseEarly refuses a request by its head alone if the gate is overloaded or has the most
-// requests in hand that it can hold: first those above their workspace's fair share or even
+// requests in flight that it can hold: first those above their workspace's fair share or even
 // portion. It reports whether it did. The refusal costs little: the body is not read here,
 // and the log line is formatted only if it is written.
 func (g *Gate) refuseEarly(w http.ResponseWriter, r *http.Request) bool {
@@ -132,7 +132,7 @@
 	case overloaded && (!known || g.controller.ExceedsFairShare(g.config.Now(), workspace, meta.PromptTokens, meta.expectedOutput(0))):
 		detail = "gate scheduling delay above limit"
 	case crowded && !g.intake.Allows(workspace):
-		detail = "too many requests in hand"
+		detail = "too many requests in flight"
 	default:
 		return false
 	}
@@ -199,7 +199,7 @@
 		return
 	}
 	g.config.Events.Event(logModule, "gate is overloaded", append(fields,
-		eventlog.Millis("delay_ms", delay), eventlog.Int("in_hand", stats.InHand), eventlog.Int("bound", stats.Bound),
+		eventlog.Millis("delay_ms", delay), eventlog.Int("in_flight", stats.InFlight), eventlog.Int("bound", stats.Bound),
 		eventlog.Int("workspaces", stats.Workspaces), eventlog.Int("connections", open))...)
 }
 
--- a/internal/gate/overload_test.go
+++ b/internal/gate/overload_test.go
@@ -53,9 +53,9 @@
 	}
 }
 
-// Without a bound, a gate takes every request of a flood in hand, each with a connection
+// Without a bound, a gate accepts every request of a flood, each with a connection
 // and a goroutine at its caller and at its target, until it runs out of descriptors.
-func TestFloodedGateBoundsRequestsInHand(t *testing.T) {
+func TestFloodedGateBoundsRequestsInFlight(t *testing.T) {
 	const bound, flood = 20, 200
 	release := make(chan struct{})
 	f := newFixture(t, testRoutes(once), manyTargets(respondAfter(release))...)
@@ -74,7 +74,7 @@
 	require.Equal(t, flood, counts[http.StatusOK]+counts[http.StatusServiceUnavailable], "%v", counts)
 	require.Len(t, f.receivedRequests(), counts[http.StatusOK], "what was refused was not sent")
 	require.NoError(t, f.gate.Ready())
-	require.Zero(t, f.gate.intake.Stats().InHand)
+	require.Zero(t, f.gate.intake.Stats().InFlight)
 	f.gate.publishQueues()
 	for _, name := range stageNames {
 		require.Zero(t, testutil.ToFloat64(f.gate.metrics.queues.WithLabelValues(name)), name)
@@ -101,7 +101,7 @@
 	small := sendMany(f, minRequestBound/2, "Key", "s")
 	require.Eventually(t, func() bool { return len(f.receivedRequests()) == before+minRequestBound/2 }, patientTimeout, time.Millisecond, "up to an even portion")
 	close(release)
-	require.Equal(t, map[int]int{http.StatusOK: before}, forwarded(), "no request in hand is cut")
+	require.Equal(t, map[int]int{http.StatusOK: before}, forwarded(), "no request in flight is cut")
 	require.Equal(t, map[int]int{http.StatusOK: minRequestBound / 2}, small())
 }
 
--- a/internal/gate/refusal.go
+++ b/internal/gate/refusal.go
@@ -21,7 +21,7 @@
 	errStaleTable       = errors.New("table is too old to take keys")
 	errSchedulingDelay  = errors.New("gate runs late")
 	errManyConnections  = errors.New("gate has too many connections")
-	errManyRequests     = errors.New("gate has too many requests in hand")
+	errManyRequests     = errors.New("gate has too many requests in flight")
 	errStoreUnreachable = errors.New("gate cannot reach the metadata store itself")
 )
 
--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -6,8 +6,8 @@
 // its watchers, reports and readiness checks wait as long as each request does.
 //
 // Invariants:
-//   - At most Config.MaxInHand requests are in hand.
-//   - While the current bound is reached, a request is let in only if its workspace then
+//   - At most Config.MaxInFlight requests are in flight.
+//   - While the current bound is reached, a request is accepted only if its workspace then
 //     holds at most an even portion of the bound, so that a workspace cannot take the
 //     place of others.
 //   - While the scheduling delay is high, at most Config.Turns requests are decoded,
@@ -15,8 +15,8 @@
 //     for at most Config.MaxWait and one interval of Tick.
 //   - Workspaces get turns in rotation.
 //   - While the scheduling delay is not high and the bound is not reached, every request
-//     is let in without waiting.
-//   - Requests in hand are never ended by this package.
+//     is accepted without waiting.
+//   - Requests in flight are never ended by this package.
 //
 // Rejected alternatives: a bound on requests per second, which would have to be known for
 // each machine and mix of requests; a pool of worker goroutines, since net/http reads each
@@ -33,11 +33,11 @@
 
 // Config configures a Control.
 type Config struct {
-	// MaxInHand is the most requests in hand at once, from the machine's memory and
+	// MaxInFlight is the most requests in flight at once, from the machine's memory and
 	// descriptors; 0: unlimited.
-	MaxInHand int
-	// MinInHand is the value below which a high delay does not lower the bound.
-	MinInHand int
+	MaxInFlight int
+	// MinInFlight is the value below which a high delay does not lower the bound.
+	MinInFlight int
 	// Turns is the number of requests that may be decoded, admitted and prepared at once
 	// while the scheduling delay is high.
 	Turns int
@@ -48,7 +48,7 @@
 	// network, for instance for the rest of a body, and uses no processor time.
 	MaxHold time.Duration
 	// HighDelay is the scheduling delay above which turns are limited, OverloadDelay that
-	// above which the bound of requests in hand is lowered.
+	// above which the bound of requests in flight is lowered.
 	HighDelay, OverloadDelay time.Duration
 }
 
@@ -61,16 +61,16 @@
 	adaptFraction = 0.1
 )
 
-// Control decides which requests are in hand. It is safe for concurrent use.
+// Control decides which requests are in flight. It is safe for concurrent use.
 type Control struct {
 	config Config
 	// crowded and limiting let an unloaded gate decide without the mutex.
 	crowded, limiting atomic.Bool
 
 	mu        sync.Mutex
-	inHand    map[string]int // by workspace, without zeros
+	inFlight  map[string]int // by workspace, without zeros
 	total     int
-	bound     int // at most Config.MaxInHand; 0: none
+	bound     int // at most Config.MaxInFlight; 0: none
 	adaptedAt time.Duration
 	held      map[*Turn]struct{}
 	waiting   map[string][]*Turn // by workspace, oldest first, without empty ones
@@ -81,22 +81,22 @@
 // New returns a Control without requests.
 func New(config Config) *Control {
 	return &Control{
-		config: config, bound: config.MaxInHand, inHand: make(map[string]int),
+		config: config, bound: config.MaxInFlight, inFlight: make(map[string]int),
 		held: make(map[*Turn]struct{}), waiting: make(map[string][]*Turn),
 	}
 }
 
-// Crowded reports whether the bound of requests in hand is reached.
+// Crowded reports whether the bound of requests in flight is reached.
 func (c *Control) Crowded() bool { return c.crowded.Load() }
 
-// Full reports whether Config.MaxInHand requests are in hand.
+// Full reports whether Config.MaxInFlight requests are in flight.
 func (c *Control) Full() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.config.MaxInHand > 0 && c.total >= c.config.MaxInHand
+	return c.config.MaxInFlight > 0 && c.total >= c.config.MaxInFlight
 }
 
-// Allows reports whether Enter would let in a request of the workspace.
+// Allows reports whether Enter would accept a request of the workspace.
 func (c *Control) Allows(workspace string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -107,17 +107,17 @@
 	if c.bound <= 0 || c.total < c.bound {
 		return true
 	}
-	if c.config.MaxInHand > 0 && c.total >= c.config.MaxInHand {
+	if c.config.MaxInFlight > 0 && c.total >= c.config.MaxInFlight {
 		return false
 	}
-	holds, workspaces := c.inHand[workspace], len(c.inHand)
+	holds, workspaces := c.inFlight[workspace], len(c.inFlight)
 	if holds == 0 {
 		workspaces++
 	}
 	return (holds+1)*workspaces <= c.bound
 }
 
-// Enter counts a request of a workspace as in hand, or reports false if it must be
+// Enter counts a request of a workspace as in flight, or reports false if it must be
 // refused. Leave must follow each Enter that reported true.
 func (c *Control) Enter(workspace string) bool {
 	c.mu.Lock()
@@ -125,18 +125,18 @@
 	if !c.allows(workspace) {
 		return false
 	}
-	c.inHand[workspace]++
+	c.inFlight[workspace]++
 	c.total++
 	c.updateCrowded()
 	return true
 }
 
-// Leave ends the time in hand of a request.
+// Leave ends the time in flight of a request.
 func (c *Control) Leave(workspace string) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.inHand[workspace]--; c.inHand[workspace] == 0 {
-		delete(c.inHand, workspace)
+	if c.inFlight[workspace]--; c.inFlight[workspace] == 0 {
+		delete(c.inFlight, workspace)
 	}
 	c.total--
 	c.updateCrowded()
@@ -165,33 +165,33 @@
 // adapt lowers the bound while the delay is above OverloadDelay and raises it while the
 // delay is not high.
 func (c *Control) adapt(now, delay time.Duration) {
-	if c.config.MaxInHand <= 0 || now-c.adaptedAt < adaptInterval {
+	if c.config.MaxInFlight <= 0 || now-c.adaptedAt < adaptInterval {
 		return
 	}
 	c.adaptedAt = now
 	switch {
 	case delay > c.config.OverloadDelay:
 		from := min(c.bound, max(c.total, 1))
-		c.bound = min(c.bound, max(c.config.MinInHand, from-max(1, int(adaptFraction*float64(from)))))
+		c.bound = min(c.bound, max(c.config.MinInFlight, from-max(1, int(adaptFraction*float64(from)))))
 	case delay < c.config.HighDelay:
-		c.bound = min(c.config.MaxInHand, c.bound+max(1, int(adaptFraction*float64(c.bound))))
+		c.bound = min(c.config.MaxInFlight, c.bound+max(1, int(adaptFraction*float64(c.bound))))
 	}
 	c.updateCrowded()
 }
 
 // Stats are the numbers of requests.
 type Stats struct {
-	InHand, Bound int // Bound 0: none
-	Workspaces    int // with requests in hand
-	Turns         int // held
-	Waiting       int // for a turn
+	InFlight, Bound int // Bound 0: none
+	Workspaces      int // with requests in flight
+	Turns           int // held
+	Waiting         int // for a turn
 }
 
 // Stats returns the current numbers.
 func (c *Control) Stats() Stats {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return Stats{InHand: c.total, Bound: c.bound, Workspaces: len(c.inHand), Turns: len(c.held), Waiting: c.queued}
+	return Stats{InFlight: c.total, Bound: c.bound, Workspaces: len(c.inFlight), Turns: len(c.held), Waiting: c.queued}
 }
 
 // Turn is the permission to decode, admit and prepare a request.
--- a/internal/intake/intake_test.go
+++ b/internal/intake/intake_test.go
@@ -15,7 +15,7 @@
 
 func newControl() *Control {
 	return New(Config{
-		MaxInHand: 100, MinInHand: 10, Turns: 4, MaxWaiting: 20, MaxWait: 250 * time.Millisecond,
+		MaxInFlight: 100, MinInFlight: 10, Turns: 4, MaxWaiting: 20, MaxWait: 250 * time.Millisecond,
 		MaxHold: 100 * time.Millisecond, HighDelay: high, OverloadDelay: overload,
 	})
 }
@@ -30,13 +30,13 @@
 	return entered
 }
 
-// Without a bound, a flood makes the requests in hand grow as long as it lasts.
-func TestRequestsInHandAreBounded(t *testing.T) {
+// Without a bound, a flood makes the requests in flight grow as long as it lasts.
+func TestRequestsInFlightAreBounded(t *testing.T) {
 	c := newControl()
 	for i := range 500 {
 		c.Enter(fmt.Sprintf("w%d", i%7))
 	}
-	require.Equal(t, 100, c.Stats().InHand)
+	require.Equal(t, 100, c.Stats().InFlight)
 	require.True(t, c.Crowded())
 	require.True(t, c.Full())
 	c.Leave("w0")
@@ -50,7 +50,7 @@
 	require.False(t, c.Enter("small"), "the hard bound holds for all")
 	for now := time.Duration(0); now < 10*time.Second; now += adaptInterval {
 		c.Tick(now, 2*overload)
-		for c.Stats().InHand > c.Stats().Bound {
+		for c.Stats().InFlight > c.Stats().Bound {
 			c.Leave("flood")
 		}
 	}
--- a/internal/overload/flooded_gate.go
+++ b/internal/overload/flooded_gate.go
@@ -45,7 +45,7 @@
 	DrainAt     time.Duration
 	Partitioned bool
 	Length      time.Duration
-	// Limits configures the gate's intake; nil: it takes in every request.
+	// Limits configures the gate's intake; nil: it accepts every request.
 	Limits *intake.Config
 	// NoSendCheck omits the check of the target right before the send.
 	NoSendCheck bool
@@ -53,8 +53,8 @@
 
 // FloodedGateResult is the outcome of a run of FloodedGate.
 type FloodedGateResult struct {
-	// MaxInHand and MaxRunQueue are the most requests in hand and goroutines ready to run.
-	MaxInHand, MaxRunQueue int
+	// MaxInFlight and MaxRunQueue are the most requests in flight and goroutines ready to run.
+	MaxInFlight, MaxRunQueue int
 	// MaxDutyDelay is the longest time that a duty waited for the processor.
 	MaxDutyDelay time.Duration
 	// LateSends is the number of requests sent to the target after the gate knew that it
@@ -79,7 +79,7 @@
 	waiting   []*gateRequest
 	mean      time.Duration
 	probeSent time.Duration
-	inHand    int
+	inFlight  int
 	knownAt   time.Duration // when the gate knew of the drain; 0: it does not
 	result    FloodedGateResult
 }
@@ -183,12 +183,12 @@
 	if small && r.arrived < m.config.Length-gateRequestTimeout {
 		m.result.Small++
 	}
-	m.inHand++
-	m.result.MaxInHand = max(m.result.MaxInHand, m.inHand)
+	m.inFlight++
+	m.result.MaxInFlight = max(m.result.MaxInFlight, m.inFlight)
 	m.ready(headCost, func() { m.decode(r) })
 }
 
-// decode takes the request in hand or refuses it by its head.
+// decode takes the request in flight or refuses it by its head.
 func (m *gateModel) decode(r *gateRequest) {
 	if m.control == nil {
 		m.ready(prepareCost, func() { m.choose(r) })
@@ -227,7 +227,7 @@
 
 func (m *gateModel) refuse(r *gateRequest) {
 	m.ready(refusalCost, func() {
-		m.inHand--
+		m.inFlight--
 		m.result.Refused++
 		if m.events.Now()-r.arrived > gateRequestTimeout {
 			m.result.Unanswered++
@@ -263,7 +263,7 @@
 }
 
 func (m *gateModel) end(r *gateRequest) {
-	m.inHand--
+	m.inFlight--
 	if m.control != nil {
 		m.control.Leave(r.workspace)
 	}
--- a/internal/overload/flooded_gate_test.go
+++ b/internal/overload/flooded_gate_test.go
@@ -16,13 +16,13 @@
 		Share: 0.109, Flood: 1500, Small: 4, SmallWorkspaces: 10, Length: 16 * time.Second,
 		FloodStart: 2 * time.Second, FloodEnd: 8 * time.Second, DrainAt: 5 * time.Second,
 		Limits: &intake.Config{
-			MaxInHand: 1230, MinInHand: 32, Turns: 32, MaxWaiting: 256, MaxWait: 250 * time.Millisecond,
+			MaxInFlight: 1230, MinInFlight: 32, Turns: 32, MaxWaiting: 256, MaxWait: 250 * time.Millisecond,
 			MaxHold: 100 * time.Millisecond, HighDelay: 60 * time.Millisecond, OverloadDelay: 250 * time.Millisecond,
 		},
 	}
 }
 
-// A gate that takes in every request has a run queue of thousands: its watcher runs seconds
+// A gate that accepts every request has a run queue of thousands: its watcher runs seconds
 // late, and callers of all workspaces time out.
 func TestFloodedGateStaysInControl(t *testing.T) {
 	limited := floodedGate()
@@ -31,10 +31,10 @@
 	with, without := limited.Simulate(), unlimited.Simulate()
 	t.Logf("with limits: %+v", with)
 	t.Logf("without: %+v", without)
-	require.Greater(t, without.MaxInHand, 2000, "the load floods the gate")
+	require.Greater(t, without.MaxInFlight, 2000, "the load floods the gate")
 	require.Greater(t, without.MaxDutyDelay, 2*time.Second)
 
-	require.Less(t, with.MaxInHand, 1230+1500/2, "requests in hand and heads to read")
+	require.Less(t, with.MaxInFlight, 1230+1500/2, "requests in flight and heads to read")
 	require.Less(t, with.MaxDutyDelay, time.Second)
 	require.Zero(t, with.Unanswered, "everyone gets a response or a refusal in time")
 	require.Greater(t, with.SmallServed, with.Small*95/100, "other workspaces are served")
