--- a/internal/intake/intake.go
+++ b/internal/intake/intake.go
@@ -56,9 +56,12 @@
 	// adaptInterval is the time between two changes of the bound, half of the time in which
 	// the moving average of the scheduling delay follows a change.
 	adaptInterval = 250 * time.Millisecond
-	// adaptFraction is the fraction by which the bound changes in each: it halves in 1.7 s,
-	// before the load balancer has reacted (2.5 s).
-	adaptFraction = 0.1
+	// lowerFraction is the fraction by which the bound falls in each: it halves in 1.7 s,
+	// before the load balancer has reacted (2.5 s). raiseFraction is that by which it rises:
+	// it doubles in 0.8 s, since a gate that was late for want of processor time, not for its
+	// load, should serve as before soon.
+	lowerFraction = 0.1
+	raiseFraction = 0.25
 )
 
 // Control decides which requests are in flight. It is safe for concurrent use.
@@ -172,9 +175,9 @@
 	switch {
 	case delay > c.config.OverloadDelay:
 		from := min(c.bound, max(c.total, 1))
-		c.bound = min(c.bound, max(c.config.MinInFlight, from-max(1, int(adaptFraction*float64(from)))))
+		c.bound = min(c.bound, max(c.config.MinInFlight, from-max(1, int(lowerFraction*float64(from)))))
 	case delay < c.config.HighDelay:
-		c.bound = min(c.config.MaxInFlight, c.bound+max(1, int(adaptFraction*float64(c.bound))))
+		c.bound = min(c.config.MaxInFlight, c.bound+max(1, int(raiseFraction*float64(c.bound))))
 	}
 	c.updateCrowded()
 }
