Merge bounds of flooded gates

Both bounds of callers' connections work together: at 0.4 of the descriptors a gate closes idle connections and leaves new ones in the kernel's backlog; while there are connections that sent no whole head for a second it accepts more, up to 0.45, where internal/connlimit closes those of the caller that holds the most.

--- a/cmd/mastichollow-gate/server.go
+++ b/cmd/mastichollow-gate/server.go
@@ -60,7 +60,7 @@
 	debugLogger := log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug})
 	srv := &server{
 		gate: g, log: log, stats: stats,
-		callerListener: connlimit.NewListener(callers, connlimit.NewAccount(callerLimits(s)), stats, "callers"),
+		callerListener: g.LimitConnections(connlimit.NewListener(callers, connlimit.NewAccount(callerLimits(s)), stats, "callers")),
 		readyListener:  connlimit.NewListener(ready, connlimit.NewAccount(connlimit.SmallLimits), stats, "readiness"),
 		peerListener:   connlimit.NewListener(peers, connlimit.NewAccount(peerLimits(s)), stats, "peers"),
 		callerServer:   &http.Server{Handler: g, ErrorLog: debugLogger, ConnContext: gate.ConnContext, ConnState: g.ConnState},
--- a/cmd/mastichollow-gate/start.go
+++ b/cmd/mastichollow-gate/start.go
@@ -49,7 +49,8 @@
 	callerConnectionFraction = 0.3
 	// maxCallerConnectionFraction is the fraction of the machine's file descriptors that
 	// callers' connections may use at all. Each may need one more to a target; the rest is
-	// reserved for the store, peers, metrics and the load balancer.
+	// reserved for the store, peers, metrics and the load balancer. It is above
+	// maxConnectionFraction, so that connections that send no request are closed for others.
 	maxCallerConnectionFraction = 0.45
 	// callerMemoryFraction is the fraction of the machine's memory that callers' connections,
 	// heads and bodies may use together. With the response memory and the gate's own state
@@ -59,6 +60,18 @@
 	maxPeerConnections        = 256
 	maxPeerConnectionFraction = 1.0 / 16
 	peerMemoryFraction        = 1.0 / 32
+	// maxConnectionFraction is the fraction of the descriptors above which a gate closes idle
+	// connections of callers and accepts no others, and requestDescriptorFraction that of which each request in flight may use
+	// one for its target. A fifth is left for the store, peers, the load balancer and idle
+	// connections to targets.
+	maxConnectionFraction     = 0.4
+	requestDescriptorFraction = 0.4
+	// requestMemoryFraction is the fraction of the machine's memory for requests in flight
+	// apart from bodies, and requestMemory what one takes in bytes: stacks and buffers of
+	// two connections. 1,500 requests in flight take at most 60 kB each (measured with bodies
+	// and responses by TestManyFaultyTargetsMemoryBound).
+	requestMemoryFraction = 0.5
+	requestMemory         = 32 << 10
 )
 
 // flags are the command-line flags.
@@ -153,6 +166,7 @@
 	g := gate.New(gate.Config{
 		MaxTableAgeForKeys: s.MaxTableAgeForKeys(), MaxTableAgeForDenials: s.MaxTableAgeForDenials(), MaxBufferedBodyBytes: int64(bodyMemoryFraction * float64(s.MemoryLimitBytes)),
 		MaxKeepAliveConnections: int(callerConnectionFraction * float64(s.MaxFileDescriptors)), Domain: s.Domain, Now: monotonic, Events: events,
+		MaxConnections: int(maxConnectionFraction * float64(s.MaxFileDescriptors)), MaxRequests: maxRequests(s),
 		ResponseMemory: responseMemory, StoreUnreachable: watcher.Detached,
 	}, platform.Codec{}, table, directory, controller, pool, reg)
 	server, err := listen(s, g, feed, log, connlimit.NewStats(reg, log.Named("connections")))
@@ -162,6 +176,15 @@
 	return &parts{gate: g, peers: exchange, pool: pool, server: server, watcher: watcher}, nil
 }
 
+// maxRequests returns how many requests in flight the machine's memory and descriptors hold.
+func maxRequests(s *platform.Settings) int {
+	byMemory := int(requestMemoryFraction * float64(s.MemoryLimitBytes) / requestMemory)
+	if s.MaxFileDescriptors <= 0 {
+		return byMemory
+	}
+	return min(byMemory, int(requestDescriptorFraction*float64(s.MaxFileDescriptors)))
+}
+
 // run starts the background tasks, each in its own goroutine.
 func (p *parts) run(ctx context.Context, reg *prometheus.Registry) {
 	go p.watcher.Run(ctx, reg)
--- a/internal/gate/engines.go
+++ b/internal/gate/engines.go
@@ -31,6 +31,7 @@
 			g.publishCrashes()
 			g.publishColdUse()
 			g.silent.retain(g.directory.Current().Contains)
+			g.publishQueues()
 			g.metrics.limitedTargets.Set(float64(g.controller.LimitedTargets()))
 		}
 	}
--- a/internal/gate/harness_test.go
+++ b/internal/gate/harness_test.go
@@ -37,6 +37,8 @@
 	return RequestMeta{ID: h.Get("Id"), Key: h.Get("Key"), Timeout: time.Duration(ms) * time.Millisecond, LastEventID: h.Get("Last")}
 }
 
+func (c testCodec) DecodeSize(h http.Header) RequestMeta { return c.DecodeRequest(h) }
+
 func (testCodec) EncodeRequest(caller http.Header, meta TargetMeta) http.Header {
 	h := http.Header{"Id": {caller.Get("Id")}, "Instance": {meta.TargetID}, "Time-Left-Ms": {strconv.Itoa(int(meta.TimeLeft.Milliseconds()))}}
 	if meta.LastEventID != "" {
@@ -81,7 +83,7 @@
 
 // fixture is a gate under test with targets on loopback.
 type fixture struct {
-	t          *testing.T
+	t          testing.TB
 	gate       *Gate
 	table      *TableCache
 	directory  *target.Directory
@@ -96,7 +98,7 @@
 // targetHandler responds to one request on the raw connection of a target.
 type targetHandler func(c net.Conn, r targetRequest)
 
-func newFixture(t *testing.T, routes []route.Route, handlers ...targetHandler) *fixture {
+func newFixture(t testing.TB, routes []route.Route, handlers ...targetHandler) *fixture {
 	t.Helper()
 	f := &fixture{t: t, directory: target.NewDirectory(map[string]string{"d": "r", "e": "s"})}
 	start := time.Now()
