--- a/internal/admission/lease.go
+++ b/internal/admission/lease.go
@@ -56,7 +56,9 @@
 	relativeLoad      float64       // of the target before placement, relative to its slots
 	statedPace        float64       // that the response stated; 0: none
 	events            int           // of the response
-	firstEventAt      time.Duration
+	lastEventAt       time.Duration
+	intervals         [observedEvents]float32 // between the first events, seconds
+	slots             float64
 }
 
 // Responded records that the head of the response has arrived.
@@ -90,7 +92,7 @@
 		return
 	}
 	if l.model != nil {
-		l.observeSpeed(now, pace.FirstEventTime, now-l.placedAt, l.model.expected(l.promptTokensAhead))
+		_ = pace.FirstEventTime
 		l.model.observe(l.target.ID, l.promptTokensAhead, now-l.placedAt)
 	}
 	c.loads.add(l.target.ID, Load{PendingPromptTokens: -l.load.PendingPromptTokens})
--- a/internal/admission/speeds.go
+++ b/internal/admission/speeds.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"github.com/mastichollow/mastichollow/internal/pace"
@@ -143,34 +144,54 @@
 }
 
 // observeSpeed records a time of the request relative to what it takes on average.
-func (l *Lease) observeSpeed(now time.Duration, measure pace.Measure, observed, expected time.Duration) {
+func (l *Lease) observeSpeed(now time.Duration, measure pace.Measure, load, weight float64, observed, expected time.Duration) {
 	c := l.controller
 	if c.config.IgnoreSpeeds || observed <= 0 {
 		return
 	}
 	c.speeds.Observe(now, l.target.Service, l.target.ID, l.target.StartedMillis, pace.Observation{
-		Measure: measure, Load: l.relativeLoad, Ratio: float64(observed) / float64(expected), StatedPace: l.statedPace,
+		Measure: measure, Distance: c.config.Site.distance(&l.target), Load: load, Weight: weight, Ratio: float64(observed) / float64(expected), StatedPace: l.statedPace,
 	})
 }
 
+// queuedWeight is the weight of the time to a response that waited in a queue. The gates
+// know the queues of others 200 to 400 ms late, so that such a time says less about the
+// target.
+const queuedWeight = 0.25
+
 // observeResponse records the time to the response of a plain service, relative to the
 // rounds of work that it waited for.
 func (l *Lease) observeResponse() {
-	rounds := 1 + max(l.relativeLoad-1, 0)
-	l.observeSpeed(l.respondedAt, pace.ResponseTime, l.respondedAt-l.placedAt, time.Duration(rounds*float64(time.Second)))
+	rounds, weight := 1+max(l.relativeLoad-1, 0), 1.0
+	if rounds > 1 {
+		weight = queuedWeight
+	}
+	l.observeSpeed(l.respondedAt, pace.ResponseTime, l.relativeLoad, weight, l.respondedAt-l.placedAt, time.Duration(rounds*float64(time.Second)))
 }
 
-// observedEvents is the number of events after the first whose mean interval is observed.
-// Single intervals vary with what the engine reads meanwhile.
-const observedEvents = 8
+const (
+	// observedEvents is the number of events after the first whose intervals are observed.
+	observedEvents = 8
+	// observedInterval is the position of the observed interval among them, shortest first.
+	// Long intervals contain the reading of other prompts, the shortest ones may be of
+	// events that the gate read together.
+	observedInterval = 2
+)
 
-// observeEvent counts an event of the response of an engine.
+// observeEvent records an event of the response of an engine.
 func (l *Lease) observeEvent(now time.Duration) {
-	switch l.events++; l.events {
-	case 1:
-		l.firstEventAt = now
-	case 1 + observedEvents:
-		l.observeSpeed(now, pace.EventInterval, now-l.firstEventAt, observedEvents*time.Second)
+	if l.events <= observedEvents {
+		if l.events > 0 {
+			l.intervals[l.events-1] = float32((now - l.lastEventAt).Seconds())
+		}
+		l.lastEventAt = now
+		l.events++
+	}
+	if l.events == observedEvents+1 {
+		l.events++
+		slices.Sort(l.intervals[:])
+		load := float64(l.controller.loads.total(l.target.ID).InFlight) / l.slots
+		l.observeSpeed(now, pace.EventInterval, load, 1, time.Duration(float64(l.intervals[observedInterval])*float64(time.Second)), time.Second)
 	}
 }
 
--- a/internal/pace/statement.go
+++ b/internal/pace/statement.go
@@ -35,15 +35,23 @@
 	measures
 )
 
+// Distances is the number of classes of distance.
+const Distances = 3
+
 // Observation is a time that a gate observed.
 type Observation struct {
 	Measure Measure
+	// Distance is the class of distance between the gate and the target, below Distances.
+	// Network times count to observed times.
+	Distance int
 	// Load is the number of requests that the target had when this one was placed,
 	// relative to its slots.
 	Load float64
 	// Ratio is the observed time, divided by what the request would take at a target of
 	// mean speed, up to a factor that is the same for all targets of the service.
 	Ratio float64
+	// Weight is how much the observation counts, above 0 and at most 1.
+	Weight float64
 	// StatedPace is the pace that the response stated; 0: none.
 	StatedPace float64
 }
--- a/internal/pace/target.go
+++ b/internal/pace/target.go
@@ -46,6 +46,8 @@
 	maxLogEstimate = 2.8
 	// loadRanges is the number of ranges of load, by quarters of the slots.
 	loadRanges = 4
+	// meanRanges is the number of ranges of load that have mean times of their own.
+	meanRanges = 16
 	// slowdownAtLoad is the logarithm of the slowdown, relative to the other targets at the
 	// same load, from which a target counts as slowed down by its load: 1.25.
 	slowdownAtLoad = 0.223
@@ -54,11 +56,11 @@
 // estimate is a moving average of logarithms and its weight in observations.
 type estimate struct{ log, weight float64 }
 
-// add moves the estimate by a residual. Its weight is at most the number of observations that
+// add moves the estimate by a residual of a weight up to 1. Its weight is at most the number of observations that
 // a moving average with minStep covers.
-func (e *estimate) add(residual, minStep float64) {
-	e.weight = min(e.weight+1, 2/minStep)
-	e.log += max(minStep, 1/(e.weight+1)) * residual
+func (e *estimate) add(residual, minStep, weight float64) {
+	e.weight = min(e.weight+weight, 2/minStep)
+	e.log += weight * max(minStep, 1/(e.weight+1)) * residual
 }
 
 // targetState is what is known of one run of a target.
@@ -84,6 +86,8 @@
 	// ratio is the combined logarithm of the relative service time, and weight the number
 	// of observations of all gates behind it, as of the last refresh.
 	ratio, weight float64
+	// lasting is the average of ratio over lastingDecay.
+	lasting float64
 }
 
 // ownWeight returns the weight of the gate's own observations.
@@ -100,13 +104,13 @@
 }
 
 // observe moves the estimates by the residual of an observation, without the stated pace.
-func (t *targetState) observe(now time.Duration, loadRange int, residual float64) {
+func (t *targetState) observe(now time.Duration, weight float64, loadRange int, residual float64) {
 	t.own.weight = t.ownWeight(now)
 	recentDecayed := decayFactor(now-t.observedAt, recentDecay)
-	t.recentSum, t.recentWeight = t.recentSum*recentDecayed+residual, t.recentWeight*recentDecayed+1
+	t.recentSum, t.recentWeight = t.recentSum*recentDecayed+weight*residual, t.recentWeight*recentDecayed+weight
 	t.observedAt = now
-	t.own.add(residual, observationStep)
-	t.byLoad[loadRange].add(residual, loadStep)
+	t.own.add(residual, observationStep, weight)
+	t.byLoad[loadRange].add(residual, loadStep, weight)
 }
 
 // state records a statement.
@@ -145,5 +149,5 @@
 	return e.log * e.weight / (e.weight + loadPriorWeight) * min(1, t.weight/maxWeight)
 }
 
-// loadRangeOf returns the range that a load, relative to the slots, falls into.
-func loadRangeOf(load float64) int { return min(max(int(load*loadRanges), 0), loadRanges-1) }
+// rangeOf returns which of n ranges a load, relative to the slots, falls into.
+func rangeOf(load float64, n int) int { return min(max(int(load*float64(n)), 0), n-1) }
--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+"fmt"
 	"maps"
 	"math"
 	"slices"
@@ -16,18 +17,21 @@
 	// meanStep is the weight of an observation in the mean times of a service.
 	meanStep = 0.01
 	// minUnevenRange is the logarithm of the ratio between the slowest and the fastest
-	// target from which a service counts as uneven, 1.2, and minEvenRange that below which
-	// it no longer does, 1.1.
-	minUnevenRange = 0.18
-	minEvenRange   = 0.095
+	// target, averaged over lastingDecay, from which a service counts as uneven, 1.28, and
+	// maxEvenRange that below which it no longer does, 1.16. Queues that the gates know too
+	// late make alike targets differ by up to 1.2 for some hundred milliseconds.
+	minUnevenRange = 0.4
+	maxEvenRange   = 0.25
+	// consensusFraction is the part of the combined estimates to which a gate aligns its
+	// own. With all of it, gates that send to different targets would let the difference
+	// between their targets drift.
+	consensusFraction = 0.9
+	lastingDecay   = 5 * time.Second
 	// minStandardErrors is by how many standard errors the slowest and the fastest target
-	// must each be away from the middle. With four, one of 3,000 alike targets exceeds it
-	// by chance about once in ten trials, before minUnevenRange.
-	minStandardErrors = 4
-	// unevenDelay is for how long the difference must last, and evenDelay for how long it
-	// must be gone, to change the mode.
-	unevenDelay = time.Second
-	evenDelay   = 5 * time.Second
+	// must each be away from the middle besides.
+	minStandardErrors = 5
+	// evenDelay is for how long the difference must be gone until a service counts as even.
+	evenDelay = 5 * time.Second
 	// minEvidence is the weight, in observations, from which a target counts for that.
 	minEvidence = 10
 	// maxEvenPace and minEvenPace are the stated paces beyond which a target differs from
@@ -56,19 +60,20 @@
 // Service holds the estimates of the targets of one service.
 type Service struct {
 	targets map[string]*targetState
-	// means holds the logarithms of the mean times, by measure and range of load.
-	means       [measures][loadRanges]estimate
+	MaxMean, SumMean, N, MaxTrim, MaxRel, Fl float64
+	// means holds the logarithms of the mean times, by measure, distance and range of load.
+	means       [measures][Distances][meanRanges]estimate
 	variance    float64
 	refreshedAt time.Duration
 	refreshed   bool
 	uneven      bool
-	changingAt  time.Duration // since when the targets look different from the mode
-	changing    bool
+	// meanRange is the averaged range of the targets' estimates, and differedAt when it
+	// last was that of uneven targets.
+	meanRange  float64
+	differedAt time.Duration
 	// pacesDifferUntil is until when stated paces count as different.
 	pacesDifferUntil time.Duration
 	nextReported     string // the first target of the next report
-	// offset is the part of the gate's own estimates that is common to all targets.
-	offset float64
 }
 
 func (t *Tracker) serviceOf(name string) *Service {
@@ -116,7 +121,7 @@
 
 // Observe records an observed time.
 func (t *Tracker) Observe(now time.Duration, service, id string, started int64, o Observation) {
-	if !(o.Ratio > 0) || math.IsInf(o.Ratio, 0) {
+	if !(o.Ratio > 0) || math.IsInf(o.Ratio, 0) || !(o.Weight > 0 && o.Weight <= 1) {
 		return
 	}
 	s := t.serviceOf(service)
@@ -128,15 +133,14 @@
 	if o.StatedPace > 0 {
 		log -= math.Log(o.StatedPace)
 	}
-	loadRange := loadRangeOf(o.Load)
-	mean := &s.means[o.Measure][loadRange]
+	mean := &s.means[o.Measure][min(max(o.Distance, 0), Distances-1)][rangeOf(o.Load, meanRanges)]
 	if mean.weight == 0 {
 		mean.log = log - state.own.log
 	}
 	residual := min(max(log-mean.log-state.own.log, -maxLogRatio), maxLogRatio)
-	mean.add(residual, meanStep)
+	mean.add(residual, meanStep, 1)
 	s.variance += varianceStep * (residual*residual - s.variance)
-	state.observe(now, loadRange, residual)
+	state.observe(now, o.Weight, rangeOf(o.Load, loadRanges), residual)
 }
 
 // Service returns the estimates of a service; nil while its targets are alike.
@@ -156,6 +160,7 @@
 
 // refresh combines the estimates of all gates and decides whether targets are alike.
 func (s *Service) refresh(now time.Duration) {
+	elapsed := min(now-s.refreshedAt, lastingDecay)
 	s.refreshedAt, s.refreshed = now, true
 	// A gate sees some targets more than others. Its estimates are aligned to the
 	// combined ones, so that a gate that sees slow targets only does not report them as
@@ -163,17 +168,27 @@
 	offset, total := 0.0, 0.0
 	for _, t := range s.targets {
 		weight := t.ownWeight(now)
-		offset += weight * (t.own.log - t.ratio)
+		offset += weight * (t.own.log - consensusFraction*t.ratio)
 		total += weight
 	}
 	if total > 0 {
-		s.offset = offset / total
+		offset /= total
+		for _, t := range s.targets {
+			t.own.log -= offset
+		}
+		for i := range s.means {
+			for j := range s.means[i] {
+				for k := range s.means[i][j] {
+					s.means[i][j][k].log += offset
+				}
+			}
+		}
 	}
 	mean, known := 0.0, 0.0
 	for _, t := range s.targets {
 		weight, decayed := t.ownWeight(now), decayFactor(now-t.peersAt, peerDecay)
 		t.weight = weight + t.peerWeight*decayed
-		t.ratio = (weight*(t.own.log-s.offset) + t.peerSum*decayed) / (t.weight + priorWeight)
+		t.ratio = (weight*t.own.log + t.peerSum*decayed) / (t.weight + priorWeight)
 		mean += t.weight * t.ratio
 		known += t.weight
 	}
@@ -184,37 +199,31 @@
 	highest, lowest, high, low := math.Inf(-1), math.Inf(1), math.Inf(-1), math.Inf(1)
 	for _, t := range s.targets {
 		t.ratio = min(max(t.ratio-mean, -maxLogEstimate), maxLogEstimate)
+		lasting := t.ratio
 		if t.weight < minEvidence {
-			continue
+			lasting = 0
 		}
-		margin := minStandardErrors * math.Sqrt(s.variance/t.weight)
-		highest, lowest = max(highest, t.ratio), min(lowest, t.ratio)
-		high, low = max(high, t.ratio-margin), min(low, t.ratio+margin)
-	}
-	differ := highest-lowest > minUnevenRange && high > low
-	if s.uneven {
-		differ = highest-lowest > minEvenRange
-	}
-	s.switchMode(now, differ)
-}
-
-// switchMode makes the service uneven or even once the targets have differed, or not, for
-// some time.
-func (s *Service) switchMode(now time.Duration, differ bool) {
-	if differ == s.uneven {
-		s.changing = false
-		return
-	}
-	if !s.changing {
-		s.changing, s.changingAt = true, now
-	}
-	delay := unevenDelay
-	if s.uneven {
-		delay = evenDelay
+		t.lasting += (lasting - t.lasting) * (1 - decayFactor(elapsed, lastingDecay))
+		margin := minStandardErrors * math.Sqrt(s.variance/max(t.weight, 1))
+		highest, lowest = max(highest, t.lasting), min(lowest, t.lasting)
+		high, low = max(high, t.lasting-margin), min(low, t.lasting+margin)
 	}
-	if now-s.changingAt >= delay {
-		s.uneven, s.changing = differ, false
+	if s.meanRange > s.MaxMean { s.MaxMean = s.meanRange }
+	s.N++
+	s.SumMean += s.meanRange
+	s.meanRange = max(highest-lowest, 0)
+	all := make([]float64, 0, len(s.targets))
+	fl := 0.0
+	for _, t := range s.targets { all = append(all, t.lasting); fl += (t.ratio-t.lasting)*(t.ratio-t.lasting) }
+	slices.Sort(all)
+	if len(all) >= 5 { if v := all[len(all)-2]-all[1]; v > s.MaxTrim { s.MaxTrim = v } }
+	sd := math.Sqrt(fl/float64(len(all)))
+	s.Fl += (sd-s.Fl)*0.025
+	if v := s.meanRange/s.Fl; s.N > 50 && v > s.MaxRel { s.MaxRel = v }
+	if s.meanRange > minUnevenRange && high > low || s.uneven && s.meanRange > maxEvenRange {
+		s.uneven, s.differedAt = true, now
 	}
+	s.uneven = s.uneven && now-s.differedAt < evenDelay
 }
 
 func (s *Service) run(id string, started int64) *targetState {
@@ -231,7 +240,7 @@
 	if t == nil {
 		return 1
 	}
-	return math.Exp(min(max(t.ratio+t.present(now)+t.atLoad(loadRangeOf(load)), -maxLogEstimate), maxLogEstimate))
+	return math.Exp(min(max(t.ratio+t.present(now)+t.atLoad(rangeOf(load, loadRanges)), -maxLogEstimate), maxLogEstimate))
 }
 
 // LoadLimit returns the load, relative to the slots, from which the target slows down more
@@ -291,7 +300,7 @@
 		for i := range n {
 			id := ids[(first+i)%len(ids)]
 			state := s.targets[id]
-			estimates[id] = Estimate{Started: state.started, Log: state.own.log - s.offset, Weight: state.ownWeight(now)}
+			estimates[id] = Estimate{Started: state.started, Log: state.own.log, Weight: state.ownWeight(now)}
 		}
 		s.nextReported = ids[(first+n)%len(ids)]
 		if report == nil {
@@ -340,6 +349,7 @@
 	Service string
 	Uneven  bool
 	Targets int
+	Debug string
 	// Slowest and Fastest are relative service times, without the present pace, of
 	// SlowestID and FastestID.
 	Slowest, Fastest     float64
@@ -350,7 +360,7 @@
 func (t *Tracker) Summaries(now time.Duration) []Summary {
 	summaries := make([]Summary, 0, len(t.services))
 	for name, s := range t.services {
-		summary := Summary{Service: name, Uneven: t.Service(now, name) != nil, Targets: len(s.targets), Slowest: 1, Fastest: 1}
+		summary := Summary{Service: name, Uneven: t.Service(now, name) != nil, Targets: len(s.targets), Debug: fmt.Sprintf("trim %.3f rel %.2f fl %.3f max %.3f mean %.3f now %.3f var %.3f", s.MaxTrim, s.MaxRel, s.Fl, s.MaxMean, s.SumMean/s.N, s.meanRange, s.variance), Slowest: 1, Fastest: 1}
 		for id, state := range s.targets {
 			relative := math.Exp(state.ratio)
 			if summary.SlowestID == "" || relative > summary.Slowest {
