--- a/internal/admission/engine.go
+++ b/internal/admission/engine.go
@@ -76,7 +76,7 @@
 	refusal := Decision{Refused: request.ReasonNoTarget, Tier: limit.tier, OverShare: limit.overShare, ShareMultiple: limit.shareMultiple}
 	candidates := c.candidates(req, targets, avoided)
 	model := c.modelOf(req.Service)
-	speeds := c.speedsOf(now, req.Service)
+	speeds := c.engineSpeedsOf(now, req.Service)
 	for i, index := range candidates.indexes[:candidates.n] {
 		instance := targets[index]
 		load := c.loads.total(instance.ID)
--- a/internal/admission/speeds.go
+++ b/internal/admission/speeds.go
@@ -18,6 +18,10 @@
 	// freeSlotCost is the part of the work by which a request takes longer on a target
 	// whose slots are nearly all used. It spreads requests over targets with free slots.
 	freeSlotCost = 0.1
+	// enginePresentFraction is the part of a request's time at an engine for which the
+	// present pace is expected to last: requests run for a second or more, a slowdown of a
+	// shared machine for 600 ms, half of which is over on average.
+	enginePresentFraction = 0.5
 	// minCapacity and maxCapacity bound what a target takes, relative to the mean of its
 	// service. An engine that is slower than that is rather failing, and the bound on the
 	// predicted wait applies in full; no engine is trusted with a batch much above
@@ -41,6 +45,16 @@
 	return c.speeds.Report(now)
 }
 
+// engineSpeedsOf is the same for engines. They are treated as alike if they differ in their
+// present pace only: the simulation shows no gain from following slowdowns that are shorter
+// than the requests.
+func (c *Controller) engineSpeedsOf(now time.Duration, service string) *pace.Service {
+	if speeds := c.speedsOf(now, service); speeds != nil && speeds.OwnSpeedsDiffer() {
+		return speeds
+	}
+	return nil
+}
+
 // expectedEnds samples one target of a plain service in the local region and one in the
 // others, each with a probability that falls with the time that work takes there, and finds
 // the one where the request is expected to end first. If all are in the local region or in
@@ -85,7 +99,7 @@
 	}
 	slots := float64(max(instance.Slots, 1))
 	queue := e.speeds.Queue(now, instance.ID, instance.StartedMillis, load.InFlight, local)
-	relative := e.speeds.Relative(now, instance.ID, instance.StartedMillis, queue/slots)
+	relative := e.speeds.Relative(now, instance.ID, instance.StartedMillis, queue/slots, 1)
 	cost := relative * (1 + max(queue+1-slots, 0)/slots + freeSlotCost*min(queue/slots, 1))
 	// The smallest of exponentially distributed keys with the rates slots/relative belongs
 	// to a target with a probability in proportion to its rate. The hash differs between
@@ -125,7 +139,7 @@
 // scaled returns the limit and the prompt tokens that a target may have to read, scaled by
 // what the target takes relative to the mean of its service.
 func (l limit) scaled(now time.Duration, speeds *pace.Service, instance *target.Instance, slots int, load Load, maxPromptTokens int) (limit, int) {
-	relative := speeds.Relative(now, instance.ID, instance.StartedMillis, float64(load.InFlight)/float64(max(slots, 1)))
+	relative := speeds.Relative(now, instance.ID, instance.StartedMillis, float64(load.InFlight)/float64(max(slots, 1)), enginePresentFraction)
 	l.batchFraction = min(l.batchFraction*min(max(1/relative, minCapacity), maxCapacity), speeds.LoadLimit(instance.ID, instance.StartedMillis))
 	return l, int(float64(maxPromptTokens) / relative)
 }
--- a/internal/overload/engine.go
+++ b/internal/overload/engine.go
@@ -110,7 +110,7 @@
 			j.request.stated = e.speeds.statement(len(e.jobs), len(e.waiting), batchSlots, e.machine.pace)
 			j.request.recordFirstEvent(now + firstEventOverhead)
 		}
-		if e.speeds.uneven() && j.started && j.startedAt < now && (j.request.outputTokens-j.remainingTokens)%tokensPerEvent == 0 && j.request.events < reportedEvents {
+		if j.started && j.startedAt < now && (j.request.outputTokens-j.remainingTokens)%tokensPerEvent == 0 && j.request.events < reportedEvents {
 			j.request.events++
 			j.request.lease.Began(now + firstEventOverhead)
 		}
--- a/internal/overload/uneven.go
+++ b/internal/overload/uneven.go
@@ -40,11 +40,6 @@
 	Figures        Figures
 }
 
-// uneven reports whether targets may differ.
-func (s *Speeds) uneven() bool {
-	return len(s.Relative) > 0 || len(s.Changed) > 0 || s.SharedMachines || s.Figures != NoFigures
-}
-
 // relative returns the relative time of a target.
 func (s *Speeds) relative(now time.Duration, index int) float64 {
 	relative := s.Relative
--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -33,6 +33,9 @@
 	evenDelay = 5 * time.Second
 	// minEvidence is the weight, in observations, from which a target counts for that.
 	minEvidence = 10
+	// minPeerEvidence is the weight from which a gate without own observations takes over
+	// the estimates of peers as lasting: two peers with full weight.
+	minPeerEvidence = 2 * maxWeight
 	// maxEvenPace and minEvenPace are the stated paces beyond which a target differs from
 	// its usual pace: a fourth more or less.
 	maxEvenPace = 1.25
@@ -194,11 +197,17 @@
 	highest, lowest, high, low := math.Inf(-1), math.Inf(1), math.Inf(-1), math.Inf(1)
 	for _, t := range s.targets {
 		t.ratio = min(max(t.ratio-mean, -maxLogEstimate), maxLogEstimate)
-		lasting := t.ratio
-		if t.weight < minEvidence {
-			lasting = 0
+		own := t.ownWeight(now)
+		switch {
+		case t.weight < minEvidence:
+			t.lasting *= decayFactor(elapsed, lastingDecay)
+		case !t.hasLasting && own < minEvidence && t.weight-own > minPeerEvidence:
+			// A gate that restarts takes over what its peers know.
+			t.lasting, t.hasLasting = t.ratio, true
+		default:
+			t.hasLasting = t.hasLasting || own >= minEvidence
+			t.lasting += (t.ratio - t.lasting) * (1 - decayFactor(elapsed, lastingDecay))
 		}
-		t.lasting += (lasting - t.lasting) * (1 - decayFactor(elapsed, lastingDecay))
 		margin := minStandardErrors * math.Sqrt(s.variance/max(t.weight, 1))
 		highest, lowest = max(highest, t.lasting), min(lowest, t.lasting)
 		high, low = max(high, t.lasting-margin), min(low, t.lasting+margin)
@@ -217,14 +226,19 @@
 	return nil
 }
 
+// OwnSpeedsDiffer reports whether the targets differ in what they take on average, and not
+// only at the moment.
+func (s *Service) OwnSpeedsDiffer() bool { return s.uneven }
+
 // Relative returns how long work takes at a target with a load, relative to the mean of the
-// service: 2 if it takes twice as long.
-func (s *Service) Relative(now time.Duration, id string, started int64, load float64) float64 {
+// service: 2 if it takes twice as long. presentFraction is the part of the work for which
+// the present pace is expected to last.
+func (s *Service) Relative(now time.Duration, id string, started int64, load, presentFraction float64) float64 {
 	t := s.run(id, started)
 	if t == nil {
 		return 1
 	}
-	return math.Exp(min(max(t.ratio+t.present(now)+t.atLoad(rangeOf(load, loadRanges)), -maxLogEstimate), maxLogEstimate))
+	return math.Exp(min(max(t.ratio+presentFraction*t.present(now)+t.atLoad(rangeOf(load, loadRanges)), -maxLogEstimate), maxLogEstimate))
 }
 
 // LoadLimit returns the load, relative to the slots, from which the target slows down more
