--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -29,9 +29,8 @@
 	// RequestLimits holds what the gate heard of limited targets and sends to them, by
 	// target ID.
 	RequestLimits map[string]LimitReport
-	// Speeds holds the gate's own estimates of the speed of some targets, by service and
-	// target ID.
-	Speeds map[string]map[string]pace.Estimate
+	// Speeds holds the gate's own estimates of the speed of some targets, by service.
+	Speeds map[string]pace.ServiceReport
 }
 
 // Report returns the state of this gate.
--- a/internal/admission/speeds.go
+++ b/internal/admission/speeds.go
@@ -38,7 +38,7 @@
 	return c.speeds.Service(now, service)
 }
 
-func (c *Controller) reportSpeeds(now time.Duration) map[string]map[string]pace.Estimate {
+func (c *Controller) reportSpeeds(now time.Duration) map[string]pace.ServiceReport {
 	if c.config.IgnoreSpeeds {
 		return nil
 	}
--- a/internal/pace/target.go
+++ b/internal/pace/target.go
@@ -92,8 +92,7 @@
 	// of observations of all gates behind it, as of the last refresh.
 	ratio, weight float64
 	// lasting is the average of ratio over lastingDecay.
-	lasting    float64
-	hasLasting bool
+	lasting float64
 }
 
 // ownWeight returns the weight of the gate's own observations.
--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -33,9 +33,10 @@
 	evenDelay = 5 * time.Second
 	// minEvidence is the weight, in observations, from which a target counts for that.
 	minEvidence = 10
-	// minPeerEvidence is the weight from which a gate without own observations takes over
-	// the estimates of peers as lasting: two peers with full weight.
-	minPeerEvidence = 2 * maxWeight
+	// adoptionTime is how long after its first news of a service a gate counts it as uneven
+	// because a peer does: some rounds of reports. Until evenDelay is over, it has its own
+	// estimates.
+	adoptionTime = 3 * time.Second
 	// maxEvenPace and minEvenPace are the stated paces beyond which a target differs from
 	// its usual pace: a fourth more or less.
 	maxEvenPace = 1.25
@@ -68,16 +69,17 @@
 	refreshedAt time.Duration
 	refreshed   bool
 	uneven      bool
+	createdAt   time.Duration
 	differedAt  time.Duration // when the targets last looked uneven
 	// pacesDifferUntil is until when stated paces count as different.
 	pacesDifferUntil time.Duration
 	reportRound      int
 }
 
-func (t *Tracker) serviceOf(name string) *Service {
+func (t *Tracker) serviceOf(now time.Duration, name string) *Service {
 	s := t.services[name]
 	if s == nil {
-		s = &Service{targets: make(map[string]*targetState), variance: initialVariance}
+		s = &Service{targets: make(map[string]*targetState), createdAt: now, variance: initialVariance}
 		t.services[name] = s
 	}
 	return s
@@ -106,7 +108,7 @@
 	if !stated.Valid() {
 		return
 	}
-	s := t.serviceOf(service)
+	s := t.serviceOf(now, service)
 	state := t.targetOf(s, id, started)
 	if state == nil {
 		return
@@ -122,7 +124,7 @@
 	if !(o.Ratio > 0) || math.IsInf(o.Ratio, 0) || !(o.Weight > 0 && o.Weight <= 1) {
 		return
 	}
-	s := t.serviceOf(service)
+	s := t.serviceOf(now, service)
 	state := t.targetOf(s, id, started)
 	if state == nil {
 		return
@@ -197,17 +199,11 @@
 	highest, lowest, high, low := math.Inf(-1), math.Inf(1), math.Inf(-1), math.Inf(1)
 	for _, t := range s.targets {
 		t.ratio = min(max(t.ratio-mean, -maxLogEstimate), maxLogEstimate)
-		own := t.ownWeight(now)
-		switch {
-		case t.weight < minEvidence:
-			t.lasting *= decayFactor(elapsed, lastingDecay)
-		case !t.hasLasting && own < minEvidence && t.weight-own > minPeerEvidence:
-			// A gate that restarts takes over what its peers know.
-			t.lasting, t.hasLasting = t.ratio, true
-		default:
-			t.hasLasting = t.hasLasting || own >= minEvidence
-			t.lasting += (t.ratio - t.lasting) * (1 - decayFactor(elapsed, lastingDecay))
+		lasting := t.ratio
+		if t.weight < minEvidence {
+			lasting = 0
 		}
+		t.lasting += (lasting - t.lasting) * (1 - decayFactor(elapsed, lastingDecay))
 		margin := minStandardErrors * math.Sqrt(s.variance/max(t.weight, 1))
 		highest, lowest = max(highest, t.lasting), min(lowest, t.lasting)
 		high, low = max(high, t.lasting-margin), min(low, t.lasting+margin)
@@ -277,10 +273,16 @@
 	Log, Weight float64
 }
 
-// Report returns some of this gate's own estimates, by service and target ID. Successive
+// ServiceReport is what a gate reports to its peers about some targets of a service.
+type ServiceReport struct {
+	Uneven  bool                // the own speeds of the targets differ
+	Targets map[string]Estimate // by ID
+}
+
+// Report returns some of this gate's own estimates, by service. Successive
 // calls return all of them in turn.
-func (t *Tracker) Report(now time.Duration) map[string]map[string]Estimate {
-	var report map[string]map[string]Estimate
+func (t *Tracker) Report(now time.Duration) map[string]ServiceReport {
+	var report map[string]ServiceReport
 	for name, s := range t.services {
 		ids := make([]string, 0, len(s.targets))
 		for id, state := range s.targets {
@@ -303,21 +305,24 @@
 			continue
 		}
 		if report == nil {
-			report = make(map[string]map[string]Estimate)
+			report = make(map[string]ServiceReport)
 		}
-		report[name] = estimates
+		report[name] = ServiceReport{Uneven: s.uneven, Targets: estimates}
 	}
 	return report
 }
 
 // Merge adds the estimates that a peer reported.
-func (t *Tracker) Merge(now time.Duration, report map[string]map[string]Estimate) {
-	for name, estimates := range report {
+func (t *Tracker) Merge(now time.Duration, report map[string]ServiceReport) {
+	for name, reported := range report {
 		if t.services[name] == nil && t.count >= maxTargets {
 			continue
 		}
-		s := t.serviceOf(name)
-		for id, e := range estimates {
+		s := t.serviceOf(now, name)
+		if reported.Uneven && now-s.createdAt < adoptionTime {
+			s.uneven, s.differedAt = true, now
+		}
+		for id, e := range reported.Targets {
 			if !(math.Abs(e.Log) <= maxLogEstimate) || !(e.Weight > 0) {
 				continue
 			}
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -95,8 +95,8 @@
 	Crashes         *crashMessage       `cbor:"10,keyasint,omitempty"`
 	// RequestLimits holds the request limits of targets, by target ID.
 	RequestLimits map[string]limitMessage `cbor:"11,keyasint,omitempty"`
-	// Speeds holds the learned speeds of targets, by service and target ID.
-	Speeds map[string]map[string]speedMessage `cbor:"15,keyasint,omitempty"`
+	// Speeds holds the learned speeds of targets, by service.
+	Speeds map[string]speedsMessage `cbor:"15,keyasint,omitempty"`
 }
 
 // Config configures an Exchange.
