Deviations by load no longer contain the speed itself; decoding of the statement, tests

TestOwnSpeedsLearned: a target that is half as fast was estimated at 3.2 instead of 2 times the mean time, since the deviation by load took in every residual in full.

--- a/internal/gate/harness_test.go
+++ b/internal/gate/harness_test.go
@@ -20,6 +20,7 @@
 	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/budget"
 	"github.com/mastichollow/mastichollow/internal/eventlog"
+	"github.com/mastichollow/mastichollow/internal/pace"
 	"github.com/mastichollow/mastichollow/internal/route"
 	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/upstream"
@@ -54,7 +55,13 @@
 	if perSecond, err := strconv.ParseFloat(h.Get("Limit"), 64); err == nil {
 		limit = admission.RequestLimit{Statement: admission.LimitNamed, PerSecond: perSecond}
 	}
+	var stated pace.Statement
+	var hundredths int
+	if _, err := fmt.Sscanf(h.Get("Load"), "%d,%d,%d,%d", &stated.Running, &stated.Waiting, &stated.Slots, &hundredths); err == nil {
+		stated.Pace = float64(hundredths) / 100
+	}
 	return ResponseMeta{
+		Statement: stated,
 		RequestLimit: limit,
 		NotExecuted:  h.Get("Not-Run") != "", Misdirected: status == http.StatusMisdirectedRequest, Sealed: h.Get("Seal") != "",
 		Draining: h.Get("Draining") != "", Backoff: time.Duration(seconds * float64(time.Second)),
--- a/internal/gate/target_signals_test.go
+++ b/internal/gate/target_signals_test.go
@@ -137,3 +137,21 @@
 	f.send("/p/", "b")
 	require.Zero(t, f.controller.LimitedTargets())
 }
+
+// Guards against a slow plain target that gets as many requests as the others although it
+// states its pace.
+func TestSlowPlainTargetGetsFewerRequests(t *testing.T) {
+	f := newFixture(t, testRoutes(idempotent), respond(200, "Seal: m\r\nLoad: 4,2,8,400\r\n", "whole"), respond(200, "Seal: m\r\nLoad: 0,0,8,100\r\n", "whole"))
+	for range 60 {
+		require.Equal(t, 200, f.send("/p/", "b").status)
+	}
+	got := f.requestsByTarget(20)
+	require.Less(t, got["t0"], got["t1"]/2, "%v", got)
+}
+
+// A misdirected response comes from another target.
+func TestMisdirectedResponseLoadIgnored(t *testing.T) {
+	f := newFixture(t, testRoutes(once), respond(421, "Load: 4,2,8,400\r\n", ""))
+	f.send("/p/", "b")
+	require.Empty(t, f.controller.Speeds(0))
+}
--- a/internal/pace/target.go
+++ b/internal/pace/target.go
@@ -114,8 +114,10 @@
 	recentDecayed := decayFactor(now-t.observedAt, recentDecay)
 	t.recentSum, t.recentWeight = t.recentSum*recentDecayed+weight*residual, t.recentWeight*recentDecayed+weight
 	t.observedAt = now
+	before := t.own.log
 	t.own.add(residual, observationStep, weight)
-	t.byLoad[loadRange].add(residual, loadStep, weight)
+	deviation := &t.byLoad[loadRange]
+	deviation.add(residual-(t.own.log-before)-deviation.log, loadStep, weight)
 }
 
 // state records a statement.
