--- a/internal/admission/lease.go
+++ b/internal/admission/lease.go
@@ -57,6 +57,12 @@
 	responded         bool          // the head of the response arrived
 	respondedAt       time.Duration // then
 	cleared           bool          // the response lasted long enough to clear the parts
+	relativeLoad      float64       // of the target before placement, relative to its slots
+	statedPace        float64       // that the response stated; 0: none
+	events            int           // of the response, as far as observed
+	lastEventAt       time.Duration
+	intervals         [observedEvents]float32 // between the first events, seconds
+	slots             float64                 // of the target
 }
 
 // Responded records that the head of the response has arrived.
@@ -83,6 +89,9 @@
 		l.cleared = true
 		c.suspects.parts.recordCompleted(now, l.parts)
 	}
+	if l.model != nil {
+		l.observeEvent(now)
+	}
 	if l.ended || l.load.PendingPromptTokens == 0 {
 		return
 	}
@@ -113,6 +122,9 @@
 	c.loads.add(id, Load{InFlight: -l.load.InFlight, PendingPromptTokens: -l.load.PendingPromptTokens, Tokens: -l.load.Tokens})
 	switch result {
 	case ResultDone:
+		if l.model == nil && l.responded {
+			l.observeResponse()
+		}
 		c.health.recordSuccess(id)
 		c.suspects.recordCompleted(now, l.fingerprint)
 		c.suspects.recordResponse(now, &l.target)
--- a/internal/admission/model.go
+++ b/internal/admission/model.go
@@ -118,3 +118,8 @@
 func (m *engineModel) readableTokens(id string, fraction float64, duration time.Duration) int {
 	return int(fraction * duration.Seconds() * 1000 * m.speed / m.slowdown(id))
 }
+
+// tokensIn is the same for a target of mean speed.
+func (m *engineModel) tokensIn(fraction float64, duration time.Duration) int {
+	return int(fraction * duration.Seconds() * 1000 * m.speed)
+}
