--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -63,6 +63,6 @@
 		unservedWork:        f.Counter("unserved_tokens_total", "Tokens of work of workspaces above their fair share, admitted but not begun because the target failed."),
 		invalidLoads:        f.Counter("invalid_target_loads_total", "Statements of targets about their load that were invalid and ignored."),
 		learnedSpeeds:       f.GaugeVec("learned_speeds", "Whether decisions use the learned speeds of targets (1) or the targets are alike (0).", "service"),
-		relativeTime:        f.GaugeVec("target_relative_time", "Learned time that work takes at the slowest and at the fastest target, relative to the mean of the service.", "service", "target"),
+		relativeTime:        f.GaugeVec("target_relative_time", "Learned time that work takes at the slowest and at the fastest target, relative to the mean of the service.", "service", "rank"),
 	}
 }
