--- a/internal/admission/plain.go
+++ b/internal/admission/plain.go
@@ -35,7 +35,7 @@
 			continue
 		}
 		if expected.speeds != nil {
-			expected.add(c, now, req, instance, i, load)
+			expected.add(&c.config.Site, req, instance, i)
 			continue
 		}
 		// Targets with a free slot cost less than 1, by distance and then by load.
@@ -48,7 +48,7 @@
 		}
 	}
 	if expected.speeds != nil {
-		cheapest = expected.soonest()
+		cheapest = expected.soonest(c, now, targets)
 	}
 	if cheapest < 0 {
 		return refusal
--- a/internal/admission/speeds.go
+++ b/internal/admission/speeds.go
@@ -58,7 +58,8 @@
 // expectedEnds samples one target of a plain service in the local region and one in the
 // others, each with a probability that falls with the time that work takes there, and finds
 // the one where the request is expected to end first. If all are in the local region or in
-// others, it samples two of them.
+// others, it samples two of them. In a large service, a hash of request and target preselects
+// a few targets, since the estimates of each cost more than the hash.
 //
 // Gates that see the same figure sample different targets, so that a target which looks best
 // until the next figure gets a part of the requests only. Comparing two targets of each
@@ -66,7 +67,20 @@
 // state their pace, at 0.7 of the capacity).
 type expectedEnds struct {
 	speeds    *pace.Service
-	near, far sample
+	near, far candidateList
+}
+
+// add considers a target.
+func (e *expectedEnds) add(site *Site, req *Request, instance *target.Instance, index int) {
+	score := mixBits(req.Hash ^ instance.Hash)
+	if !e.near.accepts(score, maxCandidates) && !e.far.accepts(score, maxCandidates) {
+		return
+	}
+	list := &e.near
+	if site.distance(instance) == remoteRegion {
+		list = &e.far
+	}
+	list.add(score, index, maxCandidates)
 }
 
 // sample holds the two targets with the lowest keys, lowest first.
@@ -91,36 +105,38 @@
 	s.keys[position], s.costs[position], s.indexes[position] = key, cost, index
 }
 
-// add considers a target with the load that the gates count.
-func (e *expectedEnds) add(c *Controller, now time.Duration, req *Request, instance *target.Instance, index int, load Load) {
-	local := 0
-	if l := c.loads.local[instance.ID]; l != nil {
-		local = l.InFlight
-	}
-	slots := float64(max(instance.Slots, 1))
-	queue := e.speeds.Queue(now, instance.ID, instance.StartedMillis, load.InFlight, local)
-	relative := e.speeds.Relative(now, instance.ID, instance.StartedMillis, queue/slots, 1)
-	cost := relative * (1 + max(queue+1-slots, 0)/slots + freeSlotCost*min(queue/slots, 1))
-	// The smallest of exponentially distributed keys with the rates slots/relative belongs
-	// to a target with a probability in proportion to its rate. The hash differs between
-	// requests and gates.
-	hash := mixBits(req.Hash ^ instance.Hash)
-	uniform := (float64(hash>>11) + 0.5) / (1 << 53)
-	key := -math.Log(uniform) * relative / slots
-	switch c.config.Site.distance(instance) {
-	case localDomain:
-		e.near.add(key, cost, index)
-	case localRegion:
-		e.near.add(key, cost+domainCost, index)
-	default:
-		e.far.add(key, cost+regionCost, index)
+// sampleFrom samples targets of a list.
+func (e *expectedEnds) sampleFrom(c *Controller, now time.Duration, targets []target.Instance, list *candidateList) sample {
+	var sampled sample
+	for i, index := range list.indexes[:list.n] {
+		instance := &targets[index]
+		local := 0
+		if l := c.loads.local[instance.ID]; l != nil {
+			local = l.InFlight
+		}
+		slots := float64(max(instance.Slots, 1))
+		queue := e.speeds.Queue(now, instance.ID, instance.StartedMillis, c.loads.total(instance.ID).InFlight, local)
+		relative := e.speeds.Relative(now, instance.ID, instance.StartedMillis, queue/slots, 1)
+		cost := relative * (1 + max(queue+1-slots, 0)/slots + freeSlotCost*min(queue/slots, 1))
+		switch c.config.Site.distance(instance) {
+		case localRegion:
+			cost += domainCost
+		case remoteRegion:
+			cost += regionCost
+		}
+		// The smallest of exponentially distributed keys with the rates slots/relative
+		// belongs to a target with a probability in proportion to its rate. The scores that
+		// were preselected are high, and therefore mixed once more.
+		uniform := (float64(mixBits(list.scores[i]+1)>>11) + 0.5) / (1 << 53)
+		sampled.add(-math.Log(uniform)*relative/slots, cost, index)
 	}
+	return sampled
 }
 
 // soonest returns the index of the sampled target where the request is expected to end
 // first, -1 if there is none.
-func (e *expectedEnds) soonest() int {
-	first, second := &e.near, &e.far
+func (e *expectedEnds) soonest(c *Controller, now time.Duration, targets []target.Instance) int {
+	first, second := e.sampleFrom(c, now, targets, &e.near), e.sampleFrom(c, now, targets, &e.far)
 	if first.n == 0 {
 		first, second = second, first
 	}
