--- a/internal/overload/uneven_test.go
+++ b/internal/overload/uneven_test.go
@@ -65,7 +65,7 @@
 	for _, gates := range []int{1, 2, 6, 22} {
 		for _, offered := range []float64{0.2, 0.5, 0.7} {
 			for seed := range uint64(3) {
-				load := plainLoad(Speeds{Figures: LoadFigures}, offered)
+				load := plainLoad(Speeds{Figures: Figures(seed)}, offered)
 				load.Gates, load.Seed = gates, seed
 				learned := SimulatePlain(&load)
 				load.IgnoreSpeeds = true
@@ -75,12 +75,15 @@
 	}
 }
 
-// Guards against many gates moving to the same target when it states a short queue: a
-// target of nominal speed must not fill up at half of the load.
+// Guards against many gates moving to the same target when it states a short queue. Near the
+// capacity, they then fill up one target after the other: with the least expected end over all
+// targets, 0.83 of the requests are in time.
 func TestGatesDoNotHerd(t *testing.T) {
-	load := plainLoad(Speeds{SharedMachines: true, Figures: PaceFigures}, 0.5)
-	r := SimulatePlain(&load)
-	require.Zero(t, r.Total.Refused)
+	const minInTime = 0.9
+	load := plainLoad(Speeds{SharedMachines: true, Figures: PaceFigures}, 0.7)
+	r, _ := comparePlain(t, load)
+	t.Logf("in time %.3f, refused %d of %d", r.Total.InTimeFraction(), r.Total.Refused, r.Total.Requests)
+	require.GreaterOrEqual(t, r.Total.InTimeFraction(), minInTime)
 	for second := 2; second < len(r.PlacedBySecond)-1; second++ {
 		placed := r.PlacedBySecond[second]
 		total := 0
