Overload model: long prompts beside short ones at engines of two speeds

The model takes step times, memory and speeds from the load, counts what callers earn and the tenth with the longest prompts, and callers honour a retry delay up to a third of their remaining time. RetryAtSameGate has them come back to the gate that refused them.

--- a/internal/overload/engine.go
+++ b/internal/overload/engine.go
@@ -37,7 +37,9 @@
 	stepping        bool
 	slowdownFactor  float64 // step time relative to a healthy engine
 	readTokensPerMS float64 // prompt tokens per millisecond
-	down            bool    // crashed and not restarted yet
+	baseStepTime    time.Duration
+	stepTimePerSlot time.Duration
+	down            bool // crashed and not restarted yet
 }
 
 // accept queues a request until the batch has a free slot.
@@ -79,7 +81,7 @@
 		budget -= n
 	}
 	readTime := time.Duration(float64(readChunkTokens-budget) / e.readTokensPerMS * float64(time.Millisecond))
-	return time.Duration(e.slowdownFactor * float64(baseStepTime+time.Duration(len(e.jobs))*stepTimePerSlot+readTime))
+	return time.Duration(e.slowdownFactor * float64(e.baseStepTime+time.Duration(len(e.jobs))*e.stepTimePerSlot+readTime))
 }
 
 // finishStep ends a step at now: every request whose prompt is read gets one more token.
--- a/internal/overload/simulation.go
+++ b/internal/overload/simulation.go
@@ -1,6 +1,7 @@
 package overload
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
@@ -62,6 +63,16 @@
 	// ReadTokensPerMS is the engines' speed in prompt tokens per millisecond; 0: that of
 	// the first user's specification.
 	ReadTokensPerMS float64
+	// EngineSpeeds are the speeds of the engines relative to the nominal one, repeated for
+	// all engines; nil: 1 for all.
+	EngineSpeeds []float64
+	// BaseStepTime and CacheTokens are the step time of an idle engine and its memory; 0:
+	// those of the first user's specification.
+	BaseStepTime, StepTimePerSlot time.Duration
+	CacheTokens                   int
+	// RetryAtSameGate: refused callers come back to the gate that refused them, as callers
+	// do that keep their connection.
+	RetryAtSameGate bool
 	Seed            uint64
 }
 
@@ -70,6 +81,9 @@
 // those that were at an engine when it crashed, before their first event.
 type Outcome struct {
 	Requests, InTime, Late, Refused, Lost int
+	// Worth is what callers earned by responses, MaxWorth what they would earn if all were in
+	// time; see kindWorth.
+	Worth, MaxWorth float64
 	// PromptTokens is the total of the admitted requests.
 	PromptTokens int
 	// MaxWait is the longest time from arrival to the first event.
@@ -83,7 +97,9 @@
 type Result struct {
 	Workspaces map[string]*Outcome
 	Kinds      map[string]*Outcome
-	Total      Outcome
+	// LargestTenth holds the tenth of the requests of each kind with the longest prompts.
+	LargestTenth map[string]*Outcome
+	Total        Outcome
 	// Fairness holds the work requested by and served to each workspace, by second.
 	Fairness *starvation.Meter
 	// Crashing holds what became of the requests of each CrashingPart, Arrivals the
@@ -131,8 +147,10 @@
 	for _, o := range r.outcomes {
 		if wait <= r.kind.FirstTokenObjective {
 			o.InTime++
+			o.Worth += kindWorth[r.kind.Name]
 		} else {
 			o.Late++
+			o.Worth += kindWorth[r.kind.Name] / 2
 		}
 		o.MaxWait = max(o.MaxWait, wait)
 	}
@@ -161,7 +179,7 @@
 	sim := &simulation{
 		load: load, rng: rand.New(rand.NewPCG(load.Seed, 1)), enginesByID: make(map[string]*engine),
 		result: &Result{
-			Workspaces: make(map[string]*Outcome), Kinds: make(map[string]*Outcome),
+			Workspaces: make(map[string]*Outcome), Kinds: make(map[string]*Outcome), LargestTenth: make(map[string]*Outcome),
 			Fairness: starvation.NewMeter(0, int(load.Length/time.Second)),
 		},
 	}
@@ -173,6 +191,10 @@
 		if i < load.SlowEngines {
 			e.slowdownFactor = load.SlowdownFactor
 		}
+		if len(load.EngineSpeeds) > 0 {
+			e.slowdownFactor /= load.EngineSpeeds[i%len(load.EngineSpeeds)]
+		}
+		e.baseStepTime, e.stepTimePerSlot = cmp.Or(load.BaseStepTime, baseStepTime), cmp.Or(load.StepTimePerSlot, stepTimePerSlot)
 		sim.engines = append(sim.engines, e)
 		sim.enginesByID[e.id] = e
 		sim.targets = append(sim.targets, target.Instance{ID: e.id, Service: "engines", Domain: "d", Slots: batchSlots, Hash: target.HashID(e.id)})
@@ -244,6 +266,9 @@
 	})
 }
 
+// largestTenthFactor is the 90th percentile of randomTokens, as a multiple of the mean.
+const largestTenthFactor = 2.02
+
 // randomTokens draws a number of tokens from a log-normal distribution with the given
 // mean, as the users' specifications do: most values are below the mean, some far above.
 func (sim *simulation) randomTokens(mean int) int {
@@ -265,11 +290,15 @@
 func (sim *simulation) handleArrival(now time.Duration, w *Workspace) {
 	r := sim.newRequest(now, w)
 	r.outcomes = []*Outcome{sim.outcomeOf(sim.result.Workspaces, w.Name), sim.outcomeOf(sim.result.Kinds, r.kind.Name), &sim.result.Total}
+	if float64(r.uniqueTokens) > largestTenthFactor*float64(r.kind.UniqueTokens) {
+		r.outcomes = append(r.outcomes, sim.outcomeOf(sim.result.LargestTenth, r.kind.Name))
+	}
 	for _, o := range r.outcomes {
 		o.Requests++
+		o.MaxWorth += kindWorth[r.kind.Name]
 	}
 	r.fairness.AddRequested(w.Name, now, r.work())
-	sim.submit(now, w, r)
+	sim.submit(now, w, sim.chooseGate(w), r)
 }
 
 // newRequest draws a request of a workspace.
@@ -282,7 +311,7 @@
 		fairness: sim.result.Fairness,
 	}
 	r.admissionRequest = admission.Request{
-		Workspace: w.Name, Service: "engines", Slots: batchSlots, CacheTokens: cacheTokens,
+		Workspace: w.Name, Service: "engines", Slots: batchSlots, CacheTokens: cmp.Or(sim.load.CacheTokens, cacheTokens),
 		Parts:        []admission.Part{{Hash: r.sharedHash, Tokens: r.sharedTokens}, {Hash: sim.rng.Uint64(), Tokens: r.uniqueTokens}},
 		PromptTokens: r.sharedTokens + r.uniqueTokens, OutputTokens: r.outputTokens, FirstTokenObjective: k.FirstTokenObjective, Hash: sim.rng.Uint64(), Fingerprint: admission.Fingerprint(sim.rng.Uint64()),
 	}
@@ -293,10 +322,14 @@
 // retry delay, as the gate does.
 const retryJitterFraction = 0.5
 
+// maxRetryDelayFraction is the fraction of their remaining time up to which callers honour a
+// retry delay.
+const maxRetryDelayFraction = 1.0 / 3
+
 // submit sends a request to a gate. A refused caller that is given a retry delay retries
 // once.
-func (sim *simulation) submit(now time.Duration, w *Workspace, r *request) {
-	d := sim.send(now, sim.chooseGate(w), r)
+func (sim *simulation) submit(now time.Duration, w *Workspace, gate Policy, r *request) {
+	d := sim.send(now, gate, r)
 	if len(sim.load.CrashingParts) > 0 && !r.retried {
 		if d.Refused == reasons.ReasonQuarantined {
 			sim.result.Quarantined++
@@ -311,7 +344,12 @@
 	if d.RetryAfter > 0 && !r.retried {
 		r.retried = true
 		retryDelay := time.Duration(float64(d.RetryAfter) * (1 + retryJitterFraction*sim.rng.Float64()))
-		sim.schedule(retryDelay, func(now time.Duration) { sim.submit(now, w, r) })
+		sim.schedule(min(retryDelay, time.Duration(maxRetryDelayFraction*float64(r.deadline-now))), func(now time.Duration) {
+			if !sim.load.RetryAtSameGate {
+				gate = sim.chooseGate(w)
+			}
+			sim.submit(now, w, gate, r)
+		})
 		return
 	}
 	for _, o := range r.outcomes {
