--- a/internal/gate/overload.go
+++ b/internal/gate/overload.go
@@ -165,12 +165,13 @@
 
 // limitDiscard bounds what http.Server reads of a body that the gate does not: it discards
 // the rest, before the response if the connection is kept and after it otherwise, since
-// closing a connection with unread bytes resets it, and the caller would lose the refusal.
+// closing a connection with unread bytes resets it, and the caller would lose the refusal. Of a
+// body of unknown length the server discards 256 kB at most and then closes the connection.
 func limitDiscard(w http.ResponseWriter, r *http.Request) {
 	if r.ContentLength == 0 {
 		return
 	}
-	if r.ContentLength < 0 || r.ContentLength > maxDiscardedBody {
+	if r.ContentLength > maxDiscardedBody {
 		w.Header()["Connection"] = closeOption
 	}
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(discardTimeout)) // the server sets it anew for each request
--- a/internal/gate/overload_test.go
+++ b/internal/gate/overload_test.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -220,3 +221,23 @@
 	require.False(t, d.Current().Accepts(&target.Instance{ID: "a", Addr: "z", Service: "s", StartedMillis: 1}), "other address")
 	require.False(t, d.Current().Accepts(&target.Instance{ID: "c", Addr: "x", Service: "s"}), "removed")
 }
+
+// A refusal must neither wait for a body that never arrives, nor read a long one.
+func TestEarlyRefusalDoesNotWaitForBody(t *testing.T) {
+	f := newFixture(t, testRoutes(once), succeed("whole"))
+	for range 200 {
+		f.gate.delay.addSample(maxDelaySample)
+	}
+	for _, length := range []string{"Content-Length: 900", "Content-Length: 900000", "Transfer-Encoding: chunked"} {
+		c, err := net.Dial("tcp4", f.server.Listener.Addr().String())
+		require.NoError(t, err)
+		defer c.Close()
+		require.NoError(t, c.SetDeadline(time.Now().Add(patientTimeout)))
+		write(c, "POST /p/ HTTP/1.1\r\nHost: h.example\r\nKey: unknown\r\nId: a\r\n"+length+"\r\n\r\n")
+		all, err := io.ReadAll(c)
+		require.NoError(t, err, length)
+		require.True(t, strings.HasPrefix(string(all), "HTTP/1.1 503"), "%s: %q", length, all)
+		require.Contains(t, string(all), "Connection: close", length)
+	}
+	require.Eventually(t, func() bool { return f.gate.InFlight() == 0 }, patientTimeout, time.Millisecond)
+}
