--- a/internal/admission/engine.go
+++ b/internal/admission/engine.go
@@ -87,7 +87,7 @@
 		}
 		bound, maxPromptTokens := limit, model.readableTokens(instance.ID, limit.waitFraction, req.FirstTokenObjective)
 		if speeds != nil {
-			bound, maxPromptTokens = limit.scaled(now, speeds, &instance, req.Slots, load, model.tokensIn(limit.waitFraction, req.FirstTokenObjective))
+			bound, maxPromptTokens = limit.scaled(now, speeds, &instance, req.Slots, load, model.tokensIn(limit.waitFraction, req.FirstTokenObjective), maxPromptTokens)
 		}
 		if bound.fits(req, load, uncached, maxPromptTokens) {
 			decision := c.place(now, req, instance, uncached, limit.overShare)
--- a/internal/admission/speeds.go
+++ b/internal/admission/speeds.go
@@ -153,11 +153,12 @@
 }
 
 // scaled returns the limit and the prompt tokens that a target may have to read, scaled by
-// what the target takes relative to the mean of its service.
-func (l limit) scaled(now time.Duration, speeds *pace.Service, instance *target.Instance, slots int, load Load, maxPromptTokens int) (limit, int) {
+// what the target takes relative to the mean of its service. learnedPromptTokens are those
+// by the slowdown that times to first events show, which stays a bound.
+func (l limit) scaled(now time.Duration, speeds *pace.Service, instance *target.Instance, slots int, load Load, maxPromptTokens, learnedPromptTokens int) (limit, int) {
 	relative := speeds.Relative(now, instance.ID, instance.StartedMillis, float64(load.InFlight)/float64(max(slots, 1)), enginePresentFraction)
 	l.batchFraction = min(l.batchFraction*min(max(1/relative, minCapacity), maxCapacity), speeds.LoadLimit(instance.ID, instance.StartedMillis))
-	return l, int(float64(maxPromptTokens) / relative)
+	return l, min(int(float64(maxPromptTokens)/relative), int(maxCapacity*float64(learnedPromptTokens)))
 }
 
 // RecordStatement records what the response to the request states about the load of its
