Test of the retry budget: unreachable targets have ports that no other process gets

TestRetryThatReachesNoTargetKeepsBudget failed once in a run of the package beside others: a target meant to be unreachable answered with status 401, probably a gate of another test process that had been given the closed port. The test uses privileged ports now.

--- a/internal/gate/retry_budget_test.go
+++ b/internal/gate/retry_budget_test.go
@@ -14,12 +14,14 @@
 // Guards against retries that reached no target and still consumed the budget: while all
 // other targets of a service were full, callers got fewer retries than the budget allows.
 func TestRetryThatReachesNoTargetKeepsBudget(t *testing.T) {
-	for name, others := range map[string]int{"no other target": 0, "others unreachable": 2} {
+	// Nothing listens on privileged ports, and no other process is given one meanwhile.
+	unreachable := []string{"127.0.0.1:1", "127.0.0.1:2"}
+	for name, others := range map[string][]string{"no other target": nil, "others unreachable": unreachable} {
 		t.Run(name, func(t *testing.T) {
 			f := newFixture(t, testRoutes(idempotent), respond(500, "", "sorry"))
 			listed := f.directory.Current().Available("letters")
-			for _, id := range []string{"dead-0", "dead-1"}[:others] {
-				listed = append(listed, target.Instance{ID: id, Addr: closedAddr(t), Service: "letters", Domain: "d", Slots: 8})
+			for _, addr := range others {
+				listed = append(listed, target.Instance{ID: addr, Addr: addr, Service: "letters", Domain: "d", Slots: 8})
 			}
 			f.directory.Replace(listed, 0, false)
 			for range failedRequests {
