Entries of a restored store do not end cold phases

The copy from which the store was restored may hold an entry from before a target became cold. It was taken at its word, so that the target counted as warm until it wrote its next entry, about 2 s later.

TestEntryOfRestoredStoreDoesNotEndColdPhase fails without the change (0s instead of 1m10s).

--- a/internal/target/cold.go
+++ b/internal/target/cold.go
@@ -97,6 +97,27 @@
 	return until
 }
 
+// keepReportedCold returns the list of a restored store with the times until which targets
+// reported earlier to stay cold: its entries may be older than those reports.
+func keepReportedCold(previous *Snapshot, listed []Instance) []Instance {
+	listed = slices.Clone(listed)
+	for i := range listed {
+		instance := &listed[i]
+		if before, known := previous.byID[instance.ID]; known && before.StartedMillis == instance.StartedMillis {
+			instance.ReportedColdUntil = max(instance.ReportedColdUntil, before.ReportedColdUntil)
+		}
+	}
+	return listed
+}
+
+// HasColdPhase reports whether targets of the service are cold after their start.
+func (d *Directory) HasColdPhase(service string) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	_, found := d.coldPhases[service]
+	return found
+}
+
 // recordNotWarm records which targets of a new list are not known to be warm. Entries of targets
 // that were never listed, such as those of the first list, are taken at their word. The caller
 // holds mu.
--- a/internal/target/cold_test.go
+++ b/internal/target/cold_test.go
@@ -126,3 +126,17 @@
 	require.False(t, d.Outdated(time.Hour))
 	require.True(t, d.Outdated(2*time.Hour))
 }
+
+// The copy from which the store was restored may hold an entry from before the target became
+// cold: the target would get the full rate until it writes the next one.
+func TestEntryOfRestoredStoreDoesNotEndColdPhase(t *testing.T) {
+	const until = time.Minute + testColdPhase
+	d := newColdDirectory(reporting(testInstance("a"), until))
+	d.MarkRestored(time.Minute + time.Second)
+	d.Replace([]Instance{reporting(testInstance("a"), 0)}, time.Minute+time.Second, true)
+	require.Equal(t, until, d.coldUntilOf(t, "a"))
+	d.Replace([]Instance{reporting(testInstance("a"), 0)}, time.Minute+2*time.Second, false)
+	require.Equal(t, until, d.coldUntilOf(t, "a"))
+	d.Replace([]Instance{reporting(testInstance("a"), 0)}, time.Minute+time.Second+restoredRowLifetime+1, false)
+	require.Zero(t, d.coldUntilOf(t, "a"), "entries of the copy have expired")
+}
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -131,6 +131,9 @@
 	defer d.mu.Unlock()
 	previous := d.Current()
 	instances = d.applyDrainNotices(d.applyDepartures(instances, now), now)
+	if d.restored {
+		instances = keepReportedCold(previous, instances)
+	}
 	d.recordNotWarm(previous, instances, now)
 	d.listedAt.Store(int64(now))
 	listed := d.newSnapshot(instances)
