Regions and cold targets are checked again right before a send

A gate with little processor time sends long after it chose the target. Before the first byte it checked only that the target was available and the key valid. A target that had become cold, or that the newest table no longer allows, still got the request, and sends to a cold target that waited reached it together, above the pace of their placement. Such sends are now withheld and go to another target; those to a cold target after 200 ms. Without a new table, the check costs a comparison.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -63,6 +63,8 @@
 	ShareMultiple float64
 	// BlockedPart is the hash of the part for which the request was refused; 0: none.
 	BlockedPart uint64
+	// Cold is set if the request was placed on a cold target, as one of its few sends.
+	Cold bool
 	// Diverted is set if the first choice was a cold target that did not get the request.
 	Diverted bool
 	// RetryAfter is when a refused caller may try again; 0 if unknown.
@@ -317,7 +319,7 @@
 		usage.Served += served.Served
 		c.fleetUsage[req.Workspace] = usage
 	}
-	return Decision{Target: instance, Lease: lease, Load: load, UncachedTokens: uncached, OverShare: overShare}
+	return Decision{Target: instance, Lease: lease, Load: load, UncachedTokens: uncached, OverShare: overShare, Cold: cold}
 }
 
 // AcquireRetry acquires one retry of the service from the fleet's retry budget, or
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -59,7 +59,7 @@
 		refusals:            f.CounterVec("refusals_total", "Requests that the gate refused or aborted, by reason.", "reason"),
 		retries:             f.CounterVec("retries_total", "Retries at another target, by the result of the previous send.", "reason"),
 		sends:               f.CounterVec("sends_total", "Sends to targets, by result.", "result"),
-		withheldSends:       f.Counter("withheld_sends_total", "Sends given up right before the first byte, because the target was no longer available or the key no longer accepted."),
+		withheldSends:       f.Counter("withheld_sends_total", "Sends given up right before the first byte, because the target was no longer available, allowed or warm, or the key no longer accepted."),
 		resumedStreams:      f.Counter("resumed_streams_total", "Streams resumed at another target."),
 		drainingTargets:     f.Counter("leaving_targets_total", "Targets that announced in a response that they are draining."),
 		backoffs:            f.Counter("target_pauses_total", "Backoffs requested by targets that rejected a request."),
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -11,7 +11,6 @@
 	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/eventlog"
 	"github.com/mastichollow/mastichollow/internal/route"
-	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/upstream"
 )
 
@@ -36,21 +35,39 @@
 	// minHeadTimeout is the lower bound of that time, so that requests to slow but
 	// healthy targets are not aborted.
 	minHeadTimeout = time.Second
+	// maxColdSendDelay is the time after its placement within which a request may be sent to a
+	// cold target. Sends that wait longer would reach it together with later ones, above the
+	// pace by which they were placed. New connections take up to 50 ms.
+	maxColdSendDelay = 200 * time.Millisecond
 )
 
 var (
 	errUnresponsive = errors.New("target sent no response head in time")
 	errNotAvailable = errors.New("target is no longer available")
+	errNotAllowed   = errors.New("target is no longer in an allowed region")
+	errCold         = errors.New("target is cold")
 	errKeyRefused   = errors.New("key is no longer accepted")
 )
 
 // checkSend repeats, right before the first byte of a send, what was decided when its
 // target was chosen: a gate without processor time sends seconds later, when the target may
-// drain and the key may be revoked.
-func (c *call) checkSend(instance *target.Instance) error {
-	if !c.gate.directory.Current().Accepts(instance) {
+// drain or be cold, and the key may be revoked. placedAt is when the target was chosen.
+func (c *call) checkSend(d *admission.Decision, placedAt time.Duration) error {
+	g := c.gate
+	instance := g.directory.Current().Accepting(&d.Target)
+	if instance == nil {
 		return errNotAvailable
 	}
+	if newest, _ := g.tableCache.Current(); newest != c.table && !c.allowedRegions().Contains(instance.Region) {
+		return errNotAllowed
+	}
+	now := g.config.Now()
+	switch {
+	case d.Cold && now-placedAt > maxColdSendDelay:
+		return errCold
+	case !d.Cold && (instance.ColdUntil > now || g.directory.Outdated(now) && g.directory.HasColdPhase(instance.Service)):
+		return errCold
+	}
 	if c.recheckKey() != nil {
 		return errKeyRefused
 	}
@@ -62,6 +79,7 @@
 // send sends the request to one target and classifies the head of its response.
 func (c *call) send(ctx context.Context, d admission.Decision) sendOutcome {
 	g := c.gate
+	placedAt := g.config.Now()
 	c.framing = ""
 	left := time.Until(c.deadline)
 	if left < minServiceTime {
@@ -81,7 +99,7 @@
 		UniqueFields: g.codec.UniqueResponseFields(),
 		MaxIdleTime:  c.maxIdleTime(),
 		MaxOpenConns: c.maxOpenConns(),
-		Check:        func() error { return c.checkSend(&d.Target) },
+		Check:        func() error { return c.checkSend(&d, placedAt) },
 	})
 	headWatchdog.stop()
 	if err != nil {
@@ -136,7 +154,7 @@
 		return sendOutcome{result: admission.ResultFailed, mayHaveRun: true, err: errUnresponsive}
 	case ctx.Err() != nil && !unresponsive:
 		return sendOutcome{result: admission.ResultWithdrawn, mayHaveRun: !notSent, err: err}
-	case errors.Is(err, errNotAvailable) || errors.Is(err, errKeyRefused):
+	case errors.Is(err, errNotAvailable) || errors.Is(err, errNotAllowed) || errors.Is(err, errCold) || errors.Is(err, errKeyRefused):
 		c.gate.metrics.withheldSends.Inc()
 		return sendOutcome{result: admission.ResultUnsent, err: err}
 	case errors.Is(err, upstream.ErrBusy):
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -215,10 +215,17 @@
 
 // Accepts reports whether the target, as an earlier snapshot listed it, still accepts new
 // requests.
-func (s *Snapshot) Accepts(instance *Instance) bool {
+func (s *Snapshot) Accepts(instance *Instance) bool { return s.Accepting(instance) != nil }
+
+// Accepting returns the target as this snapshot lists it, nil if it no longer accepts new
+// requests. The caller must not modify it.
+func (s *Snapshot) Accepting(instance *Instance) *Instance {
 	available := s.services[instance.Service]
 	i, found := slices.BinarySearchFunc(available, instance.ID, func(a Instance, id string) int { return strings.Compare(a.ID, id) })
-	return found && available[i].Addr == instance.Addr && available[i].StartedMillis == instance.StartedMillis
+	if !found || available[i].Addr != instance.Addr || available[i].StartedMillis != instance.StartedMillis {
+		return nil
+	}
+	return &available[i]
 }
 
 // Len returns the number of targets, including draining ones.
