gate: end connections of callers that read no response, close idle ones under the mutex

A caller that pipelines requests and reads nothing kept its connection without end, after a forwarded request also protected from the account. Both are now bounded by unreadBodyTimeout. - closeIdle closed connections after it had released the mutex. A request that arrived between could be forwarded and then lose its connection. - connlimit.Listener hid the descriptor of the listener, so that the queue "accept" was always 0.

--- a/internal/connlimit/listener.go
+++ b/internal/connlimit/listener.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"net/http"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -48,6 +49,15 @@
 	}
 }
 
+// SyscallConn implements syscall.Conn if the inner listener does.
+func (l *Listener) SyscallConn() (syscall.RawConn, error) {
+	inner, ok := l.Listener.(syscall.Conn)
+	if !ok {
+		return nil, errors.New("listener without a descriptor")
+	}
+	return inner.SyscallConn()
+}
+
 // join returns the connection as a member of the account, or nil after closing it.
 func (l *Listener) join(tcp *net.TCPConn) *Conn {
 	c := &Conn{TCPConn: tcp, listener: l}
--- a/internal/gate/connections.go
+++ b/internal/gate/connections.go
@@ -97,11 +97,14 @@
 
 // closeIdle closes up to n of the connections that have been idle for the longest time.
 // A request that is on its way on one of them is lost, which a connection that has been idle
-// for long makes unlikely; one that has arrived keeps its connection.
+// for long makes unlikely; one that has arrived keeps its connection. Connections are closed
+// under the mutex: a request that arrives meanwhile becomes active only after the close, which
+// Protect then reports, so that it is not forwarded.
 func (c *connections) closeIdle(n int) int {
-	var closing []net.Conn
+	closed := 0
 	c.mu.Lock()
-	for e := c.idle.Front(); e != nil && len(closing) < n; {
+	defer c.mu.Unlock()
+	for e := c.idle.Front(); e != nil && closed < n; {
 		conn, _ := e.Value.(net.Conn)
 		phase, next := c.phases[conn], e.Next()
 		if time.Since(phase.since) < minIdleTime {
@@ -110,15 +113,12 @@
 		if socket.PeekState(conn) == socket.Idle {
 			c.idle.Remove(e)
 			phase.idle = nil
-			closing = append(closing, conn)
+			_ = conn.Close() // the server reports it as closed
+			closed++
 		}
 		e = next
 	}
-	c.mu.Unlock()
-	for _, conn := range closing {
-		_ = conn.Close() // the server reports it as closed
-	}
-	return len(closing)
+	return closed
 }
 
 // hasSilent reports whether a caller has sent no whole head for minIdleTime since it connected.
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -45,7 +45,9 @@
 	// Without a write deadline, a caller that reads nothing would keep the target's
 	// connection in use forever.
 	_ = control.SetWriteDeadline(c.deadline)
-	defer func() { _ = control.SetWriteDeadline(time.Time{}) }()
+	// The server writes what is left in its buffers after this. Without a deadline, it would
+	// wait forever for a caller that reads nothing, on a connection that is protected.
+	defer func() { _ = control.SetWriteDeadline(time.Now().Add(unreadBodyTimeout)) }()
 
 	c.framing, c.partialEventBytes = resp.Framing, 0
 	d.Lease.Responded(c.gate.config.Now())
--- a/internal/gate/overload.go
+++ b/internal/gate/overload.go
@@ -138,6 +138,8 @@
 	}
 	g.metrics.earlyRefusals.Inc()
 	limitDiscard(w, r)
+	// The recorders of tests have no deadline.
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(unreadBodyTimeout))
 	refused := unavailable(request.ReasonOverloaded, g.overloadRetryAfter())
 	refused.write(w)
 	g.metrics.overloaded.Inc()
