gate: bound the time to write responses of http.Server itself

Cause: http.Server answers "OPTIONS *" without the gate's handler and without a write deadline. A caller without a key that pipelines such requests and reads no response kept its connection without end; as it counts as active, enough of them would keep LimitConnections from accepting others.

go test -race ./cmd/mastichollow-gate -run 'TestUnreadServerOptions|TestFloodedGate': the first failed on the code before (i/o timeout after 30 s); both pass.

--- a/cmd/mastichollow-gate/server.go
+++ b/cmd/mastichollow-gate/server.go
@@ -63,7 +63,9 @@
 		callerListener: g.LimitConnections(connlimit.NewListener(callers, connlimit.NewAccount(callerLimits(s)), stats, "callers")),
 		readyListener:  connlimit.NewListener(ready, connlimit.NewAccount(connlimit.SmallLimits), stats, "readiness"),
 		peerListener:   connlimit.NewListener(peers, connlimit.NewAccount(peerLimits(s)), stats, "peers"),
-		callerServer:   &http.Server{Handler: g, ErrorLog: debugLogger, ConnContext: gate.ConnContext, ConnState: g.ConnState},
+		// The gate sets a write deadline of its own for each response. WriteTimeout bounds
+		// those of http.Server itself, such as to "OPTIONS *".
+		callerServer: &http.Server{Handler: g, ErrorLog: debugLogger, ConnContext: gate.ConnContext, ConnState: g.ConnState, WriteTimeout: exchangeTimeout},
 		readyServer: &http.Server{
 			Handler: platform.ReadyHandler(g.Ready), ReadTimeout: exchangeTimeout, WriteTimeout: exchangeTimeout, ErrorLog: debugLogger,
 		},
