soak: evacuate failure domains (check not yet seen failing end to end)

The soak did not cover evacuations. With Config.Evacuations the plan of a seed has steps that evacuate a failure domain, and the checker reports runs in the domain after the bound.

--- a/internal/soak/check.go
+++ b/internal/soak/check.go
@@ -35,14 +35,15 @@
 
 // checker compares what callers received with what targets ran.
 type checker struct {
-	history    *History
-	operator   *operator
-	records    []CallRecord
-	runsByCall map[string][]standin.Run // by call ID
-	drainedAt  map[string]time.Time     // by target ID: when its row with the draining state was written
-	crashes    []time.Time              // of targets, by calls with the crashing part
-	limitUses  []limitUse
-	violations []Violation
+	history     *History
+	operator    *operator
+	records     []CallRecord
+	runsByCall  map[string][]standin.Run // by call ID
+	drainedAt   map[string]time.Time     // by target ID: when its row with the draining state was written
+	crashes     []time.Time              // of targets, by calls with the crashing part
+	limitUses   []limitUse
+	evacuations []evacuation
+	violations  []Violation
 }
 
 func (c *checker) addViolation(rule string, r *CallRecord, format string, args ...any) {
@@ -139,7 +140,7 @@
 	}
 	from := r.Start.Add(-minUndisruptedTime)
 	if c.gateUndisrupted(r.Gate, from, r.End) && c.history.Undisrupted(Subject{PartPlannedStop, r.Gate}, from, r.End) && c.history.AllUndisrupted(PartTarget, from, r.End) &&
-		c.history.AllUndisrupted(PartRequestLimit, from, r.End) {
+		c.history.AllUndisrupted(PartRequestLimit, from, r.End) && c.history.AllUndisrupted(PartEvacuation, from, r.End) {
 		c.addViolation("not served", r, "though only the store may be in trouble")
 	}
 }
@@ -170,6 +171,7 @@
 		c.addViolation("wrong workspace", r, "ran for %q, key passed on: %v", run.Workspace, run.HasKey)
 	}
 	c.checkService(r, run)
+	c.checkEvacuation(r, run)
 	if revokedAt := c.operator.revokedAt[r.Call.Key]; !revokedAt.IsZero() && r.Start.After(revokedAt.Add(maxRevocationDelay)) {
 		c.addViolation("revoked key", r, "ran %v after the change", r.Start.Sub(revokedAt))
 	}
--- a/internal/soak/check_test.go
+++ b/internal/soak/check_test.go
@@ -148,6 +148,28 @@
 	require.Empty(t, revoked.violatedRules(), "within the bound")
 }
 
+// TestEvacuationBound guards against a check of evacuations that excuses requests after the
+// bound, or blames gates that could not know of the evacuation.
+func TestEvacuationBound(t *testing.T) {
+	rules := func(arrival float64, disrupted Subject, until float64) []string {
+		s := newScenario(t, "orders").addRun()
+		s.evacuations = []evacuation{{domain: "d0", acknowledgedAt: atSecond(13), endedAt: atSecond(22), targets: []int{0}}}
+		s.runsByCall[s.record.Call.ID][0].Domain, s.runsByCall[s.record.Call.ID][0].Arrived = "d0", atSecond(arrival)
+		s.history.addInterval(disrupted, 10, until)
+		return s.violatedRules()
+	}
+	violated := []string{"evacuated domain"}
+	require.Empty(t, rules(17.9, Subject{PartGate, 1}, 22), "within the bound")
+	require.Equal(t, violated, rules(20, Subject{PartGate, 1}, 22), "another gate")
+	require.Empty(t, rules(22.1, Subject{PartGate, 1}, 22), "the evacuation has ended")
+	for _, subject := range []Subject{{PartGate, 0}, {PartPlannedStop, 0}, {PartStoreLink, 0}, {PartTarget, 0}} {
+		require.Empty(t, rules(20, subject, 16.1), subject)
+		require.Equal(t, violated, rules(20, subject, 15.9), subject)
+	}
+	require.Empty(t, rules(20, Subject{Part: PartStore}, 14.1))
+	require.Equal(t, violated, rules(20, Subject{Part: PartStore}, 13.9))
+}
+
 func TestUnloggedResponseDetected(t *testing.T) {
 	file := filepath.Join(t.TempDir(), "log")
 	s := newScenario(t, "orders")
--- a/internal/soak/history.go
+++ b/internal/soak/history.go
@@ -25,7 +25,9 @@
 	PartStore       Part = "store"
 	// PartRequestLimit is a target that names a request limit.
 	PartRequestLimit Part = "request-limit"
-	PartTableChange  Part = "table" // a change that some gates may not have applied yet
+	// PartEvacuation is an evacuated failure domain.
+	PartEvacuation  Part = "evacuation"
+	PartTableChange Part = "table" // a change that some gates may not have applied yet
 )
 
 // interval is a time in which a subject was disrupted; to is zero while it lasts.
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -27,6 +27,7 @@
 	DrainTarget     StepKind = "drain-target"
 	MoveRoute       StepKind = "move-route"
 	RevokeKey       StepKind = "revoke-key"
+	EvacuateDomain  StepKind = "evacuate" // until the step ends; only with Config.Evacuations
 )
 
 // Step is one event of a plan.
--- a/internal/soak/plan_test.go
+++ b/internal/soak/plan_test.go
@@ -17,6 +17,8 @@
 		require.Equal(t, profile, profileAgain)
 		require.Equal(t, steps, stepsAgain)
 		require.NotEmpty(t, steps)
+		withoutEvacuations := slices.DeleteFunc(withEvacuations(seed, steps, length), func(s Step) bool { return s.Kind == EvacuateDomain })
+		require.Equal(t, steps, withoutEvacuations)
 		require.True(t, slices.IsSortedFunc(steps, func(a, b Step) int { return int(a.Start - b.Start) }))
 		for _, s := range steps {
 			require.Less(t, s.Start, length)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -20,8 +20,9 @@
 	Dir           string        // existing directory for settings and logs
 	FaultDuration time.Duration // duration of the phase with faults
 	Gates         int
-	Targets       int // per service
-	Callers       int // per gate
+	Targets       int  // per service
+	Callers       int  // per gate
+	Evacuations   bool // failure domains are evacuated too
 }
 
 // Result is the outcome of a run.
@@ -32,12 +33,13 @@
 	Calls   int
 	// Statuses counts calls by response status; 0 is no response. Abandoned calls are
 	// left out.
-	Statuses   map[int]int
-	Violations []Violation
-	Plan       []Step
-	Crashes    int // of targets, by calls with the crashing part
-	LimitUses  int // times that a target named a request limit
-	Restores   int // of the store from a copy
+	Statuses    map[int]int
+	Violations  []Violation
+	Plan        []Step
+	Crashes     int // of targets, by calls with the crashing part
+	LimitUses   int // times that a target named a request limit
+	Restores    int // of the store from a copy
+	Evacuations int // of failure domains
 }
 
 const (
@@ -70,18 +72,22 @@
 	gates    []*Gate
 	targets  []*target
 
-	mu         sync.Mutex
-	records    []CallRecord
-	violations []Violation
-	drainedAt  map[string]time.Time
-	crashes    []time.Time // of targets, by calls with the crashing part
-	limitUses  []limitUse
-	restores   int // of the store
+	mu          sync.Mutex
+	records     []CallRecord
+	violations  []Violation
+	drainedAt   map[string]time.Time
+	crashes     []time.Time // of targets, by calls with the crashing part
+	limitUses   []limitUse
+	restores    int // of the store
+	evacuations []evacuation
 }
 
 // Run executes the plan of a seed against a new deployment and checks the outcome.
 func Run(ctx context.Context, seed uint64, cfg Config) (*Result, error) {
 	profile, steps := PlanForSeed(seed, cfg.FaultDuration)
+	if cfg.Evacuations {
+		steps = withEvacuations(seed, steps, cfg.FaultDuration)
+	}
 	d := &deployment{cfg: cfg, history: NewHistory(), ledger: standin.NewLedger(), drainedAt: make(map[string]time.Time)}
 	defer d.close()
 	if err := d.start(ctx); err != nil {
@@ -94,6 +100,7 @@
 	result := &Result{
 		Seed: seed, Profile: profile, Steps: len(steps), Plan: steps, Calls: len(d.records),
 		Statuses: make(map[int]int), Violations: violations, Crashes: len(d.crashes), LimitUses: len(d.limitUses), Restores: d.restores,
+		Evacuations: len(d.evacuations),
 	}
 	for i := range d.records {
 		if d.records[i].AbandonedAt.IsZero() {
@@ -254,7 +261,7 @@
 
 // check returns all violations of the run.
 func (d *deployment) check() ([]Violation, error) {
-	c := &checker{history: d.history, operator: d.operator, records: d.records, runsByCall: d.ledger.Runs(), drainedAt: d.drainedAt, crashes: d.crashes, limitUses: d.limitUses}
+	c := &checker{history: d.history, operator: d.operator, records: d.records, runsByCall: d.ledger.Runs(), drainedAt: d.drainedAt, crashes: d.crashes, limitUses: d.limitUses, evacuations: d.evacuations}
 	c.check()
 	logs := make([]string, 0, len(d.gates))
 	for _, g := range d.gates {
--- a/internal/soak/session.go
+++ b/internal/soak/session.go
@@ -21,20 +21,21 @@
 
 // Session is a series of runs, configured by the command line.
 type Session struct {
-	Version kong.VersionFlag `help:"Print the version and exit." env:"-"`
-	Program string           `help:"Path of mastichollow-gate." default:"bin/mastichollow-gate"`
-	Seeds   int              `help:"Number of seeds, from --first on." default:"50"`
-	First   uint64           `help:"First seed." default:"1"`
-	Fresh   time.Duration    `help:"Play new seeds for this long instead; 0: play --seeds." default:"0s"`
-	Kept    bool             `help:"Play the seeds that failed once first." default:"true" negatable:""`
-	Length  time.Duration    `help:"Time with faults of each run." default:"12s"`
-	Gates   int              `help:"Gates of a run, a process each." default:"3"`
-	Targets int              `help:"Targets of each of three services." default:"3"`
-	Callers int              `help:"Callers of each gate." default:"6"`
-	Jobs    int              `help:"Runs at once." default:"3"`
-	Dir     string           `help:"Folder for the logs of runs that fail." default:"soak-failures"`
-	Keep    bool             `help:"Keep the logs of all runs there."`
-	Demo    bool             `help:"Show one deployment and what it promises instead."`
+	Version     kong.VersionFlag `help:"Print the version and exit." env:"-"`
+	Program     string           `help:"Path of mastichollow-gate." default:"bin/mastichollow-gate"`
+	Seeds       int              `help:"Number of seeds, from --first on." default:"50"`
+	First       uint64           `help:"First seed." default:"1"`
+	Fresh       time.Duration    `help:"Play new seeds for this long instead; 0: play --seeds." default:"0s"`
+	Kept        bool             `help:"Play the seeds that failed once first." default:"true" negatable:""`
+	Length      time.Duration    `help:"Time with faults of each run." default:"12s"`
+	Gates       int              `help:"Gates of a run, a process each." default:"3"`
+	Targets     int              `help:"Targets of each of three services." default:"3"`
+	Callers     int              `help:"Callers of each gate." default:"6"`
+	Evacuations bool             `help:"Evacuate failure domains too."`
+	Jobs        int              `help:"Runs at once." default:"3"`
+	Dir         string           `help:"Folder for the logs of runs that fail." default:"soak-failures"`
+	Keep        bool             `help:"Keep the logs of all runs there."`
+	Demo        bool             `help:"Show one deployment and what it promises instead."`
 }
 
 // seedsFile lists the seeds that once violated a guarantee, each with its cause.
@@ -155,7 +156,7 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }()
 	result, err := Run(ctx, seed, Config{
-		ProgramPath: s.Program, Dir: dir, FaultDuration: s.Length, Gates: s.Gates, Targets: s.Targets, Callers: s.Callers,
+		ProgramPath: s.Program, Dir: dir, FaultDuration: s.Length, Gates: s.Gates, Targets: s.Targets, Callers: s.Callers, Evacuations: s.Evacuations,
 	})
 	if err != nil || len(result.Violations) == 0 && !s.Keep {
 		return result, err
--- a/internal/soak/soak_test.go
+++ b/internal/soak/soak_test.go
@@ -59,6 +59,18 @@
 	require.Positive(t, result.Restores)
 }
 
+// TestShortSoakWithEvacuations guards against requests that reach an evacuated failure
+// domain. Its seed holds planned operations only, which excuse few gates.
+func TestShortSoakWithEvacuations(t *testing.T) {
+	t.Parallel()
+	result, err := Run(t.Context(), 9, Config{
+		ProgramPath: processtest.Path("mastichollow-gate"), Dir: t.TempDir(), FaultDuration: 9 * time.Second, Gates: 3, Targets: 3, Callers: 4, Evacuations: true,
+	})
+	require.NoError(t, err)
+	require.Empty(t, result.Violations, "%v", result.Plan)
+	require.Positive(t, result.Evacuations)
+}
+
 func TestRegressionSeedsHaveCause(t *testing.T) {
 	_, err := RegressionSeeds()
 	require.NoError(t, err)
--- a/internal/soak/step.go
+++ b/internal/soak/step.go
@@ -53,6 +53,8 @@
 		return t.drainAndReplace(ctx)
 	case MoveRoute:
 		return d.operator.moveRoute()
+	case EvacuateDomain:
+		d.evacuate(ctx, s)
 	case RevokeKey:
 		return d.operator.revokeKey(s.Index)
 	default:
