gate: callers that owe a body do not keep others out

Cause: at its bound of connections a gate accepted more only while a connection had sent no whole head.

Change: a connection counts as pending until its request is about to be forwarded.

--- a/internal/gate/caller_conn.go
+++ b/internal/gate/caller_conn.go
@@ -1,6 +1,7 @@
 package gate
 
 import (
+	"net"
 	"net/http"
 	"time"
 )
@@ -30,6 +31,9 @@
 // protect must be called before the request is forwarded. It reports false if the
 // connection was closed because of a limit: the request must not be forwarded.
 func (c *call) protect() bool {
+	if conn, ok := c.r.Context().Value(connKey{}).(net.Conn); ok {
+		c.gate.connections.setForwarding(conn)
+	}
 	conn := c.callerConn()
 	return conn == nil || conn.Protect()
 }
--- a/internal/gate/connections.go
+++ b/internal/gate/connections.go
@@ -32,10 +32,12 @@
 	open   atomic.Int64
 	active atomic.Int64 // on which a request is read or served
 
-	mu      sync.Mutex
-	phases  map[net.Conn]*connPhase
-	idle    list.List     // of net.Conn, longest idle first
-	fresh   list.List     // of net.Conn on which no request was read yet, oldest first
+	mu     sync.Mutex
+	phases map[net.Conn]*connPhase
+	idle   list.List // of net.Conn, longest idle first
+	// pending holds the connections whose caller owes the rest of a request: those on which no
+	// head was read yet, and those whose request was not forwarded yet, longest first.
+	pending list.List     // of net.Conn
 	changed chan struct{} // a connection was closed
 	// listener is nil until LimitConnections.
 	listener net.Listener
@@ -43,10 +45,10 @@
 
 // connPhase is the state of one connection.
 type connPhase struct {
-	active bool
-	idle   *list.Element // nil: not idle
-	fresh  *list.Element // nil: a request was read
-	since  time.Time     // in this state
+	active  bool
+	idle    *list.Element // nil: not idle
+	pending *list.Element // nil: the caller owes nothing
+	since   time.Time     // in this state
 }
 
 func newConnections() *connections {
@@ -62,14 +64,11 @@
 		if state != http.StateNew {
 			return // already closed
 		}
-		c.phases[conn] = &connPhase{fresh: c.fresh.PushBack(conn), since: time.Now()}
+		c.phases[conn] = &connPhase{pending: c.pending.PushBack(conn), since: time.Now()}
 		c.open.Add(1)
 		return
 	}
-	if phase.fresh != nil {
-		c.fresh.Remove(phase.fresh)
-		phase.fresh = nil
-	}
+	c.removePending(phase)
 	if phase.idle != nil {
 		c.idle.Remove(phase.idle)
 		phase.idle = nil
@@ -83,6 +82,8 @@
 		}
 	}
 	switch state {
+	case http.StateActive:
+		phase.pending, phase.since = c.pending.PushBack(conn), time.Now()
 	case http.StateIdle:
 		phase.idle, phase.since = c.idle.PushBack(conn), time.Now()
 	case http.StateClosed, http.StateHijacked:
@@ -121,11 +122,29 @@
 	return closed
 }
 
-// hasSilent reports whether a caller has sent no whole head for minIdleTime since it connected.
+// removePending records that the caller of a connection owes nothing. The caller of the method
+// holds mu.
+func (c *connections) removePending(phase *connPhase) {
+	if phase.pending != nil {
+		c.pending.Remove(phase.pending)
+		phase.pending = nil
+	}
+}
+
+// setForwarding records that the request on a connection is about to be forwarded.
+func (c *connections) setForwarding(conn net.Conn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if phase := c.phases[conn]; phase != nil {
+		c.removePending(phase)
+	}
+}
+
+// hasSilent reports whether a caller has owed a head, or a body, for minIdleTime.
 func (c *connections) hasSilent() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	oldest := c.fresh.Front()
+	oldest := c.pending.Front()
 	if oldest == nil {
 		return false
 	}
@@ -157,7 +176,7 @@
 }
 
 // limitedListener accepts no connection while the bound is reached. Callers that connect and
-// send no request must not keep others out: while there are such connections, it accepts up to
+// send no whole request must not keep others out: while there are such connections, it accepts up to
 // the bound of the listener below, which closes them.
 type limitedListener struct {
 	net.Listener
