--- a/internal/pace/tracker.go
+++ b/internal/pace/tracker.go
@@ -16,8 +16,8 @@
 	// meanStep is the weight of an observation in the mean times of a service.
 	meanStep = 0.01
 	// minUnevenRange is the logarithm of the ratio between the slowest and the fastest
-	// target, averaged over lastingDecay, from which a service counts as uneven, 1.28, and
-	// maxEvenRange that below which it no longer does, 1.16. Queues that the gates know too
+	// target, averaged over lastingDecay, from which a service counts as uneven, 1.49, and
+	// maxEvenRange that below which it no longer does, 1.28. Queues that the gates know too
 	// late make alike targets differ by up to 1.2 for some hundred milliseconds.
 	minUnevenRange = 0.4
 	maxEvenRange   = 0.25
