Cold targets: suspensions of the machine are noticed

Cause: the age of the list of targets was measured by a clock that stops while the machine is suspended, so that only a stopped process was noticed. Found in the review, by reading.

Change: the time of the list and its age are those of the clock of the table's age. A gate that runs late does not conclude that it was suspended.

Measured: tests of target, gate and platform on cold targets pass.

--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -96,7 +96,7 @@
 	c.admissionRequest.Exclude = c.triedTargets
 	c.admissionRequest.Regions = c.allowedRegions()
 	now := g.config.Now()
-	c.admissionRequest.TargetsOutdated = g.directory.Outdated(now)
+	c.admissionRequest.TargetsOutdated = g.targetsOutdated()
 	d := g.controller.Admit(now, &c.admissionRequest, g.directory.Current().Available(c.admissionRequest.Service))
 	c.decision = d
 	if d.Refused != "" {
--- a/internal/gate/send.go
+++ b/internal/gate/send.go
@@ -65,7 +65,7 @@
 	switch {
 	case d.Cold && now-placedAt > maxColdSendDelay:
 		return errCold
-	case !d.Cold && (instance.ColdUntil > now || g.directory.Outdated(now) && g.directory.HasColdPhase(instance.Service)):
+	case !d.Cold && (instance.ColdUntil > now || g.targetsOutdated() && g.directory.HasColdPhase(instance.Service)):
 		return errCold
 	}
 	if c.recheckKey() != nil {
--- a/internal/gate/target_check.go
+++ b/internal/gate/target_check.go
@@ -94,3 +94,10 @@
 		}
 	}
 }
+
+// targetsOutdated reports whether the machine was suspended since the last list of targets.
+// The clock is that of the table's age, which includes suspended time. A gate that runs late
+// reads its lists late too.
+func (g *Gate) targetsOutdated() bool {
+	return g.directory.Outdated(g.tableCache.now()) && !g.delay.high()
+}
--- a/internal/target/cold.go
+++ b/internal/target/cold.go
@@ -56,8 +56,13 @@
 // neverOutdated is the time of a list whose age says nothing.
 const neverOutdated = time.Duration(1<<63 - 1)
 
+// MarkListed records when a list of targets was applied, on a clock that includes the time for
+// which the machine was suspended.
+func (d *Directory) MarkListed(at time.Duration) { d.listedAt.Store(int64(at)) }
+
 // Outdated reports whether this gate was suspended since the last list of targets, which may
-// have become cold meanwhile. The first list after that ends it.
+// have become cold meanwhile. The first list after that ends it. now is on the clock of
+// MarkListed.
 func (d *Directory) Outdated(now time.Duration) bool {
 	listedAt := time.Duration(d.listedAt.Load())
 	return now > listedAt && now-listedAt > maxListAge
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -81,7 +81,7 @@
 	// listedSince holds, by target ID, since when targets are listed whose first entry did not
 	// report whether they are cold.
 	listedSince map[string]time.Duration
-	// listedAt is when the last list was applied, or neverOutdated.
+	// listedAt is the time of MarkListed, or neverOutdated.
 	listedAt atomic.Int64
 }
 
@@ -135,7 +135,6 @@
 		instances = keepReportedCold(previous, instances)
 	}
 	d.recordNotWarm(previous, instances, now)
-	d.listedAt.Store(int64(now))
 	listed := d.newSnapshot(instances)
 	var change Change
 	for id, instance := range previous.byID {
