--- a/internal/overload/flooded_gate_test.go
+++ b/internal/overload/flooded_gate_test.go
@@ -25,6 +25,7 @@
 // A gate that accepts every request has a run queue of thousands: its watcher runs seconds
 // late, and callers of all workspaces time out.
 func TestFloodedGateStaysInControl(t *testing.T) {
+	t.Parallel()
 	limited := floodedGate()
 	unlimited := floodedGate()
 	unlimited.Limits = nil
@@ -44,6 +45,7 @@
 // A partitioned gate does not learn of the drain and sends on; the flood must not lengthen
 // the time for which one that knows of it does.
 func TestFloodedGateSendsNothingToDrainedTarget(t *testing.T) {
+	t.Parallel()
 	unchecked := floodedGate()
 	unchecked.NoSendCheck = true
 	unchecked.Limits = nil
--- a/internal/overload/hard_test.go
+++ b/internal/overload/hard_test.go
@@ -10,6 +10,7 @@
 // and the tenth of its requests with the longest prompts, must be served at least half as
 // often as all requests, or as the rest of its kind.
 func TestHardLoadStarvesNoKind(t *testing.T) {
+	t.Parallel()
 	for _, offered := range []float64{0.4, 0.7, 1} {
 		r := Simulate(HardLoad(1, offered, 2.2), Shares(HardLoad(1, offered, 2.2)))
 		t.Logf("offered %.1f: worth %.0f, worst tenth of workspaces %.3f", offered, r.Total.Worth, r.WorstTenth())
--- a/internal/overload/simulation_test.go
+++ b/internal/overload/simulation_test.go
@@ -8,6 +8,7 @@
 )
 
 func TestFloodWorkspacesBelowShareInTime(t *testing.T) {
+	t.Parallel()
 	load := Flood()
 	got := Simulate(load, Shares(load)).OutcomeExcept(FloodWorkspaces...)
 	withoutShares := Simulate(load, NoShares(load)).OutcomeExcept(FloodWorkspaces...)
@@ -17,6 +18,7 @@
 }
 
 func TestFloodServedEvenly(t *testing.T) {
+	t.Parallel()
 	load := Flood()
 	r := Simulate(load, Shares(load))
 	for _, name := range FloodWorkspaces {
@@ -28,6 +30,7 @@
 // Refused callers retry once. Retries within the objective are served in time; retries
 // after a second are admitted, but their responses come too late and displace others.
 func TestRefusedRequestsRetriedInTime(t *testing.T) {
+	t.Parallel()
 	load := Flood()
 	got := Simulate(load, Shares(load))
 	later := Simulate(load, WithRetryAfter(load, time.Second))
@@ -42,6 +45,7 @@
 }
 
 func TestFloodNoKindStarves(t *testing.T) {
+	t.Parallel()
 	load := Flood()
 	r := Simulate(load, Shares(load))
 	served := float64(r.Total.Requests-r.Total.Refused) / float64(r.Total.Requests)
@@ -52,6 +56,7 @@
 }
 
 func TestNoRefusalsBelowCapacity(t *testing.T) {
+	t.Parallel()
 	load := Flood()
 	load.Workspaces = load.Workspaces[4:]
 	r := Simulate(load, Shares(load))
@@ -60,6 +65,7 @@
 }
 
 func TestSimulateIsDeterministic(t *testing.T) {
+	t.Parallel()
 	load := Flood()
 	load.Length = 4 * time.Second
 	a, b := Simulate(load, Shares(load)), Simulate(load, Shares(load))
--- a/internal/overload/uneven_test.go
+++ b/internal/overload/uneven_test.go
@@ -33,6 +33,7 @@
 // Guards against requests that wait at slow plain targets while others could serve them in
 // time. At half of the capacity, all but a few can be served in time.
 func TestUnevenPlainTargetsServeInTime(t *testing.T) {
+	t.Parallel()
 	const (
 		minInTime       = 0.95
 		minInTimeUnseen = 0.9 // slowdowns of 600 ms that no figure announces
@@ -62,6 +63,7 @@
 // Guards against a deployment with alike targets being served differently: noise of the
 // observed times must not count as different speeds.
 func TestAlikePlainTargetsServedAsBefore(t *testing.T) {
+	t.Parallel()
 	for _, gates := range []int{1, 2, 6, 22} {
 		for _, offered := range []float64{0.2, 0.5, 0.7} {
 			for seed := range uint64(3) {
@@ -79,6 +81,7 @@
 // capacity, they then fill up one target after the other: with the least expected end over all
 // targets, 0.83 of the requests are in time.
 func TestGatesDoNotHerd(t *testing.T) {
+	t.Parallel()
 	const minInTime = 0.9
 	load := plainLoad(Speeds{SharedMachines: true, Figures: PaceFigures}, 0.7)
 	r, _ := comparePlain(t, load)
@@ -111,6 +114,7 @@
 // Guards against estimates that stick: a target that becomes slow must get less within a
 // few seconds, and one that becomes fast again its former part.
 func TestPlainTargetsFollowChangesInBothDirections(t *testing.T) {
+	t.Parallel()
 	slow, fast := []float64{1, 1, 1, 2.2, 0.8, 1}, []float64{1, 1, 1, 0.8, 2.2, 1}
 	load := plainLoad(Speeds{Relative: slow, Changed: fast, ChangeAt: 10 * time.Second, Figures: LoadFigures}, 0.6)
 	r := SimulatePlain(&load)
@@ -124,6 +128,7 @@
 // Guards against a gate that starts anew and sends to a slow target as if all were alike
 // until it has learned by itself.
 func TestRestartedGateLearnsFromPeers(t *testing.T) {
+	t.Parallel()
 	load := plainLoad(Speeds{Relative: []float64{1, 1, 1, 2.2, 0.8, 1}}, 0.5)
 	load.Gates = 7
 	load.RestartAt = 18 * time.Second
@@ -156,6 +161,7 @@
 // Guards against slow engines that get as much as fast ones. The gain is small: the first
 // choice of a prompt stays the engine that caches its parts.
 func TestUnevenEnginesServeMoreInTime(t *testing.T) {
+	t.Parallel()
 	var learned, ignored engineOutcome
 	kinds := make(map[string][2]Outcome)
 	for seed := range uint64(unevenRuns) {
@@ -192,6 +198,7 @@
 // Guards against a deployment with alike engines being served differently: the load that an
 // engine gets by the hash of shared prompts must not count as its speed.
 func TestAlikeEnginesServedAsBefore(t *testing.T) {
+	t.Parallel()
 	for _, gates := range []int{1, 3, 6, 22} {
 		for _, offered := range []float64{0.3, 1} {
 			t.Run(fmt.Sprint(gates, "-gates-", offered), func(t *testing.T) {
