--- a/internal/overload/crashing_test.go
+++ b/internal/overload/crashing_test.go
@@ -69,7 +69,6 @@
 }
 
 func TestCrashingPartReachesFewEnginesAfterFifthCrash(t *testing.T) {
-	t.Parallel()
 	forEachSeed(t, func(t *testing.T, seed uint64) {
 		l := crashingLoad(seed, crashingPart(1<<60))
 		r := Simulate(l, Shares(l))
@@ -80,7 +79,6 @@
 }
 
 func TestSeveralCrashingPartsReachFewEngines(t *testing.T) {
-	t.Parallel()
 	forEachSeed(t, func(t *testing.T, seed uint64) {
 		l := crashingLoad(seed, crashingPart(1<<60), crashingPart(2<<60), crashingPart(3<<60))
 		r := Simulate(l, Shares(l))
@@ -93,7 +91,6 @@
 // TestSoundRequestsBesideCrashingPartAdmitted compares the workspaces and the shared parts that
 // requests with the crashing part have as well.
 func TestSoundRequestsBesideCrashingPartAdmitted(t *testing.T) {
-	t.Parallel()
 	forEachSeed(t, func(t *testing.T, seed uint64) {
 		part := crashingPart(1 << 60)
 		part.Workspaces = []int{0}
@@ -121,7 +118,6 @@
 // TestCrashesForOtherReasonsBlockNoPart plays requests that crash engines and have no part
 // in common but those of sound requests.
 func TestCrashesForOtherReasonsBlockNoPart(t *testing.T) {
-	t.Parallel()
 	forEachSeed(t, func(t *testing.T, seed uint64) {
 		part := crashingPart(0)
 		part.WithoutPart = true
--- a/internal/overload/engines_test.go
+++ b/internal/overload/engines_test.go
@@ -27,7 +27,6 @@
 // Guards against sending requests to slow engines, of which the gates get no notice:
 // requests must go to engines that still serve them in time.
 func TestSlowEnginesWorkspacesBelowShareInTime(t *testing.T) {
-	t.Parallel()
 	load := floodWithEngines(func(l *Load) { l.SlowEngines, l.SlowdownFactor = 5, 5 })
 	r := Simulate(load, Shares(load))
 	below := r.OutcomeExcept(FloodWorkspaces...)
@@ -39,7 +38,6 @@
 // proportion. Guards against refusing long prompts of workspaces below their share
 // because the speed of the engines isn't learned during the flood.
 func TestFastEnginesLongPromptsInTime(t *testing.T) {
-	t.Parallel()
 	load := floodWithEngines(func(l *Load) {
 		l.ReadTokensPerMS = 2.5 * defaultReadTokensPerMS
 		l.Kinds = slices.Clone(requestKinds)
--- a/internal/overload/generate_test.go
+++ b/internal/overload/generate_test.go
@@ -37,7 +37,6 @@
 // Guards against tuning the policy to the known deployments only: on generated overloaded
 // deployments it must serve more in time than baselines that refuse nothing.
 func TestPolicyServesMoreThanBaselinesUnderOverload(t *testing.T) {
-	t.Parallel()
 	const overload, deployments = 1.5, 4
 	loads := deploymentsAbove(overload, deployments)
 	for name, policy := range map[string]func(*Load) func() Policy{"random": Random, "least loaded": LeastLoaded} {
@@ -49,14 +48,12 @@
 // Guards against refusing requests that the simplest baseline serves in time; one
 // deployment in twenty may be worse.
 func TestPolicyIsNoWorseThanLeastLoadedOnDrawnDeployments(t *testing.T) {
-	t.Parallel()
 	const deployments = 30
 	_, worse := comparePolicies(deploymentsAbove(0, deployments), LeastLoaded)
 	require.LessOrEqual(t, worse, deployments/20)
 }
 
 func TestGenerateDeploymentIsDeterministic(t *testing.T) {
-	t.Parallel()
 	require.Equal(t, GenerateDeployment(7), GenerateDeployment(7))
 	require.NotEqual(t, GenerateDeployment(7), GenerateDeployment(8))
 }
--- a/internal/overload/outage_test.go
+++ b/internal/overload/outage_test.go
@@ -35,7 +35,6 @@
 // Each gate finds crashed engines by its own failed sends, so a workspace that uses many
 // gates has most of them.
 func TestSpreadWorkspaceNotStarvedWhileEnginesCrash(t *testing.T) {
-	t.Parallel()
 	const loads, crashed = 8, 16
 	starved := 0
 	for seed := range uint64(loads) {
@@ -68,7 +67,6 @@
 // Guards against refusing requests within the share of a workspace that has few to choose
 // from, while the surplus of workspaces that flood a gate is admitted.
 func TestSpreadWorkspaceGetsItsShareBesideFloods(t *testing.T) {
-	t.Parallel()
 	for seed := range uint64(5) {
 		l := manyGatesLoad(seed, 0)
 		share, served := shareOf(Simulate(l, Shares(l)), l, "spread")
@@ -78,7 +76,6 @@
 
 // The workspace requests hardly more than its share.
 func TestSpreadWorkspaceJustAboveItsShareGetsItBesideFloods(t *testing.T) {
-	t.Parallel()
 	for seed := range uint64(5) {
 		l := manyGatesLoad(seed, 0)
 		l.Workspaces[2].RequestsPerSecond = 40
@@ -88,7 +85,6 @@
 }
 
 func TestOutageLosesRequestsAtCrashedEngines(t *testing.T) {
-	t.Parallel()
 	l := manyGatesLoad(0, 16)
 	l.Length = 8 * time.Second
 	r := Simulate(l, Shares(l))
--- a/internal/overload/simulation_test.go
+++ b/internal/overload/simulation_test.go
@@ -8,7 +8,6 @@
 )
 
 func TestFloodWorkspacesBelowShareInTime(t *testing.T) {
-	t.Parallel()
 	load := Flood()
 	got := Simulate(load, Shares(load)).OutcomeExcept(FloodWorkspaces...)
 	withoutShares := Simulate(load, NoShares(load)).OutcomeExcept(FloodWorkspaces...)
@@ -18,7 +17,6 @@
 }
 
 func TestFloodServedEvenly(t *testing.T) {
-	t.Parallel()
 	load := Flood()
 	r := Simulate(load, Shares(load))
 	for _, name := range FloodWorkspaces {
@@ -30,7 +28,6 @@
 // Refused callers retry once. Retries within the objective are served in time; retries
 // after a second are admitted, but their responses come too late and displace others.
 func TestRefusedRequestsRetriedInTime(t *testing.T) {
-	t.Parallel()
 	load := Flood()
 	got := Simulate(load, Shares(load))
 	later := Simulate(load, WithRetryAfter(load, time.Second))
@@ -45,7 +42,6 @@
 }
 
 func TestFloodNoKindStarves(t *testing.T) {
-	t.Parallel()
 	load := Flood()
 	r := Simulate(load, Shares(load))
 	served := float64(r.Total.Requests-r.Total.Refused) / float64(r.Total.Requests)
@@ -56,7 +52,6 @@
 }
 
 func TestNoRefusalsBelowCapacity(t *testing.T) {
-	t.Parallel()
 	load := Flood()
 	load.Workspaces = load.Workspaces[4:]
 	r := Simulate(load, Shares(load))
@@ -65,7 +60,6 @@
 }
 
 func TestSimulateIsDeterministic(t *testing.T) {
-	t.Parallel()
 	load := Flood()
 	load.Length = 4 * time.Second
 	a, b := Simulate(load, Shares(load)), Simulate(load, Shares(load))
--- a/internal/overload/starvation_test.go
+++ b/internal/overload/starvation_test.go
@@ -56,7 +56,6 @@
 }
 
 func TestNoWorkspaceStarvesOnGeneratedLoads(t *testing.T) {
-	t.Parallel()
 	const loads = 30
 	for seed := range uint64(loads) {
 		requireNoStarvation(t, generateLoad(seed, usualSlowFraction, usualOfferedLoadRange))
@@ -66,7 +65,6 @@
 // The seeds, out of 300 hard loads, that leave or once left a workspace with less than
 // half of its share for six seconds; see docs/design/admission.md.
 func TestNoWorkspaceStarvesOnHardLoads(t *testing.T) {
-	t.Parallel()
 	for _, seed := range []uint64{45, 70, 164, 49, 52, 109, 114, 199, 290, 8, 117} {
 		requireNoStarvation(t, generateLoad(seed, hardSlowFraction, hardOfferedLoadRange))
 	}
@@ -74,7 +72,6 @@
 
 // Request limits lower the capacity, at some engines only. Shares must follow it.
 func TestNoWorkspaceStarvesBesideRequestLimits(t *testing.T) {
-	t.Parallel()
 	const loads = 30
 	for seed := range uint64(loads) {
 		load := generateLoad(seed, 0, usualOfferedLoadRange)
@@ -87,7 +84,6 @@
 // All engines are limited to less than a third of the demand, which would fit without limits. A
 // workspace with most of the demand must not crowd out small ones.
 func TestSmallWorkspacesServedBesideLargeOneAtLimitedEngines(t *testing.T) {
-	t.Parallel()
 	const seeds, smallWorkspaces = 4, 10
 	var small, large Outcome
 	for seed := range uint64(seeds) {
