--- a/internal/gate/connections_test.go
+++ b/internal/gate/connections_test.go
@@ -79,6 +79,7 @@
 	c, err := net.Dial("tcp4", f.server.Listener.Addr().String())
 	require.NoError(t, err)
 	defer c.Close()
+	require.NoError(t, c.(*net.TCPConn).SetReadBuffer(4096)) //nolint:forcetypeassert // dialed by TCP
 	go func() {
 		requests := strings.Repeat("GET /p/ HTTP/1.1\r\nHost: h.example\r\nKey: unknown\r\n\r\n", 1000)
 		for {
