--- a/cmd/mastichollow-gate/start.go
+++ b/cmd/mastichollow-gate/start.go
@@ -143,7 +143,7 @@
 		Site:  admission.Site{Region: s.Region, Domain: s.Domain, Regions: s.Regions},
 		Retry: admission.RetryBudget{Ratio: s.RetryRatio, Slack: s.RetrySlack, Window: s.RetryWindow},
 
-		IgnoreSpeeds: !learnedSpeeds,
+		IgnoreSpeeds: !learnedSpeeds, SpeedsByStatedPace: true,
 	})
 	directory := target.NewDirectory(s.Regions)
 	exchange, err := peers.Listen(peers.Config{
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -95,6 +95,10 @@
 	Retry RetryBudget
 	// IgnoreSpeeds makes decisions ignore that targets of a service differ in speed.
 	IgnoreSpeeds bool
+	// SpeedsByStatedPace makes decisions use the speeds of a service only once one of its
+	// targets has stated its pace. Where no target does, speeds learned from response times
+	// alone served fewer requests in time on one of the deployments.
+	SpeedsByStatedPace bool
 }
 
 // Controller places requests on targets and tracks the load of the fleet. It is safe for
@@ -113,6 +117,7 @@
 	suspects           *suspects
 	backoffs           *backoffs
 	speeds             *pace.Tracker
+	statesPace         map[string]bool // services of which a target has stated its pace
 	requestLimits      *requestLimits
 	warmup             *warmup.Pacer
 	coldUse            ColdUse
@@ -145,6 +150,7 @@
 		suspects:           newSuspects(),
 		backoffs:           newBackoffs(),
 		speeds:             pace.NewTracker(),
+		statesPace:         make(map[string]bool),
 		requestLimits:      newRequestLimits(config.Site),
 		warmup:             warmup.NewPacer(),
 		retries:            make(map[string]*retryCounts),
--- a/internal/admission/speeds.go
+++ b/internal/admission/speeds.go
@@ -32,7 +32,7 @@
 
 // speedsOf returns the learned speeds of a service, nil if its targets are alike.
 func (c *Controller) speedsOf(now time.Duration, service string) *pace.Service {
-	if c.config.IgnoreSpeeds {
+	if c.config.IgnoreSpeeds || c.config.SpeedsByStatedPace && !c.statesPace[service] {
 		return nil
 	}
 	return c.speeds.Service(now, service)
@@ -175,6 +175,9 @@
 		others = local.InFlight - l.load.InFlight
 	}
 	l.statedPace = stated.Pace
+	if stated.Pace > 0 {
+		c.statesPace[l.target.Service] = true
+	}
 	c.speeds.State(now, l.target.Service, l.target.ID, l.target.StartedMillis, stated, others)
 }
 
