--- a/internal/admission/speeds_test.go
+++ b/internal/admission/speeds_test.go
@@ -71,6 +71,20 @@
 	}
 }
 
+// Where no target states its pace, speeds from response times alone must change nothing: they
+// cost a deployment that was served well.
+func TestSpeedsUsedOnceTargetsStateTheirPace(t *testing.T) {
+	targets := newPlainTargets(4)
+	c := NewController(Config{Site: Site{Region: "r", Domain: "d"}, SpeedsByStatedPace: true})
+	now := learnSpeeds(c, targets, 3, 1, 1, 1)
+	require.Equal(t, map[string]int{"p0": 100}, placements(c, now, targets))
+	d := c.Admit(now, plainRequest(0), targets)
+	d.Lease.RecordStatement(now, pace.Statement{Running: 1, Slots: 6, Pace: 1})
+	d.Lease.End(now, ResultWithdrawn, targets)
+	got := placements(c, now, targets)
+	require.Less(t, got["p0"], 100, "%v", got)
+}
+
 // Guards against the choice by expected end skipping the rules that come before it.
 func TestLearnedSpeedsKeepOtherRules(t *testing.T) {
 	targets := newPlainTargets(3)
