--- a/internal/gate/connections_test.go
+++ b/internal/gate/connections_test.go
@@ -71,15 +71,30 @@
 	require.False(t, activeBeforeClose)
 }
 
+// dialUnread opens a connection whose buffers hold few unread responses, whatever the limits of
+// the machine: with its own, the gate has to write megabytes before a caller blocks it.
+func (f *fixture) dialUnread(t *testing.T) net.Conn {
+	const bufferBytes = 4096
+	c, err := net.Dial("tcp4", f.server.Listener.Addr().String())
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	require.NoError(t, c.(*net.TCPConn).SetReadBuffer(bufferBytes)) //nolint:forcetypeassert // dialed by TCP
+	conns := f.gate.connections
+	require.Eventually(t, func() bool { return conns.open.Load() == 1 }, patientTimeout, time.Millisecond)
+	conns.mu.Lock()
+	defer conns.mu.Unlock()
+	for conn := range conns.phases {
+		require.NoError(t, conn.(*net.TCPConn).SetWriteBuffer(bufferBytes)) //nolint:forcetypeassert // accepted by TCP
+	}
+	return c
+}
+
 // A caller that pipelines requests which are refused by their heads, and reads no response,
 // must not keep its connection for longer than that of any other refusal.
 func TestUnreadEarlyRefusalsEndConnection(t *testing.T) {
 	f := newFixture(t, testRoutes(once), succeed("whole"))
 	f.gate.delay.mean.Store(int64(2 * overloadDelay))
-	c, err := net.Dial("tcp4", f.server.Listener.Addr().String())
-	require.NoError(t, err)
-	defer c.Close()
-	require.NoError(t, c.(*net.TCPConn).SetReadBuffer(4096)) //nolint:forcetypeassert // dialed by TCP
+	c := f.dialUnread(t)
 	go func() {
 		requests := strings.Repeat("GET /p/ HTTP/1.1\r\nHost: h.example\r\nKey: unknown\r\n\r\n", 1000)
 		for {
@@ -88,7 +103,6 @@
 			}
 		}
 	}()
-	require.Eventually(t, func() bool { return f.gate.connections.open.Load() == 1 }, patientTimeout, time.Millisecond)
 	require.Eventually(t, func() bool { return f.gate.connections.open.Load() == 0 }, patientTimeout, time.Millisecond)
 }
 
@@ -97,10 +111,7 @@
 func TestUnreadResponsesEndConnection(t *testing.T) {
 	f := newFixture(t, testRoutes(once), succeed(strings.Repeat("x", 3000)))
 	requests := strings.Repeat("GET /p/ HTTP/1.1\r\nHost: h.example\r\nKey: k\r\nId: a\r\nTimeout-Ms: 3000\r\n\r\n", 100)
-	c, err := net.Dial("tcp4", f.server.Listener.Addr().String())
-	require.NoError(t, err)
-	defer c.Close()
-	require.NoError(t, c.(*net.TCPConn).SetReadBuffer(4096)) //nolint:forcetypeassert // dialed by TCP
+	c := f.dialUnread(t)
 	go func() {
 		for {
 			if _, err := io.WriteString(c, requests); err != nil {
@@ -108,6 +119,5 @@
 			}
 		}
 	}()
-	require.Eventually(t, func() bool { return f.gate.connections.open.Load() == 1 }, patientTimeout, time.Millisecond)
 	require.Eventually(t, func() bool { return f.gate.connections.open.Load() == 0 }, 2*patientTimeout, time.Millisecond)
 }
