Metrics and lines that tell why a crashing part is not blocked

Of a presumed crash the logs did not tell how far the responses of the lost requests had got, nor what dropped the evidence against a part, nor why a request with a part at the limit was admitted.

target presumed crashed counts its requests by phase (waiting, begun, lasting), suspected part cleared names a part that was cleared of two crashes or more, with the cause, and three counters give the totals. No decision changes. Measured: TestReasonsToSuspectReported (admission).

--- a/internal/admission/crashing_parts.go
+++ b/internal/admission/crashing_parts.go
@@ -93,7 +93,41 @@
 	blocks     []partBlock
 	changed    bool // since the blocks were computed
 	computedAt time.Duration
-	changes    []PartBlockChange // not taken yet
+	changes    []PartBlockChange    // not taken yet
+	clearings  []PartClearing       // not taken yet
+	admitted   [admittedReasons]int // requests with a part at partCrashLimit, not taken yet
+}
+
+// PartClearing is the removal of the evidence against a suspected part, for logs.
+type PartClearing struct {
+	Part    uint64
+	Crashes int // removed
+	Cause   ClearingCause
+}
+
+// ClearingCause is why the evidence against a part was removed.
+type ClearingCause uint8
+
+// Causes of clearings.
+const (
+	ClearedByCompletion ClearingCause = iota // a response with the part completed at this gate
+	ClearedByLasting                         // one lasted longer than crashDelay at this gate
+	ClearedByPeer                            // either, at another gate
+	ClearedByTarget                          // a target responded after its presumed crash
+)
+
+// String returns the cause's label in metrics and logs.
+func (c ClearingCause) String() string {
+	return [...]string{"completed", "lasted", "peer", "target_alive"}[c]
+}
+
+// maxPartClearings bounds the clearings that are not taken yet.
+const maxPartClearings = 64
+
+func (p *crashingParts) recordClearing(part uint64, crashes int, cause ClearingCause) {
+	if crashes > 0 && len(p.clearings) < maxPartClearings {
+		p.clearings = append(p.clearings, PartClearing{part, crashes, cause})
+	}
 }
 
 type suspectPart struct {
@@ -216,20 +250,20 @@
 	delete(p.suspects, slices.MinFunc(slices.Collect(maps.Keys(p.suspects)), weaker))
 }
 
-// recordCompleted records that a request with the parts completed at this gate, and clears
-// them.
-func (p *crashingParts) recordCompleted(now time.Duration, parts []Part) {
+// recordCompleted records that a request with the parts completed, or lasted, at this gate,
+// and clears them.
+func (p *crashingParts) recordCompleted(now time.Duration, parts []Part, cause ClearingCause) {
 	for _, part := range sharedParts(parts) {
 		if p.suspects[part.Hash] != nil {
 			p.cleared[part.Hash] = now
 		}
-		p.clear(part.Hash, now)
+		p.clear(part.Hash, now, cause)
 	}
 }
 
 // clear removes the crashes of a part up to the time at which a request with it
 // completed.
-func (p *crashingParts) clear(part uint64, completedAt time.Duration) {
+func (p *crashingParts) clear(part uint64, completedAt time.Duration, cause ClearingCause) {
 	if len(p.completed) >= maxCompleted {
 		p.completed, p.previousCompleted = make(map[uint64]time.Duration, maxCompleted), p.completed
 	}
@@ -241,7 +275,9 @@
 		return
 	}
 	p.changed = true
+	before := len(suspect.crashes)
 	maps.DeleteFunc(suspect.crashes, func(_ TargetRun, crash *PartCrash) bool { return crash.At <= completedAt })
+	p.recordClearing(part, before-len(suspect.crashes), cause)
 	if len(suspect.crashes) == 0 {
 		delete(p.suspects, part)
 	}
@@ -286,6 +322,7 @@
 		}
 		p.changed = true
 		delete(suspect.crashes, run)
+		p.recordClearing(part, 1, ClearedByTarget)
 		if len(suspect.crashes) == 0 {
 			delete(p.suspects, part)
 		}
--- a/internal/admission/crashing_parts_test.go
+++ b/internal/admission/crashing_parts_test.go
@@ -344,7 +344,7 @@
 		p.recordCrash(loss{at: now, run: run, parts: []Part{{Hash: crashing}, {Hash: uint64(i)}, {Hash: 1}}, began: true, beganAt: now, workspace: WorkspaceID(i)})
 		p.disproveCrash(now, TargetRun(fmt.Sprint("d", i)))
 		for j := range 5 {
-			p.recordCompleted(now, []Part{{Hash: uint64(1<<40 + 5*i + j)}, {Hash: 1}})
+			p.recordCompleted(now, []Part{{Hash: uint64(1<<40 + 5*i + j)}, {Hash: 1}}, ClearedByCompletion)
 		}
 		if i%32 == 0 {
 			p.blocked(now, []Part{{Hash: 5}, {Hash: 6}}, 0)
--- a/internal/admission/lease.go
+++ b/internal/admission/lease.go
@@ -90,7 +90,7 @@
 	l.respond(now)
 	if !l.cleared && now-l.respondedAt > crashDelay {
 		l.cleared = true
-		c.suspects.parts.recordCompleted(now, l.parts)
+		c.suspects.parts.recordCompleted(now, l.parts, ClearedByLasting)
 	}
 	if l.model != nil {
 		l.observeEvent(now)
@@ -132,7 +132,7 @@
 		c.suspects.recordCompleted(now, l.fingerprint)
 		c.suspects.recordResponse(now, &l.target)
 		if l.began {
-			c.suspects.parts.recordCompleted(now, l.parts)
+			c.suspects.parts.recordCompleted(now, l.parts, ClearedByCompletion)
 		}
 	case ResultUnreachable:
 		c.suspects.recordUnreachable(now, &l.target)
--- a/internal/admission/part_reports.go
+++ b/internal/admission/part_reports.go
@@ -78,7 +78,7 @@
 // crash is reported back.
 func (p *crashingParts) merge(now time.Duration, suspects map[uint64][]PartCrash, cleared map[uint64]time.Duration) {
 	for part, age := range cleared {
-		p.clear(part, now-age)
+		p.clear(part, now-age, ClearedByPeer)
 	}
 	for part, crashes := range suspects {
 		for _, crash := range crashes {
--- a/internal/admission/suspects.go
+++ b/internal/admission/suspects.go
@@ -58,6 +58,8 @@
 	// confirmed holds the recent crashes of which this gate or a peer has evidence.
 	confirmed map[TargetRun]confirmedCrash
 	parts     *crashingParts
+	// lossesInCrashes counts the requests that were lost in crashes, not taken yet.
+	lossesInCrashes [crashPhases]int
 }
 
 // confirmedCrash is a crash for which there is evidence beside a single lost connection.
@@ -72,6 +74,34 @@
 	// Refused: a refused connection is the evidence, otherwise a second lost one.
 	Refused  bool
 	Requests int // lost at this gate until then
+	// Phases counts these requests by how far their responses had got.
+	Phases [crashPhases]int
+}
+
+// CrashPhase is how far the response to a request had got when its target crashed.
+type CrashPhase uint8
+
+// Phases of responses at a crash.
+const (
+	PhaseWaiting CrashPhase = iota // it had not begun
+	PhaseBegun                     // it had begun within crashDelay
+	PhaseLasting                   // it had lasted longer
+	crashPhases
+)
+
+// String returns the phase's label in metrics and logs.
+func (p CrashPhase) String() string { return [...]string{"waiting", "begun", "lasting"}[p] }
+
+// phase returns how far the response had got when the connection was lost.
+func (l *loss) phase() CrashPhase {
+	switch {
+	case !l.began:
+		return PhaseWaiting
+	case l.at-l.beganAt <= crashDelay:
+		return PhaseBegun
+	default:
+		return PhaseLasting
+	}
 }
 
 // maxPresumedCrashes bounds the presumed crashes that are not taken yet.
@@ -140,7 +170,11 @@
 	}
 	isNew := s.confirmCrash(now, runOf(instance), true)
 	if isNew && len(s.presumed) < maxPresumedCrashes {
-		s.presumed = append(s.presumed, PresumedCrash{Target: instance.ID, Refused: refused, Requests: len(lost)})
+		presumed := PresumedCrash{Target: instance.ID, Refused: refused, Requests: len(lost)}
+		for i := range lost {
+			presumed.Phases[lost[i].phase()]++
+		}
+		s.presumed = append(s.presumed, presumed)
 	}
 	if isNew && !refused && len(s.crashed) < maxPresumedCrashes {
 		s.crashed = append(s.crashed, instance.ID)
@@ -152,6 +186,7 @@
 
 // addLoss records that the connection of a request was lost by the crash of its target.
 func (s *suspects) addLoss(now time.Duration, l loss) {
+	s.lossesInCrashes[l.phase()]++
 	s.addCrash(now, l.at, l.fingerprint, l.run)
 	s.parts.recordCrash(l)
 }
--- a/internal/admission/suspects_test.go
+++ b/internal/admission/suspects_test.go
@@ -139,3 +139,39 @@
 	require.Len(t, reported, maxOldSuspects)
 	require.Contains(t, reported, Fingerprint(10*maxOldSuspects-1), "the latest")
 }
+
+// TestReasonsToSuspectReported guards against crashes whose part cannot be found from logs and
+// metrics: how far responses had got, what cleared a part and why a suspect was admitted.
+func TestReasonsToSuspectReported(t *testing.T) {
+	lab := newCrashLab(1)
+	gate := lab.gates[0]
+	crash := func(respond func(*Lease)) {
+		d := lab.admit(0, "w0", companion, crashing)
+		respond(d.Lease)
+		d.Lease.End(lab.now, ResultLost, lab.engines)
+		gate.RecordRefused(lab.now, &d.Target)
+		lab.engines = removeID(lab.engines, d.Target.ID)
+		lab.start()
+	}
+	crash(func(*Lease) {})
+	crash(func(l *Lease) { l.Responded(lab.now) })
+	crash(func(l *Lease) {
+		l.Responded(lab.now)
+		lab.now += 2 * crashDelay
+	})
+	require.Equal(t, map[CrashPhase]int{PhaseWaiting: 1, PhaseBegun: 1, PhaseLasting: 1}, gate.TakeLossesInCrashes())
+	require.Zero(t, gate.TakeLossesInCrashes()[PhaseBegun], "taken")
+	require.Equal(t, 1, gate.TakePresumedCrashes()[2].Phases[PhaseLasting])
+	require.Empty(t, gate.TakePartClearings())
+	require.True(t, lab.complete(0, "w0", companion))
+	clearings := gate.TakePartClearings()
+	require.Len(t, clearings, 1)
+	require.Equal(t, companion, clearings[0].Part)
+	require.Equal(t, ClearedByCompletion, clearings[0].Cause)
+	for range partCrashLimit {
+		crash(func(l *Lease) { l.Responded(lab.now) })
+	}
+	lab.now += partSettleTime
+	lab.admit(0, "w1", companion, crashing)
+	require.Equal(t, 1, gate.TakeAdmittedSuspects()[AdmittedOtherWorkspace])
+}
--- a/internal/gate/engines.go
+++ b/internal/gate/engines.go
@@ -78,13 +78,32 @@
 	}
 }
 
+// minLoggedClearing is the number of crashes from which a log line names a part that was
+// cleared of them. After each crash, most parts that were in flight are cleared of that one.
+const minLoggedClearing = 2
+
 // publishCrashes publishes the crashes of targets that the controller presumed since the
 // previous publication, and the parts of prompts that it began or ceased to block.
 func (g *Gate) publishCrashes() {
 	for _, crash := range g.controller.TakePresumedCrashes() {
 		g.metrics.presumedCrashes.Inc()
 		g.config.Events.Event(logModule, "target presumed crashed", eventlog.Text("target", crash.Target),
-			eventlog.Bool("refused", crash.Refused), eventlog.Int("requests", crash.Requests))
+			eventlog.Bool("refused", crash.Refused), eventlog.Int("requests", crash.Requests),
+			eventlog.Int("waiting", crash.Phases[admission.PhaseWaiting]), eventlog.Int("begun", crash.Phases[admission.PhaseBegun]),
+			eventlog.Int("lasting", crash.Phases[admission.PhaseLasting]))
+	}
+	for phase, count := range g.controller.TakeLossesInCrashes() {
+		g.metrics.lossesInCrashes.WithLabelValues(phase.String()).Add(float64(count))
+	}
+	for reason, count := range g.controller.TakeAdmittedSuspects() {
+		g.metrics.admittedSuspects.WithLabelValues(reason.String()).Add(float64(count))
+	}
+	for _, clearing := range g.controller.TakePartClearings() {
+		g.metrics.partClearings.WithLabelValues(clearing.Cause.String()).Inc()
+		if clearing.Crashes >= minLoggedClearing {
+			g.config.Events.Event(logModule, "suspected part cleared", eventlog.Text("part", strconv.FormatUint(clearing.Part, hexBase)),
+				eventlog.Int("crashes", clearing.Crashes), eventlog.Text("by", clearing.Cause.String()))
+		}
 	}
 	changes, blocked := g.controller.TakePartBlockChanges(g.config.Now())
 	g.metrics.blockedParts.Set(float64(blocked))
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -32,6 +32,9 @@
 	responseEnds        *prometheus.CounterVec
 	presumedCrashes     prometheus.Counter
 	blockedParts        prometheus.Gauge
+	lossesInCrashes     *prometheus.CounterVec
+	partClearings       *prometheus.CounterVec
+	admittedSuspects    *prometheus.CounterVec
 	firstByte           *prometheus.HistogramVec
 	responseDuration    *prometheus.HistogramVec
 	prefillSpeed        *prometheus.GaugeVec
@@ -73,6 +76,9 @@
 		responseEnds:        f.CounterVec("response_ends_total", "Responses of targets that were forwarded, by framing and by whether they were complete.", "framing", "end"),
 		presumedCrashes:     f.Counter("presumed_crashes_total", "Crashes of targets presumed from lost and refused connections."),
 		blockedParts:        f.Gauge("blocked_parts", "Parts of prompts that are blocked because they crash targets."),
+		lossesInCrashes:     f.CounterVec("losses_in_crashes_total", "Requests lost in presumed crashes of targets, by whether the response was waiting, had begun shortly before, or was lasting.", "phase"),
+		partClearings:       f.CounterVec("part_clearings_total", "Removals of crashes held against a part of prompts, by cause.", "cause"),
+		admittedSuspects:    f.CounterVec("admitted_suspects_total", "Requests admitted although one of their parts had reached the number of crashes from which parts are blocked, by reason.", "reason"),
 		firstByte:           f.HistogramVec("first_byte_seconds", "Time to the first byte of the response, in seconds.", latencyBuckets, "service"),
 		responseDuration:    f.HistogramVec("answer_seconds", "Time to the end of the response, in seconds.", latencyBuckets, "service"),
 		prefillSpeed:        f.GaugeVec("engine_read_tokens_per_ms", "Prompt tokens prefilled by an engine per millisecond, queueing included.", "service"),
