Parts that crash targets before the head of a response are found

Callers saw: requests with a part that crashes targets went on reaching targets, and sound requests were refused as quarantined in their place.

Cause: of the requests lost in a crash, those counted whose response had begun within the last half second, and those that still waited only if there was none. On a busy target there always is one, so a part whose targets crash before they send the head was never at the limit, and sound parts beside it were. Class: evidence that depends on how far a response got.

Change: a part that was in flight at five crashes, whatever the state of the responses, is blocked if no blocked part explains at least two of them, and a part blocked for responses that had begun gives way to one that explains the same crashes and two more. Completed responses clear parts as before.

--- a/internal/admission/crashing_parts.go
+++ b/internal/admission/crashing_parts.go
@@ -20,6 +20,9 @@
 	// partCrashBound is the number of crashes from which a part is blocked unless another
 	// part explains all of them. The platform bounds what follows the fifth crash.
 	partCrashBound = 5
+	// minFurtherCrashes is the number of crashes that a part must explain beyond those that
+	// others explain, to be blocked for being in flight at partCrashBound crashes.
+	minFurtherCrashes = 2
 	// partSettleTime is how long after that crash a part is blocked: requests with it that
 	// complete meanwhile clear it, for example after the failure of a whole domain.
 	partSettleTime = 500 * time.Millisecond
@@ -61,18 +64,20 @@
 	Run        TargetRun
 	At         time.Duration // in a report: since the crash
 	Workspaces []WorkspaceID
-	// Waiting: the response to none of the requests had begun. It is evidence only if no
-	// other request's response began shortly before the crash.
+	// Waiting: the response to none of the requests had begun. It is direct evidence only if
+	// no other request's response began shortly before the crash.
 	Waiting bool
 }
 
 // crashingParts finds the parts of prompts that crash the targets that run requests with
 // them, whatever else those requests hold.
 //
-// A part crashes a target soon after the begin of a response. So each part but the last
-// of a request whose response began within crashDelay before a crash is a suspect, and
+// Most parts crash a target soon after the begin of a response. So each part but the last
+// of a request whose response began within crashDelay before a crash is a direct suspect, and
 // those of requests that still waited if there is no such request. A response that lasts
-// longer, or completes, clears its parts.
+// longer, or completes, clears its parts. A target may also crash before it sends the head
+// of a response, beside others that have just begun: the parts of waiting requests are suspects
+// at each crash, but it takes more crashes to block them.
 //
 // Of the suspects, those are blocked that explain most crashes; crashes that they explain do
 // not count against other parts. Suspects that explain as many of the same crashes are
--- a/internal/admission/crashing_parts_test.go
+++ b/internal/admission/crashing_parts_test.go
@@ -138,6 +138,65 @@
 	}
 }
 
+// crashBesideSound has a request with the parts crash an engine at which the response to a sound
+// request has just begun, and reports whether it was admitted. respond is called with its lease.
+func (l *crashLab) crashBesideSound(gate int, sound uint64, respond func(*Lease), parts ...uint64) bool {
+	all := l.engines
+	l.engines = all[len(all)-1:] // both go to the same engine
+	crashing, beside := l.admit(gate, "w0", parts...), l.admit(gate, "w0", sound)
+	l.engines = all
+	if crashing.Lease == nil {
+		return false
+	}
+	respond(crashing.Lease)
+	if beside.Lease != nil {
+		beside.Lease.Responded(l.clock(gate))
+	}
+	l.now += 20 * time.Millisecond
+	for _, d := range []Decision{crashing, beside} {
+		if d.Lease != nil {
+			d.Lease.End(l.clock(gate), ResultLost, all)
+		}
+	}
+	l.engines = removeID(all, crashing.Target.ID)
+	l.start()
+	l.exchange(300 * time.Millisecond)
+	return true
+}
+
+// TestPartThatCrashesBeforeResponseBlocked guards against crashes that count only against the
+// responses that had just begun.
+func TestPartThatCrashesBeforeResponseBlocked(t *testing.T) {
+	lab := newCrashLab(3)
+	for i := range partCrashBound {
+		require.True(t, lab.crashBesideSound(i%3, uint64(100+i), func(*Lease) {}, companion, crashing))
+		require.True(t, lab.complete(i%3, "w0", companion))
+	}
+	lab.settle()
+	for gate := range 3 {
+		require.False(t, lab.crash(gate, "w0", companion, crashing), "gate %d", gate)
+		for i := range partCrashBound {
+			require.True(t, lab.complete(gate, "w0", companion, uint64(100+i)), "gate %d", gate)
+		}
+	}
+}
+
+// TestSoundPartInFlightAtEachCrashGivesWay covers a sound part that is blocked for crashes shortly
+// before which its responses began, until the part that causes them has been in flight at more.
+func TestSoundPartInFlightAtEachCrashGivesWay(t *testing.T) {
+	lab := newCrashLab(2)
+	for i := range partCrashLimit {
+		require.True(t, lab.crashBesideSound(i%2, companion, func(*Lease) {}, crashing))
+	}
+	lab.settle()
+	for range minFurtherCrashes {
+		require.True(t, lab.crashBesideSound(0, 300, func(*Lease) {}, crashing))
+	}
+	lab.settle()
+	require.False(t, lab.crash(0, "w0", crashing))
+	require.True(t, lab.complete(1, "w0", companion))
+}
+
 func TestSoundRequestsWithOtherPartsAdmitted(t *testing.T) {
 	lab := newCrashLab(3)
 	for i := range partCrashLimit + 1 {
--- a/internal/admission/part_blocks.go
+++ b/internal/admission/part_blocks.go
@@ -134,8 +134,8 @@
 	p.blocks, p.changed, p.computedAt = nil, false, now
 	explained := make(map[TargetRun]bool)
 	for {
-		tied, count := p.strongestSuspects(now, explained)
-		if count < partCrashLimit {
+		tied := p.nextBlocked(now, explained)
+		if len(tied) == 0 {
 			break
 		}
 		p.blocks = append(p.blocks, p.newBlock(tied))
@@ -149,6 +149,59 @@
 	p.recordChanges(previous)
 }
 
+// nextBlocked returns the parts that best explain the crashes that are not explained yet,
+// and nil if none has enough of them. The part whose responses began shortly before the crashes
+// gives way to one that was in flight at all of these crashes and at further ones.
+func (p *crashingParts) nextBlocked(now time.Duration, explained map[TargetRun]bool) []uint64 {
+	direct, count := p.strongestSuspects(now, explained)
+	if count < partCrashLimit {
+		return p.strongestInFlight(now, explained, nil)
+	}
+	if better := p.strongestInFlight(now, explained, p.suspects[direct[0]]); better != nil {
+		return better
+	}
+	return direct
+}
+
+// strongestInFlight returns the suspects, among those with at least partCrashBound crashes, that
+// were in flight at most of the crashes that are not explained yet, whatever the state of their
+// responses. Several are returned if they have the same crashes. If other is set, they must also
+// explain all of its crashes and minFurtherCrashes more.
+func (p *crashingParts) strongestInFlight(now time.Duration, explained map[TargetRun]bool, other *suspectPart) []uint64 {
+	required := minFurtherCrashes
+	if other != nil {
+		required += other.countExcept(explained)
+	}
+	var strongest []uint64
+	for _, part := range slices.Sorted(maps.Keys(p.suspects)) {
+		suspect := p.suspects[part]
+		count := suspect.countExcept(explained)
+		if len(suspect.crashes) < partCrashBound || count < required || !suspect.isCandidate(now) || other != nil && !other.isExplainedBy(suspect) {
+			continue
+		}
+		if len(strongest) > 0 && count == required {
+			first := p.suspects[strongest[0]]
+			if first.isExplainedBy(suspect) && suspect.isExplainedBy(first) {
+				strongest = append(strongest, part)
+			}
+			continue
+		}
+		strongest, required = []uint64{part}, count
+	}
+	return strongest
+}
+
+// countExcept returns the number of the suspect's crashes that are not explained.
+func (s *suspectPart) countExcept(explained map[TargetRun]bool) int {
+	count := 0
+	for run := range s.crashes {
+		if !explained[run] {
+			count++
+		}
+	}
+	return count
+}
+
 // blockAboveBound blocks the other suspects with partCrashBound crashes, except those
 // whose crashes one blocked part explains.
 func (p *crashingParts) blockAboveBound(now time.Duration) {
--- a/internal/overload/crashing.go
+++ b/internal/overload/crashing.go
@@ -22,6 +22,10 @@
 	Start             time.Duration
 	// Workspaces are the indexes of the workspaces that send it; nil: all.
 	Workspaces []int
+	// BeforeResponse: the engines crash before they send the head of the response.
+	BeforeResponse bool
+	// After is how long the response lasts until the engine crashes.
+	After time.Duration
 	// WithoutPart: the requests crash engines for another reason and have no such part.
 	WithoutPart bool
 }
@@ -75,7 +79,7 @@
 		parts := r.admissionRequest.Parts
 		r.admissionRequest.Parts = []admission.Part{parts[0], {Hash: p.Hash, Tokens: 1}, parts[1]}
 	}
-	r.crashing = outcome
+	r.crashing, r.crashingPart = outcome, p
 	outcome.SharedHashes[r.sharedHash] = true
 	if d := sim.send(now, sim.chooseGate(w), r); d.Refused == "" {
 		outcome.Placed = append(outcome.Placed, now)
@@ -89,7 +93,7 @@
 // are lost with the others.
 func (sim *simulation) crashIfBegun(now time.Duration, e *engine, finished []*job) bool {
 	for _, j := range append(slices.Clone(e.jobs), finished...) {
-		if j.request.crashing == nil || !j.started {
+		if j.request.crashing == nil || !j.started || now-j.startedAt < j.request.crashingPart.After {
 			continue
 		}
 		e.jobs = append(e.jobs, finished...)
--- a/internal/overload/engine.go
+++ b/internal/overload/engine.go
@@ -110,7 +110,9 @@
 		if !j.started && (j.remainingTokens <= j.request.outputTokens-tokensPerEvent || j.remainingTokens <= 0) {
 			j.started, j.startedAt = true, now
 			j.request.stated = e.speeds.statement(len(e.jobs), len(e.waiting), batchSlots, e.machine.pace)
-			j.request.recordFirstEvent(now + firstEventOverhead)
+			if j.request.crashing == nil || !j.request.crashingPart.BeforeResponse {
+				j.request.recordFirstEvent(now + firstEventOverhead)
+			}
 		}
 		if j.started && j.startedAt < now && (j.request.outputTokens-j.remainingTokens)%tokensPerEvent == 0 && j.request.events < reportedEvents {
 			j.request.events++
--- a/internal/overload/simulation.go
+++ b/internal/overload/simulation.go
@@ -146,6 +146,7 @@
 	retried                    bool
 	fairness                   *starvation.Meter
 	crashing                   *CrashingOutcome // nil: the request crashes no engine
+	crashingPart               *CrashingPart    // set with crashing
 	limit                      admission.RequestLimit
 	stated                     pace.Statement
 	events                     int // of the response, besides the first
