Parts that crash targets later in a response are found

Callers saw: requests with a part whose targets crash more than half a second after the head went on reaching targets.

Cause: a request whose response had lasted half a second was no evidence when its target crashed, and had cleared its parts of all crashes before, also of those that parts of it cause.

Change: a loss counts whatever the response had lasted. A response that lasts makes the earlier crashes no direct evidence, so that it takes five of them instead of four; only one that completes clears the part. So that parts of few requests are not blocked when many targets crash for other reasons, a part without direct evidence must explain a third of the crashes from its first to its last one. The reports between gates have two more fields, which gates of earlier builds ignore.

TestResponseThatLastsClearsPart is replaced: it demanded that a part stay admitted all of whose requests crash their targets, five of five, after one second. In its place, lasting responses must not lead to a block at four crashes, nor at any number with completed responses in between; responses that last at another gate take the direct evidence away; and a part none of whose responses completes is blocked at the fifth crash.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -429,7 +429,7 @@
 func (c *Controller) RestoreParts(now time.Duration, crashes map[uint64][]PartCrash) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.suspects.parts.merge(now, crashes, nil)
+	c.suspects.parts.merge(now, crashes, nil, nil)
 }
 
 // RetainTargets removes the state of targets for which live returns false. Crashes
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -290,7 +290,7 @@
 	for f := range Fingerprint(3 * maxCompleted) {
 		s.recordCompleted(3*time.Second, 100+f)
 	}
-	require.LessOrEqual(t, len(s.completed)+len(s.previousCompleted), 2*maxCompleted)
+	require.LessOrEqual(t, len(s.completed.current)+len(s.completed.previous), 2*maxCompleted)
 	crash(4 * time.Second)
 	require.True(t, s.quarantined(5*time.Second, 1, nil), "the completion was evicted")
 }
--- a/internal/admission/crashing_parts.go
+++ b/internal/admission/crashing_parts.go
@@ -23,6 +23,10 @@
 	// minFurtherCrashes is the number of crashes that a part must explain beyond those that
 	// others explain, to be blocked for being in flight at partCrashBound crashes.
 	minFurtherCrashes = 2
+	// minCrashShare is the share of the crashes in its period, from the first to the last one at
+	// which it was in flight, that such a part must explain. When many targets crash for other
+	// reasons, a part of few requests may well be lost with each of them.
+	minCrashShare = 1.0 / 3
 	// partSettleTime is how long after that crash a part is blocked: requests with it that
 	// complete meanwhile clear it, for example after the failure of a whole domain.
 	partSettleTime = 500 * time.Millisecond
@@ -64,9 +68,10 @@
 	Run        TargetRun
 	At         time.Duration // in a report: since the crash
 	Workspaces []WorkspaceID
-	// Waiting: the response to none of the requests had begun. It is direct evidence only if
-	// no other request's response began shortly before the crash.
-	Waiting bool
+	// Phase is the lowest phase of the responses to these requests. PhaseBegun is direct
+	// evidence; PhaseWaiting is so only if no other request's response began shortly before the
+	// crash.
+	Phase CrashPhase
 }
 
 // crashingParts finds the parts of prompts that crash the targets that run requests with
@@ -74,10 +79,12 @@
 //
 // Most parts crash a target soon after the begin of a response. So each part but the last
 // of a request whose response began within crashDelay before a crash is a direct suspect, and
-// those of requests that still waited if there is no such request. A response that lasts
-// longer, or completes, clears its parts. A target may also crash before it sends the head
-// of a response, beside others that have just begun: the parts of waiting requests are suspects
-// at each crash, but it takes more crashes to block them.
+// those of requests that still waited if there is no such request. A target may also crash
+// before it sends the head of a response, or later: the parts of all requests in flight are
+// suspects at each crash, but without direct evidence it takes more crashes to block them.
+//
+// A response that completes clears its parts. One that lasts longer than crashDelay makes the
+// crashes until then no direct evidence against them.
 //
 // Of the suspects, those are blocked that explain most crashes; crashes that they explain do
 // not count against other parts. Suspects that explain as many of the same crashes are
@@ -86,11 +93,13 @@
 // for these alone, so that no workspace can have a part of another one blocked.
 type crashingParts struct {
 	suspects map[uint64]*suspectPart // by part hash
-	// completed holds when a request with the part last completed at any gate. When it is
-	// full, it becomes previousCompleted.
-	completed, previousCompleted map[uint64]time.Duration
-	// cleared holds the completions at this gate that cleared suspects, for peers.
-	cleared map[uint64]time.Duration
+	// completed holds when a request with the part last completed at any gate, lasted when a
+	// response with it had lasted for crashDelay.
+	completed, lasted *recentTimes[uint64]
+	// cleared and outlasted hold those at this gate that concern suspects, for peers.
+	cleared, outlasted map[uint64]time.Duration
+	// crashed holds the crashes in which requests with parts were lost.
+	crashed map[TargetRun]time.Duration
 	// begun holds the crashes shortly before which a response began, disproved the runs of
 	// targets that responded after their presumed crash, with the time of that.
 	begun, disproved map[TargetRun]time.Duration
@@ -103,10 +112,10 @@
 	admitted   [admittedReasons]int // requests with a part at partCrashLimit, not taken yet
 }
 
-// PartClearing is the removal of the evidence against a suspected part, for logs.
+// PartClearing is the removal of evidence against a suspected part, for logs.
 type PartClearing struct {
 	Part    uint64
-	Crashes int // removed
+	Crashes int // removed, or no longer direct evidence
 	Cause   ClearingCause
 }
 
@@ -116,7 +125,7 @@
 // Causes of clearings.
 const (
 	ClearedByCompletion ClearingCause = iota // a response with the part completed at this gate
-	ClearedByLasting                         // one lasted longer than crashDelay at this gate
+	ClearedByLasting                         // one lasted for crashDelay at this gate
 	ClearedByPeer                            // either, at another gate
 	ClearedByTarget                          // a target responded after its presumed crash
 )
@@ -145,8 +154,9 @@
 
 func newCrashingParts() *crashingParts {
 	return &crashingParts{
-		suspects: make(map[uint64]*suspectPart), completed: make(map[uint64]time.Duration), cleared: make(map[uint64]time.Duration),
-		begun: make(map[TargetRun]time.Duration), disproved: make(map[TargetRun]time.Duration),
+		suspects: make(map[uint64]*suspectPart), completed: newRecentTimes[uint64](), lasted: newRecentTimes[uint64](),
+		cleared: make(map[uint64]time.Duration), outlasted: make(map[uint64]time.Duration),
+		crashed: make(map[TargetRun]time.Duration), begun: make(map[TargetRun]time.Duration), disproved: make(map[TargetRun]time.Duration),
 	}
 }
 
@@ -155,11 +165,8 @@
 
 // recordCrash records that a request was in flight at a crash.
 func (p *crashingParts) recordCrash(lost loss) {
-	if lost.began && lost.at-lost.beganAt > crashDelay {
-		return
-	}
 	for _, part := range sharedParts(lost.parts) {
-		p.addCrash(part.Hash, PartCrash{Run: lost.run, At: lost.at, Workspaces: []WorkspaceID{lost.workspace}, Waiting: !lost.began})
+		p.addCrash(part.Hash, PartCrash{Run: lost.run, At: lost.at, Workspaces: []WorkspaceID{lost.workspace}, Phase: lost.phase()})
 	}
 }
 
@@ -169,13 +176,19 @@
 	if p.disprovedAfter(crash.Run, crash.At) {
 		return
 	}
-	if _, begun := p.begun[crash.Run]; !begun && !crash.Waiting {
+	if _, known := p.crashed[crash.Run]; !known {
+		setBounded(p.crashed, crash.Run, crash.At)
+	}
+	if _, begun := p.begun[crash.Run]; !begun && crash.Phase == PhaseBegun {
 		setBounded(p.begun, crash.Run, crash.At)
 		p.changed = true
 	}
 	if p.completedSince(part, crash.At) {
 		return
 	}
+	if lastedAt, ok := p.lasted.at(part); ok && crash.At <= lastedAt {
+		crash.Phase = PhaseLasting
+	}
 	suspect := p.suspects[part]
 	if suspect == nil {
 		p.makeRoom()
@@ -183,8 +196,8 @@
 		p.suspects[part] = suspect
 	}
 	if known := suspect.crashes[crash.Run]; known != nil {
-		if known.Waiting && !crash.Waiting {
-			known.Waiting, p.changed = false, true
+		if crash.Phase < known.Phase {
+			known.Phase, p.changed = crash.Phase, true
 		}
 		for _, workspace := range crash.Workspaces {
 			if len(known.Workspaces) < maxCrashWorkspaces && !slices.Contains(known.Workspaces, workspace) {
@@ -255,26 +268,21 @@
 	delete(p.suspects, slices.MinFunc(slices.Collect(maps.Keys(p.suspects)), weaker))
 }
 
-// recordCompleted records that a request with the parts completed, or lasted, at this gate,
-// and clears them.
-func (p *crashingParts) recordCompleted(now time.Duration, parts []Part, cause ClearingCause) {
+// recordCompleted records that a request with the parts completed at this gate, and clears
+// them.
+func (p *crashingParts) recordCompleted(now time.Duration, parts []Part) {
 	for _, part := range sharedParts(parts) {
 		if p.suspects[part.Hash] != nil {
 			p.cleared[part.Hash] = now
 		}
-		p.clear(part.Hash, now, cause)
+		p.clear(part.Hash, now, ClearedByCompletion)
 	}
 }
 
 // clear removes the crashes of a part up to the time at which a request with it
 // completed.
 func (p *crashingParts) clear(part uint64, completedAt time.Duration, cause ClearingCause) {
-	if len(p.completed) >= maxCompleted {
-		p.completed, p.previousCompleted = make(map[uint64]time.Duration, maxCompleted), p.completed
-	}
-	if !p.completedSince(part, completedAt) {
-		p.completed[part] = completedAt
-	}
+	p.completed.record(part, completedAt)
 	suspect := p.suspects[part]
 	if suspect == nil {
 		return
@@ -288,23 +296,45 @@
 	}
 }
 
-// completedSince reports whether a request with the part completed later than at. Times
-// from before the start of this gate are negative.
-func (p *crashingParts) completedSince(part uint64, at time.Duration) bool {
-	completedAt, ok := p.completed[part]
-	if !ok {
-		completedAt, ok = p.previousCompleted[part]
+// recordLasted records that a response with the parts has lasted for crashDelay at this gate.
+func (p *crashingParts) recordLasted(now time.Duration, parts []Part) {
+	for _, part := range sharedParts(parts) {
+		if p.suspects[part.Hash] != nil {
+			p.outlasted[part.Hash] = now
+		}
+		p.outlast(part.Hash, now, ClearedByLasting)
 	}
+}
+
+// outlast makes the crashes of a part up to the time at which a response with it had lasted no
+// direct evidence.
+func (p *crashingParts) outlast(part uint64, lastedAt time.Duration, cause ClearingCause) {
+	p.lasted.record(part, lastedAt)
+	suspect := p.suspects[part]
+	if suspect == nil {
+		return
+	}
+	outlasted := 0
+	for _, crash := range suspect.crashes {
+		if crash.At <= lastedAt && crash.Phase != PhaseLasting {
+			crash.Phase, p.changed = PhaseLasting, true
+			outlasted++
+		}
+	}
+	p.recordClearing(part, outlasted, cause)
+}
+
+// completedSince reports whether a request with the part completed later than at.
+func (p *crashingParts) completedSince(part uint64, at time.Duration) bool {
+	completedAt, ok := p.completed.at(part)
 	return ok && completedAt > at
 }
 
 // reportCompleted has the last completion of a request with the part reported to peers.
 func (p *crashingParts) reportCompleted(part uint64) {
-	at, ok := p.completed[part]
-	if !ok {
-		at = p.previousCompleted[part]
+	if at, ok := p.completed.at(part); ok {
+		p.cleared[part] = at
 	}
-	p.cleared[part] = at
 }
 
 // disprovedAfter reports whether the run responded at the time at or later, which disproves
@@ -321,6 +351,7 @@
 	}
 	setBounded(p.disproved, run, respondedAt)
 	delete(p.begun, run)
+	delete(p.crashed, run)
 	for part, suspect := range p.suspects {
 		if crash := suspect.crashes[run]; crash == nil || crash.At > respondedAt {
 			continue
--- a/internal/admission/crashing_parts_test.go
+++ b/internal/admission/crashing_parts_test.go
@@ -328,20 +328,66 @@
 	require.Empty(t, lab.gates[0].Admit(lab.now, alike, lab.engines).Refused)
 }
 
-func TestResponseThatLastsClearsPart(t *testing.T) {
+// crashWhileLasting has a request with the parts crash an engine when its response has lasted, and
+// reports whether it was admitted.
+func (l *crashLab) crashWhileLasting(gate int, workspace string, parts ...uint64) bool {
+	d := l.admit(gate, workspace, parts...)
+	if d.Lease == nil {
+		return false
+	}
+	d.Lease.Began(l.clock(gate))
+	l.now += 2 * crashDelay
+	d.Lease.Began(l.clock(gate))
+	d.Lease.End(l.clock(gate), ResultLost, l.engines)
+	l.gates[gate].RecordRefused(l.clock(gate), &d.Target)
+	l.engines = removeID(l.engines, d.Target.ID)
+	l.start()
+	return true
+}
+
+// TestResponseThatLastsIsNoDirectEvidence guards against a sound part that is blocked since its
+// long responses are in flight when engines crash: it takes as many crashes as a part may cause
+// at most, and no response with it that completes in between.
+func TestResponseThatLastsIsNoDirectEvidence(t *testing.T) {
+	lab := newCrashLab(2)
+	for round := range 3 {
+		for i := range partCrashBound - 1 {
+			require.True(t, lab.crashWhileLasting(i%2, workspaceOf(i), companion), "round %d", round)
+		}
+		lab.settle()
+		require.True(t, lab.complete(round%2, "w0", companion), "round %d", round)
+		lab.settle()
+	}
+}
+
+// TestLastingResponseAtAnyGateIsNoDirectEvidence covers a part whose responses have begun shortly
+// before crashes at one gate while they last at another.
+func TestLastingResponseAtAnyGateIsNoDirectEvidence(t *testing.T) {
+	lab := newCrashLab(2)
+	lasting := lab.admit(1, "w9", companion)
+	lasting.Lease.Began(lab.clock(1))
+	for i := range partCrashLimit {
+		require.True(t, lab.crash(0, workspaceOf(i), companion))
+	}
+	lab.now += 2 * crashDelay
+	lasting.Lease.Began(lab.clock(1))
+	lab.settle()
+	require.True(t, lab.crash(0, "w0", companion))
+}
+
+// TestPartThatCrashesWhileStreamingBlocked guards against crashes that clear the part that causes
+// them, because the response had lasted.
+func TestPartThatCrashesWhileStreamingBlocked(t *testing.T) {
 	lab := newCrashLab(2)
 	for i := range partCrashBound {
-		d := lab.admit(i%2, workspaceOf(i), companion)
-		d.Lease.Began(lab.now)
-		lab.now += 2 * crashDelay
-		d.Lease.Began(lab.now)
-		d.Lease.End(lab.now, ResultLost, lab.engines)
-		lab.gates[i%2].suspects.recordUnreachable(lab.now, &d.Target)
-		lab.engines = removeID(lab.engines, d.Target.ID)
-		lab.start()
+		require.True(t, lab.crashWhileLasting(i%2, workspaceOf(i), companion, crashing))
+		require.True(t, lab.complete(i%2, "w0", companion))
 	}
 	lab.settle()
-	require.True(t, lab.complete(0, "w0", companion))
+	for gate := range 2 {
+		require.False(t, lab.crashWhileLasting(gate, "w0", companion, crashing), "gate %d", gate)
+		require.True(t, lab.complete(gate, "w0", companion), "gate %d", gate)
+	}
 }
 
 func TestGateThatStartsLearnsBlockedParts(t *testing.T) {
@@ -403,7 +449,8 @@
 		p.recordCrash(loss{at: now, run: run, parts: []Part{{Hash: crashing}, {Hash: uint64(i)}, {Hash: 1}}, began: true, beganAt: now, workspace: WorkspaceID(i)})
 		p.disproveCrash(now, TargetRun(fmt.Sprint("d", i)))
 		for j := range 5 {
-			p.recordCompleted(now, []Part{{Hash: uint64(1<<40 + 5*i + j)}, {Hash: 1}}, ClearedByCompletion)
+			p.recordCompleted(now, []Part{{Hash: uint64(1<<40 + 5*i + j)}, {Hash: 1}})
+			p.recordLasted(now, []Part{{Hash: uint64(1<<40 + 5*i + j)}, {Hash: 1}})
 		}
 		if i%32 == 0 {
 			p.blocked(now, []Part{{Hash: 5}, {Hash: 6}}, 0)
@@ -412,13 +459,16 @@
 	require.LessOrEqual(t, len(p.suspects), maxSuspectParts)
 	require.LessOrEqual(t, len(p.suspects[crashing].crashes), maxPartCrashes)
 	require.LessOrEqual(t, len(p.begun), maxCrashedRuns)
+	require.LessOrEqual(t, len(p.crashed), maxCrashedRuns)
 	require.LessOrEqual(t, len(p.disproved), maxCrashedRuns)
-	require.LessOrEqual(t, len(p.completed)+len(p.previousCompleted), 2*maxCompleted)
+	require.LessOrEqual(t, len(p.completed.current)+len(p.completed.previous), 2*maxCompleted)
+	require.LessOrEqual(t, len(p.lasted.current)+len(p.lasted.previous), 2*maxCompleted)
 	require.LessOrEqual(t, len(p.changes), maxPartChanges)
 	now := crashes * time.Millisecond
 	require.NotNil(t, p.blocked(now+partSettleTime, []Part{{Hash: crashing}, {Hash: 1}}, 0))
-	suspects, cleared := p.report(now)
-	require.LessOrEqual(t, len(suspects)+len(cleared), 2*maxReportedParts)
+	require.LessOrEqual(t, len(p.report(now)), maxReportedParts)
+	require.LessOrEqual(t, len(reportTimes(now, p.cleared)), maxReportedParts)
+	require.LessOrEqual(t, len(reportTimes(now, p.outlasted)), maxReportedParts)
 	p.computeBlocks(now + 3*partBlockTime)
 	require.Empty(t, p.suspects)
 	require.Empty(t, p.blocks)
--- a/internal/admission/lease.go
+++ b/internal/admission/lease.go
@@ -59,7 +59,7 @@
 	began, ended      bool
 	responded         bool          // the head of the response arrived
 	respondedAt       time.Duration // then
-	cleared           bool          // the response lasted long enough to clear the parts
+	lasted            bool          // the response has lasted for crashDelay
 	relativeLoad      float64       // of the target before placement, relative to its slots
 	statedPace        float64       // that the response stated; 0: none
 	events            int           // of the response, as far as observed
@@ -88,9 +88,9 @@
 	defer c.mu.Unlock()
 	l.began = true
 	l.respond(now)
-	if !l.cleared && now-l.respondedAt > crashDelay {
-		l.cleared = true
-		c.suspects.parts.recordCompleted(now, l.parts, ClearedByLasting)
+	if !l.lasted && now-l.respondedAt > crashDelay {
+		l.lasted = true
+		c.suspects.parts.recordLasted(now, l.parts)
 	}
 	if l.model != nil {
 		l.observeEvent(now)
@@ -132,7 +132,7 @@
 		c.suspects.recordCompleted(now, l.fingerprint)
 		c.suspects.recordResponse(now, &l.target)
 		if l.began {
-			c.suspects.parts.recordCompleted(now, l.parts, ClearedByCompletion)
+			c.suspects.parts.recordCompleted(now, l.parts)
 		}
 	case ResultUnreachable:
 		c.suspects.recordUnreachable(now, &l.target)
--- a/internal/admission/part_blocks.go
+++ b/internal/admission/part_blocks.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"math"
 	"slices"
 	"time"
 )
@@ -164,19 +165,22 @@
 }
 
 // strongestInFlight returns the suspects, among those with at least partCrashBound crashes, that
-// were in flight at most of the crashes that are not explained yet, whatever the state of their
+// were in flight at most of the crashes that are not explained yet, whatever the phase of their
 // responses. Several are returned if they have the same crashes. If other is set, they must also
-// explain all of its crashes and minFurtherCrashes more.
+// explain all that is direct evidence against it and minFurtherCrashes more.
 func (p *crashingParts) strongestInFlight(now time.Duration, explained map[TargetRun]bool, other *suspectPart) []uint64 {
 	required := minFurtherCrashes
 	if other != nil {
-		required += other.countExcept(explained)
+		required += p.directCrashes(other, explained)
 	}
 	var strongest []uint64
 	for _, part := range slices.Sorted(maps.Keys(p.suspects)) {
 		suspect := p.suspects[part]
 		count := suspect.countExcept(explained)
-		if len(suspect.crashes) < partCrashBound || count < required || !suspect.isCandidate(now) || other != nil && !other.isExplainedBy(suspect) {
+		if len(suspect.crashes) < partCrashBound || count < required || !suspect.isCandidate(now) || other != nil && !p.isDirectlyExplainedBy(other, suspect) {
+			continue
+		}
+		if float64(count) < minCrashShare*float64(p.crashesInPeriodOf(suspect, explained)) {
 			continue
 		}
 		if len(strongest) > 0 && count == required {
@@ -191,6 +195,24 @@
 	return strongest
 }
 
+// crashesInPeriodOf returns the number of crashes that are not explained, from the first to the
+// last one of the suspect.
+func (p *crashingParts) crashesInPeriodOf(s *suspectPart, explained map[TargetRun]bool) int {
+	first, last := time.Duration(math.MaxInt64), never
+	for run, crash := range s.crashes {
+		if !explained[run] {
+			first, last = min(first, crash.At), max(last, crash.At)
+		}
+	}
+	count := 0
+	for run, at := range p.crashed {
+		if !explained[run] && at >= first && at <= last {
+			count++
+		}
+	}
+	return count
+}
+
 // countExcept returns the number of the suspect's crashes that are not explained.
 func (s *suspectPart) countExcept(explained map[TargetRun]bool) int {
 	count := 0
@@ -211,8 +233,8 @@
 	}
 	for _, part := range slices.Sorted(maps.Keys(p.suspects)) {
 		suspect := p.suspects[part]
-		explains := func(other uint64) bool { return suspect.isExplainedBy(p.suspects[other]) }
-		if suspect.isCandidate(now) && p.unexplainedCrashes(suspect, nil) >= partCrashBound && !slices.ContainsFunc(blocked, explains) {
+		explains := func(other uint64) bool { return p.isDirectlyExplainedBy(suspect, p.suspects[other]) }
+		if suspect.isCandidate(now) && p.directCrashes(suspect, nil) >= partCrashBound && !slices.ContainsFunc(blocked, explains) {
 			p.blocks = append(p.blocks, p.newBlock([]uint64{part}))
 		}
 	}
@@ -244,7 +266,7 @@
 		if !suspect.isCandidate(now) {
 			continue
 		}
-		count := p.unexplainedCrashes(suspect, explained)
+		count := p.directCrashes(suspect, explained)
 		if count > most {
 			strongest, most = strongest[:0], count
 		}
@@ -260,27 +282,43 @@
 	return slices.DeleteFunc(strongest, func(part uint64) bool {
 		other := p.suspects[part]
 		if most >= partCrashBound {
-			return !first.isExplainedBy(other) || !other.isExplainedBy(first)
+			return !p.isDirectlyExplainedBy(first, other) || !p.isDirectlyExplainedBy(other, first)
 		}
 		return !first.sharesCrash(other, explained)
 	}), most
 }
 
-// unexplainedCrashes returns the number of crashes that count against a suspect and are
-// not explained yet.
-func (p *crashingParts) unexplainedCrashes(s *suspectPart, explained map[TargetRun]bool) int {
+// directCrashes returns the number of crashes that are direct evidence against a suspect and
+// are not explained yet.
+func (p *crashingParts) directCrashes(s *suspectPart, explained map[TargetRun]bool) int {
 	count := 0
-	for run, crash := range s.crashes {
-		if explained[run] {
-			continue
-		}
-		if _, begun := p.begun[run]; !crash.Waiting || !begun {
+	for run := range s.crashes {
+		if !explained[run] && p.isDirect(s, run) {
 			count++
 		}
 	}
 	return count
 }
 
+// isDirect reports whether a crash is direct evidence against a suspect: its response began
+// shortly before, or waited while no other one had begun.
+func (p *crashingParts) isDirect(s *suspectPart, run TargetRun) bool {
+	_, begun := p.begun[run]
+	phase := s.crashes[run].Phase
+	return phase == PhaseBegun || phase == PhaseWaiting && !begun
+}
+
+// isDirectlyExplainedBy reports whether requests with the other part were in flight at all
+// crashes that are direct evidence against the suspect.
+func (p *crashingParts) isDirectlyExplainedBy(s, other *suspectPart) bool {
+	for run := range s.crashes {
+		if p.isDirect(s, run) && other.crashes[run] == nil {
+			return false
+		}
+	}
+	return true
+}
+
 func (s *suspectPart) sharesCrash(other *suspectPart, explained map[TargetRun]bool) bool {
 	for run := range s.crashes {
 		if !explained[run] && other.crashes[run] != nil {
--- a/internal/admission/part_reports.go
+++ b/internal/admission/part_reports.go
@@ -26,9 +26,8 @@
 }
 
 // report returns the suspects for peers: those with a recent crash, and those at the limit,
-// which gates that have just started must learn too. It also returns the parts that
-// requests completed at this gate cleared, with the time since.
-func (p *crashingParts) report(now time.Duration) (suspects map[uint64][]PartCrash, cleared map[uint64]time.Duration) {
+// which gates that have just started must learn too.
+func (p *crashingParts) report(now time.Duration) map[uint64][]PartCrash {
 	var reported []uint64
 	for part, suspect := range p.suspects {
 		if now-suspect.lastCrash <= suspectReportAge || len(suspect.crashes) >= partCrashLimit && !suspect.expired(now) {
@@ -39,18 +38,24 @@
 		s, t := p.suspects[a], p.suspects[b]
 		return cmp.Or(cmp.Compare(len(t.crashes), len(s.crashes)), cmp.Compare(t.lastCrash, s.lastCrash), cmp.Compare(a, b))
 	})
-	suspects = make(map[uint64][]PartCrash)
+	suspects := make(map[uint64][]PartCrash)
 	for _, part := range reported[:min(len(reported), maxReportedParts)] {
 		suspects[part] = p.agedCrashes(now, part)
 	}
-	maps.DeleteFunc(p.cleared, func(_ uint64, at time.Duration) bool { return now-at > suspectReportAge })
-	cleared = make(map[uint64]time.Duration)
-	for part, at := range p.cleared {
-		if len(cleared) < maxReportedParts {
-			cleared[part] = now - at
+	return suspects
+}
+
+// reportTimes returns the recent ones of the times of parts, cleared or outlasted, as the time
+// since, and removes the others.
+func reportTimes(now time.Duration, times map[uint64]time.Duration) map[uint64]time.Duration {
+	maps.DeleteFunc(times, func(_ uint64, at time.Duration) bool { return now-at > suspectReportAge })
+	ages := make(map[uint64]time.Duration)
+	for part, at := range times {
+		if len(ages) < maxReportedParts {
+			ages[part] = now - at
 		}
 	}
-	return suspects, cleared
+	return ages
 }
 
 // blockedCrashes returns the newest crashes of the blocked parts, with the time since.
@@ -69,14 +74,17 @@
 func (p *crashingParts) agedCrashes(now time.Duration, part uint64) []PartCrash {
 	var crashes []PartCrash
 	for _, crash := range p.suspects[part].newestCrashes(maxReportedCrashes) {
-		crashes = append(crashes, PartCrash{Run: crash.Run, At: now - crash.At, Workspaces: slices.Clone(crash.Workspaces), Waiting: crash.Waiting})
+		crashes = append(crashes, PartCrash{Run: crash.Run, At: now - crash.At, Workspaces: slices.Clone(crash.Workspaces), Phase: crash.Phase})
 	}
 	return crashes
 }
 
 // merge applies the report of a peer. A completion at this gate that is newer than a
 // crash is reported back.
-func (p *crashingParts) merge(now time.Duration, suspects map[uint64][]PartCrash, cleared map[uint64]time.Duration) {
+func (p *crashingParts) merge(now time.Duration, suspects map[uint64][]PartCrash, cleared, outlasted map[uint64]time.Duration) {
+	for part, age := range outlasted {
+		p.outlast(part, now-age, ClearedByPeer)
+	}
 	for part, age := range cleared {
 		p.clear(part, now-age, ClearedByPeer)
 	}
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -18,12 +18,14 @@
 	Suspects map[Fingerprint]map[TargetRun]time.Duration
 	// Crashes holds the recent crashes of which the gate has evidence, with the time since.
 	Crashes map[TargetRun]time.Duration
-	// SuspectParts holds the crashes of the parts of prompts that the gate suspects, and
-	// ClearedParts the time since a request with a suspected part completed at it.
+	// SuspectParts holds the crashes of the parts of prompts that the gate suspects, ClearedParts
+	// the time since a request with a suspected part completed at it, and OutlastedParts the
+	// time since a response with one had lasted longer than most crashes take.
 	// DisprovedCrashes holds the time since targets responded after their presumed crash.
 	DisprovedCrashes map[TargetRun]time.Duration
 	SuspectParts     map[uint64][]PartCrash
 	ClearedParts     map[uint64]time.Duration
+	OutlastedParts   map[uint64]time.Duration
 	// Estimates holds the gate's own engine estimates, by service.
 	Estimates map[string]EngineEstimate
 	// Backoffs holds the backoffs that targets requested of the gate, by target ID.
@@ -39,9 +41,10 @@
 func (c *Controller) Report(now time.Duration) Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	suspectParts, clearedParts := c.suspects.parts.report(now)
+	parts := c.suspects.parts
 	return Report{
-		Crashes: c.suspects.listConfirmed(now), SuspectParts: suspectParts, ClearedParts: clearedParts, DisprovedCrashes: c.suspects.parts.listDisproved(now),
+		Crashes: c.suspects.listConfirmed(now), SuspectParts: parts.report(now), DisprovedCrashes: parts.listDisproved(now),
+		ClearedParts: reportTimes(now, parts.cleared), OutlastedParts: reportTimes(now, parts.outlasted),
 		Loads: c.loads.localLoads(), Usage: c.usageTracker.localUsage(now), Suspects: c.suspects.report(now), Backoffs: c.backoffs.listLocal(now), Estimates: c.localEstimates(),
 		RequestLimits: c.requestLimits.report(now), Speeds: c.reportSpeeds(now),
 	}
@@ -93,7 +96,7 @@
 	for run, age := range report.Crashes {
 		c.suspects.mergeConfirmed(now, run, age)
 	}
-	c.suspects.parts.merge(now, report.SuspectParts, report.ClearedParts)
+	c.suspects.parts.merge(now, report.SuspectParts, report.ClearedParts, report.OutlastedParts)
 }
 
 // SetPeerReportLifetime sets how long a peer's report counts, but at least
--- a/internal/admission/suspects.go
+++ b/internal/admission/suspects.go
@@ -49,10 +49,9 @@
 	losses    map[string][]loss           // by target ID, within the last crashWindow
 	crashedAt map[TargetRun]time.Duration // presumed crashes of the last maxDisproofDelay
 	// completed holds the times at which requests completed. Requests that are sent over
-	// and over are in flight whenever a target crashes, and are no suspects. When
-	// completed is full, it becomes previousCompleted.
-	completed, previousCompleted map[Fingerprint]time.Duration
-	presumed                     []PresumedCrash // not taken yet
+	// and over are in flight whenever a target crashes, and are no suspects.
+	completed *recentTimes[Fingerprint]
+	presumed  []PresumedCrash // not taken yet
 	// crashed holds the targets whose crash a second lost connection shows, not taken yet.
 	crashed []string
 	// confirmed holds the recent crashes of which this gate or a peer has evidence.
@@ -78,19 +77,20 @@
 	Phases [crashPhases]int
 }
 
-// CrashPhase is how far the response to a request had got when its target crashed.
+// CrashPhase is how far the response to a request had got when its target crashed. Of two
+// requests, the lower phase is the stronger evidence.
 type CrashPhase uint8
 
 // Phases of responses at a crash.
 const (
-	PhaseWaiting CrashPhase = iota // it had not begun
-	PhaseBegun                     // it had begun within crashDelay
+	PhaseBegun   CrashPhase = iota // it had begun within crashDelay
+	PhaseWaiting                   // it had not begun
 	PhaseLasting                   // it had lasted longer
 	crashPhases
 )
 
 // String returns the phase's label in metrics and logs.
-func (p CrashPhase) String() string { return [...]string{"waiting", "begun", "lasting"}[p] }
+func (p CrashPhase) String() string { return [...]string{"begun", "waiting", "lasting"}[p] }
 
 // phase returns how far the response had got when the connection was lost.
 func (l *loss) phase() CrashPhase {
@@ -127,7 +127,7 @@
 	return &suspects{
 		crashes: make(map[Fingerprint]*suspect), losses: make(map[string][]loss),
 		crashedAt: make(map[TargetRun]time.Duration),
-		completed: make(map[Fingerprint]time.Duration), confirmed: make(map[TargetRun]confirmedCrash), parts: newCrashingParts(),
+		completed: newRecentTimes[Fingerprint](), confirmed: make(map[TargetRun]confirmedCrash), parts: newCrashingParts(),
 	}
 }
 
@@ -317,18 +317,12 @@
 // against it.
 func (s *suspects) recordCompleted(now time.Duration, f Fingerprint) {
 	delete(s.crashes, f)
-	if len(s.completed) >= maxCompleted {
-		s.completed, s.previousCompleted = make(map[Fingerprint]time.Duration, maxCompleted), s.completed
-	}
-	s.completed[f] = now
+	s.completed.record(f, now)
 }
 
 // completedRecently reports whether the request completed within suspectLifetime.
 func (s *suspects) completedRecently(now time.Duration, f Fingerprint) bool {
-	at, ok := s.completed[f]
-	if !ok {
-		at, ok = s.previousCompleted[f]
-	}
+	at, ok := s.completed.at(f)
 	return ok && now-at < suspectLifetime
 }
 
--- a/internal/overload/crashing.go
+++ b/internal/overload/crashing.go
@@ -89,11 +89,11 @@
 }
 
 // crashIfBegun crashes the engine if it has begun the response to a request with a
-// crashing part, and reports whether it did. The requests that finished in the same step
-// are lost with the others.
+// crashing part, and that has lasted as long as the part says or is complete. It reports whether
+// it did. The requests that finished in the same step are lost with the others.
 func (sim *simulation) crashIfBegun(now time.Duration, e *engine, finished []*job) bool {
 	for _, j := range append(slices.Clone(e.jobs), finished...) {
-		if j.request.crashing == nil || !j.started || now-j.startedAt < j.request.crashingPart.After {
+		if j.request.crashing == nil || !j.started || now-j.startedAt < j.request.crashingPart.After && !slices.Contains(finished, j) {
 			continue
 		}
 		e.jobs = append(e.jobs, finished...)
--- a/internal/overload/crashing_test.go
+++ b/internal/overload/crashing_test.go
@@ -89,6 +89,17 @@
 	})
 }
 
+func TestPartThatCrashesWhileStreamingReachesFewEngines(t *testing.T) {
+	forEachSeed(t, func(t *testing.T, seed uint64) {
+		part := crashingPart(1 << 60)
+		part.After = 700 * time.Millisecond
+		l := crashingLoad(seed, part)
+		r := Simulate(l, Shares(l))
+		require.LessOrEqual(t, r.Crashing[0].PlacedAfter(boundingCrash, contactTime), maxPlacedAfter)
+		require.Zero(t, r.Quarantined, "sound requests refused as quarantined")
+	})
+}
+
 func TestSeveralCrashingPartsReachFewEngines(t *testing.T) {
 	forEachSeed(t, func(t *testing.T, seed uint64) {
 		l := crashingLoad(seed, crashingPart(1<<60), crashingPart(2<<60), crashingPart(3<<60))
--- a/internal/peers/crashes.go
+++ b/internal/peers/crashes.go
@@ -15,6 +15,11 @@
 	// SuspectParts holds the crashes of parts of prompts, by part hash.
 	SuspectParts map[uint64][]partCrashMessage `cbor:"4,keyasint,omitempty"`
 	ClearedParts map[uint64]int64              `cbor:"5,keyasint,omitempty"`
+	// LastingParts holds the crashes of parts that are no direct evidence, and OutlastedParts the
+	// time since responses with the part had lasted. Gates of earlier builds ignore both and
+	// suspect the parts less.
+	LastingParts   map[uint64][]partCrashMessage `cbor:"7,keyasint,omitempty"`
+	OutlastedParts map[uint64]int64              `cbor:"8,keyasint,omitempty"`
 	// Suspects holds, by request fingerprint, the crashes while it ran.
 	Suspects map[uint64]map[int]int64 `cbor:"6,keyasint,omitempty"`
 }
@@ -29,11 +34,12 @@
 
 // encodeCrashes returns nil if the report has no crashes.
 func encodeCrashes(report *admission.Report) *crashMessage {
-	if len(report.Crashes)+len(report.DisprovedCrashes)+len(report.SuspectParts)+len(report.ClearedParts)+len(report.Suspects) == 0 {
+	if len(report.Crashes)+len(report.DisprovedCrashes)+len(report.SuspectParts)+len(report.ClearedParts)+len(report.OutlastedParts)+len(report.Suspects) == 0 {
 		return nil
 	}
 	m := &crashMessage{
 		SuspectParts: make(map[uint64][]partCrashMessage, len(report.SuspectParts)), ClearedParts: make(map[uint64]int64, len(report.ClearedParts)),
+		LastingParts: make(map[uint64][]partCrashMessage), OutlastedParts: make(map[uint64]int64, len(report.OutlastedParts)),
 		Suspects: make(map[uint64]map[int]int64, len(report.Suspects)),
 	}
 	indexes := make(map[admission.TargetRun]int)
@@ -59,16 +65,23 @@
 	}
 	for part, crashes := range report.SuspectParts {
 		for _, crash := range crashes {
-			encoded := partCrashMessage{Run: indexOf(crash.Run), AgeMillis: crash.At.Milliseconds(), Waiting: crash.Waiting}
+			encoded := partCrashMessage{Run: indexOf(crash.Run), AgeMillis: crash.At.Milliseconds(), Waiting: crash.Phase == admission.PhaseWaiting}
 			for _, workspace := range crash.Workspaces {
 				encoded.Workspaces = append(encoded.Workspaces, uint32(workspace))
 			}
-			m.SuspectParts[part] = append(m.SuspectParts[part], encoded)
+			crashes := m.SuspectParts
+			if crash.Phase == admission.PhaseLasting {
+				crashes = m.LastingParts
+			}
+			crashes[part] = append(crashes[part], encoded)
 		}
 	}
 	for part, age := range report.ClearedParts {
 		m.ClearedParts[part] = age.Milliseconds()
 	}
+	for part, age := range report.OutlastedParts {
+		m.OutlastedParts[part] = age.Milliseconds()
+	}
 	return m
 }
 
@@ -84,23 +97,39 @@
 		report.Suspects[admission.Fingerprint(f)] = m.decodeAges(runs)
 	}
 	report.SuspectParts = make(map[uint64][]admission.PartCrash, len(m.SuspectParts))
-	for part, crashes := range m.SuspectParts {
-		for _, encoded := range crashes {
-			run, ok := m.run(encoded.Run)
+	m.decodeParts(report.SuspectParts, m.SuspectParts, func(encoded *partCrashMessage) admission.CrashPhase {
+		if encoded.Waiting {
+			return admission.PhaseWaiting
+		}
+		return admission.PhaseBegun
+	})
+	m.decodeParts(report.SuspectParts, m.LastingParts, func(*partCrashMessage) admission.CrashPhase { return admission.PhaseLasting })
+	report.ClearedParts, report.OutlastedParts = decodePartAges(m.ClearedParts), decodePartAges(m.OutlastedParts)
+}
+
+// decodeParts adds the crashes of parts to decoded.
+func (m *crashMessage) decodeParts(decoded map[uint64][]admission.PartCrash, parts map[uint64][]partCrashMessage, phase func(*partCrashMessage) admission.CrashPhase) {
+	for part, crashes := range parts {
+		for i := range crashes {
+			run, ok := m.run(crashes[i].Run)
 			if !ok {
 				continue
 			}
-			crash := admission.PartCrash{Run: run, At: decodeAge(encoded.AgeMillis), Waiting: encoded.Waiting}
-			for _, workspace := range encoded.Workspaces {
+			crash := admission.PartCrash{Run: run, At: decodeAge(crashes[i].AgeMillis), Phase: phase(&crashes[i])}
+			for _, workspace := range crashes[i].Workspaces {
 				crash.Workspaces = append(crash.Workspaces, admission.WorkspaceID(workspace))
 			}
-			report.SuspectParts[part] = append(report.SuspectParts[part], crash)
+			decoded[part] = append(decoded[part], crash)
 		}
 	}
-	report.ClearedParts = make(map[uint64]time.Duration, len(m.ClearedParts))
-	for part, age := range m.ClearedParts {
-		report.ClearedParts[part] = decodeAge(age)
+}
+
+func decodePartAges(encoded map[uint64]int64) map[uint64]time.Duration {
+	ages := make(map[uint64]time.Duration, len(encoded))
+	for part, age := range encoded {
+		ages[part] = decodeAge(age)
 	}
+	return ages
 }
 
 func (m *crashMessage) decodeAges(encoded map[int]int64) map[admission.TargetRun]time.Duration {
--- a/internal/peers/crashes_test.go
+++ b/internal/peers/crashes_test.go
@@ -15,9 +15,10 @@
 		Crashes:          map[admission.TargetRun]time.Duration{"e1/a": time.Second, "e2/b": 2 * time.Second},
 		DisprovedCrashes: map[admission.TargetRun]time.Duration{"e3/c": 300 * time.Millisecond},
 		SuspectParts: map[uint64][]admission.PartCrash{
-			1 << 63: {{Run: "e1/a", At: time.Second, Workspaces: []admission.WorkspaceID{7, 1 << 31}}, {Run: "e4/d", At: 9 * time.Second, Waiting: true}},
+			1 << 63: {{Run: "e1/a", At: time.Second, Workspaces: []admission.WorkspaceID{7, 1 << 31}}, {Run: "e4/d", At: 9 * time.Second, Phase: admission.PhaseWaiting}, {Run: "e5/f", At: 10 * time.Second, Phase: admission.PhaseLasting}},
 		},
-		ClearedParts: map[uint64]time.Duration{5: 40 * time.Millisecond},
+		ClearedParts:   map[uint64]time.Duration{5: 40 * time.Millisecond},
+		OutlastedParts: map[uint64]time.Duration{1 << 63: 20 * time.Millisecond},
 		Suspects: map[admission.Fingerprint]map[admission.TargetRun]time.Duration{
 			1 << 63: {"e1/a": time.Second, "e5/f": time.Minute}, 7: {"e1/a": time.Second},
 		},
