The end of a target is not taken for the end of an unframed response

Callers saw: requests with a part that crashes targets went on reaching targets whose end closes connections in order, as that of a process does.

Cause: a response without length or chunks ends with its connection. When its target crashed, it counted as complete: the request was not held against the target's crash, and its completion cleared its parts and the request itself. Class: the absence of an error taken for proof of success.

If the target is found to have crashed around it, by this gate or a peer, it is a loss, otherwise a completion. After such a stream of an engine the gate opens one connection to the target, without a request, as it does after a lost one. What the caller receives is as before: the protocol says that the end of the connection ends the response.

TestEndOfTargetIsNoEndOfResponse fails without the change.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -180,6 +180,7 @@
 	if !req.Retry {
 		c.config.Retry.countRequest(c.retriesOf(req.Service), now)
 	}
+	c.suspects.settleUnframed(now)
 	if c.suspects.quarantined(now, req.Fingerprint, req.Parts) {
 		return Decision{Refused: request.ReasonQuarantined}
 	}
--- a/internal/admission/lease.go
+++ b/internal/admission/lease.go
@@ -58,6 +58,7 @@
 	model             *engineModel // nil for a plain service
 	began, ended      bool
 	responded         bool          // the head of the response arrived
+	unframed          bool          // the response ends with the connection
 	respondedAt       time.Duration // then
 	lasted            bool          // the response has lasted for crashDelay
 	relativeLoad      float64       // of the target before placement, relative to its slots
@@ -81,6 +82,13 @@
 	}
 }
 
+// MarkUnframed records that the response has neither length nor chunks.
+func (l *Lease) MarkUnframed() {
+	l.controller.mu.Lock()
+	defer l.controller.mu.Unlock()
+	l.unframed = true
+}
+
 // Began records an event of the response: the prompt has been read.
 func (l *Lease) Began(now time.Duration) {
 	c := l.controller
@@ -129,6 +137,10 @@
 			l.observeResponse()
 		}
 		c.health.recordSuccess(id)
+		if l.unframed {
+			c.suspects.recordUnframedEnd(now, unframedEnd{l.lossAt(now), l.began})
+			break
+		}
 		c.suspects.recordCompleted(now, l.fingerprint)
 		c.suspects.recordResponse(now, &l.target)
 		if l.began {
@@ -142,7 +154,7 @@
 		c.health.recordMisdirected(now, id)
 		return true
 	case ResultLost:
-		c.suspects.recordLoss(now, &l.target, loss{fingerprint: l.fingerprint, parts: l.parts, workspace: workspaceID(l.workspace), began: l.responded, beganAt: l.respondedAt})
+		c.suspects.recordLoss(now, &l.target, l.lossAt(now))
 		return c.health.recordFailure(now, id, c.meanFailureRate(targets))
 	case ResultFailed:
 		return c.health.recordFailure(now, id, c.meanFailureRate(targets))
@@ -150,6 +162,14 @@
 	return false
 }
 
+// lossAt returns the request as lost at the time.
+func (l *Lease) lossAt(now time.Duration) loss {
+	return loss{
+		at: now, run: runOf(&l.target), fingerprint: l.fingerprint, parts: l.parts, workspace: workspaceID(l.workspace),
+		began: l.responded, beganAt: l.respondedAt,
+	}
+}
+
 // unserved reports whether the request got no service because its target failed. A
 // request that the caller or the gate aborted counts as served.
 func (l *Lease) unserved(result Result) bool {
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -41,6 +41,7 @@
 func (c *Controller) Report(now time.Duration) Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.suspects.settleUnframed(now)
 	parts := c.suspects.parts
 	return Report{
 		Crashes: c.suspects.listConfirmed(now), SuspectParts: parts.report(now), DisprovedCrashes: parts.listDisproved(now),
--- a/internal/admission/suspects.go
+++ b/internal/admission/suspects.go
@@ -57,6 +57,7 @@
 	// confirmed holds the recent crashes of which this gate or a peer has evidence.
 	confirmed map[TargetRun]confirmedCrash
 	parts     *crashingParts
+	unframed  []unframedEnd // not decided yet, in the order of their times
 	// lossesInCrashes counts the requests that were lost in crashes, not taken yet.
 	lossesInCrashes [crashPhases]int
 }
@@ -182,6 +183,7 @@
 	for _, l := range lost {
 		s.addLoss(now, l)
 	}
+	s.loseUnframed(now, runOf(instance), now, crashWindow)
 }
 
 // addLoss records that the connection of a request was lost by the crash of its target.
@@ -208,6 +210,7 @@
 		return
 	}
 	s.confirmCrash(at, run, false)
+	s.loseUnframed(now, run, at, peerEvidenceWindow)
 	for _, l := range s.losses[run.targetID()] {
 		if l.run == run && (l.at-at).Abs() <= peerEvidenceWindow {
 			s.addLoss(now, l)
--- a/internal/admission/suspects_test.go
+++ b/internal/admission/suspects_test.go
@@ -175,3 +175,65 @@
 	lab.admit(0, "w1", companion, crashing)
 	require.Equal(t, 1, gate.TakeAdmittedSuspects()[AdmittedOtherWorkspace])
 }
+
+// endUnframed has a response without length or chunks end with its connection, after an event.
+func (l *crashLab) endUnframed(gate int, parts ...uint64) (Decision, bool) {
+	d := l.admit(gate, "w0", parts...)
+	if d.Lease == nil {
+		return d, false
+	}
+	d.Lease.Responded(l.clock(gate))
+	d.Lease.MarkUnframed()
+	d.Lease.Began(l.clock(gate))
+	d.Lease.End(l.clock(gate), ResultDone, l.engines)
+	return d, true
+}
+
+// TestEndOfTargetIsNoEndOfResponse guards against parts that are cleared by the crashes that they
+// cause, as the end of a target ends unframed responses in order. The evidence is the gate's own or
+// a peer's, before or after the end of the response.
+func TestEndOfTargetIsNoEndOfResponse(t *testing.T) {
+	lab := newCrashLab(2)
+	for i := range partCrashLimit {
+		gate := i % 2
+		d, admitted := lab.endUnframed(gate, companion, crashing)
+		require.True(t, admitted, "crash %d", i)
+		lab.now += 20 * time.Millisecond
+		lab.gates[(gate+i/2)%2].RecordRefused(lab.clock(gate), &d.Target)
+		lab.engines = removeID(lab.engines, d.Target.ID)
+		lab.start()
+		lab.exchange(300 * time.Millisecond)
+		require.True(t, lab.complete(gate, "w0", companion))
+	}
+	lab.settle()
+	for gate := range 2 {
+		_, admitted := lab.endUnframed(gate, companion, crashing)
+		require.False(t, admitted, "gate %d", gate)
+	}
+}
+
+func TestUnframedResponseOfLiveTargetClearsPart(t *testing.T) {
+	lab := newCrashLab(2)
+	for range 3 {
+		for i := range partCrashLimit - 1 {
+			require.True(t, lab.crash(i%2, workspaceOf(i), companion))
+		}
+		_, admitted := lab.endUnframed(0, companion)
+		require.True(t, admitted)
+		lab.now += 2 * peerEvidenceWindow
+		lab.settle()
+	}
+	require.True(t, lab.complete(1, "w0", companion))
+}
+
+func TestUnframedEndsBounded(t *testing.T) {
+	lab := newCrashLab(1)
+	for range 2 * maxUnframedEnds {
+		lab.endUnframed(0, companion)
+	}
+	s := lab.gates[0].suspects
+	require.Len(t, s.unframed, maxUnframedEnds)
+	lab.now += 2 * peerEvidenceWindow
+	lab.gates[0].Report(lab.clock(0))
+	require.Empty(t, s.unframed)
+}
--- a/internal/gate/forward.go
+++ b/internal/gate/forward.go
@@ -51,6 +51,9 @@
 
 	c.framing, c.partialEventBytes = resp.Framing, 0
 	d.Lease.Responded(c.gate.config.Now())
+	if resp.Framing == upstream.FramingClose {
+		d.Lease.MarkUnframed()
+	}
 	var err error
 	if c.isEventStream(resp) {
 		if !c.headSent {
--- a/internal/gate/run.go
+++ b/internal/gate/run.go
@@ -240,6 +240,9 @@
 	g.metrics.sends.WithLabelValues(o.result.String()).Inc()
 	ejected := d.Lease.End(g.config.Now(), o.result, g.directory.Current().Available(c.admissionRequest.Service))
 	if o.result == admission.ResultDone {
+		if c.framing == upstream.FramingClose && len(c.meta.Parts) > 0 {
+			g.checkTarget(d.Target) // its end would look the same
+		}
 		return
 	}
 	g.markNotWarm(d.Target.ID, o)
--- a/internal/gate/target_check.go
+++ b/internal/gate/target_check.go
@@ -17,7 +17,7 @@
 // in which a target that crashes closes its listener.
 const targetCheckDelay = 20 * time.Millisecond
 
-// checkTarget tests, after a connection was lost, whether the target still accepts
+// checkTarget tests, after a connection was lost or ended an unframed response, whether the target still accepts
 // connections. Without it, a request that is the only one at a target could crash one
 // target after the other: a single lost connection is no evidence of a crash, since
 // targets also lose responses.
