The last part of a prompt is suspected like the others

Callers saw: requests that end with the same part, as those of a session do, went on crashing targets.

Cause: the last part was taken to be the request's own, which the fingerprint of the request covers. The platform says that it may be that of a session, whose requests differ in their bodies. Class: a circuit breaker whose key leaves out a part of the input.

Change: evidence, clearings and blocks take all parts. What is retained and reported is bounded as before, by the number of crashes first.

--- a/internal/admission/crashing_parts.go
+++ b/internal/admission/crashing_parts.go
@@ -77,9 +77,10 @@
 // crashingParts finds the parts of prompts that crash the targets that run requests with
 // them, whatever else those requests hold.
 //
-// Most parts crash a target soon after the begin of a response. So each part but the last
-// of a request whose response began within crashDelay before a crash is a direct suspect, and
-// those of requests that still waited if there is no such request. A target may also crash
+// Most parts crash a target soon after the begin of a response. So each part
+// of a request whose response began within crashDelay before a crash is a direct suspect, also
+// the last one, which the requests of a session share, and those of requests that still waited
+// if there is no such request. A target may also crash
 // before it sends the head of a response, or later: the parts of all requests in flight are
 // suspects at each crash, but without direct evidence it takes more crashes to block them.
 //
@@ -160,12 +161,9 @@
 	}
 }
 
-// sharedParts returns the parts that other requests may have too: all but the last.
-func sharedParts(parts []Part) []Part { return parts[:max(len(parts)-1, 0)] }
-
 // recordCrash records that a request was in flight at a crash.
 func (p *crashingParts) recordCrash(lost loss) {
-	for _, part := range sharedParts(lost.parts) {
+	for _, part := range lost.parts {
 		p.addCrash(part.Hash, PartCrash{Run: lost.run, At: lost.at, Workspaces: []WorkspaceID{lost.workspace}, Phase: lost.phase()})
 	}
 }
@@ -271,7 +269,7 @@
 // recordCompleted records that a request with the parts completed at this gate, and clears
 // them.
 func (p *crashingParts) recordCompleted(now time.Duration, parts []Part) {
-	for _, part := range sharedParts(parts) {
+	for _, part := range parts {
 		if p.suspects[part.Hash] != nil {
 			p.cleared[part.Hash] = now
 		}
@@ -298,7 +296,7 @@
 
 // recordLasted records that a response with the parts has lasted for crashDelay at this gate.
 func (p *crashingParts) recordLasted(now time.Duration, parts []Part) {
-	for _, part := range sharedParts(parts) {
+	for _, part := range parts {
 		if p.suspects[part.Hash] != nil {
 			p.outlasted[part.Hash] = now
 		}
--- a/internal/admission/crashing_parts_test.go
+++ b/internal/admission/crashing_parts_test.go
@@ -69,6 +69,12 @@
 	if d.Lease == nil {
 		return false
 	}
+	l.loseAlone(gate, d)
+	return true
+}
+
+// loseAlone crashes the engine of a request whose response has begun.
+func (l *crashLab) loseAlone(gate int, d Decision) {
 	d.Lease.Responded(l.clock(gate))
 	l.now += 100 * time.Millisecond
 	d.Lease.End(l.clock(gate), ResultLost, l.engines)
@@ -77,7 +83,6 @@
 	l.engines = removeID(l.engines, d.Target.ID)
 	l.start()
 	l.exchange(300 * time.Millisecond)
-	return true
 }
 
 // complete sends a request that completes, and reports whether it was admitted.
@@ -197,6 +202,31 @@
 	require.True(t, lab.complete(1, "w0", companion))
 }
 
+// TestLastPartThatCrashesBlocked covers the last part, which the requests of a session share.
+func TestLastPartThatCrashesBlocked(t *testing.T) {
+	lab := newCrashLab(3)
+	crash := func(gate int) bool {
+		r := letterRequest("w0", 0, lab.sent)
+		lab.sent++
+		r.Parts = []Part{{Hash: companion, Tokens: 10}, {Hash: crashing, Tokens: 10}}
+		d := lab.gates[gate].Admit(lab.clock(gate), r, lab.engines)
+		if d.Lease == nil {
+			return false
+		}
+		lab.loseAlone(gate, d)
+		return true
+	}
+	for i := range partCrashLimit {
+		require.True(t, crash(i%3), "crash %d", i)
+		require.True(t, lab.complete(i%3, "w0", companion))
+	}
+	lab.settle()
+	for gate := range 3 {
+		require.False(t, crash(gate), "gate %d", gate)
+		require.True(t, lab.complete(gate, "w0", companion), "gate %d", gate)
+	}
+}
+
 func TestSoundRequestsWithOtherPartsAdmitted(t *testing.T) {
 	lab := newCrashLab(3)
 	for i := range partCrashLimit + 1 {
--- a/internal/admission/part_blocks.go
+++ b/internal/admission/part_blocks.go
@@ -63,7 +63,7 @@
 	if len(p.suspects) == 0 {
 		return
 	}
-	for _, part := range sharedParts(parts) {
+	for _, part := range parts {
 		suspect := p.suspects[part.Hash]
 		if suspect == nil || len(suspect.crashes) < partCrashLimit {
 			continue
@@ -123,7 +123,7 @@
 // hasParts reports whether a request has all parts of the block.
 func (b *partBlock) hasParts(parts []Part) bool {
 	return !slices.ContainsFunc(b.parts, func(blocked uint64) bool {
-		return !slices.ContainsFunc(sharedParts(parts), func(part Part) bool { return part.Hash == blocked })
+		return !slices.ContainsFunc(parts, func(part Part) bool { return part.Hash == blocked })
 	})
 }
 
@@ -174,25 +174,27 @@
 		required += p.directCrashes(other, explained)
 	}
 	var strongest []uint64
-	for _, part := range slices.Sorted(maps.Keys(p.suspects)) {
-		suspect := p.suspects[part]
-		count := suspect.countExcept(explained)
-		if len(suspect.crashes) < partCrashBound || count < required || !suspect.isCandidate(now) || other != nil && !p.isDirectlyExplainedBy(other, suspect) {
+	for part, suspect := range p.suspects {
+		if len(suspect.crashes) < partCrashBound || !suspect.isCandidate(now) || other != nil && !p.isDirectlyExplainedBy(other, suspect) {
 			continue
 		}
-		if float64(count) < minCrashShare*float64(p.crashesInPeriodOf(suspect, explained)) {
+		count := suspect.countExcept(explained)
+		if count < required || float64(count) < minCrashShare*float64(p.crashesInPeriodOf(suspect, explained)) {
 			continue
 		}
-		if len(strongest) > 0 && count == required {
-			first := p.suspects[strongest[0]]
-			if first.isExplainedBy(suspect) && suspect.isExplainedBy(first) {
-				strongest = append(strongest, part)
-			}
-			continue
+		if count > required {
+			strongest, required = strongest[:0], count
 		}
-		strongest, required = []uint64{part}, count
+		strongest = append(strongest, part)
 	}
-	return strongest
+	if len(strongest) == 0 {
+		return nil
+	}
+	slices.Sort(strongest)
+	first := p.suspects[strongest[0]]
+	return slices.DeleteFunc(strongest, func(part uint64) bool {
+		return !first.isExplainedBy(p.suspects[part]) || !p.suspects[part].isExplainedBy(first)
+	})
 }
 
 // crashesInPeriodOf returns the number of crashes that are not explained, from the first to the
