A response that is reset while its request is sent is not complete

Callers saw (in other systems of this kind; it happens here): a target answers a long upload at once with a 200 that has no length, sends a part of the body and resets the connection while the upload is still being written. The caller gets the part as a complete answer.

Cause: the kernel reports a reset once. If the write of the request meets it, the reads after it see the end of the connection, which ends a response without length or chunks. Class: the absence of an error taken for proof of success, as with the end of a target.

ECONNRESET: the response is lost. After an orderly close the write fails with EPIPE or goes on: the response is complete.

Agents were not affected: they take no body without length or chunks for complete (TestAnswerResetDuringUploadIsTruncated passes before). Routers get the size of an answer from the agent, relay and store clients decode whole bodies: by reading.

--- a/internal/engine/raw_test.go
+++ b/internal/engine/raw_test.go
@@ -153,3 +153,36 @@
 		})
 	}
 }
+
+// TestAnswerResetDuringUploadIsTruncated covers an answer that begins before its request has been
+// received and ends with a reset.
+func TestAnswerResetDuringUploadIsTruncated(t *testing.T) {
+	for _, rest := range []string{"\r\npart", "Content-Length: 8\r\n\r\npart", "Transfer-Encoding: chunked\r\n\r\n4\r\npart\r\n"} {
+		l, err := net.Listen("tcp4", "127.0.0.1:0")
+		require.NoError(t, err)
+		t.Cleanup(func() { _ = l.Close() })
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				_, _ = c.Read(make([]byte, 1<<10))
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Type: text/plain\r\n"+rest)
+				time.Sleep(time.Millisecond)
+				_ = c.(*net.TCPConn).SetLinger(0)
+				_ = c.Close()
+			}
+		}()
+		client := newServiceClient("http://"+l.Addr().String(), engine.Options{})
+		for range 20 {
+			answer, err := client.Do(t.Context(), engine.Call{Method: "POST", Path: "/", Body: make([]byte, 16<<20)})
+			if err != nil {
+				continue // the reset overtook the head
+			}
+			_, err = readAll(t, answer)
+			require.True(t, errors.Is(err, engine.ErrTruncated), "%q: %v", rest, err)
+			require.NoError(t, answer.Close())
+		}
+	}
+}
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -99,6 +100,8 @@
 	call           *Call
 	stopCancelHook func() bool
 	writeDone      chan error    // receives the result of the write
+	written        bool          // the result was received
+	writeErr       error         // the result, if written is set
 	memory         *budget.Lease // of what is kept of the response
 }
 
@@ -258,17 +261,39 @@
 // writeCompleted reports whether the complete request was written, and waits up to
 // writeGrace for it.
 func (x *exchange) writeCompleted() bool {
+	done, err := x.writeResult()
+	return done && err == nil
+}
+
+// writeResult returns the result of the write, if it has ended. It waits up to writeGrace for it.
+func (x *exchange) writeResult() (done bool, err error) {
+	if x.written {
+		return true, x.writeErr
+	}
 	select {
-	case err := <-x.writeDone:
-		return err == nil
+	case x.writeErr = <-x.writeDone:
+		x.written = true
 	default:
+		select {
+		case x.writeErr = <-x.writeDone:
+			x.written = true
+		case <-time.After(writeGrace):
+		}
 	}
-	select {
-	case err := <-x.writeDone:
-		return err == nil
-	case <-time.After(writeGrace):
-		return false
+	return x.written, x.writeErr
+}
+
+// checkEnd returns an error if the connection was reset at the end of a response that the close of
+// the connection marks. The kernel reports a reset once: if the write of the request meets it, the
+// reads after it see the end of the connection. After an orderly close, writes fail with EPIPE.
+func (x *exchange) checkEnd(framing Framing) error {
+	if framing != FramingClose {
+		return nil
+	}
+	if _, err := x.writeResult(); errors.Is(err, syscall.ECONNRESET) {
+		return errors.Wrap(err, "connection reset while the request was sent")
 	}
+	return nil
 }
 
 // idleTimeout returns how long the connection may stay idle in the pool.
@@ -300,6 +325,9 @@
 	n, err := b.checked.Read(p)
 	if errors.Is(err, io.EOF) {
 		err = desync.CheckTrailer(b.resp.Trailer, b.exchange.call.UniqueFields...)
+		if err == nil {
+			err = b.exchange.checkEnd(framingOf(b.resp))
+		}
 		if err == nil {
 			b.atEOF = true
 			return n, io.EOF
