Responses whose status is not three digits from 100 to 599 are malformed

Callers saw (in other systems of this kind; it happens here): a target in trouble sends an answer whose status is 000. net/http reads such a status, also 099, 600, 999 and +20, and panics when a server writes one below 100: the gate closed the caller's connection without an answer, and passed those above 599 on. An agent counted the answer as complete and stored it under the claim of its request; its router refused the head.

Change: gates, agents and the clients of store and relays refuse such a response like any bytes that are no response. Gates answer 502, or try another target where the request may be repeated; at an agent the outcome is unknown.

Measured: TestInvalidStatusIsBadGateway (gate, three framings), TestInvalidStatusIsMalformed (upstream) and TestInvalidStatusIsNoAnswer (engine) fail before, pass after. Routers refused such heads before (answerWriter.setHead).

--- a/internal/desync/transport.go
+++ b/internal/desync/transport.go
@@ -44,6 +44,9 @@
 // check checks a parsed head. net/http refuses different lengths itself and merges equal
 // ones, so that a repeated length is not seen here.
 func (t *Transport) check(resp *http.Response) error {
+	if err := CheckStatus(resp); err != nil {
+		return err
+	}
 	if i := indexStatusLine([]byte(resp.Status)); i >= 0 {
 		return joined("status %q takes in a status line", resp.Status)
 	}
--- a/internal/engine/raw_test.go
+++ b/internal/engine/raw_test.go
@@ -154,6 +154,21 @@
 	}
 }
 
+// TestInvalidStatusIsNoAnswer guards against a status that is taken for that of a complete answer
+// and that no client understands.
+func TestInvalidStatusIsNoAnswer(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999", "+20"} {
+		for _, newClient := range []func(string, engine.Options) engine.Client{newModelClient, newServiceClient} {
+			listener := newPipeListener()
+			target := httpsendtest.NewRawServer(t, listener, "HTTP/1.1 "+status+" OK\r\nContent-Type: application/json\r\nContent-Length: 2\r\n\r\n{}")
+			_, err := newClient("http://target", engine.Options{Dial: listener.dial}).Do(t.Context(), engine.Call{Method: "POST", Path: "/"})
+			require.Error(t, err, "status %s", status)
+			require.False(t, errors.Is(err, engine.ErrNotSent), "status %s", status)
+			require.Equal(t, int64(1), target.Requests.Load(), "calls sent")
+		}
+	}
+}
+
 // TestAnswerResetDuringUploadIsTruncated covers an answer that begins before its request has been
 // received and ends with a reset.
 func TestAnswerResetDuringUploadIsTruncated(t *testing.T) {
--- a/internal/gate/framing_test.go
+++ b/internal/gate/framing_test.go
@@ -221,3 +221,23 @@
 	require.NoError(t, got.err)
 	require.Equal(t, eventsUpTo(3), got.body)
 }
+
+// TestInvalidStatusIsBadGateway guards against answers that no client understands, and against a
+// panic of net/http, which accepts such a status and does not write it.
+func TestInvalidStatusIsBadGateway(t *testing.T) {
+	for _, status := range []string{"000", "099", "600", "999", "+20", "20"} {
+		for _, response := range framedResponses("text/plain", "one ", "two") {
+			f := newFixture(t, testRoutes(once), func(c net.Conn, r targetRequest) {
+				write(c, strings.Replace(response.raw(r), " 200 ", " "+status+" ", 1))
+				c.Close()
+			})
+			got := f.send("/p/", "body", patient...)
+			require.NoError(t, got.err, "status %q, %s", status, response.framing)
+			require.Equal(t, http.StatusBadGateway, got.status, "status %q, %s", status, response.framing)
+			require.Len(t, f.receivedRequests(), 1)
+			for id, load := range f.controller.Report(0).Loads {
+				require.Zero(t, load.InFlight, "target %s, status %q", id, status)
+			}
+		}
+	}
+}
--- a/internal/upstream/call.go
+++ b/internal/upstream/call.go
@@ -196,6 +196,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if err := desync.CheckStatus(resp); err != nil {
+		return nil, err
+	}
 	return resp, desync.CheckHead(head, x.call.UniqueFields...)
 }
 
--- a/internal/upstream/early_test.go
+++ b/internal/upstream/early_test.go
@@ -98,3 +98,14 @@
 		}
 	}
 }
+
+func TestInvalidStatusIsMalformed(t *testing.T) {
+	for _, status := range []string{"000", "001", "099", "600", "999", "+20", "20", "2000", "2 0", "abc", "-20"} {
+		addr := serve(t, func(c net.Conn, _ int, id string) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 %s OK\r\n%s: %s\r\nContent-Length: 2\r\n\r\nok", status, idHeader, id)
+		})
+		p, _ := newTestPool()
+		_, err := do(p, addr, "1")
+		require.True(t, errors.Is(err, ErrMalformed), "status %q: %v", status, err)
+	}
+}
