Events of crashing parts in a file of their own; only admitted requests count as such

Types and counters for logs and metrics move out of the policy. The counter of suspects that were admitted counted those that were then refused for other reasons too.

--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -187,7 +187,6 @@
 	if block := c.suspects.parts.blocked(now, req.Parts, workspaceID(req.Workspace)); block != nil {
 		return Decision{Refused: request.ReasonQuarantined, BlockedPart: block.parts[0], RetryAfter: block.until - now}
 	}
-	c.suspects.parts.recordAdmitted(req.Parts)
 	if req.Slots > 0 {
 		c.countEngines(req.Service, len(targets))
 		c.refreshFairShareLevel(now)
@@ -201,6 +200,9 @@
 		avoided.useHints = false
 		decision = c.choose(now, req, targets, avoided)
 	}
+	if decision.Refused == "" {
+		c.suspects.parts.recordAdmitted(req.Parts)
+	}
 	if decision.Diverted {
 		c.coldUse.Diverted++
 	}
@@ -382,43 +384,6 @@
 	return changes, blocked
 }
 
-// TakePartClearings returns the removals of evidence against suspected parts since the
-// previous call.
-func (c *Controller) TakePartClearings() []PartClearing {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	clearings := c.suspects.parts.clearings
-	c.suspects.parts.clearings = nil
-	return clearings
-}
-
-// TakeAdmittedSuspects returns the number of requests that were admitted although one of their
-// parts had reached the number of crashes from which parts are blocked, since the previous
-// call.
-func (c *Controller) TakeAdmittedSuspects() map[AdmittedReason]int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	admitted := make(map[AdmittedReason]int, admittedReasons)
-	for reason, count := range c.suspects.parts.admitted {
-		admitted[AdmittedReason(reason)] = count
-	}
-	c.suspects.parts.admitted = [admittedReasons]int{}
-	return admitted
-}
-
-// TakeLossesInCrashes returns the number of requests that were lost in presumed crashes since
-// the previous call, by how far their responses had got.
-func (c *Controller) TakeLossesInCrashes() map[CrashPhase]int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	losses := make(map[CrashPhase]int, crashPhases)
-	for phase, count := range c.suspects.lossesInCrashes {
-		losses[CrashPhase(phase)] = count
-	}
-	c.suspects.lossesInCrashes = [crashPhases]int{}
-	return losses
-}
-
 // BlockedParts returns the crashes of the parts that are blocked, with the time since.
 func (c *Controller) BlockedParts(now time.Duration) map[uint64][]PartCrash {
 	c.mu.Lock()
--- a/internal/admission/crashing_parts.go
+++ b/internal/admission/crashing_parts.go
@@ -77,12 +77,12 @@
 // crashingParts finds the parts of prompts that crash the targets that run requests with
 // them, whatever else those requests hold.
 //
-// Most parts crash a target soon after the begin of a response. So each part
-// of a request whose response began within crashDelay before a crash is a direct suspect, also
-// the last one, which the requests of a session share, and those of requests that still waited
-// if there is no such request. A target may also crash
-// before it sends the head of a response, or later: the parts of all requests in flight are
-// suspects at each crash, but without direct evidence it takes more crashes to block them.
+// Most parts crash a target soon after the begin of a response. So each part of a request
+// whose response began within crashDelay before a crash is a direct suspect, and those of
+// requests that still waited if there is no such request. The last part is one of them: the
+// requests of a session share it. A target may also crash before it sends the head of a
+// response, or later: the parts of all requests in flight are suspects at each crash, but
+// without direct evidence it takes more crashes to block them.
 //
 // A response that completes clears its parts. One that lasts longer than crashDelay makes the
 // crashes until then no direct evidence against them.
@@ -113,38 +113,6 @@
 	admitted   [admittedReasons]int // requests with a part at partCrashLimit, not taken yet
 }
 
-// PartClearing is the removal of evidence against a suspected part, for logs.
-type PartClearing struct {
-	Part    uint64
-	Crashes int // removed, or no longer direct evidence
-	Cause   ClearingCause
-}
-
-// ClearingCause is why the evidence against a part was removed.
-type ClearingCause uint8
-
-// Causes of clearings.
-const (
-	ClearedByCompletion ClearingCause = iota // a response with the part completed at this gate
-	ClearedByLasting                         // one lasted for crashDelay at this gate
-	ClearedByPeer                            // either, at another gate
-	ClearedByTarget                          // a target responded after its presumed crash
-)
-
-// String returns the cause's label in metrics and logs.
-func (c ClearingCause) String() string {
-	return [...]string{"completed", "lasted", "peer", "target_alive"}[c]
-}
-
-// maxPartClearings bounds the clearings that are not taken yet.
-const maxPartClearings = 64
-
-func (p *crashingParts) recordClearing(part uint64, crashes int, cause ClearingCause) {
-	if crashes > 0 && len(p.clearings) < maxPartClearings {
-		p.clearings = append(p.clearings, PartClearing{part, crashes, cause})
-	}
-}
-
 type suspectPart struct {
 	crashes   map[TargetRun]*PartCrash
 	lastCrash time.Duration
--- a/internal/admission/lease.go
+++ b/internal/admission/lease.go
@@ -58,8 +58,8 @@
 	model             *engineModel // nil for a plain service
 	began, ended      bool
 	responded         bool          // the head of the response arrived
-	unframed          bool          // the response ends with the connection
 	respondedAt       time.Duration // then
+	unframed          bool          // the response ends with the connection
 	lasted            bool          // the response has lasted for crashDelay
 	relativeLoad      float64       // of the target before placement, relative to its slots
 	statedPace        float64       // that the response stated; 0: none
--- a/internal/admission/part_blocks.go
+++ b/internal/admission/part_blocks.go
@@ -40,49 +40,6 @@
 	return nil
 }
 
-// AdmittedReason is why a request was admitted although one of its parts had reached
-// partCrashLimit.
-type AdmittedReason uint8
-
-// Reasons to admit such a request.
-const (
-	AdmittedOtherWorkspace AdmittedReason = iota // the part is blocked for other workspaces
-	AdmittedOtherParts                           // it is blocked together with parts that the request does not have
-	AdmittedNotBlocked                           // its crashes do not count, are explained by others, or are too recent
-	admittedReasons
-)
-
-// String returns the reason's label in metrics.
-func (r AdmittedReason) String() string {
-	return [...]string{"other_workspace", "other_parts", "not_blocked"}[r]
-}
-
-// recordAdmitted counts a request that no block applies to, if one of its parts has reached
-// partCrashLimit.
-func (p *crashingParts) recordAdmitted(parts []Part) {
-	if len(p.suspects) == 0 {
-		return
-	}
-	for _, part := range parts {
-		suspect := p.suspects[part.Hash]
-		if suspect == nil || len(suspect.crashes) < partCrashLimit {
-			continue
-		}
-		reason := AdmittedNotBlocked
-		for i := range p.blocks {
-			switch {
-			case !slices.Contains(p.blocks[i].parts, part.Hash):
-			case p.blocks[i].hasParts(parts):
-				reason = AdmittedOtherWorkspace
-			default:
-				reason = AdmittedOtherParts
-			}
-		}
-		p.admitted[reason]++
-		return
-	}
-}
-
 // refreshBlocks computes the blocks if they may have changed.
 func (p *crashingParts) refreshBlocks(now time.Duration) {
 	if len(p.suspects) == 0 && len(p.blocks) == 0 {
--- /dev/null
+++ b/internal/admission/part_events.go
@@ -0,0 +1,129 @@
+package admission
+
+import "slices"
+
+// CrashPhase is how far the response to a request had got when its target crashed. Of two
+// requests, the lower phase is the stronger evidence.
+type CrashPhase uint8
+
+// Phases of responses at a crash.
+const (
+	PhaseBegun   CrashPhase = iota // it had begun within crashDelay
+	PhaseWaiting                   // it had not begun
+	PhaseLasting                   // it had lasted longer
+	crashPhases
+)
+
+// String returns the phase's label in metrics and logs.
+func (p CrashPhase) String() string { return [...]string{"begun", "waiting", "lasting"}[p] }
+
+// PartClearing is the removal of evidence against a suspected part, for logs.
+type PartClearing struct {
+	Part    uint64
+	Crashes int // removed, or no longer direct evidence
+	Cause   ClearingCause
+}
+
+// ClearingCause is why the evidence against a part was removed.
+type ClearingCause uint8
+
+// Causes of clearings.
+const (
+	ClearedByCompletion ClearingCause = iota // a response with the part completed at this gate
+	ClearedByLasting                         // one lasted for crashDelay at this gate
+	ClearedByPeer                            // either, at another gate
+	ClearedByTarget                          // a target responded after its presumed crash
+)
+
+// String returns the cause's label in metrics and logs.
+func (c ClearingCause) String() string {
+	return [...]string{"completed", "lasted", "peer", "target_alive"}[c]
+}
+
+// maxPartClearings bounds the clearings that are not taken yet.
+const maxPartClearings = 64
+
+func (p *crashingParts) recordClearing(part uint64, crashes int, cause ClearingCause) {
+	if crashes > 0 && len(p.clearings) < maxPartClearings {
+		p.clearings = append(p.clearings, PartClearing{part, crashes, cause})
+	}
+}
+
+// AdmittedReason is why a request was admitted although one of its parts had reached
+// partCrashLimit.
+type AdmittedReason uint8
+
+// Reasons to admit such a request.
+const (
+	AdmittedOtherWorkspace AdmittedReason = iota // the part is blocked for other workspaces
+	AdmittedOtherParts                           // it is blocked together with parts that the request does not have
+	AdmittedNotBlocked                           // its crashes do not count, are explained by others, or are too recent
+	admittedReasons
+)
+
+// String returns the reason's label in metrics.
+func (r AdmittedReason) String() string {
+	return [...]string{"other_workspace", "other_parts", "not_blocked"}[r]
+}
+
+// recordAdmitted counts an admitted request if one of its parts has reached partCrashLimit.
+func (p *crashingParts) recordAdmitted(parts []Part) {
+	if len(p.suspects) == 0 {
+		return
+	}
+	for _, part := range parts {
+		suspect := p.suspects[part.Hash]
+		if suspect == nil || len(suspect.crashes) < partCrashLimit {
+			continue
+		}
+		reason := AdmittedNotBlocked
+		for i := range p.blocks {
+			switch {
+			case !slices.Contains(p.blocks[i].parts, part.Hash):
+			case p.blocks[i].hasParts(parts):
+				reason = AdmittedOtherWorkspace
+			default:
+				reason = AdmittedOtherParts
+			}
+		}
+		p.admitted[reason]++
+		return
+	}
+}
+
+// TakePartClearings returns the removals of evidence against suspected parts since the
+// previous call.
+func (c *Controller) TakePartClearings() []PartClearing {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	clearings := c.suspects.parts.clearings
+	c.suspects.parts.clearings = nil
+	return clearings
+}
+
+// TakeAdmittedSuspects returns the number of requests that were admitted although one of their
+// parts had reached the number of crashes from which parts are blocked, since the previous
+// call.
+func (c *Controller) TakeAdmittedSuspects() map[AdmittedReason]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	admitted := make(map[AdmittedReason]int, admittedReasons)
+	for reason, count := range c.suspects.parts.admitted {
+		admitted[AdmittedReason(reason)] = count
+	}
+	c.suspects.parts.admitted = [admittedReasons]int{}
+	return admitted
+}
+
+// TakeLossesInCrashes returns the number of requests that were lost in presumed crashes since
+// the previous call, by how far their responses had got.
+func (c *Controller) TakeLossesInCrashes() map[CrashPhase]int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	losses := make(map[CrashPhase]int, crashPhases)
+	for phase, count := range c.suspects.lossesInCrashes {
+		losses[CrashPhase(phase)] = count
+	}
+	c.suspects.lossesInCrashes = [crashPhases]int{}
+	return losses
+}
--- a/internal/admission/suspects.go
+++ b/internal/admission/suspects.go
@@ -78,21 +78,6 @@
 	Phases [crashPhases]int
 }
 
-// CrashPhase is how far the response to a request had got when its target crashed. Of two
-// requests, the lower phase is the stronger evidence.
-type CrashPhase uint8
-
-// Phases of responses at a crash.
-const (
-	PhaseBegun   CrashPhase = iota // it had begun within crashDelay
-	PhaseWaiting                   // it had not begun
-	PhaseLasting                   // it had lasted longer
-	crashPhases
-)
-
-// String returns the phase's label in metrics and logs.
-func (p CrashPhase) String() string { return [...]string{"begun", "waiting", "lasting"}[p] }
-
 // phase returns how far the response had got when the connection was lost.
 func (l *loss) phase() CrashPhase {
 	switch {
