Single crashes without direct evidence are reported by the gates that saw them

Cause: each part in flight at a crash is a suspect now, and each gate repeated what all others had reported, for 5 s. A gate that lost no request with the part reports it only once there are two crashes or direct evidence, and responses that last are reported only if they took direct evidence away.

--- a/internal/admission/crashing_parts.go
+++ b/internal/admission/crashing_parts.go
@@ -115,6 +115,7 @@
 
 type suspectPart struct {
 	crashes   map[TargetRun]*PartCrash
+	local     bool // a request with the part was lost at this gate
 	lastCrash time.Duration
 	// limitReached is when the number of crashes reached partCrashLimit.
 	limitReached time.Duration
@@ -133,6 +134,9 @@
 func (p *crashingParts) recordCrash(lost loss) {
 	for _, part := range lost.parts {
 		p.addCrash(part.Hash, PartCrash{Run: lost.run, At: lost.at, Workspaces: []WorkspaceID{lost.workspace}, Phase: lost.phase()})
+		if suspect := p.suspects[part.Hash]; suspect != nil {
+			suspect.local = true
+		}
 	}
 }
 
@@ -213,6 +217,21 @@
 	return s.lastCrash + partBlockTime<<min(s.repeats, maxPartBlockRepeat)
 }
 
+// concernsPeers reports whether this gate reports the suspect after a crash. A single crash without
+// direct evidence, the most common case, is reported only by the gates that lost a request in
+// it.
+func (s *suspectPart) concernsPeers() bool {
+	if s.local || len(s.crashes) > 1 {
+		return true
+	}
+	for _, crash := range s.crashes {
+		if crash.Phase == PhaseBegun {
+			return true
+		}
+	}
+	return false
+}
+
 // expired reports whether the suspect can be forgotten.
 func (s *suspectPart) expired(now time.Duration) bool {
 	if len(s.crashes) < partCrashLimit {
@@ -265,20 +284,19 @@
 // recordLasted records that a response with the parts has lasted for crashDelay at this gate.
 func (p *crashingParts) recordLasted(now time.Duration, parts []Part) {
 	for _, part := range parts {
-		if p.suspects[part.Hash] != nil {
+		if p.outlast(part.Hash, now, ClearedByLasting) {
 			p.outlasted[part.Hash] = now
 		}
-		p.outlast(part.Hash, now, ClearedByLasting)
 	}
 }
 
 // outlast makes the crashes of a part up to the time at which a response with it had lasted no
-// direct evidence.
-func (p *crashingParts) outlast(part uint64, lastedAt time.Duration, cause ClearingCause) {
+// direct evidence. It reports whether one was.
+func (p *crashingParts) outlast(part uint64, lastedAt time.Duration, cause ClearingCause) bool {
 	p.lasted.record(part, lastedAt)
 	suspect := p.suspects[part]
 	if suspect == nil {
-		return
+		return false
 	}
 	outlasted := 0
 	for _, crash := range suspect.crashes {
@@ -288,6 +306,7 @@
 		}
 	}
 	p.recordClearing(part, outlasted, cause)
+	return outlasted > 0
 }
 
 // completedSince reports whether a request with the part completed later than at.
--- a/internal/admission/crashing_parts_test.go
+++ b/internal/admission/crashing_parts_test.go
@@ -517,3 +517,18 @@
 	}
 	require.True(t, lab.complete(0, "w0", companion))
 }
+
+// TestSingleIndirectCrashReportedByItsGatesOnly guards against bytes between regions: after a crash
+// most suspects are parts that were in flight once, and all gates would repeat them.
+func TestSingleIndirectCrashReportedByItsGatesOnly(t *testing.T) {
+	lab := newCrashLab(3)
+	require.True(t, lab.crashWhileLasting(0, "w0", companion))
+	lab.exchange(0)
+	require.Contains(t, lab.gates[0].Report(lab.clock(0)).SuspectParts, companion)
+	require.NotContains(t, lab.gates[1].Report(lab.clock(1)).SuspectParts, companion)
+	require.True(t, lab.crashWhileLasting(2, "w0", companion))
+	lab.exchange(0)
+	for gate := range 3 {
+		require.Len(t, lab.gates[gate].Report(lab.clock(gate)).SuspectParts[companion], 2, "gate %d", gate)
+	}
+}
--- a/internal/admission/part_reports.go
+++ b/internal/admission/part_reports.go
@@ -30,7 +30,7 @@
 func (p *crashingParts) report(now time.Duration) map[uint64][]PartCrash {
 	var reported []uint64
 	for part, suspect := range p.suspects {
-		if now-suspect.lastCrash <= suspectReportAge || len(suspect.crashes) >= partCrashLimit && !suspect.expired(now) {
+		if now-suspect.lastCrash <= suspectReportAge && suspect.concernsPeers() || len(suspect.crashes) >= partCrashLimit && !suspect.expired(now) {
 			reported = append(reported, part)
 		}
 	}
--- a/internal/upstream/early_test.go
+++ b/internal/upstream/early_test.go
@@ -27,19 +27,7 @@
 }
 
 func (e earlyTarget) serve(t *testing.T) string {
-	l, err := net.Listen("tcp4", "127.0.0.1:0")
-	require.NoError(t, err)
-	t.Cleanup(func() { l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return
-			}
-			go e.serveConn(c.(*net.TCPConn))
-		}
-	}()
-	return l.Addr().String()
+	return listen(t, func(c net.Conn) { e.serveConn(c.(*net.TCPConn)) })
 }
 
 func (e earlyTarget) serveConn(c *net.TCPConn) {
--- a/internal/upstream/pool_test.go
+++ b/internal/upstream/pool_test.go
@@ -23,6 +23,12 @@
 
 // serve starts a target on loopback that responds with handler and returns its address.
 func serve(t *testing.T, handler targetHandler) string {
+	t.Helper()
+	return listen(t, func(c net.Conn) { serveConn(c, handler) })
+}
+
+// listen accepts connections on loopback and returns the address.
+func listen(t *testing.T, serveConn func(c net.Conn)) string {
 	t.Helper()
 	l, err := net.Listen("tcp4", "127.0.0.1:0")
 	require.NoError(t, err)
@@ -33,7 +39,7 @@
 			if err != nil {
 				return
 			}
-			go serveConn(c, handler)
+			go serveConn(c)
 		}
 	}()
 	return l.Addr().String()
