--- a/internal/admission/crashing_parts.go
+++ b/internal/admission/crashing_parts.go
@@ -217,19 +217,19 @@
 	return s.lastCrash + partBlockTime<<min(s.repeats, maxPartBlockRepeat)
 }
 
-// concernsPeers reports whether this gate reports the suspect after a crash. A single crash without
-// direct evidence, the most common case, is reported only by the gates that lost a request in
-// it.
-func (s *suspectPart) concernsPeers() bool {
-	if s.local || len(s.crashes) > 1 {
-		return true
-	}
+// reportAge returns how long after the last crash this gate reports the suspect to peers. A single
+// crash without direct evidence, the most common case, is reported shortly, and only by the gates
+// that lost a request in it.
+func (s *suspectPart) reportAge() time.Duration {
 	for _, crash := range s.crashes {
-		if crash.Phase == PhaseBegun {
-			return true
+		if len(s.crashes) > 1 || crash.Phase == PhaseBegun {
+			return suspectReportAge
 		}
 	}
-	return false
+	if s.local {
+		return indirectReportAge
+	}
+	return never
 }
 
 // expired reports whether the suspect can be forgotten.
--- a/internal/admission/part_reports.go
+++ b/internal/admission/part_reports.go
@@ -10,6 +10,9 @@
 const (
 	// maxReportedParts bounds the parts in a report to peers.
 	maxReportedParts = 48
+	// indirectReportAge is how long a suspect with one crash and no direct evidence is reported
+	// after it.
+	indirectReportAge = 2 * time.Second
 	// maxReportedCrashes bounds the crashes reported for a part.
 	maxReportedCrashes = 8
 )
@@ -30,7 +33,7 @@
 func (p *crashingParts) report(now time.Duration) map[uint64][]PartCrash {
 	var reported []uint64
 	for part, suspect := range p.suspects {
-		if now-suspect.lastCrash <= suspectReportAge && suspect.concernsPeers() || len(suspect.crashes) >= partCrashLimit && !suspect.expired(now) {
+		if now-suspect.lastCrash <= suspect.reportAge() || len(suspect.crashes) >= partCrashLimit && !suspect.expired(now) {
 			reported = append(reported, part)
 		}
 	}
