Test of the look at a target after an unframed stream

The mutant without that look survived TestPartOfStreamThatEndsInOrderBlocked, where the losses beside it are evidence too. The new test has the stream alone at its target.

--- a/internal/gate/harness_test.go
+++ b/internal/gate/harness_test.go
@@ -35,7 +35,11 @@
 
 func (testCodec) DecodeRequest(h http.Header) RequestMeta {
 	ms, _ := strconv.Atoi(h.Get("Timeout-Ms"))
-	return RequestMeta{ID: h.Get("Id"), Key: h.Get("Key"), Timeout: time.Duration(ms) * time.Millisecond, LastEventID: h.Get("Last")}
+	meta := RequestMeta{ID: h.Get("Id"), Key: h.Get("Key"), Timeout: time.Duration(ms) * time.Millisecond, LastEventID: h.Get("Last")}
+	if part, err := strconv.ParseUint(h.Get("Part"), 10, 64); err == nil {
+		meta.Parts = []admission.Part{{Hash: part, Tokens: 1}}
+	}
+	return meta
 }
 
 func (c testCodec) DecodeSize(h http.Header) RequestMeta { return c.DecodeRequest(h) }
--- a/internal/gate/target_check_test.go
+++ b/internal/gate/target_check_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
@@ -53,3 +54,26 @@
 	}
 	require.Empty(t, f.controller.TakePresumedCrashes())
 }
+
+// TestTargetCheckedAfterUnframedStream covers a lone stream without length or chunks that ends in
+// order with its target.
+func TestTargetCheckedAfterUnframedStream(t *testing.T) {
+	f := newFixture(t, testRoutes(streamOnce))
+	l, err := net.Listen("tcp4", "127.0.0.1:0")
+	require.NoError(t, err)
+	go func() {
+		c, err := l.Accept()
+		l.Close()
+		if err == nil {
+			f.serveTarget(c, "t", func(c net.Conn, r targetRequest) {
+				write(c, framedResponses("text/event-stream", event(1))[2].raw(r))
+				c.Close()
+			})
+		}
+	}()
+	f.directory.Replace([]target.Instance{{ID: "t", Addr: l.Addr().String(), Service: "letters", Domain: "d", Slots: 8}}, 0, false)
+	got := f.send("/p/", "body", append(patient, "Part", "7")...)
+	require.NoError(t, got.err)
+	require.Equal(t, event(1), got.body)
+	require.Eventually(t, func() bool { return f.controller.TakeLossesInCrashes()[admission.PhaseBegun] == 1 }, patientTimeout, time.Millisecond)
+}
