--- a/internal/overload/engine.go
+++ b/internal/overload/engine.go
@@ -21,15 +21,15 @@
 	remainingTokens int // tokens to generate
 	started         bool
 	startedAt       time.Duration
-	reportedAt      time.Duration // when the response was last reported to its gate
+	survived        bool // the response has lasted for survivalTime
 }
 
 // reportedEvents is how many events after the first are reported to the gate; later ones
 // change nothing there.
 const reportedEvents = 8
 
-// survivalInterval is how often a response is reported to its gate as long as it lasts.
-const survivalInterval = time.Second
+// survivalTime is how long after its begin a response is reported to its gate once more.
+const survivalTime = time.Second
 
 // engine batches requests in order of arrival. Each step reads a chunk of the unread
 // prompts in the batch and generates a token for each request whose prompt is read.
@@ -108,7 +108,7 @@
 		}
 		j.remainingTokens--
 		if !j.started && (j.remainingTokens <= j.request.outputTokens-tokensPerEvent || j.remainingTokens <= 0) {
-			j.started, j.startedAt, j.reportedAt = true, now, now
+			j.started, j.startedAt = true, now
 			j.request.stated = e.speeds.statement(len(e.jobs), len(e.waiting), batchSlots, e.machine.pace)
 			if j.request.crashing == nil || !j.request.crashingPart.BeforeResponse {
 				j.request.recordFirstEvent(now + firstEventOverhead)
@@ -118,8 +118,8 @@
 			j.request.events++
 			j.request.lease.Began(now + firstEventOverhead)
 		}
-		if j.started && now-j.reportedAt > survivalInterval {
-			j.reportedAt = now
+		if j.started && !j.survived && now-j.startedAt > survivalTime {
+			j.survived = true
 			j.request.lease.Began(now)
 		}
 		if j.remainingTokens <= 0 || now > j.request.deadline {
