Losses in crashes are counted once

A loss is marked when it is counted. TestReasonsToSuspectReported reports the same crash twice now and fails without the mark. No decision changes.

--- a/internal/admission/suspects.go
+++ b/internal/admission/suspects.go
@@ -107,6 +107,7 @@
 	workspace   WorkspaceID
 	began       bool // the response had begun
 	beganAt     time.Duration
+	counted     bool // among those in crashes
 }
 
 func newSuspects() *suspects {
@@ -121,11 +122,12 @@
 func (s *suspects) recordLoss(now time.Duration, instance *target.Instance, lost loss) {
 	lost.at, lost.run = now, runOf(instance)
 	recent := s.recentLosses(now, instance.ID, crashWindow)
-	s.losses[instance.ID] = append(s.recentLosses(now, instance.ID, peerEvidenceWindow), lost)
+	losses := append(s.recentLosses(now, instance.ID, peerEvidenceWindow), lost)
+	s.losses[instance.ID] = losses
 	if len(recent) > 0 {
 		s.recordCrash(now, instance, false)
 	} else if crash, ok := s.confirmed[lost.run]; ok && now-crash.at <= peerEvidenceWindow {
-		s.addLoss(now, lost)
+		s.addLoss(now, &losses[len(losses)-1])
 	}
 }
 
@@ -165,17 +167,20 @@
 	if isNew && !refused && len(s.crashed) < maxPresumedCrashes {
 		s.crashed = append(s.crashed, instance.ID)
 	}
-	for _, l := range lost {
-		s.addLoss(now, l)
+	for i := range lost {
+		s.addLoss(now, &lost[i])
 	}
 	s.loseUnframed(now, runOf(instance), now, crashWindow)
 }
 
 // addLoss records that the connection of a request was lost by the crash of its target.
-func (s *suspects) addLoss(now time.Duration, l loss) {
-	s.lossesInCrashes[l.phase()]++
+func (s *suspects) addLoss(now time.Duration, l *loss) {
+	if !l.counted { // each further evidence of the crash adds it again
+		l.counted = true
+		s.lossesInCrashes[l.phase()]++
+	}
 	s.addCrash(now, l.at, l.fingerprint, l.run)
-	s.parts.recordCrash(l)
+	s.parts.recordCrash(*l)
 }
 
 // confirmCrash records evidence of a crash, and reports whether it is new.
@@ -196,8 +201,9 @@
 	}
 	s.confirmCrash(at, run, false)
 	s.loseUnframed(now, run, at, peerEvidenceWindow)
-	for _, l := range s.losses[run.targetID()] {
-		if l.run == run && (l.at-at).Abs() <= peerEvidenceWindow {
+	losses := s.losses[run.targetID()]
+	for i := range losses {
+		if l := &losses[i]; l.run == run && (l.at-at).Abs() <= peerEvidenceWindow {
 			s.addLoss(now, l)
 		}
 	}
--- a/internal/admission/suspects_test.go
+++ b/internal/admission/suspects_test.go
@@ -150,6 +150,7 @@
 		respond(d.Lease)
 		d.Lease.End(lab.now, ResultLost, lab.engines)
 		gate.RecordRefused(lab.now, &d.Target)
+		gate.RecordRefused(lab.now, &d.Target) // the same crash
 		lab.engines = removeID(lab.engines, d.Target.ID)
 		lab.start()
 	}
--- a/internal/admission/unframed.go
+++ b/internal/admission/unframed.go
@@ -19,7 +19,7 @@
 // recordUnframedEnd records the end of a response without length or chunks.
 func (s *suspects) recordUnframedEnd(now time.Duration, end unframedEnd) {
 	if crash, ok := s.confirmed[end.run]; ok && now-crash.at <= peerEvidenceWindow {
-		s.addLoss(now, end.loss)
+		s.addLoss(now, &end.loss)
 		return
 	}
 	s.settleUnframed(now)
@@ -53,7 +53,7 @@
 		if end.run != run || (end.at-at).Abs() > window {
 			return false
 		}
-		s.addLoss(now, end.loss)
+		s.addLoss(now, &end.loss)
 		return true
 	})
 }
--- a/internal/gate/target_check.go
+++ b/internal/gate/target_check.go
@@ -17,8 +17,8 @@
 // in which a target that crashes closes its listener.
 const targetCheckDelay = 20 * time.Millisecond
 
-// checkTarget tests, after a connection was lost or ended an unframed response, whether the target still accepts
-// connections. Without it, a request that is the only one at a target could crash one
+// checkTarget tests, after a connection was lost or ended an unframed response, whether the
+// target still accepts connections. Without it, a request that is the only one at a target could crash one
 // target after the other: a single lost connection is no evidence of a crash, since
 // targets also lose responses.
 func (g *Gate) checkTarget(instance target.Instance) {
