review: case 7, a gate stands still when one engine crashes under long part lists

Each part of each request that is lost in a crash becomes a suspect; above 1,024 suspects each further part searches all of them, under the mutex that every request of the gate needs.

--- a/review/_lab/client.go
+++ b/review/_lab/client.go
@@ -29,6 +29,7 @@
 type result struct {
 	id     string
 	sentAt time.Time
+	took   time.Duration
 	status int // 0: the connection ended without an answer
 	whole  bool
 	err    error
@@ -39,8 +40,9 @@
 }
 
 // send sends the request to a gate and reads the whole answer.
-func send(c *http.Client, addr string, req request) result {
-	res := result{id: fmt.Sprintf("%016x", attempts.Add(1)), sentAt: time.Now()}
+func send(c *http.Client, addr string, req request) (res result) {
+	res = result{id: fmt.Sprintf("%016x", attempts.Add(1)), sentAt: time.Now()}
+	defer func() { res.took = time.Since(res.sentAt) }()
 	hreq, err := http.NewRequest(http.MethodPost, "http://"+addr+req.path, bytes.NewReader(req.body))
 	if err != nil {
 		res.err = err
--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -30,6 +30,7 @@
 	"memory":      runMemory,
 	"relay-drain": runRelayDrain,
 	"deadly-part": runDeadlyPart,
+	"crash-stall": runCrashStall,
 }
 
 func main() {
--- a/review/_lab/rate.go
+++ b/review/_lab/rate.go
@@ -30,6 +30,13 @@
 	return fmt.Sprint(t.statuses)
 }
 
+// all returns the results.
+func (t *tally) all() []result {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.results
+}
+
 // failed returns the results that are no whole answer with status 200.
 func (t *tally) failed() []result {
 	t.mu.Lock()
--- a/review/_lab/worker.go
+++ b/review/_lab/worker.go
@@ -21,6 +21,7 @@
 	zone    string
 	slots   int
 	events  int           // of each answer; 0: a plain answer
+	gap     time.Duration // between two events
 	work    time.Duration // before the answer, or the first event
 	// deadly is a part of prompts that crashes the worker when it begins to write an answer on
 	// it; empty: none. onCrash is called then.
@@ -41,6 +42,7 @@
 	id, addr string
 	born     int64
 	server   *http.Server
+	running  atomic.Int64
 
 	mu       sync.Mutex
 	arrivals []arrival
@@ -81,6 +83,8 @@
 	w.mu.Lock()
 	w.arrivals = append(w.arrivals, arrival{time.Now(), id, deadly})
 	w.mu.Unlock()
+	w.running.Add(1)
+	defer w.running.Add(-1)
 	h.Set(names.ResponseSeal, "seal-"+id)
 	select {
 	case <-time.After(w.spec.work):
@@ -102,6 +106,15 @@
 	}
 	for number := 1; number <= w.spec.events; number++ {
 		fmt.Fprintf(rw, "id: %d\ndata: %s\n\n", number, id)
+		if w.spec.gap == 0 {
+			continue
+		}
+		_ = http.NewResponseController(rw).Flush()
+		select {
+		case <-time.After(w.spec.gap):
+		case <-r.Context().Done():
+			return
+		}
 	}
 }
 
