--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -31,6 +31,7 @@
 	"relay-drain": runRelayDrain,
 	"deadly-part": runDeadlyPart,
 	"crash-stall": runCrashStall,
+	"options":     runOptions,
 }
 
 func main() {
