review: case 10, a request that crashes workers crashes three more after each kill of all gates

It takes the place of the case on OPTIONS *, by which no work is lost; that one stays playable in review/_lab.

--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -3,4 +3,4 @@
 # the disruption.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/mastichollow-gate ] && [ -x target/review-lab ] || exit 2
-GATE=$PWD/target/mastichollow-gate exec target/review-lab options "review/10/record.txt"
+GATE=$PWD/target/mastichollow-gate exec target/review-lab herd-count "review/10/record.txt"
--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -32,6 +32,7 @@
 	"deadly-part": runDeadlyPart,
 	"crash-stall": runCrashStall,
 	"options":     runOptions,
+	"herd-count":  runHerdCount,
 }
 
 func main() {
--- a/review/_lab/worker.go
+++ b/review/_lab/worker.go
@@ -25,8 +25,10 @@
 	work    time.Duration // before the answer, or the first event
 	// deadly is a part of prompts that crashes the worker when it begins to write an answer on
 	// it; empty: none. onCrash is called then.
-	deadly  string
-	onCrash func(w *worker)
+	deadly string
+	// deadlyBody is the body of a request that crashes the worker when it begins to run it.
+	deadlyBody string
+	onCrash    func(w *worker)
 }
 
 // arrival is a request that reached a worker and was run.
@@ -76,16 +78,22 @@
 		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
-	if _, err := io.Copy(io.Discard, r.Body); err != nil {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
 		return
 	}
-	deadly := w.spec.deadly != "" && strings.Contains(","+r.Header.Get(names.PrefixHash), ","+w.spec.deadly+":")
+	deadly := w.spec.deadly != "" && strings.Contains(","+r.Header.Get(names.PrefixHash), ","+w.spec.deadly+":") ||
+		w.spec.deadlyBody != "" && string(body) == w.spec.deadlyBody
 	w.mu.Lock()
 	w.arrivals = append(w.arrivals, arrival{time.Now(), id, deadly})
 	w.mu.Unlock()
 	w.running.Add(1)
 	defer w.running.Add(-1)
 	h.Set(names.ResponseSeal, "seal-"+id)
+	if deadly && w.spec.events == 0 {
+		w.spec.onCrash(w)
+		panic(http.ErrAbortHandler)
+	}
 	select {
 	case <-time.After(w.spec.work):
 	case <-r.Context().Done():
