--- a/review/_lab/memory.go
+++ b/review/_lab/memory.go
@@ -22,10 +22,14 @@
 	maxHeaderBytes = 16 << 10
 	// partsPerRequest entries of eight bytes fit into the largest head.
 	partsPerRequest = 1800
-	oddRate         = 40 // requests a second of the client that nobody controls
+	oddRate         = 50 // requests a second at each gate of the client that nobody controls
 	ordinaryRate    = 20 // of the ordinary client, at each gate
-	memoryDuration  = 45 * time.Second
+	memoryDuration  = 70 * time.Second
 	streamEvents    = 3
+	// endsCounted ends of each of two gates break the rule.
+	endsCounted    = 3
+	memoryGates    = 2
+	restartedAfter = 500 * time.Millisecond
 )
 
 // runMemory lets one client send requests of legal size whose prompts consist of very many
@@ -52,57 +56,73 @@
 			return verdict{}, err
 		}
 	}
-	g, err := l.newGate(standin.VM{Node: "edge-1", Domain: "zone-a", StoreAddr: store.Addr(), MemoryMB: memoryLimitMB, MaxFDs: memoryFDs})
-	if err != nil {
-		return verdict{}, err
-	}
-	if err := g.start(); err != nil {
-		return verdict{}, err
+	var gates []*gate
+	for i := range memoryGates {
+		g, err := l.newGate(standin.VM{Node: fmt.Sprintf("edge-%d", i+1), Domain: "zone-a", StoreAddr: store.Addr(), MemoryMB: memoryLimitMB, MaxFDs: memoryFDs})
+		if err != nil {
+			return verdict{}, err
+		}
+		if err := g.start(); err != nil {
+			return verdict{}, err
+		}
+		gates = append(gates, g)
 	}
-	if err := g.awaitReady(); err != nil {
-		return verdict{}, err
+	for _, g := range gates {
+		if err := g.awaitReady(); err != nil {
+			return verdict{}, err
+		}
 	}
 	time.Sleep(time.Second)
 
 	stop := make(chan struct{})
-	var clients sync.WaitGroup
+	var clients, supervisors sync.WaitGroup
 	ordinary, odd := &tally{}, &tally{}
-	clients.Go(func() {
-		sendAtRate(stop, ordinaryRate, g.vm.CallerAddr, ordinary, func(n int) request {
-			return request{host: "lens.example", path: "/review/1", key: "key-ordinary", deadline: 12 * time.Second, counts: "1800,9", parts: fmt.Sprintf("aa:1600,%x:200", 1<<32+n), body: []byte("prompt")}
-		})
-	})
-	if l.trouble {
+	for i, g := range gates {
 		clients.Go(func() {
-			sendAtRate(stop, oddRate, g.vm.CallerAddr, odd, func(n int) request {
-				return request{host: "lens.example", path: "/review/1", key: "key-odd", deadline: 12 * time.Second, counts: fmt.Sprintf("%d,9", partsPerRequest), parts: manyParts(n), body: []byte("prompt")}
+			sendAtRate(stop, ordinaryRate, g.vm.CallerAddr, ordinary, func(n int) request {
+				return request{host: "lens.example", path: "/review/1", key: "key-ordinary", deadline: 12 * time.Second, counts: "1800,9", parts: fmt.Sprintf("aa:1600,%x:200", 1<<32+n), body: []byte("prompt")}
 			})
 		})
-	}
-	peak, killed := 0, false
-	for end := time.Now().Add(memoryDuration); time.Now().Before(end) && !killed; time.Sleep(100 * time.Millisecond) {
-		if g.ended() {
-			killed = true
-			l.note("the process ended by itself")
-			break
+		if l.trouble {
+			clients.Go(func() {
+				sendAtRate(stop, oddRate, g.vm.CallerAddr, odd, func(n int) request {
+					return request{host: "lens.example", path: "/review/1", key: "key-odd", deadline: 12 * time.Second, counts: fmt.Sprintf("%d,9", partsPerRequest), parts: manyParts(memoryGates*n + i), body: []byte("prompt")}
+				})
+			})
 		}
-		if kb := anonymousKB(g.pid()); kb > peak {
-			if kb/(8<<10) > peak/(8<<10) {
-				l.note("anonymous memory %d MB; ordinary client: %s; odd client: %s", kb>>10, ordinary, odd)
+	}
+	ends, peaks := make([]int, memoryGates), make([]int, memoryGates)
+	deadline := time.Now().Add(memoryDuration)
+	for i, g := range gates {
+		supervisors.Go(func() {
+			for time.Now().Before(deadline) && ends[i] < endsCounted {
+				time.Sleep(50 * time.Millisecond)
+				kb := anonymousKB(g.pid())
+				peaks[i] = max(peaks[i], kb)
+				if kb <= memoryLimitMB<<10 && !g.ended() {
+					continue
+				}
+				ends[i]++
+				l.note("end %d of %s: anonymous memory %d MB of %d (memory_mb); ordinary client: %s; odd client: %s", ends[i], g.vm.Node, kb>>10, memoryLimitMB, ordinary, odd)
+				g.kill()
+				time.Sleep(restartedAfter)
+				if err := g.start(); err != nil || g.awaitReady() != nil {
+					l.note("%s doesn't come back", g.vm.Node)
+					return
+				}
 			}
-			peak = kb
-		}
-		if peak > memoryLimitMB<<10 {
-			killed = true
-			l.note("memory %d MB is above memory_mb %d: the platform kills the process (SIGKILL)", peak>>10, memoryLimitMB)
-			g.kill()
-		}
+		})
 	}
-	time.Sleep(500 * time.Millisecond)
+	supervisors.Wait()
 	close(stop)
 	clients.Wait()
 	l.note("ordinary client: %s; odd client: %s; a head of the odd client has %d bytes in its longest line", ordinary, odd, len(manyParts(0)))
-	return verdict{killed, fmt.Sprintf("peak of anonymous memory %d MB of %d MB, process killed: %t", peak>>10, memoryLimitMB, killed)}, nil
+	broken := true
+	for i, g := range gates {
+		l.note("%s ended %d times, peak of anonymous memory %d MB", g.vm.Node, ends[i], peaks[i]>>10)
+		broken = broken && ends[i] >= endsCounted
+	}
+	return verdict{broken, fmt.Sprintf("processes ended for memory: %v (three times on two machines break the rule)", ends)}, nil
 }
 
 // manyParts returns the parts of the n-th prompt, each of one token.
