--- a/review/_lab/client.go
+++ b/review/_lab/client.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -30,7 +31,8 @@
 	id     string
 	sentAt time.Time
 	took   time.Duration
-	status int // 0: the connection ended without an answer
+	kept   bool // sent on a connection that had carried another request
+	status int  // 0: the connection ended without an answer
 	whole  bool
 	err    error
 }
@@ -49,6 +51,7 @@
 		return res
 	}
 	hreq.Host = req.host
+	hreq = hreq.WithContext(httptrace.WithClientTrace(hreq.Context(), &httptrace.ClientTrace{GotConn: func(info httptrace.GotConnInfo) { res.kept = info.Reused }}))
 	hreq.Header.Set(names.AttemptID, res.id)
 	hreq.Header.Set(names.Deadline, strconv.FormatInt(req.deadline.Milliseconds(), 10))
 	hreq.Header.Set(names.Key, req.key)
--- a/review/_lab/main.go
+++ b/review/_lab/main.go
@@ -9,6 +9,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -50,6 +52,13 @@
 		l.close()
 		os.Exit(exitNotRun)
 	})
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, os.Interrupt, syscall.SIGTERM, syscall.SIGHUP)
+	go func() {
+		<-signals
+		l.close()
+		os.Exit(exitNotRun)
+	}()
 	result, err := cases[os.Args[1]](l)
 	timeout.Stop()
 	code := exitHeld
--- a/review/_lab/memory.go
+++ b/review/_lab/memory.go
@@ -11,25 +11,23 @@
 	"github.com/mastichollow/mastichollow/platform/standin"
 )
 
-// The deployment of the memory case: the engines and the entry VMs of the lens works.
+// The deployment of the memory case: the engines and one edge of the memory jar kits.
 const (
-	memoryLimitMB  = 134
-	memoryFDs      = 4100
-	engineCount    = 12
-	engineTokens   = 373092
-	engineSlots    = 64
-	tokensPerS     = 1000000
-	maxHeaderBytes = 16 << 10
+	memoryLimitMB = 284
+	memoryFDs     = 4100
+	engineCount   = 12
+	memoryEngines = 18
+	engineTokens  = 489201
+	engineSlots   = 64
+	tokensPerS    = 1000000
 	// partsPerRequest entries of eight bytes fit into the largest head.
 	partsPerRequest = 1800
-	oddRate         = 50 // requests a second at each gate of the client that nobody controls
-	ordinaryRate    = 20 // of the ordinary client, at each gate
-	memoryDuration  = 70 * time.Second
+	oddRate         = 80                     // requests a second of the client that nobody controls
+	ordinaryRate    = 40                     // of the ordinary client
+	prefillTime     = 250 * time.Millisecond // of 12,000 prompt tokens
+	memoryDuration  = 40 * time.Second
 	streamEvents    = 3
-	// endsCounted ends of each of two gates break the rule.
-	endsCounted    = 3
-	memoryGates    = 2
-	restartedAfter = 500 * time.Millisecond
+	maxClosedKept   = 3 // requests that a machine may leave without an answer on kept connections
 )
 
 // runMemory lets one client send requests of legal size whose prompts consist of very many
@@ -42,8 +40,8 @@
 	err = store.PutTable(standin.Table{
 		Version: 1, SlotsPerTarget: engineSlots, TokensPerSecond: tokensPerS,
 		Routes: []standin.Route{{
-			Name: "review", Host: "lens.example", Prefix: "/review/", Service: "engine", Kind: standin.Stream,
-			Timeout: 12 * time.Second, LatencyObjective: 1200 * time.Millisecond, MaxTargets: 1, PrefixAffinity: true,
+			Name: "letter", Host: "shop.example", Prefix: "/letter/", Service: "engine", Kind: standin.Stream,
+			Timeout: 15 * time.Second, LatencyObjective: 1200 * time.Millisecond, MaxTargets: 1, PrefixAffinity: true,
 		}},
 		Workspaces:        map[string][]string{"ordinary": {"key-ordinary"}, "odd": {"key-odd"}},
 		EngineCacheTokens: map[string]int{"engine": engineTokens},
@@ -51,78 +49,71 @@
 	if err != nil {
 		return verdict{}, err
 	}
-	for range engineCount {
-		if _, err := l.newWorker(store, workerSpec{service: "engine", zone: "zone-a", slots: engineSlots, events: streamEvents, work: 20 * time.Millisecond}); err != nil {
-			return verdict{}, err
-		}
-	}
-	var gates []*gate
-	for i := range memoryGates {
-		g, err := l.newGate(standin.VM{Node: fmt.Sprintf("edge-%d", i+1), Domain: "zone-a", StoreAddr: store.Addr(), MemoryMB: memoryLimitMB, MaxFDs: memoryFDs})
+	var engines []*worker
+	for range memoryEngines {
+		w, err := l.newWorker(store, workerSpec{service: "engine", zone: "zone-a", slots: engineSlots, events: streamEvents, work: prefillTime})
 		if err != nil {
 			return verdict{}, err
 		}
-		if err := g.start(); err != nil {
-			return verdict{}, err
-		}
-		gates = append(gates, g)
+		engines = append(engines, w)
 	}
-	for _, g := range gates {
-		if err := g.awaitReady(); err != nil {
-			return verdict{}, err
-		}
+	g, err := l.newGate(standin.VM{Node: "edge-1", Domain: "zone-a", StoreAddr: store.Addr(), MemoryMB: memoryLimitMB, MaxFDs: memoryFDs})
+	if err != nil {
+		return verdict{}, err
+	}
+	if err := g.start(); err != nil {
+		return verdict{}, err
+	}
+	if err := g.awaitReady(); err != nil {
+		return verdict{}, err
 	}
-	time.Sleep(time.Second)
+	time.Sleep(contactTime)
 
 	stop := make(chan struct{})
-	var clients, supervisors sync.WaitGroup
+	var clients sync.WaitGroup
 	ordinary, odd := &tally{}, &tally{}
-	for i, g := range gates {
+	clients.Go(func() {
+		sendAtRate(stop, ordinaryRate, g.vm.CallerAddr, ordinary, func(n int) request {
+			return request{host: "shop.example", path: "/letter/1", key: "key-ordinary", deadline: 15 * time.Second, counts: "12000,18", parts: fmt.Sprintf("aa:5400,%x:6600", 1<<32+n), body: []byte("prompt")}
+		})
+	})
+	if l.trouble {
 		clients.Go(func() {
-			sendAtRate(stop, ordinaryRate, g.vm.CallerAddr, ordinary, func(n int) request {
-				return request{host: "lens.example", path: "/review/1", key: "key-ordinary", deadline: 12 * time.Second, counts: "1800,9", parts: fmt.Sprintf("aa:1600,%x:200", 1<<32+n), body: []byte("prompt")}
+			sendAtRate(stop, oddRate, g.vm.CallerAddr, odd, func(n int) request {
+				return request{host: "shop.example", path: "/letter/1", key: "key-odd", deadline: 15 * time.Second, counts: fmt.Sprintf("%d,18", partsPerRequest), parts: manyParts(n), body: []byte("prompt")}
 			})
 		})
-		if l.trouble {
-			clients.Go(func() {
-				sendAtRate(stop, oddRate, g.vm.CallerAddr, odd, func(n int) request {
-					return request{host: "lens.example", path: "/review/1", key: "key-odd", deadline: 12 * time.Second, counts: fmt.Sprintf("%d,9", partsPerRequest), parts: manyParts(memoryGates*n + i), body: []byte("prompt")}
-				})
-			})
-		}
 	}
-	ends, peaks := make([]int, memoryGates), make([]int, memoryGates)
-	deadline := time.Now().Add(memoryDuration)
-	for i, g := range gates {
-		supervisors.Go(func() {
-			for time.Now().Before(deadline) && ends[i] < endsCounted {
-				time.Sleep(50 * time.Millisecond)
-				kb := anonymousKB(g.pid())
-				peaks[i] = max(peaks[i], kb)
-				if kb <= memoryLimitMB<<10 && !g.ended() {
-					continue
-				}
-				ends[i]++
-				l.note("end %d of %s: anonymous memory %d MB of %d (memory_mb); ordinary client: %s; odd client: %s", ends[i], g.vm.Node, kb>>10, memoryLimitMB, ordinary, odd)
-				g.kill()
-				time.Sleep(restartedAfter)
-				if err := g.start(); err != nil || g.awaitReady() != nil {
-					l.note("%s doesn't come back", g.vm.Node)
-					return
-				}
-			}
-		})
+	peak, ended := 0, false
+	for deadline := time.Now().Add(memoryDuration); time.Now().Before(deadline) && !ended; time.Sleep(50 * time.Millisecond) {
+		kb := anonymousKB(g.pid())
+		if kb/(32<<10) > peak/(32<<10) {
+			l.note("anonymous memory %d MB; ordinary client: %s; odd client: %s", kb>>10, ordinary, odd)
+		}
+		peak = max(peak, kb)
+		if kb > memoryLimitMB<<10 || g.ended() {
+			ended = true
+			l.note("memory %d MB is above memory_mb %d: the platform kills the process (SIGKILL)", kb>>10, memoryLimitMB)
+			g.kill()
+		}
 	}
-	supervisors.Wait()
 	close(stop)
 	clients.Wait()
-	l.note("ordinary client: %s; odd client: %s; a head of the odd client has %d bytes in its longest line", ordinary, odd, len(manyParts(0)))
-	broken := true
-	for i, g := range gates {
-		l.note("%s ended %d times, peak of anonymous memory %d MB", g.vm.Node, ends[i], peaks[i]>>10)
-		broken = broken && ends[i] >= endsCounted
+	ran := make(map[string]bool)
+	for _, w := range engines {
+		for _, a := range w.ranAfter(l.started) {
+			ran[a.id] = true
+		}
 	}
-	return verdict{broken, fmt.Sprintf("processes ended for memory: %v (three times on two machines break the rule)", ends)}, nil
+	closed := 0
+	for _, r := range ordinary.all() {
+		if r.status == 0 && r.kept && ran[r.id] && r.took < clientTimeout {
+			closed++
+			l.note("request %s, sent at %.3f on a kept connection, ran at an engine; its connection ended without an answer after %d ms", r.id, r.sentAt.Sub(l.started).Seconds(), r.took.Milliseconds())
+		}
+	}
+	l.note("ordinary client: %s; odd client: %s; a head of the odd client has %d bytes in its longest line", ordinary, odd, len(manyParts(0)))
+	return verdict{closed > maxClosedKept, fmt.Sprintf("peak of anonymous memory %d MB of %d MB, process ended: %t; %d requests that were passed on from kept connections got no answer (bound %d)", peak>>10, memoryLimitMB, ended, closed, maxClosedKept)}, nil
 }
 
 // manyParts returns the parts of the n-th prompt, each of one token.
