--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -125,7 +125,7 @@
 // Replace applies a full list of targets that was read at now. storeWasUnavailable says
 // that the store was unreachable since the previous list, so that entries of live targets
 // may have expired; such entries are retained until their grace period ends. It returns
-// the IDs of targets that were added, started to drain or were removed.
+// the IDs of targets that were added, started to drain, were removed or are retained from now on.
 func (d *Directory) Replace(instances []Instance, now time.Duration, storeWasUnavailable bool) Change {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -142,8 +142,12 @@
 			delete(d.graceEnds, id)
 			continue
 		}
+		_, inGrace := d.graceEnds[id]
 		if d.retainExpired(instance, now, storeWasUnavailable) {
 			instances = append(instances, instance)
+			if !inGrace {
+				change.Retained = append(change.Retained, id)
+			}
 			continue
 		}
 		change.Removed = append(change.Removed, id)
@@ -200,12 +204,13 @@
 }
 
 // Change holds the IDs of the targets that a new list changed. Added includes targets
-// that restarted.
+// that restarted. Retained targets are no longer listed, and stay until their grace period ends.
 type Change struct {
 	Added, Draining, Removed []string
+	Retained                 []string
 }
 
-// Empty reports whether nothing changed.
+// Empty reports whether the listed targets stay the same for requests.
 func (c Change) Empty() bool { return len(c.Added)+len(c.Draining)+len(c.Removed) == 0 }
 
 // Available returns the targets of a service that accept new requests, sorted by ID. The
