A relay's outage is ordered by its position in the store

Cause: the relay stated how long ago it was back, as of the arrival of a poll, and the member dated it by the end of the poll, up to 1.5 s later. The outage then seemed to lie after the member's last list, so targets that left were retained as expired for 2.2 s; while a relay serves, nothing ended that time. Besides, an outage of the relay was taken for one of the store.

Ruled out: calls of the member itself that failed.

Fix: the relay states the position of its first list after an outage of 2.4 s or more, and members compare positions; a list that the gate read itself outranks it. A duty of its own ends the grace period while a relay serves. Works since no time is carried over a poll any more.

--- a/internal/relay/doc.go
+++ b/internal/relay/doc.go
@@ -14,6 +14,8 @@
 //     from a time before it sent the poll request, on a clock that includes suspended
 //     time.
 //   - A target list never replaces a newer one.
+//   - What a member must order against its own past, such as the time of an outage, is stated as
+//     a position in the store. Polls may wait, so a time since then would be dated too late.
 //   - A relay whose cached state is too old refuses to serve. If it is recent but did not
 //     change during a long poll, the response is "no change" with the age of the table.
 //
--- a/internal/relay/feed.go
+++ b/internal/relay/feed.go
@@ -60,7 +60,7 @@
 	lastDroppedRemoval uint64
 	revision           Revision
 	targetsAsOf        time.Duration // a time at which the target list was the newest
-	storeRecoveredAt   time.Duration // 0: the connection was never lost
+	recovered          Revision      // as in pollResponse.RecoveredRevision
 	// tableUnavailable and targetsUnavailable are set while this gate does not follow them
 	// in the store.
 	tableUnavailable, targetsUnavailable bool
@@ -182,16 +182,16 @@
 }
 
 // SetTargets stores the target list of a revision of the store, which was the newest at
-// asOf. recovered reports that the connection to the store was lost before this read.
-func (f *Feed) SetTargets(listed []target.Instance, revision Revision, asOf time.Duration, recovered bool) {
+// asOf. reconnected reports that the connection to the store was lost before this read.
+func (f *Feed) SetTargets(listed []target.Instance, revision Revision, asOf time.Duration, reconnected bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	if reconnected && f.targetsAsOf > 0 && asOf-f.targetsAsOf >= target.MinExpiryOutage {
+		f.recovered = revision
+	}
 	f.targetsUnavailable = false
 	f.targetsAsOf = max(f.targetsAsOf, asOf)
-	if recovered {
-		f.storeRecoveredAt = f.now()
-	}
-	if f.replaceTargets(listed, revision) || recovered {
+	if f.replaceTargets(listed, revision) || reconnected {
 		f.notify()
 	}
 }
@@ -340,10 +340,8 @@
 		Full:         req.Epoch != f.epoch || req.Sequence < f.lastDroppedRemoval || req.Sequence > f.sequence,
 		TableVersion: f.edition.Version, TableEra: f.edition.Era, Confirmations: f.confirmations, TableAge: arrived - f.tableAsOf,
 	}
+	resp.RecoveredRevision, resp.RecoveredEra = f.recovered.Number, f.recovered.Era
 	f.addEvacuations(resp)
-	if f.storeRecoveredAt > 0 {
-		resp.SinceRecovery = max(arrived-f.storeRecoveredAt, time.Nanosecond)
-	}
 	if req.TableVersion != f.edition.Version || req.TableDigest != f.edition.Digest {
 		resp.Table = f.table
 	}
--- a/internal/relay/member.go
+++ b/internal/relay/member.go
@@ -50,9 +50,10 @@
 	// ApplyTable stores a table in the platform's encoding, which was the newest at asOf in
 	// an era of the store. Empty data confirms the cached table.
 	ApplyTable(data []byte, era int64, asOf time.Duration) error
-	// ApplyTargets stores the full target list of a revision of the store. sinceRecovery
-	// is the time since the relay reconnected to the store; 0 if it never lost it.
-	ApplyTargets(listed []target.Instance, revision Revision, sinceRecovery time.Duration)
+	// ApplyTargets stores the full target list of a revision of the store. Between the relay's
+	// last list before recovered and that one, entries of live targets may have expired; zero:
+	// never.
+	ApplyTargets(listed []target.Instance, revision, recovered Revision)
 	// ApplyEvacuations stores the list of evacuated failure domains.
 	ApplyEvacuations(list target.EvacuationList)
 }
@@ -207,7 +208,7 @@
 	if !m.applyChanges(resp) {
 		return errors.New("response holds only changes, but no full target list was received")
 	}
-	m.config.View.ApplyTargets(m.targetList(), resp.revision(), resp.SinceRecovery)
+	m.config.View.ApplyTargets(m.targetList(), resp.revision(), resp.recovered())
 	m.position.Epoch, m.position.Sequence, m.position.Confirmations, m.position.EvacuationChanges = resp.Epoch, resp.Sequence, resp.Confirmations, resp.EvacuationChanges
 	if !m.Served() {
 		m.config.Log.Info("served by a relay", "relay", relay.String(), "targets", len(m.targets), "table_version", resp.TableVersion)
@@ -236,8 +237,6 @@
 	return true
 }
 
-func (r *pollResponse) revision() Revision { return Revision{Era: r.TargetsEra, Number: r.Revision} }
-
 func (m *Member) targetList() []target.Instance {
 	all := make([]target.Instance, 0, len(m.targets))
 	for _, instance := range m.targets {
@@ -264,7 +263,7 @@
 	for _, instance := range resp.Targets {
 		listed = append(listed, instance.decode(steadyNow))
 	}
-	m.config.View.ApplyTargets(listed, resp.revision(), resp.SinceRecovery)
+	m.config.View.ApplyTargets(listed, resp.revision(), resp.recovered())
 	return nil
 }
 
--- a/internal/relay/message.go
+++ b/internal/relay/message.go
@@ -50,10 +50,8 @@
 	Removed []string       `cbor:"5,keyasint,omitempty"` // IDs of removed targets
 	// Revision is the number of the revision of the targets in the store, in TargetsEra.
 	Revision int64 `cbor:"6,keyasint"`
-	// SinceRecovery is the time between the relay's last reconnection to the store and the
-	// arrival of the request; 0 if the relay never lost the store. Entries of live targets
-	// may have expired during the outage.
-	SinceRecovery time.Duration `cbor:"7,keyasint"`
+	// Field 7 held the time since the relay's reconnection to the store; RecoveredRevision has
+	// its position now.
 
 	TableVersion int64 `cbor:"8,keyasint"`
 	// Table is the table in the platform's encoding; empty if the member has it.
@@ -75,6 +73,18 @@
 	// HeldEvacuations holds, by failure domain, how long an evacuation from before a restore
 	// of the store goes on.
 	HeldEvacuations map[string]time.Duration `cbor:"18,keyasint,omitempty"`
+
+	// RecoveredRevision and RecoveredEra are the position of the first target list that the relay
+	// read after it last lost the store for long enough that entries of live targets may have
+	// expired; 0: never.
+	RecoveredRevision int64 `cbor:"19,keyasint,omitempty"`
+	RecoveredEra      int64 `cbor:"20,keyasint,omitempty"`
+}
+
+func (r *pollResponse) revision() Revision { return Revision{Era: r.TargetsEra, Number: r.Revision} }
+
+func (r *pollResponse) recovered() Revision {
+	return Revision{Era: r.RecoveredEra, Number: r.RecoveredRevision}
 }
 
 func (r *pollResponse) evacuations() target.EvacuationList {
--- a/internal/relay/relay_test.go
+++ b/internal/relay/relay_test.go
@@ -24,12 +24,12 @@
 
 // recordingView is a View that records the last values applied.
 type recordingView struct {
-	version       int64
-	asOf          time.Duration
-	listed        map[string]target.Instance
-	revision      Revision
-	sinceRecovery time.Duration
-	evacuations   target.EvacuationList
+	version     int64
+	asOf        time.Duration
+	listed      map[string]target.Instance
+	revision    Revision
+	recovered   Revision
+	evacuations target.EvacuationList
 }
 
 func (v *recordingView) TableEdition() route.Edition { return route.Edition{Version: v.version} }
@@ -44,12 +44,12 @@
 	return nil
 }
 
-func (v *recordingView) ApplyTargets(listed []target.Instance, revision Revision, sinceRecovery time.Duration) {
+func (v *recordingView) ApplyTargets(listed []target.Instance, revision, recovered Revision) {
 	v.listed = make(map[string]target.Instance)
 	for _, in := range listed {
 		v.listed[in.ID] = in
 	}
-	v.revision, v.sinceRecovery = revision, sinceRecovery
+	v.revision, v.recovered = revision, recovered
 }
 
 func (v *recordingView) ApplyEvacuations(list target.EvacuationList) { v.evacuations = list }
@@ -122,7 +122,7 @@
 	require.EqualValues(t, 3, p.view.version)
 	require.Equal(t, Revision{Number: 7}, p.view.revision)
 	require.Len(t, p.view.listed, 2)
-	require.Zero(t, p.view.sinceRecovery)
+	require.Zero(t, p.view.recovered)
 }
 
 func TestPollReturnsOnChange(t *testing.T) {
@@ -244,13 +244,38 @@
 	require.Less(t, time.Since(start), longPollTimeout, "no later than the state is too old")
 }
 
-func TestMemberReceivesStoreRecovery(t *testing.T) {
-	p := newPair(t)
-	p.setTable(3)
-	p.feed.SetTargets(instances(1, 2), Revision{Number: 7}, p.now(), true)
-	p.advance(time.Second)
-	require.NoError(t, p.poll())
-	require.Equal(t, time.Second, p.view.sinceRecovery)
+// Guards against an outage that members date by when the response arrives: a poll waits for up to
+// longPollTimeout, so an outage that lies before the member's list would seem to come after it.
+func TestMemberReceivesPositionOfStoreRecovery(t *testing.T) {
+	for name, c := range map[string]struct {
+		outage      time.Duration
+		reconnected bool
+		recovered   Revision
+	}{
+		"no outage":                         {time.Second, false, Revision{}},
+		"too short for entries to expire":   {target.MinExpiryOutage - time.Millisecond, true, Revision{}},
+		"entries may have expired":          {target.MinExpiryOutage, true, Revision{Number: 8}},
+		"relay suspended, store not lost":   {time.Minute, false, Revision{}},
+		"entries may have expired for long": {time.Minute, true, Revision{Number: 8}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			p := newPair(t)
+			p.setTable(3)
+			p.feed.SetTargets(instances(1, 2), Revision{Number: 7}, p.now(), false)
+			p.advance(c.outage)
+			p.setTable(3)
+			p.feed.SetTargets(instances(1, 2), Revision{Number: 8}, p.now(), c.reconnected)
+			require.NoError(t, p.poll())
+			require.Equal(t, c.recovered, p.view.recovered)
+			for revision := int64(9); revision < 12; revision++ {
+				p.beforeResponse = func() { p.advance(time.Second) } // a poll that waits
+				p.setTable(3)
+				p.feed.SetTargets(instances(1), Revision{Number: revision}, p.now(), false)
+				require.NoError(t, p.poll())
+				require.Equal(t, c.recovered, p.view.recovered, "the outage is not newer than the list before it")
+			}
+		})
+	}
 }
 
 // Members that miss any number of changes, also across a restart of the relay, must end
--- a/internal/target/instance.go
+++ b/internal/target/instance.go
@@ -1,6 +1,7 @@
 package target
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -46,6 +47,11 @@
 // of that.
 const storeReturnGrace = 2200 * time.Millisecond
 
+// MinExpiryOutage is the shortest outage of the store in which the entry of a live target may
+// expire: after three report intervals of silence (1.2 s each), of which one may have passed
+// before the outage.
+const MinExpiryOutage = 2400 * time.Millisecond
+
 // Directory is the cached state of the live targets of all services.
 //
 // Invariants:
@@ -151,9 +157,7 @@
 			continue
 		}
 		change.Removed = append(change.Removed, id)
-		delete(d.notWarmSince, id)
-		delete(d.listedSince, id)
-		d.departures[id] = departure{instance.StartedMillis, now, instance.Addr}
+		d.recordRemoved(&instance, now)
 	}
 	for id, instance := range listed.byID {
 		previousInstance, known := previous.byID[id]
@@ -168,6 +172,35 @@
 	return change
 }
 
+// recordRemoved forgets what is known of a target that was removed and records its departure. The
+// caller holds mu.
+func (d *Directory) recordRemoved(instance *Instance, now time.Duration) {
+	delete(d.notWarmSince, instance.ID)
+	delete(d.listedSince, instance.ID)
+	delete(d.graceEnds, instance.ID)
+	d.departures[instance.ID] = departure{instance.StartedMillis, now, instance.Addr}
+}
+
+// RemoveExpired removes the retained targets whose grace period has ended and returns their IDs
+// as removed.
+func (d *Directory) RemoveExpired(now time.Duration) Change {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var change Change
+	remaining := maps.Clone(d.Current().byID)
+	for id, graceEnd := range d.graceEnds {
+		if instance := remaining[id]; now >= graceEnd {
+			change.Removed = append(change.Removed, id)
+			delete(remaining, id)
+			d.recordRemoved(&instance, now)
+		}
+	}
+	if !change.Empty() {
+		d.current.Store(d.newSnapshot(slices.Collect(maps.Values(remaining))))
+	}
+	return change
+}
+
 // NextExpiry returns the time from now until the first grace period of an expired entry
 // ends; false means that no expired entry is retained.
 func (d *Directory) NextExpiry(now time.Duration) (time.Duration, bool) {
@@ -183,7 +216,7 @@
 }
 
 // retainExpired reports whether a target that is missing from the list is retained. It
-// starts a grace period if the store was unavailable and removes one that has ended.
+// starts a grace period if the store was unavailable.
 func (d *Directory) retainExpired(instance Instance, now time.Duration, storeWasUnavailable bool) bool {
 	if instance.Draining {
 		return false
@@ -196,11 +229,7 @@
 		graceEnd = now + storeReturnGrace
 		d.graceEnds[instance.ID] = graceEnd
 	}
-	if now < graceEnd {
-		return true
-	}
-	delete(d.graceEnds, instance.ID)
-	return false
+	return now < graceEnd
 }
 
 // Change holds the IDs of the targets that a new list changed. Added includes targets
--- a/internal/target/instance_test.go
+++ b/internal/target/instance_test.go
@@ -51,6 +51,24 @@
 	require.Equal(t, []string{"b"}, c.Removed)
 }
 
+// Guards against retained targets that only a further list removes.
+func TestRetainedTargetRemovedAtEndOfGracePeriod(t *testing.T) {
+	d := NewDirectory(nil)
+	a, b := testInstance("a"), testInstance("b")
+	d.Replace([]Instance{a, b}, 0, false)
+	c := d.Replace([]Instance{a}, 10*time.Second, true)
+	require.Equal(t, []string{"b"}, c.Retained)
+	c = d.Replace([]Instance{a}, 11*time.Second, false)
+	require.Empty(t, c.Retained, "reported once")
+	require.True(t, d.RemoveExpired(10*time.Second+storeReturnGrace-1).Empty())
+	require.Len(t, d.Current().Available("letters"), 2)
+	c = d.RemoveExpired(10*time.Second + storeReturnGrace)
+	require.Equal(t, Change{Removed: []string{"b"}}, c)
+	require.Len(t, d.Current().Available("letters"), 1)
+	_, pending := d.NextExpiry(13 * time.Second)
+	require.False(t, pending)
+}
+
 // The entry of a draining target expires while the store is unavailable: it gets no grace
 // period.
 func TestDrainingTargetNotRetainedAfterExpiry(t *testing.T) {
