--- a/internal/admission/bench_test.go
+++ b/internal/admission/bench_test.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"testing"
 	"time"
-
-	"github.com/stretchr/testify/require"
 )
 
 // BenchmarkAdmitRefused measures a refusal when all engines are full, the common case in
@@ -73,19 +71,3 @@
 		})
 	}
 }
-
-// BenchmarkPartBlocks measures the search for crashing parts after each crash, when as many parts
-// are suspected as the gate retains.
-func BenchmarkPartBlocks(b *testing.B) {
-	p := newCrashingParts()
-	for i := range maxSuspectParts {
-		p.addCrash(uint64(i), PartCrash{Run: TargetRun(fmt.Sprint("e", i%32)), At: time.Duration(i) * time.Millisecond})
-	}
-	for i := range 2 * partCrashBound {
-		p.addCrash(crashing, PartCrash{Run: TargetRun(fmt.Sprint("e", i)), At: time.Second, Phase: PhaseWaiting})
-	}
-	for b.Loop() {
-		p.computeBlocks(2 * time.Second)
-	}
-	require.Len(b, p.blocks, 1)
-}
--- a/internal/admission/cache.go
+++ b/internal/admission/cache.go
@@ -3,6 +3,8 @@
 import (
 	"container/list"
 	"time"
+
+	"github.com/mastichollow/mastichollow/internal/prompt"
 )
 
 // promptCache models the prompt parts that one engine caches, with least-recently-used
@@ -15,7 +17,7 @@
 }
 
 type cachedPart struct {
-	Part
+	prompt.Part
 	insertedAt time.Duration
 	// uses counts the requests placed with the part since then, but for those that the
 	// engine cannot have read.
@@ -28,7 +30,7 @@
 
 // uncachedTokens returns the tokens of parts that are not cached. A part counts as
 // cached only if all parts before it are.
-func (c *promptCache) uncachedTokens(parts []Part) int {
+func (c *promptCache) uncachedTokens(parts []prompt.Part) int {
 	total := 0
 	for i, p := range parts {
 		if _, cached := c.parts[p.Hash]; cached && total == 0 && i < len(parts)-1 {
@@ -42,7 +44,7 @@
 // recordUse records that the parts are sent to the engine. The last one is unique to the
 // request and not worth caching. The parts count as cached from the placement on, because
 // the engine reads requests in order of arrival.
-func (c *promptCache) recordUse(now time.Duration, parts []Part) {
+func (c *promptCache) recordUse(now time.Duration, parts []prompt.Part) {
 	if len(parts) == 0 {
 		return
 	}
@@ -62,7 +64,7 @@
 
 // revertUse reverts recordUse for a request placed at a time that the engine cannot have
 // read. Parts that no other request used since their insertion are no longer cached.
-func (c *promptCache) revertUse(placedAt time.Duration, parts []Part) {
+func (c *promptCache) revertUse(placedAt time.Duration, parts []prompt.Part) {
 	if len(parts) == 0 {
 		return
 	}
--- a/internal/admission/cache_test.go
+++ b/internal/admission/cache_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"github.com/mastichollow/mastichollow/internal/prompt"
 )
 
 // Guards against targets that are believed to cache prompts they never received: their
@@ -34,7 +36,9 @@
 // says nothing of the later insertion.
 func TestUnsentRequestKeepsPartsInsertedLater(t *testing.T) {
 	cache := newPromptCache(100)
-	parts := func(hash uint64, tokens int) []Part { return []Part{{Hash: hash, Tokens: tokens}, {Tokens: 1}} }
+	parts := func(hash uint64, tokens int) []prompt.Part {
+		return []prompt.Part{{Hash: hash, Tokens: tokens}, {Tokens: 1}}
+	}
 	cache.recordUse(0, parts(1, 60))
 	cache.recordUse(1, parts(2, 60)) // evicts 1
 	cache.recordUse(2, parts(1, 60))
--- a/internal/admission/controller.go
+++ b/internal/admission/controller.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/mastichollow/mastichollow/internal/pace"
+	"github.com/mastichollow/mastichollow/internal/prompt"
+	"github.com/mastichollow/mastichollow/internal/quarantine"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/warmup"
@@ -24,7 +26,7 @@
 	Slots int
 	// CacheTokens is the memory of each of the service's engines, in tokens.
 	CacheTokens  int
-	Parts        []Part
+	Parts        []prompt.Part
 	PromptTokens int // prompt length
 	OutputTokens int // estimated number of tokens to generate
 	// FirstTokenObjective is the time left to meet the latency objective for the first
@@ -32,7 +34,7 @@
 	FirstTokenObjective time.Duration
 	// Hash spreads requests that have no shared prompt over the targets.
 	Hash        uint64
-	Fingerprint Fingerprint
+	Fingerprint quarantine.Fingerprint
 	// Retry is set when the request was placed before.
 	Retry bool
 	// Regions holds the regions in which the request may be served.
@@ -114,7 +116,7 @@
 	// peerEstimates holds the engine estimates that peers reported, by node.
 	peerEstimates      map[string]peerEstimates
 	health             *health
-	suspects           *suspects
+	quarantine         *quarantine.Tracker
 	backoffs           *backoffs
 	speeds             *pace.Tracker
 	statesPace         map[string]bool // services of which a target has stated its pace
@@ -147,7 +149,7 @@
 		models:             make(map[string]*engineModel),
 		peerEstimates:      make(map[string]peerEstimates),
 		health:             newHealth(),
-		suspects:           newSuspects(),
+		quarantine:         quarantine.NewTracker(),
 		backoffs:           newBackoffs(),
 		speeds:             pace.NewTracker(),
 		statesPace:         make(map[string]bool),
@@ -180,12 +182,12 @@
 	if !req.Retry {
 		c.config.Retry.countRequest(c.retriesOf(req.Service), now)
 	}
-	c.suspects.settleUnframed(now)
-	if c.suspects.quarantined(now, req.Fingerprint, req.Parts) {
+	c.quarantine.SettleUnframed(now)
+	if c.quarantine.Quarantined(now, req.Fingerprint, req.Parts) {
 		return Decision{Refused: request.ReasonQuarantined}
 	}
-	if block := c.suspects.parts.blocked(now, req.Parts, workspaceID(req.Workspace)); block != nil {
-		return Decision{Refused: request.ReasonQuarantined, BlockedPart: block.parts[0], RetryAfter: block.until - now}
+	if part, until, blocked := c.quarantine.BlockedPart(now, req.Parts, quarantine.IDOfWorkspace(req.Workspace)); blocked {
+		return Decision{Refused: request.ReasonQuarantined, BlockedPart: part, RetryAfter: until - now}
 	}
 	if req.Slots > 0 {
 		c.countEngines(req.Service, len(targets))
@@ -201,7 +203,7 @@
 		decision = c.choose(now, req, targets, avoided)
 	}
 	if decision.Refused == "" {
-		c.suspects.parts.recordAdmitted(req.Parts)
+		c.quarantine.RecordAdmitted(req.Parts)
 	}
 	if decision.Diverted {
 		c.coldUse.Diverted++
@@ -347,64 +349,13 @@
 	retry.giveBack()
 }
 
-// TakePresumedCrashes returns the crashes presumed since the previous call.
-func (c *Controller) TakePresumedCrashes() []PresumedCrash {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	presumed := c.suspects.presumed
-	c.suspects.presumed = nil
-	return presumed
-}
-
-// TakeCrashedTargets returns the IDs of the targets that are presumed to have crashed, since a
-// second connection was lost, since the previous call.
-func (c *Controller) TakeCrashedTargets() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	crashed := c.suspects.crashed
-	c.suspects.crashed = nil
-	return crashed
-}
-
-// TakePartBlockChanges returns the blocks of crashing parts that began or ended since the
-// previous call, and the number of parts that are blocked.
-func (c *Controller) TakePartBlockChanges(now time.Duration) ([]PartBlockChange, int) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	parts := c.suspects.parts
-	if len(parts.suspects) > 0 || len(parts.blocks) > 0 {
-		parts.computeBlocks(now)
-	}
-	changes := parts.changes
-	parts.changes = nil
-	blocked := 0
-	for _, block := range parts.blocks {
-		blocked += len(block.parts)
-	}
-	return changes, blocked
-}
-
-// BlockedParts returns the crashes of the parts that are blocked, with the time since.
-func (c *Controller) BlockedParts(now time.Duration) map[uint64][]PartCrash {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.suspects.parts.blockedCrashes(now)
-}
-
-// RestoreParts records the crashes of parts that BlockedParts returned before a restart.
-func (c *Controller) RestoreParts(now time.Duration, crashes map[uint64][]PartCrash) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.suspects.parts.merge(now, crashes, nil, nil)
-}
-
 // RetainTargets removes the state of targets for which live returns false. Crashes
 // recorded against requests are retained.
 func (c *Controller) RetainTargets(live func(id string) bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.health.retain(live)
-	c.suspects.retain(live)
+	c.quarantine.Retain(live)
 	c.requestLimits.retain(live)
 	c.warmup.Retain(live)
 	c.speeds.Retain(live)
--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/mastichollow/mastichollow/internal/prompt"
+	"github.com/mastichollow/mastichollow/internal/quarantine"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
@@ -32,8 +34,8 @@
 func letterRequest(workspace string, shared uint64, n int) *Request {
 	return &Request{
 		Workspace: workspace, Service: "letters", Slots: 64, CacheTokens: 400_000,
-		Parts:        []Part{{Hash: shared, Tokens: 5000}, {Hash: uint64(1_000_000 + n), Tokens: 1000}},
-		PromptTokens: 6000, OutputTokens: 300, FirstTokenObjective: time.Second, Hash: uint64(n), Fingerprint: Fingerprint(n),
+		Parts:        []prompt.Part{{Hash: shared, Tokens: 5000}, {Hash: uint64(1_000_000 + n), Tokens: 1000}},
+		PromptTokens: 6000, OutputTokens: 300, FirstTokenObjective: time.Second, Hash: uint64(n), Fingerprint: quarantine.Fingerprint(n),
 	}
 }
 
@@ -195,7 +197,7 @@
 		if d.Refused != "" {
 			return string(d.Refused)
 		}
-		concurrent := &Lease{controller: c, target: d.Target, fingerprint: Fingerprint(1000 + n), load: Load{InFlight: 1}}
+		concurrent := &Lease{controller: c, target: d.Target, fingerprint: quarantine.Fingerprint(1000 + n), load: Load{InFlight: 1}}
 		c.loads.add(d.Target.ID, concurrent.load)
 		now := time.Duration(n) * time.Second
 		d.Lease.End(now, ResultLost, all)
@@ -246,7 +248,7 @@
 		now := time.Duration(n) * 2 * time.Second
 		d := c.Admit(now, letterRequest("w", 7, 1), all)
 		require.Empty(t, d.Refused, "connections to %d targets were reset, no target crashed", n)
-		lease := func(f Fingerprint) *Lease {
+		lease := func(f quarantine.Fingerprint) *Lease {
 			c.loads.add(d.Target.ID, Load{InFlight: 1})
 			return &Lease{controller: c, target: d.Target, fingerprint: f, load: Load{InFlight: 1}}
 		}
@@ -258,41 +260,6 @@
 		c.Merge(now+900*time.Millisecond, "peer", peer.Report(now+900*time.Millisecond))
 		all = removeID(all, d.Target.ID)
 	}
-
-	tracker := newSuspects()
-	for n := range crashLimit {
-		now := time.Duration(n) * 10 * time.Second
-		id := fmt.Sprint("t-", n)
-		tracker.recordLoss(now, instanceOf(id), loss{fingerprint: 7001})
-		tracker.recordLoss(now, instanceOf(id), loss{fingerprint: 7002})
-		tracker.recordResponse(now+10*time.Millisecond, instanceOf(id)) // was in transit at the crash
-		tracker.recordResponse(now+5*time.Second, instanceOf(id))       // restarted under the same ID
-	}
-	require.True(t, tracker.quarantined(30*time.Second, 7001, nil))
-}
-
-// A request that many callers repeat is in flight when a whole rack fails. It must not
-// be quarantined for that.
-func TestRecentlyCompletedRequestNoSuspect(t *testing.T) {
-	s := newSuspects()
-	crash := func(now time.Duration) {
-		for n := range crashLimit {
-			id := fmt.Sprint("t-", n)
-			s.recordLoss(now, instanceOf(id), loss{fingerprint: 1})
-			s.recordLoss(now, instanceOf(id), loss{fingerprint: 2})
-		}
-	}
-	s.recordCompleted(0, 1)
-	crash(time.Second)
-	require.False(t, s.quarantined(2*time.Second, 1, nil))
-	require.True(t, s.quarantined(2*time.Second, 2, nil))
-
-	for f := range Fingerprint(3 * maxCompleted) {
-		s.recordCompleted(3*time.Second, 100+f)
-	}
-	require.LessOrEqual(t, len(s.completed.current)+len(s.completed.previous), 2*maxCompleted)
-	crash(4 * time.Second)
-	require.True(t, s.quarantined(5*time.Second, 1, nil), "the completion was evicted")
 }
 
 func TestExceedsFairShareOnlyAboveShare(t *testing.T) {
--- a/internal/admission/crashing_parts_test.go
+++ b/internal/admission/crashing_parts_test.go
@@ -7,6 +7,8 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/mastichollow/mastichollow/internal/prompt"
+	"github.com/mastichollow/mastichollow/internal/quarantine"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
@@ -57,7 +59,7 @@
 	r := letterRequest(workspace, 0, l.sent)
 	r.Parts = nil
 	for _, hash := range append(parts, uint64(1_000_000+l.sent)) {
-		r.Parts = append(r.Parts, Part{Hash: hash, Tokens: 10})
+		r.Parts = append(r.Parts, prompt.Part{Hash: hash, Tokens: 10})
 	}
 	return l.gates[gate].Admit(l.clock(gate), r, l.engines)
 }
@@ -79,7 +81,7 @@
 	l.now += 100 * time.Millisecond
 	d.Lease.End(l.clock(gate), ResultLost, l.engines)
 	other := (gate + 1) % len(l.gates)
-	l.gates[other].suspects.recordUnreachable(l.clock(other)+50*time.Millisecond, &d.Target)
+	l.gates[other].quarantine.RecordUnreachable(l.clock(other)+50*time.Millisecond, &d.Target)
 	l.engines = removeID(l.engines, d.Target.ID)
 	l.start()
 	l.exchange(300 * time.Millisecond)
@@ -124,14 +126,14 @@
 // crashToLimit has the part crash as many engines as it takes to block it, by requests of
 // different workspaces at different gates.
 func (l *crashLab) crashToLimit() {
-	for i := range partCrashLimit {
+	for i := range quarantine.PartCrashLimit {
 		l.crash(i%len(l.gates), workspaceOf(i), crashing)
 	}
 }
 
 func TestCrashingPartBlockedAtAllGates(t *testing.T) {
 	lab := newCrashLab(5)
-	for i := range partCrashLimit {
+	for i := range quarantine.PartCrashLimit {
 		require.True(t, lab.crash(i%5, workspaceOf(i), uint64(100+i), crashing))
 	}
 	lab.settle()
@@ -173,14 +175,14 @@
 // responses that had just begun.
 func TestPartThatCrashesBeforeResponseBlocked(t *testing.T) {
 	lab := newCrashLab(3)
-	for i := range partCrashBound {
+	for i := range quarantine.PartCrashBound {
 		require.True(t, lab.crashBesideSound(i%3, uint64(100+i), func(*Lease) {}, companion, crashing))
 		require.True(t, lab.complete(i%3, "w0", companion))
 	}
 	lab.settle()
 	for gate := range 3 {
 		require.False(t, lab.crash(gate, "w0", companion, crashing), "gate %d", gate)
-		for i := range partCrashBound {
+		for i := range quarantine.PartCrashBound {
 			require.True(t, lab.complete(gate, "w0", companion, uint64(100+i)), "gate %d", gate)
 		}
 	}
@@ -190,11 +192,11 @@
 // before which its responses began, until the part that causes them has been in flight at more.
 func TestSoundPartInFlightAtEachCrashGivesWay(t *testing.T) {
 	lab := newCrashLab(2)
-	for i := range partCrashLimit {
+	for i := range quarantine.PartCrashLimit {
 		require.True(t, lab.crashBesideSound(i%2, companion, func(*Lease) {}, crashing))
 	}
 	lab.settle()
-	for range minFurtherCrashes {
+	for range quarantine.MinFurtherCrashes {
 		require.True(t, lab.crashBesideSound(0, 300, func(*Lease) {}, crashing))
 	}
 	lab.settle()
@@ -208,7 +210,7 @@
 	crash := func(gate int) bool {
 		r := letterRequest("w0", 0, lab.sent)
 		lab.sent++
-		r.Parts = []Part{{Hash: companion, Tokens: 10}, {Hash: crashing, Tokens: 10}}
+		r.Parts = []prompt.Part{{Hash: companion, Tokens: 10}, {Hash: crashing, Tokens: 10}}
 		d := lab.gates[gate].Admit(lab.clock(gate), r, lab.engines)
 		if d.Lease == nil {
 			return false
@@ -216,7 +218,7 @@
 		lab.loseAlone(gate, d)
 		return true
 	}
-	for i := range partCrashLimit {
+	for i := range quarantine.PartCrashLimit {
 		require.True(t, crash(i%3), "crash %d", i)
 		require.True(t, lab.complete(i%3, "w0", companion))
 	}
@@ -229,7 +231,7 @@
 
 func TestSoundRequestsWithOtherPartsAdmitted(t *testing.T) {
 	lab := newCrashLab(3)
-	for i := range partCrashLimit + 1 {
+	for i := range quarantine.PartCrashLimit + 1 {
 		require.True(t, lab.complete(i%3, "w0", companion))
 		if lab.crash(i%3, "w0", companion, crashing) {
 			lab.settle()
@@ -245,7 +247,7 @@
 // engines crashed.
 func TestPartsNeverSentApartBlockedTogether(t *testing.T) {
 	lab := newCrashLab(3)
-	for i := range partCrashBound {
+	for i := range quarantine.PartCrashBound {
 		lab.crash(i%3, workspaceOf(i), companion, crashing)
 	}
 	lab.settle()
@@ -260,7 +262,7 @@
 
 func TestWorkspaceCannotBlockPartOfAnother(t *testing.T) {
 	lab := newCrashLab(3)
-	for i := range partCrashBound + 1 {
+	for i := range quarantine.PartCrashBound + 1 {
 		lab.crash(i%3, "attacker", companion)
 	}
 	lab.settle()
@@ -271,7 +273,7 @@
 
 func TestCrashOfSecondWorkspaceBlocksPartForAll(t *testing.T) {
 	lab := newCrashLab(3)
-	for i := range partCrashBound {
+	for i := range quarantine.PartCrashBound {
 		lab.crash(i%3, "w0", crashing)
 	}
 	lab.settle()
@@ -309,7 +311,7 @@
 func TestCrashingRequestBlocksNoPart(t *testing.T) {
 	c := newTestController()
 	engines := newEngines(8)
-	for n := range crashLimit + 2 {
+	for n := range quarantine.CrashLimit + 2 {
 		now := time.Duration(n) * 5 * time.Second
 		r := letterRequest(workspaceOf(n), companion, n)
 		r.Fingerprint = 77
@@ -318,7 +320,7 @@
 			break
 		}
 		d.Lease.End(now, ResultLost, engines)
-		c.suspects.recordUnreachable(now, &d.Target)
+		c.quarantine.RecordUnreachable(now, &d.Target)
 		engines = removeID(engines, d.Target.ID)
 	}
 	now := 40 * time.Second
@@ -334,7 +336,7 @@
 	lab := newCrashLab(1)
 	alike := letterRequest("w0", companion, 7)
 	alike.Fingerprint = 7
-	for i := range partCrashBound {
+	for i := range quarantine.PartCrashBound {
 		lab.engines = lab.engines[len(lab.engines)-1:] // both go to the same engine
 		beside := lab.gates[0].Admit(lab.now, alike, lab.engines)
 		require.Empty(t, beside.Refused, "crash %d", i)
@@ -347,11 +349,11 @@
 		beside.Lease.End(lab.now, ResultLost, lab.engines)
 		lab.start()
 		lab.now += 3 * time.Second
-		if i+1 == crashLimit {
+		if i+1 == quarantine.CrashLimit {
 			break
 		}
 	}
-	for i := range partCrashBound { // engines on which the other request was not
+	for i := range quarantine.PartCrashBound { // engines on which the other request was not
 		lab.crash(0, workspaceOf(10+i), crashing)
 	}
 	lab.settle()
@@ -366,7 +368,7 @@
 		return false
 	}
 	d.Lease.Began(l.clock(gate))
-	l.now += 2 * crashDelay
+	l.now += 2 * quarantine.CrashDelay
 	d.Lease.Began(l.clock(gate))
 	d.Lease.End(l.clock(gate), ResultLost, l.engines)
 	l.gates[gate].RecordRefused(l.clock(gate), &d.Target)
@@ -381,7 +383,7 @@
 func TestResponseThatLastsIsNoDirectEvidence(t *testing.T) {
 	lab := newCrashLab(2)
 	for round := range 3 {
-		for i := range partCrashBound - 1 {
+		for i := range quarantine.PartCrashBound - 1 {
 			require.True(t, lab.crashWhileLasting(i%2, workspaceOf(i), companion), "round %d", round)
 		}
 		lab.settle()
@@ -396,10 +398,10 @@
 	lab := newCrashLab(2)
 	lasting := lab.admit(1, "w9", companion)
 	lasting.Lease.Began(lab.clock(1))
-	for i := range partCrashLimit {
+	for i := range quarantine.PartCrashLimit {
 		require.True(t, lab.crash(0, workspaceOf(i), companion))
 	}
-	lab.now += 2 * crashDelay
+	lab.now += 2 * quarantine.CrashDelay
 	lasting.Lease.Began(lab.clock(1))
 	lab.settle()
 	require.True(t, lab.crash(0, "w0", companion))
@@ -409,7 +411,7 @@
 // them, because the response had lasted.
 func TestPartThatCrashesWhileStreamingBlocked(t *testing.T) {
 	lab := newCrashLab(2)
-	for i := range partCrashBound {
+	for i := range quarantine.PartCrashBound {
 		require.True(t, lab.crashWhileLasting(i%2, workspaceOf(i), companion, crashing))
 		require.True(t, lab.complete(i%2, "w0", companion))
 	}
@@ -455,60 +457,26 @@
 	lab.crashToLimit()
 	lab.settle()
 	require.False(t, lab.crash(0, "w0", crashing))
-	lab.now += partBlockTime
+	lab.now += quarantine.PartBlockTime
 	require.True(t, lab.crash(0, "w0", crashing), "the block has ended")
 	lab.settle()
 	require.False(t, lab.crash(0, "w0", crashing), "one more crash blocks it again")
-	lab.now += partBlockTime + time.Minute
+	lab.now += quarantine.PartBlockTime + time.Minute
 	require.False(t, lab.crash(0, "w0", crashing), "for twice as long")
-	lab.now += partBlockTime
+	lab.now += quarantine.PartBlockTime
 	require.True(t, lab.complete(0, "w0", crashing), "it no longer crashes engines")
 	lab.settle()
 	for gate := range 2 {
 		require.True(t, lab.complete(gate, "w0", crashing))
-		require.Empty(t, lab.gates[gate].suspects.parts.suspects)
+		require.Zero(t, lab.gates[gate].quarantine.SuspectedParts())
 	}
 }
 
-func TestCrashingPartStateBounded(t *testing.T) {
-	p := newCrashingParts()
-	const crashes = 2 * maxSuspectParts
-	for i := range crashes {
-		now := time.Duration(i) * time.Millisecond
-		run := TargetRun(fmt.Sprint("e", i))
-		p.recordCrash(loss{at: now, run: run, parts: []Part{{Hash: crashing}, {Hash: uint64(i)}, {Hash: 1}}, began: true, beganAt: now, workspace: WorkspaceID(i)})
-		p.disproveCrash(now, TargetRun(fmt.Sprint("d", i)))
-		for j := range 5 {
-			p.recordCompleted(now, []Part{{Hash: uint64(1<<40 + 5*i + j)}, {Hash: 1}})
-			p.recordLasted(now, []Part{{Hash: uint64(1<<40 + 5*i + j)}, {Hash: 1}})
-		}
-		if i%32 == 0 {
-			p.blocked(now, []Part{{Hash: 5}, {Hash: 6}}, 0)
-		}
-	}
-	require.LessOrEqual(t, len(p.suspects), maxSuspectParts)
-	require.LessOrEqual(t, len(p.suspects[crashing].crashes), maxPartCrashes)
-	require.LessOrEqual(t, len(p.begun), maxCrashedRuns)
-	require.LessOrEqual(t, len(p.crashed), maxCrashedRuns)
-	require.LessOrEqual(t, len(p.disproved), maxCrashedRuns)
-	require.LessOrEqual(t, len(p.completed.current)+len(p.completed.previous), 2*maxCompleted)
-	require.LessOrEqual(t, len(p.lasted.current)+len(p.lasted.previous), 2*maxCompleted)
-	require.LessOrEqual(t, len(p.changes), maxPartChanges)
-	now := crashes * time.Millisecond
-	require.NotNil(t, p.blocked(now+partSettleTime, []Part{{Hash: crashing}, {Hash: 1}}, 0))
-	require.LessOrEqual(t, len(p.report(now)), maxReportedParts)
-	require.LessOrEqual(t, len(reportTimes(now, p.cleared)), maxReportedParts)
-	require.LessOrEqual(t, len(reportTimes(now, p.outlasted)), maxReportedParts)
-	p.computeBlocks(now + 3*partBlockTime)
-	require.Empty(t, p.suspects)
-	require.Empty(t, p.blocks)
-}
-
 // TestPartLostInFewOfManyCrashesAdmitted guards against a sound part of few requests that is blocked
 // since many engines crash for other reasons.
 func TestPartLostInFewOfManyCrashesAdmitted(t *testing.T) {
 	lab := newCrashLab(2)
-	for i := range partCrashBound {
+	for i := range quarantine.PartCrashBound {
 		require.True(t, lab.crashWhileLasting(i%2, workspaceOf(i), companion), "crash %d", i)
 		for j := range 4 {
 			lab.crash(j%2, workspaceOf(j), uint64(1000+10*i+j))
--- a/internal/admission/lease.go
+++ b/internal/admission/lease.go
@@ -3,6 +3,8 @@
 import (
 	"time"
 
+	"github.com/mastichollow/mastichollow/internal/prompt"
+	"github.com/mastichollow/mastichollow/internal/quarantine"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
@@ -46,8 +48,8 @@
 type Lease struct {
 	controller        *Controller
 	target            target.Instance
-	fingerprint       Fingerprint
-	parts             []Part
+	fingerprint       quarantine.Fingerprint
+	parts             []prompt.Part
 	workspace         string
 	tier              Tier         // empty for a plain service
 	work              float64      // tokens of work; 0 for a plain service
@@ -60,7 +62,7 @@
 	responded         bool          // the head of the response arrived
 	respondedAt       time.Duration // then
 	unframed          bool          // the response ends with the connection
-	lasted            bool          // the response has lasted for crashDelay
+	lasted            bool          // the response has lasted for quarantine.CrashDelay
 	relativeLoad      float64       // of the target before placement, relative to its slots
 	statedPace        float64       // that the response stated; 0: none
 	events            int           // of the response, as far as observed
@@ -96,9 +98,9 @@
 	defer c.mu.Unlock()
 	l.began = true
 	l.respond(now)
-	if !l.lasted && now-l.respondedAt > crashDelay {
+	if !l.lasted && now-l.respondedAt > quarantine.CrashDelay {
 		l.lasted = true
-		c.suspects.parts.recordLasted(now, l.parts)
+		c.quarantine.RecordLasted(now, l.parts)
 	}
 	if l.model != nil {
 		l.observeEvent(now)
@@ -138,23 +140,19 @@
 		}
 		c.health.recordSuccess(id)
 		if l.unframed {
-			c.suspects.recordUnframedEnd(now, unframedEnd{l.lossAt(now), l.began})
-			break
-		}
-		c.suspects.recordCompleted(now, l.fingerprint)
-		c.suspects.recordResponse(now, &l.target)
-		if l.began {
-			c.suspects.parts.recordCompleted(now, l.parts)
+			c.quarantine.RecordUnframedEnd(now, l.inFlight(), l.began)
+		} else {
+			c.quarantine.RecordCompleted(now, &l.target, l.inFlight(), l.began)
 		}
 	case ResultUnreachable:
-		c.suspects.recordUnreachable(now, &l.target)
+		c.quarantine.RecordUnreachable(now, &l.target)
 		c.health.recordUnreachable(now, id)
 		return true
 	case ResultMisdirected:
 		c.health.recordMisdirected(now, id)
 		return true
 	case ResultLost:
-		c.suspects.recordLoss(now, &l.target, l.lossAt(now))
+		c.quarantine.RecordLoss(now, &l.target, l.inFlight())
 		return c.health.recordFailure(now, id, c.meanFailureRate(targets))
 	case ResultFailed:
 		return c.health.recordFailure(now, id, c.meanFailureRate(targets))
@@ -162,11 +160,11 @@
 	return false
 }
 
-// lossAt returns the request as lost at the time.
-func (l *Lease) lossAt(now time.Duration) loss {
-	return loss{
-		at: now, run: runOf(&l.target), fingerprint: l.fingerprint, parts: l.parts, workspace: workspaceID(l.workspace),
-		began: l.responded, beganAt: l.respondedAt,
+// inFlight returns the request as the target has run it until now.
+func (l *Lease) inFlight() quarantine.InFlight {
+	return quarantine.InFlight{
+		Run: quarantine.RunOf(&l.target), Fingerprint: l.fingerprint, Parts: l.parts, Workspace: quarantine.IDOfWorkspace(l.workspace),
+		Began: l.responded, BeganAt: l.respondedAt,
 	}
 }
 
--- a/internal/admission/rendezvous.go
+++ b/internal/admission/rendezvous.go
@@ -6,16 +6,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/mastichollow/mastichollow/internal/prompt"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
-// Part is a consecutive part of a prompt, identified by hash. Requests may share all
-// parts but the last, which is unique to its request.
-type Part struct {
-	Hash   uint64
-	Tokens int
-}
-
 // Site is the location of a gate.
 type Site struct {
 	Region, Domain string
@@ -43,7 +37,7 @@
 
 // affinityHash returns the rendezvous key that sends requests with the same shared parts
 // to the same targets. Requests without shared parts use fallback.
-func affinityHash(parts []Part, fallback uint64) uint64 {
+func affinityHash(parts []prompt.Part, fallback uint64) uint64 {
 	if len(parts) < 2 {
 		return fallback
 	}
--- a/internal/admission/speeds_test.go
+++ b/internal/admission/speeds_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/mastichollow/mastichollow/internal/pace"
+	"github.com/mastichollow/mastichollow/internal/quarantine"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
@@ -23,7 +24,7 @@
 }
 
 func plainRequest(n int) *Request {
-	return &Request{Workspace: "w", Service: "plain", Hash: mixBits(uint64(n + 1)), Fingerprint: Fingerprint(n)}
+	return &Request{Workspace: "w", Service: "plain", Hash: mixBits(uint64(n + 1)), Fingerprint: quarantine.Fingerprint(n)}
 }
 
 // learnSpeeds records responses that take relative[i] times 30 ms, for ten seconds.
@@ -136,7 +137,7 @@
 	}
 	for i := range all[:2] {
 		for n := 0; ; n++ {
-			d := uneven.Admit(now, &Request{Workspace: "w", Service: service, Slots: 64, PromptTokens: 1, Hash: uint64(n), Fingerprint: Fingerprint(n)}, all[i:i+1])
+			d := uneven.Admit(now, &Request{Workspace: "w", Service: service, Slots: 64, PromptTokens: 1, Hash: uint64(n), Fingerprint: quarantine.Fingerprint(n)}, all[i:i+1])
 			if d.Refused != "" {
 				taken[float64(i)] = n
 				break
--- a/internal/admission/suspects_test.go
+++ b/internal/admission/suspects_test.go
@@ -6,29 +6,30 @@
 
 	"github.com/stretchr/testify/require"
 
+	"github.com/mastichollow/mastichollow/internal/quarantine"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
-const poison Fingerprint = 7
+const poison quarantine.Fingerprint = 7
 
 // crashAlone plays a crash of a target at which the gate had only the request poison.
 func crashAlone(c *Controller, now time.Duration, instance *target.Instance) {
 	c.mu.Lock()
-	c.suspects.recordLoss(now, instance, loss{fingerprint: poison})
+	c.quarantine.RecordLoss(now, instance, quarantine.InFlight{Run: quarantine.RunOf(instance), Fingerprint: poison})
 	c.mu.Unlock()
 }
 
 func isQuarantined(c *Controller, now time.Duration) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.suspects.quarantined(now, poison, nil)
+	return c.quarantine.Quarantined(now, poison, nil)
 }
 
 // A target that starts again under its ID crashes again: each run counts.
 func TestCrashesOfTargetThatKeepsItsIDCounted(t *testing.T) {
 	c := newTestController()
-	for n := range crashLimit {
+	for n := range quarantine.CrashLimit {
 		now := time.Duration(n) * 4 * time.Second
 		require.False(t, isQuarantined(c, now), n)
 		instance := &target.Instance{ID: "i-1", StartedMillis: int64(1000 * (n + 1))}
@@ -45,10 +46,10 @@
 // or after the loss.
 func TestPeerEvidenceCountsAgainstLoneRequest(t *testing.T) {
 	c := newTestController()
-	for n := range crashLimit {
+	for n := range quarantine.CrashLimit {
 		now := time.Duration(n) * 4 * time.Second
 		instance := &target.Instance{ID: "i-1", StartedMillis: int64(n + 1)}
-		evidence := Report{Crashes: map[TargetRun]time.Duration{runOf(instance): 100 * time.Millisecond}}
+		evidence := Report{Report: quarantine.Report{Crashes: map[quarantine.TargetRun]time.Duration{quarantine.RunOf(instance): 100 * time.Millisecond}}}
 		if n%2 == 0 {
 			crashAlone(c, now, instance)
 			c.Merge(now+200*time.Millisecond, "peer", evidence)
@@ -62,21 +63,21 @@
 
 func TestLoneLossWithoutEvidenceIsNoCrash(t *testing.T) {
 	c := newTestController()
-	for n := range 2 * crashLimit {
+	for n := range 2 * quarantine.CrashLimit {
 		crashAlone(c, time.Duration(n)*time.Second, &target.Instance{ID: "i-1", StartedMillis: int64(n)})
 	}
 	require.False(t, isQuarantined(c, 6*time.Second))
 }
 
-// quarantinePoison plays crashLimit crashes.
+// quarantinePoison plays quarantine.CrashLimit crashes.
 func quarantinePoison(t *testing.T, c *Controller) {
 	t.Helper()
-	for n := range crashLimit {
+	for n := range quarantine.CrashLimit {
 		instance := &target.Instance{ID: "i-1", StartedMillis: int64(n + 1)}
 		crashAlone(c, time.Duration(n)*time.Second, instance)
 		c.RecordRefused(time.Duration(n)*time.Second, instance)
 	}
-	require.True(t, isQuarantined(c, crashLimit*time.Second))
+	require.True(t, isQuarantined(c, quarantine.CrashLimit*time.Second))
 }
 
 // Gates are stopped and started in turn, several times: those that start learn the quarantine
@@ -93,8 +94,8 @@
 		require.True(t, isQuarantined(gates[i], now), "restart %d", restarted)
 		now += 10 * time.Second
 	}
-	last := (crashLimit - 1) * time.Second // the last crash
-	for ; now <= last+suspectLifetime+time.Second; now += time.Second {
+	last := (quarantine.CrashLimit - 1) * time.Second // the last crash
+	for ; now <= last+quarantine.SuspectLifetime+time.Second; now += time.Second {
 		for i := range gates {
 			gates[i].Merge(now, "gate", gates[1-i].Report(now))
 		}
@@ -115,7 +116,7 @@
 	before := peer.Report(time.Second)
 	require.Contains(t, before.Suspects, poison)
 	disproving.mu.Lock()
-	disproving.suspects.recordResponse(500*time.Millisecond, instance)
+	disproving.quarantine.RecordResponse(500*time.Millisecond, instance)
 	disproving.mu.Unlock()
 	disproving.Merge(time.Second, "peer", before)
 	require.Empty(t, disproving.Report(time.Second).Suspects)
@@ -127,19 +128,6 @@
 	require.Contains(t, disproving.Report(2*time.Second).Suspects, poison, "a later crash of the run counts")
 }
 
-// Reports stay bounded however many requests are suspected.
-func TestOldSuspectsInReportBounded(t *testing.T) {
-	c := newTestController()
-	c.mu.Lock()
-	for n := range 10 * maxOldSuspects {
-		c.suspects.addCrash(0, time.Duration(n)*time.Millisecond, Fingerprint(n), "i-1/1")
-	}
-	c.mu.Unlock()
-	reported := c.Report(time.Minute).Suspects
-	require.Len(t, reported, maxOldSuspects)
-	require.Contains(t, reported, Fingerprint(10*maxOldSuspects-1), "the latest")
-}
-
 // TestReasonsToSuspectReported guards against crashes whose part cannot be found from logs and
 // metrics: how far responses had got, what cleared a part and why a suspect was admitted.
 func TestReasonsToSuspectReported(t *testing.T) {
@@ -158,23 +146,23 @@
 	crash(func(l *Lease) { l.Responded(lab.now) })
 	crash(func(l *Lease) {
 		l.Responded(lab.now)
-		lab.now += 2 * crashDelay
+		lab.now += 2 * quarantine.CrashDelay
 	})
-	require.Equal(t, map[CrashPhase]int{PhaseWaiting: 1, PhaseBegun: 1, PhaseLasting: 1}, gate.TakeLossesInCrashes())
-	require.Zero(t, gate.TakeLossesInCrashes()[PhaseBegun], "taken")
-	require.Equal(t, 1, gate.TakePresumedCrashes()[2].Phases[PhaseLasting])
+	require.Equal(t, map[quarantine.CrashPhase]int{quarantine.PhaseWaiting: 1, quarantine.PhaseBegun: 1, quarantine.PhaseLasting: 1}, gate.TakeLossesInCrashes())
+	require.Zero(t, gate.TakeLossesInCrashes()[quarantine.PhaseBegun], "taken")
+	require.Equal(t, 1, gate.TakePresumedCrashes()[2].Phases[quarantine.PhaseLasting])
 	require.Empty(t, gate.TakePartClearings())
 	require.True(t, lab.complete(0, "w0", companion))
 	clearings := gate.TakePartClearings()
 	require.Len(t, clearings, 1)
 	require.Equal(t, companion, clearings[0].Part)
-	require.Equal(t, ClearedByCompletion, clearings[0].Cause)
-	for range partCrashLimit {
+	require.Equal(t, quarantine.ClearedByCompletion, clearings[0].Cause)
+	for range quarantine.PartCrashLimit {
 		crash(func(l *Lease) { l.Responded(lab.now) })
 	}
-	lab.now += partSettleTime
+	lab.now += quarantine.PartSettleTime
 	lab.admit(0, "w1", companion, crashing)
-	require.Equal(t, 1, gate.TakeAdmittedSuspects()[AdmittedOtherWorkspace])
+	require.Equal(t, 1, gate.TakeAdmittedSuspects()[quarantine.AdmittedOtherWorkspace])
 }
 
 // endUnframed has a response without length or chunks end with its connection, after an event.
@@ -195,7 +183,7 @@
 // a peer's, before or after the end of the response.
 func TestEndOfTargetIsNoEndOfResponse(t *testing.T) {
 	lab := newCrashLab(2)
-	for i := range partCrashLimit {
+	for i := range quarantine.PartCrashLimit {
 		gate := i % 2
 		d, admitted := lab.endUnframed(gate, companion, crashing)
 		require.True(t, admitted, "crash %d", i)
@@ -216,25 +204,13 @@
 func TestUnframedResponseOfLiveTargetClearsPart(t *testing.T) {
 	lab := newCrashLab(2)
 	for range 3 {
-		for i := range partCrashLimit - 1 {
+		for i := range quarantine.PartCrashLimit - 1 {
 			require.True(t, lab.crash(i%2, workspaceOf(i), companion))
 		}
 		_, admitted := lab.endUnframed(0, companion)
 		require.True(t, admitted)
-		lab.now += 2 * peerEvidenceWindow
+		lab.now += 2 * quarantine.PeerEvidenceWindow
 		lab.settle()
 	}
 	require.True(t, lab.complete(1, "w0", companion))
 }
-
-func TestUnframedEndsBounded(t *testing.T) {
-	lab := newCrashLab(1)
-	for range 2 * maxUnframedEnds {
-		lab.endUnframed(0, companion)
-	}
-	s := lab.gates[0].suspects
-	require.Len(t, s.unframed, maxUnframedEnds)
-	lab.now += 2 * peerEvidenceWindow
-	lab.gates[0].Report(lab.clock(0))
-	require.Empty(t, s.unframed)
-}
--- a/internal/gate/call.go
+++ b/internal/gate/call.go
@@ -12,6 +12,7 @@
 	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/eventlog"
 	"github.com/mastichollow/mastichollow/internal/intake"
+	"github.com/mastichollow/mastichollow/internal/quarantine"
 	"github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/route"
 	"github.com/mastichollow/mastichollow/internal/upstream"
@@ -236,14 +237,14 @@
 func (c *call) hash(purpose string) uint64 { return xxhash.Sum64String(purpose + c.meta.ID) }
 
 // fingerprint hashes the parts of the request that are the same in each attempt.
-func (c *call) fingerprint() admission.Fingerprint {
+func (c *call) fingerprint() quarantine.Fingerprint {
 	digest := xxhash.New()
 	for _, part := range []string{c.r.Method, c.r.Host, c.r.RequestURI, c.meta.Key} {
 		_, _ = digest.WriteString(part)
 		_, _ = digest.Write([]byte{0})
 	}
 	_, _ = digest.Write(c.body)
-	return admission.Fingerprint(digest.Sum64())
+	return quarantine.Fingerprint(digest.Sum64())
 }
 
 // refuse responds to the caller with a refusal and logs it.
--- a/internal/gate/codec.go
+++ b/internal/gate/codec.go
@@ -6,6 +6,7 @@
 
 	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/pace"
+	"github.com/mastichollow/mastichollow/internal/prompt"
 )
 
 // RequestMeta is the metadata that a caller sends with its request.
@@ -14,7 +15,7 @@
 	Key string // API key; empty: none
 	// Timeout is how long the caller waits for the response; 0: unknown.
 	Timeout      time.Duration
-	Parts        []admission.Part // of the prompt, in order
+	Parts        []prompt.Part // of the prompt, in order
 	PromptTokens int
 	// MaxOutputTokens bounds the tokens to generate; LengthHint is the caller's
 	// estimate of them. 0: unknown.
--- a/internal/gate/engines.go
+++ b/internal/gate/engines.go
@@ -9,6 +9,7 @@
 
 	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/eventlog"
+	"github.com/mastichollow/mastichollow/internal/quarantine"
 )
 
 // enginePublishInterval is how often the learned estimates of engines are written to
@@ -89,8 +90,8 @@
 		g.metrics.presumedCrashes.Inc()
 		g.config.Events.Event(logModule, "target presumed crashed", eventlog.Text("target", crash.Target),
 			eventlog.Bool("refused", crash.Refused), eventlog.Int("requests", crash.Requests),
-			eventlog.Int("waiting", crash.Phases[admission.PhaseWaiting]), eventlog.Int("begun", crash.Phases[admission.PhaseBegun]),
-			eventlog.Int("lasting", crash.Phases[admission.PhaseLasting]))
+			eventlog.Int("waiting", crash.Phases[quarantine.PhaseWaiting]), eventlog.Int("begun", crash.Phases[quarantine.PhaseBegun]),
+			eventlog.Int("lasting", crash.Phases[quarantine.PhaseLasting]))
 	}
 	for phase, count := range g.controller.TakeLossesInCrashes() {
 		g.metrics.lossesInCrashes.WithLabelValues(phase.String()).Add(float64(count))
--- a/internal/gate/harness_test.go
+++ b/internal/gate/harness_test.go
@@ -21,6 +21,7 @@
 	"github.com/mastichollow/mastichollow/internal/budget"
 	"github.com/mastichollow/mastichollow/internal/eventlog"
 	"github.com/mastichollow/mastichollow/internal/pace"
+	"github.com/mastichollow/mastichollow/internal/prompt"
 	"github.com/mastichollow/mastichollow/internal/route"
 	"github.com/mastichollow/mastichollow/internal/target"
 	"github.com/mastichollow/mastichollow/internal/upstream"
@@ -37,7 +38,7 @@
 	ms, _ := strconv.Atoi(h.Get("Timeout-Ms"))
 	meta := RequestMeta{ID: h.Get("Id"), Key: h.Get("Key"), Timeout: time.Duration(ms) * time.Millisecond, LastEventID: h.Get("Last")}
 	if part, err := strconv.ParseUint(h.Get("Part"), 10, 64); err == nil {
-		meta.Parts = []admission.Part{{Hash: part, Tokens: 1}}
+		meta.Parts = []prompt.Part{{Hash: part, Tokens: 1}}
 	}
 	return meta
 }
--- a/internal/gate/target_check_test.go
+++ b/internal/gate/target_check_test.go
@@ -8,7 +8,7 @@
 
 	"github.com/stretchr/testify/require"
 
-	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/quarantine"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
@@ -75,5 +75,5 @@
 	got := f.send("/p/", "body", append(patient, "Part", "7")...)
 	require.NoError(t, got.err)
 	require.Equal(t, event(1), got.body)
-	require.Eventually(t, func() bool { return f.controller.TakeLossesInCrashes()[admission.PhaseBegun] == 1 }, patientTimeout, time.Millisecond)
+	require.Eventually(t, func() bool { return f.controller.TakeLossesInCrashes()[quarantine.PhaseBegun] == 1 }, patientTimeout, time.Millisecond)
 }
--- a/internal/overload/crashing.go
+++ b/internal/overload/crashing.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/prompt"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
@@ -77,7 +77,7 @@
 	r := sim.newRequest(now, w)
 	if !p.WithoutPart {
 		parts := r.admissionRequest.Parts
-		r.admissionRequest.Parts = []admission.Part{parts[0], {Hash: p.Hash, Tokens: 1}, parts[1]}
+		r.admissionRequest.Parts = []prompt.Part{parts[0], {Hash: p.Hash, Tokens: 1}, parts[1]}
 	}
 	r.crashing, r.crashingPart = outcome, p
 	outcome.SharedHashes[r.sharedHash] = true
--- a/internal/overload/plain.go
+++ b/internal/overload/plain.go
@@ -9,6 +9,7 @@
 	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/agenda"
 	"github.com/mastichollow/mastichollow/internal/pace"
+	"github.com/mastichollow/mastichollow/internal/quarantine"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
@@ -199,7 +200,7 @@
 		arrivedAt: now, objective: plainObjectives[kind], gate: sim.rng.IntN(sim.load.Gates),
 		work:     minPlainWork + time.Duration(sim.rng.Int64N(int64(maxPlainWork-minPlainWork))),
 		outcomes: []*Outcome{sim.outcomeOf(sim.result.Kinds, plainObjectives[kind].String()), sim.outcomeOf(sim.result.Workspaces, workspace), &sim.result.Total},
-		request:  admission.Request{Workspace: workspace, Service: "plain", Hash: sim.rng.Uint64(), Fingerprint: admission.Fingerprint(sim.rng.Uint64())},
+		request:  admission.Request{Workspace: workspace, Service: "plain", Hash: sim.rng.Uint64(), Fingerprint: quarantine.Fingerprint(sim.rng.Uint64())},
 	}
 	for _, o := range r.outcomes {
 		o.Requests++
--- a/internal/overload/simulation.go
+++ b/internal/overload/simulation.go
@@ -11,6 +11,8 @@
 	"github.com/mastichollow/mastichollow/internal/admission"
 	"github.com/mastichollow/mastichollow/internal/agenda"
 	"github.com/mastichollow/mastichollow/internal/pace"
+	"github.com/mastichollow/mastichollow/internal/prompt"
+	"github.com/mastichollow/mastichollow/internal/quarantine"
 	reasons "github.com/mastichollow/mastichollow/internal/request"
 	"github.com/mastichollow/mastichollow/internal/starvation"
 	"github.com/mastichollow/mastichollow/internal/target"
@@ -330,8 +332,8 @@
 	}
 	r.admissionRequest = admission.Request{
 		Workspace: w.Name, Service: "engines", Slots: batchSlots, CacheTokens: cmp.Or(sim.load.CacheTokens, cacheTokens),
-		Parts:        []admission.Part{{Hash: r.sharedHash, Tokens: r.sharedTokens}, {Hash: sim.rng.Uint64(), Tokens: r.uniqueTokens}},
-		PromptTokens: r.sharedTokens + r.uniqueTokens, OutputTokens: r.outputTokens, FirstTokenObjective: k.FirstTokenObjective, Hash: sim.rng.Uint64(), Fingerprint: admission.Fingerprint(sim.rng.Uint64()),
+		Parts:        []prompt.Part{{Hash: r.sharedHash, Tokens: r.sharedTokens}, {Hash: sim.rng.Uint64(), Tokens: r.uniqueTokens}},
+		PromptTokens: r.sharedTokens + r.uniqueTokens, OutputTokens: r.outputTokens, FirstTokenObjective: k.FirstTokenObjective, Hash: sim.rng.Uint64(), Fingerprint: quarantine.Fingerprint(sim.rng.Uint64()),
 	}
 	return r
 }
--- a/internal/peers/crashes.go
+++ b/internal/peers/crashes.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/quarantine"
 )
 
 // crashMessage is the wire format of what a gate knows of crashes of targets. Runs of
@@ -33,7 +33,7 @@
 }
 
 // encodeCrashes returns nil if the report has no crashes.
-func encodeCrashes(report *admission.Report) *crashMessage {
+func encodeCrashes(report *quarantine.Report) *crashMessage {
 	if len(report.Crashes)+len(report.DisprovedCrashes)+len(report.SuspectParts)+len(report.ClearedParts)+len(report.OutlastedParts)+len(report.Suspects) == 0 {
 		return nil
 	}
@@ -42,8 +42,8 @@
 		LastingParts: make(map[uint64][]partCrashMessage), OutlastedParts: make(map[uint64]int64, len(report.OutlastedParts)),
 		Suspects: make(map[uint64]map[int]int64, len(report.Suspects)),
 	}
-	indexes := make(map[admission.TargetRun]int)
-	indexOf := func(run admission.TargetRun) int {
+	indexes := make(map[quarantine.TargetRun]int)
+	indexOf := func(run quarantine.TargetRun) int {
 		index, known := indexes[run]
 		if !known {
 			index = len(m.Runs)
@@ -52,7 +52,7 @@
 		}
 		return index
 	}
-	encodeAges := func(ages map[admission.TargetRun]time.Duration) map[int]int64 {
+	encodeAges := func(ages map[quarantine.TargetRun]time.Duration) map[int]int64 {
 		encoded := make(map[int]int64, len(ages))
 		for run, age := range ages {
 			encoded[indexOf(run)] = age.Milliseconds()
@@ -65,12 +65,12 @@
 	}
 	for part, crashes := range report.SuspectParts {
 		for _, crash := range crashes {
-			encoded := partCrashMessage{Run: indexOf(crash.Run), AgeMillis: crash.At.Milliseconds(), Waiting: crash.Phase == admission.PhaseWaiting}
+			encoded := partCrashMessage{Run: indexOf(crash.Run), AgeMillis: crash.At.Milliseconds(), Waiting: crash.Phase == quarantine.PhaseWaiting}
 			for _, workspace := range crash.Workspaces {
 				encoded.Workspaces = append(encoded.Workspaces, uint32(workspace))
 			}
 			crashes := m.SuspectParts
-			if crash.Phase == admission.PhaseLasting {
+			if crash.Phase == quarantine.PhaseLasting {
 				crashes = m.LastingParts
 			}
 			crashes[part] = append(crashes[part], encoded)
@@ -87,37 +87,37 @@
 
 // decodeInto adds the crashes to a report. Entries that name no run of the message are
 // left out.
-func (m *crashMessage) decodeInto(report *admission.Report) {
+func (m *crashMessage) decodeInto(report *quarantine.Report) {
 	if m == nil {
 		return
 	}
 	report.Crashes, report.DisprovedCrashes = m.decodeAges(m.Crashes), m.decodeAges(m.Disproved)
-	report.Suspects = make(map[admission.Fingerprint]map[admission.TargetRun]time.Duration, len(m.Suspects))
+	report.Suspects = make(map[quarantine.Fingerprint]map[quarantine.TargetRun]time.Duration, len(m.Suspects))
 	for f, runs := range m.Suspects {
-		report.Suspects[admission.Fingerprint(f)] = m.decodeAges(runs)
+		report.Suspects[quarantine.Fingerprint(f)] = m.decodeAges(runs)
 	}
-	report.SuspectParts = make(map[uint64][]admission.PartCrash, len(m.SuspectParts))
-	m.decodeParts(report.SuspectParts, m.SuspectParts, func(encoded *partCrashMessage) admission.CrashPhase {
+	report.SuspectParts = make(map[uint64][]quarantine.PartCrash, len(m.SuspectParts))
+	m.decodeParts(report.SuspectParts, m.SuspectParts, func(encoded *partCrashMessage) quarantine.CrashPhase {
 		if encoded.Waiting {
-			return admission.PhaseWaiting
+			return quarantine.PhaseWaiting
 		}
-		return admission.PhaseBegun
+		return quarantine.PhaseBegun
 	})
-	m.decodeParts(report.SuspectParts, m.LastingParts, func(*partCrashMessage) admission.CrashPhase { return admission.PhaseLasting })
+	m.decodeParts(report.SuspectParts, m.LastingParts, func(*partCrashMessage) quarantine.CrashPhase { return quarantine.PhaseLasting })
 	report.ClearedParts, report.OutlastedParts = decodePartAges(m.ClearedParts), decodePartAges(m.OutlastedParts)
 }
 
 // decodeParts adds the crashes of parts to decoded.
-func (m *crashMessage) decodeParts(decoded map[uint64][]admission.PartCrash, parts map[uint64][]partCrashMessage, phase func(*partCrashMessage) admission.CrashPhase) {
+func (m *crashMessage) decodeParts(decoded map[uint64][]quarantine.PartCrash, parts map[uint64][]partCrashMessage, phase func(*partCrashMessage) quarantine.CrashPhase) {
 	for part, crashes := range parts {
 		for i := range crashes {
 			run, ok := m.run(crashes[i].Run)
 			if !ok {
 				continue
 			}
-			crash := admission.PartCrash{Run: run, At: decodeAge(crashes[i].AgeMillis), Phase: phase(&crashes[i])}
+			crash := quarantine.PartCrash{Run: run, At: decodeAge(crashes[i].AgeMillis), Phase: phase(&crashes[i])}
 			for _, workspace := range crashes[i].Workspaces {
-				crash.Workspaces = append(crash.Workspaces, admission.WorkspaceID(workspace))
+				crash.Workspaces = append(crash.Workspaces, quarantine.WorkspaceID(workspace))
 			}
 			decoded[part] = append(decoded[part], crash)
 		}
@@ -132,8 +132,8 @@
 	return ages
 }
 
-func (m *crashMessage) decodeAges(encoded map[int]int64) map[admission.TargetRun]time.Duration {
-	ages := make(map[admission.TargetRun]time.Duration, len(encoded))
+func (m *crashMessage) decodeAges(encoded map[int]int64) map[quarantine.TargetRun]time.Duration {
+	ages := make(map[quarantine.TargetRun]time.Duration, len(encoded))
 	for index, age := range encoded {
 		if run, ok := m.run(index); ok {
 			ages[run] = decodeAge(age)
@@ -142,11 +142,11 @@
 	return ages
 }
 
-func (m *crashMessage) run(index int) (admission.TargetRun, bool) {
+func (m *crashMessage) run(index int) (quarantine.TargetRun, bool) {
 	if index < 0 || index >= len(m.Runs) {
 		return "", false
 	}
-	return admission.TargetRun(m.Runs[index]), true
+	return quarantine.TargetRun(m.Runs[index]), true
 }
 
 func decodeAge(millis int64) time.Duration { return max(0, time.Duration(millis)*time.Millisecond) }
--- a/internal/peers/crashes_test.go
+++ b/internal/peers/crashes_test.go
@@ -7,19 +7,19 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/stretchr/testify/require"
 
-	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/quarantine"
 )
 
 func TestCrashesRoundTrip(t *testing.T) {
-	report := admission.Report{
-		Crashes:          map[admission.TargetRun]time.Duration{"e1/a": time.Second, "e2/b": 2 * time.Second},
-		DisprovedCrashes: map[admission.TargetRun]time.Duration{"e3/c": 300 * time.Millisecond},
-		SuspectParts: map[uint64][]admission.PartCrash{
-			1 << 63: {{Run: "e1/a", At: time.Second, Workspaces: []admission.WorkspaceID{7, 1 << 31}}, {Run: "e4/d", At: 9 * time.Second, Phase: admission.PhaseWaiting}, {Run: "e5/f", At: 10 * time.Second, Phase: admission.PhaseLasting}},
+	report := quarantine.Report{
+		Crashes:          map[quarantine.TargetRun]time.Duration{"e1/a": time.Second, "e2/b": 2 * time.Second},
+		DisprovedCrashes: map[quarantine.TargetRun]time.Duration{"e3/c": 300 * time.Millisecond},
+		SuspectParts: map[uint64][]quarantine.PartCrash{
+			1 << 63: {{Run: "e1/a", At: time.Second, Workspaces: []quarantine.WorkspaceID{7, 1 << 31}}, {Run: "e4/d", At: 9 * time.Second, Phase: quarantine.PhaseWaiting}, {Run: "e5/f", At: 10 * time.Second, Phase: quarantine.PhaseLasting}},
 		},
 		ClearedParts:   map[uint64]time.Duration{5: 40 * time.Millisecond},
 		OutlastedParts: map[uint64]time.Duration{1 << 63: 20 * time.Millisecond},
-		Suspects: map[admission.Fingerprint]map[admission.TargetRun]time.Duration{
+		Suspects: map[quarantine.Fingerprint]map[quarantine.TargetRun]time.Duration{
 			1 << 63: {"e1/a": time.Second, "e5/f": time.Minute}, 7: {"e1/a": time.Second},
 		},
 	}
@@ -27,14 +27,14 @@
 	require.NoError(t, err)
 	var m message
 	require.NoError(t, cbor.Unmarshal(data, &m))
-	var got admission.Report
+	var got quarantine.Report
 	m.Crashes.decodeInto(&got)
 	require.Equal(t, report, got)
 }
 
 func TestNoCrashesAddNothingToReport(t *testing.T) {
-	require.Nil(t, encodeCrashes(&admission.Report{}))
-	var report admission.Report
+	require.Nil(t, encodeCrashes(&quarantine.Report{}))
+	var report quarantine.Report
 	(*crashMessage)(nil).decodeInto(&report)
 	require.Empty(t, report)
 }
@@ -44,8 +44,8 @@
 		Runs: []string{"e1/a"}, Crashes: map[int]int64{-1: 5, 1: 5, 0: -5},
 		SuspectParts: map[uint64][]partCrashMessage{1: {{Run: 3}}},
 	}
-	var report admission.Report
+	var report quarantine.Report
 	m.decodeInto(&report)
-	require.Equal(t, map[admission.TargetRun]time.Duration{"e1/a": 0}, report.Crashes)
+	require.Equal(t, map[quarantine.TargetRun]time.Duration{"e1/a": 0}, report.Crashes)
 	require.Empty(t, report.SuspectParts)
 }
--- a/internal/peers/peers.go
+++ b/internal/peers/peers.go
@@ -286,7 +286,7 @@
 		Loads:    make(map[string][3]int, len(report.Loads)),
 		Usage:    make(map[string][2]int64, len(report.Usage)),
 		Draining: e.directory.LocalDrainNotices(now),
-		Crashes:  encodeCrashes(&report),
+		Crashes:  encodeCrashes(&report.Report),
 
 		RequestLimits: encodeLimits(report.RequestLimits),
 		Speeds:        encodeSpeeds(report.Speeds),
@@ -381,7 +381,7 @@
 	for id, p := range m.Backoffs {
 		r.Backoffs[id] = admission.Backoff{TargetStarted: p[0], Remaining: time.Duration(p[1]) * time.Millisecond}
 	}
-	m.Crashes.decodeInto(&r)
+	m.Crashes.decodeInto(&r.Report)
 	r.RequestLimits = decodeLimits(m.RequestLimits)
 	r.Speeds = decodeSpeeds(m.Speeds)
 	e.controller.Merge(now, m.Node, r)
--- a/internal/peers/peers_test.go
+++ b/internal/peers/peers_test.go
@@ -14,6 +14,8 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/prompt"
+	"github.com/mastichollow/mastichollow/internal/quarantine"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
@@ -53,7 +55,7 @@
 }
 
 func request(n int) *admission.Request {
-	return &admission.Request{Workspace: "w", Service: "s", Slots: 10, PromptTokens: 10, Hash: uint64(n), Fingerprint: admission.Fingerprint(n)}
+	return &admission.Request{Workspace: "w", Service: "s", Slots: 10, PromptTokens: 10, Hash: uint64(n), Fingerprint: quarantine.Fingerprint(n)}
 }
 
 func TestReportCarriesLoad(t *testing.T) {
@@ -187,7 +189,7 @@
 func TestReportCarriesEngineEstimates(t *testing.T) {
 	a, b := newGate(t, "a"), newGate(t, "b")
 	long := request(0)
-	long.PromptTokens, long.Parts = 10_000, []admission.Part{{Hash: 1, Tokens: 10_000}}
+	long.PromptTokens, long.Parts = 10_000, []prompt.Part{{Hash: 1, Tokens: 10_000}}
 	for n := range 60 {
 		now := time.Duration(n) * time.Second
 		d := a.controller.Admit(now, long, engine)
--- a/internal/peers/suspect_reports_test.go
+++ b/internal/peers/suspect_reports_test.go
@@ -9,18 +9,19 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/mastichollow/mastichollow/internal/admission"
+	"github.com/mastichollow/mastichollow/internal/quarantine"
 )
 
 // suspectReport returns a report with the crashes of requests and parts, all of an age.
 func suspectReport(first, requests, parts int, age time.Duration) admission.Report {
-	report := admission.Report{Suspects: make(map[admission.Fingerprint]map[admission.TargetRun]time.Duration), SuspectParts: make(map[uint64][]admission.PartCrash)}
-	run := func(n int) admission.TargetRun { return admission.TargetRun(fmt.Sprintf("engine-%d/lk2x9a7d", n%8)) }
+	report := admission.Report{Report: quarantine.Report{Suspects: make(map[quarantine.Fingerprint]map[quarantine.TargetRun]time.Duration), SuspectParts: make(map[uint64][]quarantine.PartCrash)}}
+	run := func(n int) quarantine.TargetRun { return quarantine.TargetRun(fmt.Sprintf("engine-%d/lk2x9a7d", n%8)) }
 	for n := first; n < first+requests; n++ {
-		report.Suspects[admission.Fingerprint(1<<60+n)] = map[admission.TargetRun]time.Duration{run(n): age, run(n + 1): age, run(n + 2): age}
+		report.Suspects[quarantine.Fingerprint(1<<60+n)] = map[quarantine.TargetRun]time.Duration{run(n): age, run(n + 1): age, run(n + 2): age}
 	}
 	for n := first; n < first+parts; n++ {
 		for i := range 5 {
-			report.SuspectParts[uint64(1<<61+n)] = append(report.SuspectParts[uint64(1<<61+n)], admission.PartCrash{Run: run(n + i), At: age, Workspaces: []admission.WorkspaceID{1 << 30}})
+			report.SuspectParts[uint64(1<<61+n)] = append(report.SuspectParts[uint64(1<<61+n)], quarantine.PartCrash{Run: run(n + i), At: age, Workspaces: []quarantine.WorkspaceID{1 << 30}})
 		}
 	}
 	return report
@@ -84,7 +85,7 @@
 		b.exchange.mergeReport(a.nextReport(t), netip.AddrPort{})
 		report := b.controller.Report(0)
 		for n := range 5 {
-			require.Contains(t, report.Suspects, admission.Fingerprint(1<<60+100+n))
+			require.Contains(t, report.Suspects, quarantine.Fingerprint(1<<60+100+n))
 		}
 		require.GreaterOrEqual(t, len(report.SuspectParts), 3)
 	}
--- a/internal/admission/part_blocks.go
+++ b/internal/quarantine/blocks.go
@@ -1,10 +1,12 @@
-package admission
+package quarantine
 
 import (
 	"maps"
 	"math"
 	"slices"
 	"time"
+
+	"github.com/mastichollow/mastichollow/internal/prompt"
 )
 
 // blockRefreshInterval is how often the blocked parts are computed again without a new
@@ -29,8 +31,31 @@
 	Workspaces int
 }
 
+// BlockedPart returns the part for which a request is refused and when the block ends, and false if
+// none of its parts is blocked for the workspace.
+func (t *Tracker) BlockedPart(now time.Duration, parts []prompt.Part, workspace WorkspaceID) (part uint64, until time.Duration, blocked bool) {
+	block := t.parts.blocked(now, parts, workspace)
+	if block == nil {
+		return 0, 0, false
+	}
+	return block.parts[0], block.until, true
+}
+
+// BlockedParts returns the crashes of the parts that are blocked, with the time since.
+func (t *Tracker) BlockedParts(now time.Duration) map[uint64][]PartCrash {
+	return t.parts.blockedCrashes(now)
+}
+
+// RestoreParts records the crashes of parts that BlockedParts returned before a restart.
+func (t *Tracker) RestoreParts(now time.Duration, crashes map[uint64][]PartCrash) {
+	t.parts.merge(now, crashes, nil, nil)
+}
+
+// RecordAdmitted records that a request with the parts was admitted.
+func (t *Tracker) RecordAdmitted(parts []prompt.Part) { t.parts.recordAdmitted(parts) }
+
 // blocked returns the block that applies to a request, and nil if none does.
-func (p *crashingParts) blocked(now time.Duration, parts []Part, workspace WorkspaceID) *partBlock {
+func (p *crashingParts) blocked(now time.Duration, parts []prompt.Part, workspace WorkspaceID) *partBlock {
 	p.refreshBlocks(now)
 	for i := range p.blocks {
 		if p.blocks[i].appliesTo(parts, workspace) {
@@ -52,7 +77,7 @@
 
 // crashedWithout returns the runs of targets whose crashes are explained by blocked parts
 // that a request does not have.
-func (p *crashingParts) crashedWithout(now time.Duration, parts []Part) map[TargetRun]bool {
+func (p *crashingParts) crashedWithout(now time.Duration, parts []prompt.Part) map[TargetRun]bool {
 	p.refreshBlocks(now)
 	explained := make(map[TargetRun]bool)
 	for i := range p.blocks {
@@ -70,7 +95,7 @@
 	return explained
 }
 
-func (b *partBlock) appliesTo(parts []Part, workspace WorkspaceID) bool {
+func (b *partBlock) appliesTo(parts []prompt.Part, workspace WorkspaceID) bool {
 	if b.workspaces != nil && !slices.Contains(b.workspaces, workspace) {
 		return false
 	}
@@ -78,9 +103,9 @@
 }
 
 // hasParts reports whether a request has all parts of the block.
-func (b *partBlock) hasParts(parts []Part) bool {
+func (b *partBlock) hasParts(parts []prompt.Part) bool {
 	return !slices.ContainsFunc(b.parts, func(blocked uint64) bool {
-		return !slices.ContainsFunc(parts, func(part Part) bool { return part.Hash == blocked })
+		return !slices.ContainsFunc(parts, func(part prompt.Part) bool { return part.Hash == blocked })
 	})
 }
 
@@ -112,7 +137,7 @@
 // gives way to one that was in flight at all of these crashes and at further ones.
 func (p *crashingParts) nextBlocked(now time.Duration, explained map[TargetRun]bool) []uint64 {
 	direct, count := p.strongestSuspects(now, explained)
-	if count < partCrashLimit {
+	if count < PartCrashLimit {
 		return p.strongestInFlight(now, explained, nil)
 	}
 	if better := p.strongestInFlight(now, explained, p.suspects[direct[0]]); better != nil {
@@ -121,18 +146,18 @@
 	return direct
 }
 
-// strongestInFlight returns the suspects, among those with at least partCrashBound crashes, that
+// strongestInFlight returns the suspects, among those with at least PartCrashBound crashes, that
 // were in flight at most of the crashes that are not explained yet, whatever the phase of their
 // responses. Several are returned if they have the same crashes. If other is set, they must also
-// explain all that is direct evidence against it and minFurtherCrashes more.
+// explain all that is direct evidence against it and MinFurtherCrashes more.
 func (p *crashingParts) strongestInFlight(now time.Duration, explained map[TargetRun]bool, other *suspectPart) []uint64 {
-	required := minFurtherCrashes
+	required := MinFurtherCrashes
 	if other != nil {
 		required += p.directCrashes(other, explained)
 	}
 	var strongest []uint64
 	for part, suspect := range p.suspects {
-		if len(suspect.crashes) < partCrashBound || !suspect.isCandidate(now) || other != nil && !p.isDirectlyExplainedBy(other, suspect) {
+		if len(suspect.crashes) < PartCrashBound || !suspect.isCandidate(now) || other != nil && !p.isDirectlyExplainedBy(other, suspect) {
 			continue
 		}
 		count := suspect.countExcept(explained)
@@ -183,7 +208,7 @@
 	return count
 }
 
-// blockAboveBound blocks the other suspects with partCrashBound crashes, except those
+// blockAboveBound blocks the other suspects with PartCrashBound crashes, except those
 // whose crashes one blocked part explains.
 func (p *crashingParts) blockAboveBound(now time.Duration) {
 	var blocked []uint64
@@ -193,7 +218,7 @@
 	for _, part := range slices.Sorted(maps.Keys(p.suspects)) {
 		suspect := p.suspects[part]
 		explains := func(other uint64) bool { return p.isDirectlyExplainedBy(suspect, p.suspects[other]) }
-		if suspect.isCandidate(now) && p.directCrashes(suspect, nil) >= partCrashBound && !slices.ContainsFunc(blocked, explains) {
+		if suspect.isCandidate(now) && p.directCrashes(suspect, nil) >= PartCrashBound && !slices.ContainsFunc(blocked, explains) {
 			p.blocks = append(p.blocks, p.newBlock([]uint64{part}))
 		}
 	}
@@ -201,7 +226,7 @@
 
 // isCandidate reports whether a part may be blocked for its crashes.
 func (s *suspectPart) isCandidate(now time.Duration) bool {
-	return len(s.crashes) >= partCrashLimit && now >= s.limitReached+partSettleTime && now < s.blockEnd()
+	return len(s.crashes) >= PartCrashLimit && now >= s.limitReached+PartSettleTime && now < s.blockEnd()
 }
 
 // isExplainedBy reports whether requests with the other part were in flight at all crashes
@@ -217,7 +242,7 @@
 
 // strongestSuspects returns the suspects with most crashes that are not explained yet, and
 // their number. Beside the first, those are returned that the crashes do not tell apart
-// from it: that share such a crash or, from partCrashBound on, all of them.
+// from it: that share such a crash or, from PartCrashBound on, all of them.
 func (p *crashingParts) strongestSuspects(now time.Duration, explained map[TargetRun]bool) ([]uint64, int) {
 	var strongest []uint64
 	most := 0
@@ -240,7 +265,7 @@
 	first := p.suspects[strongest[0]]
 	return slices.DeleteFunc(strongest, func(part uint64) bool {
 		other := p.suspects[part]
-		if most >= partCrashBound {
+		if most >= PartCrashBound {
 			return !p.isDirectlyExplainedBy(first, other) || !p.isDirectlyExplainedBy(other, first)
 		}
 		return !first.sharesCrash(other, explained)
--- a/internal/admission/part_events.go
+++ b/internal/quarantine/events.go
@@ -1,6 +1,11 @@
-package admission
+package quarantine
 
-import "slices"
+import (
+	"slices"
+	"time"
+
+	"github.com/mastichollow/mastichollow/internal/prompt"
+)
 
 // CrashPhase is how far the response to a request had got when its target crashed. Of two
 // requests, the lower phase is the stronger evidence.
@@ -8,7 +13,7 @@
 
 // Phases of responses at a crash.
 const (
-	PhaseBegun   CrashPhase = iota // it had begun within crashDelay
+	PhaseBegun   CrashPhase = iota // it had begun within CrashDelay
 	PhaseWaiting                   // it had not begun
 	PhaseLasting                   // it had lasted longer
 	crashPhases
@@ -30,7 +35,7 @@
 // Causes of clearings.
 const (
 	ClearedByCompletion ClearingCause = iota // a response with the part completed at this gate
-	ClearedByLasting                         // one lasted for crashDelay at this gate
+	ClearedByLasting                         // one lasted for CrashDelay at this gate
 	ClearedByPeer                            // either, at another gate
 	ClearedByTarget                          // a target responded after its presumed crash
 )
@@ -50,7 +55,7 @@
 }
 
 // AdmittedReason is why a request was admitted although one of its parts had reached
-// partCrashLimit.
+// PartCrashLimit.
 type AdmittedReason uint8
 
 // Reasons to admit such a request.
@@ -66,14 +71,14 @@
 	return [...]string{"other_workspace", "other_parts", "not_blocked"}[r]
 }
 
-// recordAdmitted counts an admitted request if one of its parts has reached partCrashLimit.
-func (p *crashingParts) recordAdmitted(parts []Part) {
+// recordAdmitted counts an admitted request if one of its parts has reached PartCrashLimit.
+func (p *crashingParts) recordAdmitted(parts []prompt.Part) {
 	if len(p.suspects) == 0 {
 		return
 	}
 	for _, part := range parts {
 		suspect := p.suspects[part.Hash]
-		if suspect == nil || len(suspect.crashes) < partCrashLimit {
+		if suspect == nil || len(suspect.crashes) < PartCrashLimit {
 			continue
 		}
 		reason := AdmittedNotBlocked
@@ -91,39 +96,67 @@
 	}
 }
 
+// TakePresumedCrashes returns the crashes presumed since the previous call.
+func (t *Tracker) TakePresumedCrashes() []PresumedCrash {
+	presumed := t.presumed
+	t.presumed = nil
+	return presumed
+}
+
+// TakeCrashedTargets returns the IDs of the targets that are presumed to have crashed, since a
+// second connection was lost, since the previous call.
+func (t *Tracker) TakeCrashedTargets() []string {
+	crashed := t.crashed
+	t.crashed = nil
+	return crashed
+}
+
+// TakePartBlockChanges returns the blocks of crashing parts that began or ended since the
+// previous call, and the number of parts that are blocked.
+func (t *Tracker) TakePartBlockChanges(now time.Duration) ([]PartBlockChange, int) {
+	parts := t.parts
+	if len(parts.suspects) > 0 || len(parts.blocks) > 0 {
+		parts.computeBlocks(now)
+	}
+	changes := parts.changes
+	parts.changes = nil
+	blocked := 0
+	for _, block := range parts.blocks {
+		blocked += len(block.parts)
+	}
+	return changes, blocked
+}
+
 // TakePartClearings returns the removals of evidence against suspected parts since the
 // previous call.
-func (c *Controller) TakePartClearings() []PartClearing {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	clearings := c.suspects.parts.clearings
-	c.suspects.parts.clearings = nil
+func (t *Tracker) TakePartClearings() []PartClearing {
+	clearings := t.parts.clearings
+	t.parts.clearings = nil
 	return clearings
 }
 
 // TakeAdmittedSuspects returns the number of requests that were admitted although one of their
 // parts had reached the number of crashes from which parts are blocked, since the previous
 // call.
-func (c *Controller) TakeAdmittedSuspects() map[AdmittedReason]int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (t *Tracker) TakeAdmittedSuspects() map[AdmittedReason]int {
 	admitted := make(map[AdmittedReason]int, admittedReasons)
-	for reason, count := range c.suspects.parts.admitted {
+	for reason, count := range t.parts.admitted {
 		admitted[AdmittedReason(reason)] = count
 	}
-	c.suspects.parts.admitted = [admittedReasons]int{}
+	t.parts.admitted = [admittedReasons]int{}
 	return admitted
 }
 
 // TakeLossesInCrashes returns the number of requests that were lost in presumed crashes since
 // the previous call, by how far their responses had got.
-func (c *Controller) TakeLossesInCrashes() map[CrashPhase]int {
-	c.mu.Lock()
-	defer c.mu.Unlock()
+func (t *Tracker) TakeLossesInCrashes() map[CrashPhase]int {
 	losses := make(map[CrashPhase]int, crashPhases)
-	for phase, count := range c.suspects.lossesInCrashes {
+	for phase, count := range t.lossesInCrashes {
 		losses[CrashPhase(phase)] = count
 	}
-	c.suspects.lossesInCrashes = [crashPhases]int{}
+	t.lossesInCrashes = [crashPhases]int{}
 	return losses
 }
+
+// SuspectedParts returns the number of parts that are suspected.
+func (t *Tracker) SuspectedParts() int { return len(t.parts.suspects) }
--- a/internal/admission/crashing_parts.go
+++ b/internal/quarantine/parts.go
@@ -1,4 +1,4 @@
-package admission
+package quarantine
 
 import (
 	"cmp"
@@ -10,33 +10,34 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"github.com/mastichollow/mastichollow/internal/prompt"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
 const (
-	// partCrashLimit is the number of crashes, each of another run of a target, from which
+	// PartCrashLimit is the number of crashes, each of another run of a target, from which
 	// a part is blocked if no other part explains them.
-	partCrashLimit = 4
-	// partCrashBound is the number of crashes from which a part is blocked unless another
+	PartCrashLimit = 4
+	// PartCrashBound is the number of crashes from which a part is blocked unless another
 	// part explains all of them. The platform bounds what follows the fifth crash.
-	partCrashBound = 5
-	// minFurtherCrashes is the number of crashes that a part must explain beyond those that
-	// others explain, to be blocked for being in flight at partCrashBound crashes.
-	minFurtherCrashes = 2
+	PartCrashBound = 5
+	// MinFurtherCrashes is the number of crashes that a part must explain beyond those that
+	// others explain, to be blocked for being in flight at PartCrashBound crashes.
+	MinFurtherCrashes = 2
 	// minCrashShare is the share of the crashes in its period, from the first to the last one at
 	// which it was in flight, that such a part must explain. When many targets crash for other
 	// reasons, a part of few requests may well be lost with each of them.
 	minCrashShare = 1.0 / 3
-	// partSettleTime is how long after that crash a part is blocked: requests with it that
+	// PartSettleTime is how long after that crash a part is blocked: requests with it that
 	// complete meanwhile clear it, for example after the failure of a whole domain.
-	partSettleTime = 500 * time.Millisecond
-	// partBlockTime is how long after its last crash a part is blocked. Then requests with it
+	PartSettleTime = 500 * time.Millisecond
+	// PartBlockTime is how long after its last crash a part is blocked. Then requests with it
 	// are admitted again, and one more crash blocks it for twice as long.
-	partBlockTime      = 10 * time.Minute
-	maxPartBlockRepeat = 6 // doublings of partBlockTime
-	// crashDelay is the time from the begin of a response within which a part crashes its
+	PartBlockTime      = 10 * time.Minute
+	maxPartBlockRepeat = 6 // doublings of PartBlockTime
+	// CrashDelay is the time from the begin of a response within which a part crashes its
 	// target. A response that lasts longer clears its parts.
-	crashDelay = 500 * time.Millisecond
+	CrashDelay = 500 * time.Millisecond
 	// maxSuspectParts and maxPartCrashes bound the evidence.
 	maxSuspectParts = 1024
 	maxPartCrashes  = 16
@@ -49,7 +50,7 @@
 // TargetRun identifies a target from its start to its end.
 type TargetRun string
 
-func runOf(instance *target.Instance) TargetRun {
+func RunOf(instance *target.Instance) TargetRun {
 	return TargetRun(instance.ID + "/" + strconv.FormatInt(instance.StartedMillis, 36))
 }
 
@@ -61,7 +62,7 @@
 // WorkspaceID identifies a workspace in the evidence that gates exchange.
 type WorkspaceID uint32
 
-func workspaceID(name string) WorkspaceID { return WorkspaceID(xxhash.Sum64String(name)) }
+func IDOfWorkspace(name string) WorkspaceID { return WorkspaceID(xxhash.Sum64String(name)) }
 
 // PartCrash is a crash of a target that ran requests with a part, of the given workspaces.
 type PartCrash struct {
@@ -78,13 +79,13 @@
 // them, whatever else those requests hold.
 //
 // Most parts crash a target soon after the begin of a response. So each part of a request
-// whose response began within crashDelay before a crash is a direct suspect, and those of
+// whose response began within CrashDelay before a crash is a direct suspect, and those of
 // requests that still waited if there is no such request. The last part is one of them: the
 // requests of a session share it. A target may also crash before it sends the head of a
 // response, or later: the parts of all requests in flight are suspects at each crash, but
 // without direct evidence it takes more crashes to block them.
 //
-// A response that completes clears its parts. One that lasts longer than crashDelay makes the
+// A response that completes clears its parts. One that lasts longer than CrashDelay makes the
 // crashes until then no direct evidence against them.
 //
 // Of the suspects, those are blocked that explain most crashes; crashes that they explain do
@@ -95,7 +96,7 @@
 type crashingParts struct {
 	suspects map[uint64]*suspectPart // by part hash
 	// completed holds when a request with the part last completed at any gate, lasted when a
-	// response with it had lasted for crashDelay.
+	// response with it had lasted for CrashDelay.
 	completed, lasted *recentTimes[uint64]
 	// cleared and outlasted hold those at this gate that concern suspects, for peers.
 	cleared, outlasted map[uint64]time.Duration
@@ -110,14 +111,14 @@
 	computedAt time.Duration
 	changes    []PartBlockChange    // not taken yet
 	clearings  []PartClearing       // not taken yet
-	admitted   [admittedReasons]int // requests with a part at partCrashLimit, not taken yet
+	admitted   [admittedReasons]int // requests with a part at PartCrashLimit, not taken yet
 }
 
 type suspectPart struct {
 	crashes   map[TargetRun]*PartCrash
 	local     bool // a request with the part was lost at this gate
 	lastCrash time.Duration
-	// limitReached is when the number of crashes reached partCrashLimit.
+	// limitReached is when the number of crashes reached PartCrashLimit.
 	limitReached time.Duration
 	repeats      int // crashes after the end of a block
 }
@@ -132,8 +133,8 @@
 
 // recordCrash records that a request was in flight at a crash.
 func (p *crashingParts) recordCrash(lost loss) {
-	for _, part := range lost.parts {
-		p.addCrash(part.Hash, PartCrash{Run: lost.run, At: lost.at, Workspaces: []WorkspaceID{lost.workspace}, Phase: lost.phase()})
+	for _, part := range lost.Parts {
+		p.addCrash(part.Hash, PartCrash{Run: lost.Run, At: lost.at, Workspaces: []WorkspaceID{lost.Workspace}, Phase: lost.phase()})
 		if suspect := p.suspects[part.Hash]; suspect != nil {
 			suspect.local = true
 		}
@@ -178,7 +179,7 @@
 		return
 	}
 	p.changed = true
-	if len(suspect.crashes) >= partCrashLimit && crash.At > suspect.blockEnd() {
+	if len(suspect.crashes) >= PartCrashLimit && crash.At > suspect.blockEnd() {
 		suspect.repeats++
 	}
 	suspect.lastCrash = max(suspect.lastCrash, crash.At)
@@ -186,7 +187,7 @@
 		suspect.dropOldestCrash()
 	}
 	suspect.crashes[crash.Run] = &crash
-	if len(suspect.crashes) == partCrashLimit {
+	if len(suspect.crashes) == PartCrashLimit {
 		suspect.limitReached = crash.At
 	}
 }
@@ -214,7 +215,7 @@
 }
 
 func (s *suspectPart) blockEnd() time.Duration {
-	return s.lastCrash + partBlockTime<<min(s.repeats, maxPartBlockRepeat)
+	return s.lastCrash + PartBlockTime<<min(s.repeats, maxPartBlockRepeat)
 }
 
 // reportAge returns how long after the last crash this gate reports the suspect to peers. A single
@@ -234,10 +235,10 @@
 
 // expired reports whether the suspect can be forgotten.
 func (s *suspectPart) expired(now time.Duration) bool {
-	if len(s.crashes) < partCrashLimit {
-		return now-s.lastCrash > suspectLifetime
+	if len(s.crashes) < PartCrashLimit {
+		return now-s.lastCrash > SuspectLifetime
 	}
-	return now > s.blockEnd()+partBlockTime
+	return now > s.blockEnd()+PartBlockTime
 }
 
 // makeRoom evicts the suspect with the fewest crashes, the oldest of these, if there are
@@ -255,7 +256,7 @@
 
 // recordCompleted records that a request with the parts completed at this gate, and clears
 // them.
-func (p *crashingParts) recordCompleted(now time.Duration, parts []Part) {
+func (p *crashingParts) recordCompleted(now time.Duration, parts []prompt.Part) {
 	for _, part := range parts {
 		if p.suspects[part.Hash] != nil {
 			p.cleared[part.Hash] = now
@@ -281,8 +282,8 @@
 	}
 }
 
-// recordLasted records that a response with the parts has lasted for crashDelay at this gate.
-func (p *crashingParts) recordLasted(now time.Duration, parts []Part) {
+// recordLasted records that a response with the parts has lasted for CrashDelay at this gate.
+func (p *crashingParts) recordLasted(now time.Duration, parts []prompt.Part) {
 	for _, part := range parts {
 		if p.outlast(part.Hash, now, ClearedByLasting) {
 			p.outlasted[part.Hash] = now
--- a/internal/admission/recent_times.go
+++ b/internal/quarantine/recent_times.go
@@ -1,6 +1,12 @@
-package admission
+package quarantine
 
-import "time"
+import (
+	"math"
+	"time"
+)
+
+// never is a time before all others.
+const never = time.Duration(math.MinInt64 / 2)
 
 // recentTimes holds the latest time of each key, for at least the last maxCompleted keys.
 type recentTimes[K comparable] struct {
--- a/internal/admission/part_reports.go
+++ b/internal/quarantine/reports.go
@@ -1,4 +1,4 @@
-package admission
+package quarantine
 
 import (
 	"cmp"
@@ -17,6 +17,69 @@
 	maxReportedCrashes = 8
 )
 
+// Report is the evidence that a gate sends to its peers.
+type Report struct {
+	// Suspects holds, by request, the runs of targets that crashed while they ran it, with
+	// the time since.
+	Suspects map[Fingerprint]map[TargetRun]time.Duration
+	// Crashes holds the recent crashes of which the gate has evidence, with the time since.
+	Crashes map[TargetRun]time.Duration
+	// SuspectParts holds the crashes of the parts of prompts that the gate suspects, ClearedParts
+	// the time since a request with a suspected part completed at it, and OutlastedParts the
+	// time since a response with one had lasted longer than most crashes take.
+	// DisprovedCrashes holds the time since targets responded after their presumed crash.
+	DisprovedCrashes map[TargetRun]time.Duration
+	SuspectParts     map[uint64][]PartCrash
+	ClearedParts     map[uint64]time.Duration
+	OutlastedParts   map[uint64]time.Duration
+}
+
+// Report returns the evidence of this gate.
+func (t *Tracker) Report(now time.Duration) Report {
+	t.SettleUnframed(now)
+	return Report{
+		Crashes: t.listConfirmed(now), SuspectParts: t.parts.report(now), DisprovedCrashes: t.parts.listDisproved(now),
+		ClearedParts: reportTimes(now, t.parts.cleared), OutlastedParts: reportTimes(now, t.parts.outlasted), Suspects: t.reportRequests(now),
+	}
+}
+
+// Merge applies the report of a peer.
+func (t *Tracker) Merge(now time.Duration, report Report) {
+	for run, age := range report.DisprovedCrashes {
+		t.disprove(now-age, run)
+	}
+	for f, suspect := range report.Suspects {
+		t.mergeSuspect(now, f, suspect)
+	}
+	for run, age := range report.Crashes {
+		t.mergeConfirmed(now, run, age)
+	}
+	t.parts.merge(now, report.SuspectParts, report.ClearedParts, report.OutlastedParts)
+}
+
+// oldSuspectRounds is the number of reports over which each older suspect is named once: 2.6 s
+// at one report each 200 ms. It is a prime, so that a peer that gets only every second or
+// third report learns all of them too.
+const oldSuspectRounds = 13
+
+// OmitOldSuspects removes the requests and parts without a crash in the last
+// suspectReportAge from the report, except those whose turn it is in a round. Each of them
+// has its turn once in oldSuspectRounds rounds.
+func (r *Report) OmitOldSuspects(round uint64) {
+	hasTurn := func(hash uint64) bool { return hash%oldSuspectRounds == round%oldSuspectRounds }
+	maps.DeleteFunc(r.Suspects, func(f Fingerprint, ages map[TargetRun]time.Duration) bool {
+		for _, age := range ages {
+			if age <= suspectReportAge {
+				return false
+			}
+		}
+		return !hasTurn(uint64(f))
+	})
+	maps.DeleteFunc(r.SuspectParts, func(part uint64, crashes []PartCrash) bool {
+		return !hasTurn(part) && !slices.ContainsFunc(crashes, func(crash PartCrash) bool { return crash.At <= suspectReportAge })
+	})
+}
+
 // listDisproved returns the recently disproved crashes, with the time since.
 func (p *crashingParts) listDisproved(now time.Duration) map[TargetRun]time.Duration {
 	recent := make(map[TargetRun]time.Duration)
@@ -33,7 +96,7 @@
 func (p *crashingParts) report(now time.Duration) map[uint64][]PartCrash {
 	var reported []uint64
 	for part, suspect := range p.suspects {
-		if now-suspect.lastCrash <= suspect.reportAge() || len(suspect.crashes) >= partCrashLimit && !suspect.expired(now) {
+		if now-suspect.lastCrash <= suspect.reportAge() || len(suspect.crashes) >= PartCrashLimit && !suspect.expired(now) {
 			reported = append(reported, part)
 		}
 	}
--- a/internal/admission/suspects.go
+++ b/internal/quarantine/tracker.go
@@ -1,4 +1,4 @@
-package admission
+package quarantine
 
 import (
 	"cmp"
@@ -6,17 +6,18 @@
 	"slices"
 	"time"
 
+	"github.com/mastichollow/mastichollow/internal/prompt"
 	"github.com/mastichollow/mastichollow/internal/target"
 )
 
 const (
-	// crashLimit is the number of crashes of targets after which a request is
+	// CrashLimit is the number of crashes of targets after which a request is
 	// quarantined. A target that starts again under its ID may crash again. The platform
 	// allows three retries after the third crash.
-	crashLimit = 3
-	// suspectLifetime is how long a request that crashed targets is remembered. It is
+	CrashLimit = 3
+	// SuspectLifetime is how long a request that crashed targets is remembered. It is
 	// longer than a target's restart (some seconds) and the retries of the caller.
-	suspectLifetime = 2 * time.Minute
+	SuspectLifetime = 2 * time.Minute
 	// maxSuspects and maxCompleted bound the entries for suspects and for completed
 	// requests, to about 100 KB each on the smallest VMs (112 MB).
 	maxSuspects  = 4096
@@ -24,9 +25,9 @@
 	// crashWindow is the time within which a second lost connection, or a refused one,
 	// shows that a target crashed and not just that one response was lost.
 	crashWindow = 400 * time.Millisecond
-	// peerEvidenceWindow is the time between a lost connection and the evidence of a peer
+	// PeerEvidenceWindow is the time between a lost connection and the evidence of a peer
 	// that the target crashed, within which the two belong together.
-	peerEvidenceWindow = 1500 * time.Millisecond
+	PeerEvidenceWindow = 1500 * time.Millisecond
 	// minDisproofDelay and maxDisproofDelay bound the time after a presumed crash within
 	// which a response disproves it. Earlier responses may have been in transit at the
 	// crash, and a crashed target takes at least some seconds to restart.
@@ -38,13 +39,14 @@
 // under another identifier.
 type Fingerprint uint64
 
-// suspects counts, for each request, the runs of targets that crashed while they ran it.
+// Tracker holds the evidence of one gate against the requests and the parts of prompts that crash
+// targets, and decides which of them are refused. It is not safe for concurrent use.
 //
 // A lost connection alone doesn't prove a crash. Each loss counts only with further
 // evidence: another connection to that target lost, or one refused, within crashWindow.
 // The crash is cleared if the target continues to respond, as it does after a reset of its
 // connections.
-type suspects struct {
+type Tracker struct {
 	crashes   map[Fingerprint]*suspect
 	losses    map[string][]loss           // by target ID, within the last crashWindow
 	crashedAt map[TargetRun]time.Duration // presumed crashes of the last maxDisproofDelay
@@ -81,9 +83,9 @@
 // phase returns how far the response had got when the connection was lost.
 func (l *loss) phase() CrashPhase {
 	switch {
-	case !l.began:
+	case !l.Began:
 		return PhaseWaiting
-	case l.at-l.beganAt <= crashDelay:
+	case l.at-l.BeganAt <= CrashDelay:
 		return PhaseBegun
 	default:
 		return PhaseLasting
@@ -98,123 +100,128 @@
 	lastCrash time.Duration
 }
 
+// InFlight is a request that a target runs.
+type InFlight struct {
+	Run         TargetRun
+	Fingerprint Fingerprint
+	Parts       []prompt.Part
+	Workspace   WorkspaceID
+	Began       bool // the response had begun
+	BeganAt     time.Duration
+}
+
 // loss is a request whose connection to a target was lost.
 type loss struct {
-	at          time.Duration
-	run         TargetRun
-	fingerprint Fingerprint
-	parts       []Part
-	workspace   WorkspaceID
-	began       bool // the response had begun
-	beganAt     time.Duration
-	counted     bool // among those in crashes
+	InFlight
+	at      time.Duration
+	counted bool // among those in crashes
 }
 
-func newSuspects() *suspects {
-	return &suspects{
+// NewTracker returns a tracker without evidence.
+func NewTracker() *Tracker {
+	return &Tracker{
 		crashes: make(map[Fingerprint]*suspect), losses: make(map[string][]loss),
 		crashedAt: make(map[TargetRun]time.Duration),
 		completed: newRecentTimes[Fingerprint](), confirmed: make(map[TargetRun]confirmedCrash), parts: newCrashingParts(),
 	}
 }
 
-// recordLoss records a connection that closed while the target ran the request.
-func (s *suspects) recordLoss(now time.Duration, instance *target.Instance, lost loss) {
-	lost.at, lost.run = now, runOf(instance)
-	recent := s.recentLosses(now, instance.ID, crashWindow)
-	losses := append(s.recentLosses(now, instance.ID, peerEvidenceWindow), lost)
-	s.losses[instance.ID] = losses
+// RecordLoss records a connection that closed while the target ran the request.
+func (t *Tracker) RecordLoss(now time.Duration, instance *target.Instance, lost InFlight) {
+	recent := t.recentLosses(now, instance.ID, crashWindow)
+	losses := append(t.recentLosses(now, instance.ID, PeerEvidenceWindow), loss{InFlight: lost, at: now})
+	t.losses[instance.ID] = losses
 	if len(recent) > 0 {
-		s.recordCrash(now, instance, false)
-	} else if crash, ok := s.confirmed[lost.run]; ok && now-crash.at <= peerEvidenceWindow {
-		s.addLoss(now, &losses[len(losses)-1])
+		t.recordCrash(now, instance, false)
+	} else if crash, ok := t.confirmed[lost.Run]; ok && now-crash.at <= PeerEvidenceWindow {
+		t.addLoss(now, &losses[len(losses)-1])
 	}
 }
 
-// recordUnreachable records that the target refused a connection.
-func (s *suspects) recordUnreachable(now time.Duration, instance *target.Instance) {
-	s.recordCrash(now, instance, true)
+// RecordUnreachable records that the target refused a connection.
+func (t *Tracker) RecordUnreachable(now time.Duration, instance *target.Instance) {
+	t.recordCrash(now, instance, true)
 }
 
 // recentLosses returns the losses at a target within the window.
-func (s *suspects) recentLosses(now time.Duration, target string, window time.Duration) []loss {
-	losses := s.losses[target]
+func (t *Tracker) recentLosses(now time.Duration, target string, window time.Duration) []loss {
+	losses := t.losses[target]
 	for len(losses) > 0 && now-losses[0].at > window {
 		losses = losses[1:]
 	}
-	if len(losses) == 0 && window >= peerEvidenceWindow {
-		delete(s.losses, target)
+	if len(losses) == 0 && window >= PeerEvidenceWindow {
+		delete(t.losses, target)
 	}
 	return losses
 }
 
 // recordCrash presumes that the target crashed and records the crash against the
 // requests whose connections were lost within crashWindow.
-func (s *suspects) recordCrash(now time.Duration, instance *target.Instance, refused bool) {
-	lost := s.recentLosses(now, instance.ID, crashWindow)
+func (t *Tracker) recordCrash(now time.Duration, instance *target.Instance, refused bool) {
+	lost := t.recentLosses(now, instance.ID, crashWindow)
 	if len(lost) > 0 {
-		maps.DeleteFunc(s.crashedAt, func(_ TargetRun, at time.Duration) bool { return now-at > maxDisproofDelay })
-		s.crashedAt[runOf(instance)] = now
+		maps.DeleteFunc(t.crashedAt, func(_ TargetRun, at time.Duration) bool { return now-at > maxDisproofDelay })
+		t.crashedAt[RunOf(instance)] = now
 	}
-	isNew := s.confirmCrash(now, runOf(instance), true)
-	if isNew && len(s.presumed) < maxPresumedCrashes {
+	isNew := t.confirmCrash(now, RunOf(instance), true)
+	if isNew && len(t.presumed) < maxPresumedCrashes {
 		presumed := PresumedCrash{Target: instance.ID, Refused: refused, Requests: len(lost)}
 		for i := range lost {
 			presumed.Phases[lost[i].phase()]++
 		}
-		s.presumed = append(s.presumed, presumed)
+		t.presumed = append(t.presumed, presumed)
 	}
-	if isNew && !refused && len(s.crashed) < maxPresumedCrashes {
-		s.crashed = append(s.crashed, instance.ID)
+	if isNew && !refused && len(t.crashed) < maxPresumedCrashes {
+		t.crashed = append(t.crashed, instance.ID)
 	}
 	for i := range lost {
-		s.addLoss(now, &lost[i])
+		t.addLoss(now, &lost[i])
 	}
-	s.loseUnframed(now, runOf(instance), now, crashWindow)
+	t.loseUnframed(now, RunOf(instance), now, crashWindow)
 }
 
 // addLoss records that the connection of a request was lost by the crash of its target.
-func (s *suspects) addLoss(now time.Duration, l *loss) {
+func (t *Tracker) addLoss(now time.Duration, l *loss) {
 	if !l.counted { // each further evidence of the crash adds it again
 		l.counted = true
-		s.lossesInCrashes[l.phase()]++
+		t.lossesInCrashes[l.phase()]++
 	}
-	s.addCrash(now, l.at, l.fingerprint, l.run)
-	s.parts.recordCrash(*l)
+	t.addCrash(now, l.at, l.Fingerprint, l.Run)
+	t.parts.recordCrash(*l)
 }
 
 // confirmCrash records evidence of a crash, and reports whether it is new.
-func (s *suspects) confirmCrash(at time.Duration, run TargetRun, local bool) bool {
-	if known, ok := s.confirmed[run]; ok && (known.local || !local) {
+func (t *Tracker) confirmCrash(at time.Duration, run TargetRun, local bool) bool {
+	if known, ok := t.confirmed[run]; ok && (known.local || !local) {
 		return false
 	}
-	s.confirmed[run] = confirmedCrash{at, local}
+	t.confirmed[run] = confirmedCrash{at, local}
 	return true
 }
 
 // mergeConfirmed applies the evidence of a peer that the run of a target crashed. It
 // confirms single losses at this gate.
-func (s *suspects) mergeConfirmed(now time.Duration, run TargetRun, age time.Duration) {
+func (t *Tracker) mergeConfirmed(now time.Duration, run TargetRun, age time.Duration) {
 	at := now - age
-	if s.parts.disprovedAfter(run, at) {
+	if t.parts.disprovedAfter(run, at) {
 		return
 	}
-	s.confirmCrash(at, run, false)
-	s.loseUnframed(now, run, at, peerEvidenceWindow)
-	losses := s.losses[run.targetID()]
+	t.confirmCrash(at, run, false)
+	t.loseUnframed(now, run, at, PeerEvidenceWindow)
+	losses := t.losses[run.targetID()]
 	for i := range losses {
-		if l := &losses[i]; l.run == run && (l.at-at).Abs() <= peerEvidenceWindow {
-			s.addLoss(now, l)
+		if l := &losses[i]; l.Run == run && (l.at-at).Abs() <= PeerEvidenceWindow {
+			t.addLoss(now, l)
 		}
 	}
 }
 
 // listConfirmed returns the recent crashes of which this gate has evidence, with the time
 // since.
-func (s *suspects) listConfirmed(now time.Duration) map[TargetRun]time.Duration {
-	maps.DeleteFunc(s.confirmed, func(_ TargetRun, crash confirmedCrash) bool { return now-crash.at > suspectReportAge })
+func (t *Tracker) listConfirmed(now time.Duration) map[TargetRun]time.Duration {
+	maps.DeleteFunc(t.confirmed, func(_ TargetRun, crash confirmedCrash) bool { return now-crash.at > suspectReportAge })
 	recent := make(map[TargetRun]time.Duration)
-	for run, crash := range s.confirmed {
+	for run, crash := range t.confirmed {
 		if crash.local {
 			recent[run] = now - crash.at
 		}
@@ -224,15 +231,15 @@
 
 // addCrash records that a request was in flight at the run of a target when that crashed.
 // at is the time of the crash.
-func (s *suspects) addCrash(now, at time.Duration, f Fingerprint, run TargetRun) {
-	if s.completedRecently(now, f) {
+func (t *Tracker) addCrash(now, at time.Duration, f Fingerprint, run TargetRun) {
+	if t.completedRecently(now, f) {
 		return
 	}
-	entry := s.crashes[f]
+	entry := t.crashes[f]
 	if entry == nil {
-		s.evictOldest(now)
+		t.evictOldest(now)
 		entry = &suspect{runs: make(map[TargetRun]time.Duration), lastCrash: at}
-		s.crashes[f] = entry
+		t.crashes[f] = entry
 	}
 	if _, known := entry.runs[run]; known {
 		return // peers report the same crash repeatedly
@@ -244,122 +251,136 @@
 // mergeSuspect applies what a peer reported of a request, but for crashes that were
 // disproved. Peers report it repeatedly, as long as they remember it, so that a gate that
 // restarts learns it.
-func (s *suspects) mergeSuspect(now time.Duration, f Fingerprint, ages map[TargetRun]time.Duration) {
+func (t *Tracker) mergeSuspect(now time.Duration, f Fingerprint, ages map[TargetRun]time.Duration) {
 	for run, age := range ages {
-		if at := now - age; age <= suspectLifetime && !s.parts.disprovedAfter(run, at) {
-			s.addCrash(now, at, f, run)
+		if at := now - age; age <= SuspectLifetime && !t.parts.disprovedAfter(run, at) {
+			t.addCrash(now, at, f, run)
 		}
 	}
 }
 
-// recordResponse records a complete response of a target. If it disproves a presumed crash,
+// RecordResponse records a complete response of a target. If it disproves a presumed crash,
 // that is cleared from all requests.
-func (s *suspects) recordResponse(now time.Duration, instance *target.Instance) {
-	run := runOf(instance)
-	at, ok := s.crashedAt[run]
+func (t *Tracker) RecordResponse(now time.Duration, instance *target.Instance) {
+	run := RunOf(instance)
+	at, ok := t.crashedAt[run]
 	if !ok || now-at < minDisproofDelay {
 		return
 	}
-	delete(s.crashedAt, run)
+	delete(t.crashedAt, run)
 	if now-at <= maxDisproofDelay {
-		s.disprove(now, run)
+		t.disprove(now, run)
 	}
 }
 
 // disprove clears the presumed crashes of a run before the time at, at which it responded.
-func (s *suspects) disprove(at time.Duration, run TargetRun) {
-	if s.parts.disprovedAfter(run, at) {
+func (t *Tracker) disprove(at time.Duration, run TargetRun) {
+	if t.parts.disprovedAfter(run, at) {
 		return // peers report it repeatedly
 	}
-	if s.confirmed[run].at <= at {
-		delete(s.confirmed, run)
+	if t.confirmed[run].at <= at {
+		delete(t.confirmed, run)
 	}
-	s.parts.disproveCrash(at, run)
-	for f, entry := range s.crashes {
+	t.parts.disproveCrash(at, run)
+	for f, entry := range t.crashes {
 		if crashedAt, ok := entry.runs[run]; ok && crashedAt <= at {
 			delete(entry.runs, run)
 		}
 		if len(entry.runs) == 0 {
-			delete(s.crashes, f)
+			delete(t.crashes, f)
 		}
 	}
 }
 
-// retain removes the crash times of targets for which live returns false. The crashes
+// Retain removes the crash times of targets for which live returns false. The crashes
 // recorded against requests stay.
-func (s *suspects) retain(live func(id string) bool) {
-	maps.DeleteFunc(s.losses, func(id string, _ []loss) bool { return !live(id) })
-	maps.DeleteFunc(s.crashedAt, func(run TargetRun, _ time.Duration) bool { return !live(run.targetID()) })
+func (t *Tracker) Retain(live func(id string) bool) {
+	maps.DeleteFunc(t.losses, func(id string, _ []loss) bool { return !live(id) })
+	maps.DeleteFunc(t.crashedAt, func(run TargetRun, _ time.Duration) bool { return !live(run.targetID()) })
 }
 
 // evictOldest frees an entry for one more suspect if there are maxSuspects.
-func (s *suspects) evictOldest(now time.Duration) {
-	if len(s.crashes) < maxSuspects {
+func (t *Tracker) evictOldest(now time.Duration) {
+	if len(t.crashes) < maxSuspects {
 		return
 	}
 	var oldest Fingerprint
 	age := time.Duration(-1)
-	for f, entry := range s.crashes {
+	for f, entry := range t.crashes {
 		if now-entry.lastCrash > age {
 			oldest, age = f, now-entry.lastCrash
 		}
 	}
-	delete(s.crashes, oldest)
+	delete(t.crashes, oldest)
+}
+
+// RecordCompleted records that a request completed at a target, and clears it of its crashes. Its
+// parts are cleared if the target had read the prompt.
+func (t *Tracker) RecordCompleted(now time.Duration, instance *target.Instance, completed InFlight, promptRead bool) {
+	t.recordRequestCompleted(now, completed.Fingerprint)
+	t.RecordResponse(now, instance)
+	if promptRead {
+		t.parts.recordCompleted(now, completed.Parts)
+	}
+}
+
+// RecordLasted records that a response to a request with the parts has lasted for CrashDelay.
+func (t *Tracker) RecordLasted(now time.Duration, parts []prompt.Part) {
+	t.parts.recordLasted(now, parts)
 }
 
-// recordCompleted records that the request completed, and clears crashes recorded
-// against it.
-func (s *suspects) recordCompleted(now time.Duration, f Fingerprint) {
-	delete(s.crashes, f)
-	s.completed.record(f, now)
+// recordRequestCompleted clears crashes recorded against a request that completed.
+func (t *Tracker) recordRequestCompleted(now time.Duration, f Fingerprint) {
+	delete(t.crashes, f)
+	t.completed.record(f, now)
 }
 
-// completedRecently reports whether the request completed within suspectLifetime.
-func (s *suspects) completedRecently(now time.Duration, f Fingerprint) bool {
-	at, ok := s.completed.at(f)
-	return ok && now-at < suspectLifetime
+// completedRecently reports whether the request completed within SuspectLifetime.
+func (t *Tracker) completedRecently(now time.Duration, f Fingerprint) bool {
+	at, ok := t.completed.at(f)
+	return ok && now-at < SuspectLifetime
 }
 
-// quarantined reports whether the request has crashed targets crashLimit times. Crashes that a
+// Quarantined reports whether the request has crashed targets CrashLimit times. Crashes that a
 // blocked part explains do not count against a request without that part.
-func (s *suspects) quarantined(now time.Duration, f Fingerprint, parts []Part) bool {
-	entry := s.crashes[f]
+func (t *Tracker) Quarantined(now time.Duration, f Fingerprint, parts []prompt.Part) bool {
+	entry := t.crashes[f]
 	if entry == nil {
 		return false
 	}
-	if now-entry.lastCrash > suspectLifetime {
-		delete(s.crashes, f)
+	if now-entry.lastCrash > SuspectLifetime {
+		delete(t.crashes, f)
 		return false
 	}
-	if len(entry.runs) < crashLimit {
+	if len(entry.runs) < CrashLimit {
 		return false
 	}
-	explained := s.parts.crashedWithout(now, parts)
+	explained := t.parts.crashedWithout(now, parts)
 	unexplained := 0
 	for run := range entry.runs {
 		if !explained[run] {
 			unexplained++
 		}
 	}
-	return unexplained >= crashLimit
+	return unexplained >= CrashLimit
 }
 
-// report returns the suspects for peers: those of the last suspectReportAge, and of the
-// older ones the maxOldSuspects latest.
-func (s *suspects) report(now time.Duration) map[Fingerprint]map[TargetRun]time.Duration {
+// reportRequests returns the suspected requests for peers: those of the last suspectReportAge,
+// and of the older ones the maxOldSuspects latest.
+func (t *Tracker) reportRequests(now time.Duration) map[Fingerprint]map[TargetRun]time.Duration {
 	reported := make(map[Fingerprint]map[TargetRun]time.Duration)
 	var old []Fingerprint
-	for f, entry := range s.crashes {
+	for f, entry := range t.crashes {
 		switch age := now - entry.lastCrash; {
 		case age <= suspectReportAge:
 			reported[f] = entry.report(now)
-		case age <= suspectLifetime:
+		case age <= SuspectLifetime:
 			old = append(old, f)
 		}
 	}
-	slices.SortFunc(old, func(a, b Fingerprint) int { return cmp.Compare(s.crashes[b].lastCrash, s.crashes[a].lastCrash) })
+	slices.SortFunc(old, func(a, b Fingerprint) int { return cmp.Compare(t.crashes[b].lastCrash, t.crashes[a].lastCrash) })
 	for _, f := range old[:min(len(old), maxOldSuspects)] {
-		reported[f] = s.crashes[f].report(now)
+		reported[f] = t.crashes[f].report(now)
 	}
 	return reported
 }
