Requests that crash targets stay refused when all gates restart at once

Cause: crashes of requests were only in the memory of gates and in their reports to each other.

Evidence: three more after each kill of all, none after gates stopped in turn; blocked parts, which the store keeps, outlast the kill.

Fix: each gate keeps the requests in flight at two crashes or more in a row of its own in the store, and reads all rows at its start.

--- a/internal/admission/crashes.go
+++ b/internal/admission/crashes.go
@@ -56,6 +56,20 @@
 	return c.quarantine.TakeLossesInCrashes()
 }
 
+// DurableRequests is quarantine.Tracker.DurableRequests.
+func (c *Controller) DurableRequests(now time.Duration) map[quarantine.Fingerprint]quarantine.RequestEvidence {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.quarantine.DurableRequests(now)
+}
+
+// RestoreRequests is quarantine.Tracker.RestoreRequests.
+func (c *Controller) RestoreRequests(now time.Duration, evidence map[quarantine.Fingerprint]quarantine.RequestEvidence) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.quarantine.RestoreRequests(now, evidence)
+}
+
 // BlockedParts is quarantine.Tracker.BlockedParts.
 func (c *Controller) BlockedParts(now time.Duration) map[uint64][]quarantine.PartCrash {
 	c.mu.Lock()
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -98,6 +98,7 @@
 type suspect struct {
 	runs      map[TargetRun]time.Duration // when they crashed
 	lastCrash time.Duration
+	local     bool // the request was lost at this gate in one of them
 }
 
 // InFlight is a request that a target runs.
@@ -187,6 +188,9 @@
 		t.lossesInCrashes[l.phase()]++
 	}
 	t.addCrash(now, l.at, l.Fingerprint, l.Run)
+	if entry := t.crashes[l.Fingerprint]; entry != nil {
+		entry.local = true
+	}
 	t.parts.recordCrash(*l)
 }
 
