--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -22,7 +22,6 @@
 	return all
 }
 
-func instanceOf(id string) *target.Instance { return &target.Instance{ID: id} }
 
 func newTestController() *Controller {
 	return NewController(Config{
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -50,6 +50,7 @@
 // TargetRun identifies a target from its start to its end.
 type TargetRun string
 
+// RunOf returns the current run of a target.
 func RunOf(instance *target.Instance) TargetRun {
 	return TargetRun(instance.ID + "/" + strconv.FormatInt(instance.StartedMillis, 36))
 }
@@ -62,6 +63,7 @@
 // WorkspaceID identifies a workspace in the evidence that gates exchange.
 type WorkspaceID uint32
 
+// IDOfWorkspace returns the ID of the workspace of a name.
 func IDOfWorkspace(name string) WorkspaceID { return WorkspaceID(xxhash.Sum64String(name)) }
 
 // PartCrash is a crash of a target that ran requests with a part, of the given workspaces.
