--- a/internal/admission/controller_test.go
+++ b/internal/admission/controller_test.go
@@ -22,7 +22,6 @@
 	return all
 }
 
-
 func newTestController() *Controller {
 	return NewController(Config{
 		Site:  Site{Region: "r", Domain: "d", Regions: map[string]string{"d": "r", "remote-domain": "s"}},
