Evidence against parts of prompts is kept by groups and evicted without a search

Cause: each part of each lost request beyond 1,024 suspects searched all of them for the weakest one, under the lock that all requests need, and each further sign of the crash did it again.

Fix: parts that were in flight at the same crashes in the same way share a group; groups are listed by strength, so that the weakest part is found at once; a loss counts once; a call takes up at most 2,048 parts. Requests are evicted in the same way, those with the fewest crashes first. Works since the work per part is constant, and comparisons run over groups.

TestCrashingPartStateBounded checks the same bounds on the new tables, and those of the lists of cleared parts, which had none.

--- a/internal/admission/crashes.go
+++ b/internal/admission/crashes.go
@@ -56,6 +56,13 @@
 	return c.quarantine.TakeLossesInCrashes()
 }
 
+// TakeSuspectedParts returns quarantine.Tracker.SuspectedParts and TakeDroppedParts.
+func (c *Controller) TakeSuspectedParts() (suspected, dropped int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.quarantine.SuspectedParts(), c.quarantine.TakeDroppedParts()
+}
+
 // DurableRequests is quarantine.Tracker.DurableRequests.
 func (c *Controller) DurableRequests(now time.Duration) map[quarantine.Fingerprint]quarantine.RequestEvidence {
 	c.mu.Lock()
--- a/internal/gate/engines.go
+++ b/internal/gate/engines.go
@@ -106,6 +106,9 @@
 				eventlog.Int("crashes", clearing.Crashes), eventlog.Text("by", clearing.Cause.String()))
 		}
 	}
+	suspected, dropped := g.controller.TakeSuspectedParts()
+	g.metrics.suspectedParts.Set(float64(suspected))
+	g.metrics.droppedParts.Add(float64(dropped))
 	changes, blocked := g.controller.TakePartBlockChanges(g.config.Now())
 	g.metrics.blockedParts.Set(float64(blocked))
 	for _, change := range changes {
--- a/internal/gate/metrics.go
+++ b/internal/gate/metrics.go
@@ -35,6 +35,8 @@
 	lossesInCrashes     *prometheus.CounterVec
 	partClearings       *prometheus.CounterVec
 	admittedSuspects    *prometheus.CounterVec
+	suspectedParts      prometheus.Gauge
+	droppedParts        prometheus.Counter
 	firstByte           *prometheus.HistogramVec
 	responseDuration    *prometheus.HistogramVec
 	prefillSpeed        *prometheus.GaugeVec
@@ -79,6 +81,8 @@
 		lossesInCrashes:     f.CounterVec("losses_in_crashes_total", "Requests lost in presumed crashes of targets, by whether the response was waiting, had begun shortly before, or was lasting.", "phase"),
 		partClearings:       f.CounterVec("part_clearings_total", "Removals of crashes held against a part of prompts, by cause.", "cause"),
 		admittedSuspects:    f.CounterVec("admitted_suspects_total", "Requests admitted although one of their parts had reached the number of crashes from which parts are blocked, by reason.", "reason"),
+		suspectedParts:      f.Gauge("suspected_parts", "Parts of prompts that were in flight at crashes of targets and have not completed since."),
+		droppedParts:        f.Counter("dropped_suspect_parts_total", "Parts of requests lost in crashes that are not held against the parts, since too many were lost at once."),
 		firstByte:           f.HistogramVec("first_byte_seconds", "Time to the first byte of the response, in seconds.", latencyBuckets, "service"),
 		responseDuration:    f.HistogramVec("answer_seconds", "Time to the end of the response, in seconds.", latencyBuckets, "service"),
 		prefillSpeed:        f.GaugeVec("engine_read_tokens_per_ms", "Prompt tokens prefilled by an engine per millisecond, queueing included.", "service"),
--- a/internal/quarantine/durable.go
+++ b/internal/quarantine/durable.go
@@ -30,9 +30,12 @@
 // DurableRequests returns the evidence against requests that must outlast a restart of all gates.
 func (t *Tracker) DurableRequests(now time.Duration) map[Fingerprint]RequestEvidence {
 	durable := make(map[Fingerprint]RequestEvidence)
-	for f, entry := range t.crashes {
-		if len(entry.runs) >= minDurableCrashes && now-entry.lastCrash <= SuspectLifetime {
-			durable[f] = RequestEvidence{entry.report(now), entry.local}
+	for suspect := range t.requests.strongestFirst {
+		if len(suspect.runs) < minDurableCrashes {
+			break
+		}
+		if now-suspect.lastCrash <= SuspectLifetime {
+			durable[suspect.fingerprint] = RequestEvidence{suspect.report(now), suspect.local}
 		}
 	}
 	return durable
@@ -42,8 +45,8 @@
 func (t *Tracker) RestoreRequests(now time.Duration, evidence map[Fingerprint]RequestEvidence) {
 	for f, restored := range evidence {
 		t.mergeSuspect(now, f, restored.Crashes)
-		if entry := t.crashes[f]; entry != nil {
-			entry.local = entry.local || restored.Local
+		if suspect := t.requests.find(f); suspect != nil {
+			suspect.local = suspect.local || restored.Local
 		}
 	}
 }
--- a/internal/quarantine/events.go
+++ b/internal/quarantine/events.go
@@ -73,27 +73,25 @@
 
 // recordAdmitted counts an admitted request if one of its parts has reached PartCrashLimit.
 func (p *crashingParts) recordAdmitted(parts []prompt.Part) {
-	if len(p.suspects) == 0 {
+	if p.suspects.groups[atLimit].Len() == 0 {
 		return
 	}
-	for _, part := range parts {
-		suspect := p.suspects[part.Hash]
-		if suspect == nil || len(suspect.crashes) < PartCrashLimit {
-			continue
-		}
-		reason := AdmittedNotBlocked
-		for i := range p.blocks {
-			switch {
-			case !slices.Contains(p.blocks[i].parts, part.Hash):
-			case p.blocks[i].hasParts(parts):
-				reason = AdmittedOtherWorkspace
-			default:
-				reason = AdmittedOtherParts
-			}
-		}
-		p.admitted[reason]++
+	present := p.countMembers(parts)
+	if len(present) == 0 {
 		return
 	}
+	reason := AdmittedNotBlocked
+	for i := range p.blocks {
+		block := &p.blocks[i]
+		switch {
+		case !slices.ContainsFunc(block.groups, func(g *partGroup) bool { return present[g] > 0 }):
+		case block.allPresent(present):
+			reason = AdmittedOtherWorkspace
+		default:
+			reason = AdmittedOtherParts
+		}
+	}
+	p.admitted[reason]++
 }
 
 // TakePresumedCrashes returns the crashes presumed since the previous call.
@@ -115,14 +113,14 @@
 // previous call, and the number of parts that are blocked.
 func (t *Tracker) TakePartBlockChanges(now time.Duration) ([]PartBlockChange, int) {
 	parts := t.parts
-	if len(parts.suspects) > 0 || len(parts.blocks) > 0 {
+	if parts.suspects.size() > 0 || len(parts.blocks) > 0 {
 		parts.computeBlocks(now)
 	}
 	changes := parts.changes
 	parts.changes = nil
 	blocked := 0
 	for _, block := range parts.blocks {
-		blocked += len(block.parts)
+		blocked += block.parts
 	}
 	return changes, blocked
 }
@@ -158,5 +156,13 @@
 	return losses
 }
 
+// TakeDroppedParts returns the number of parts of lost requests that were not held against them, since
+// too many were lost at once, since the previous call.
+func (t *Tracker) TakeDroppedParts() int {
+	dropped := t.parts.dropped
+	t.parts.dropped = 0
+	return dropped
+}
+
 // SuspectedParts returns the number of parts that are suspected.
-func (t *Tracker) SuspectedParts() int { return len(t.parts.suspects) }
+func (t *Tracker) SuspectedParts() int { return t.parts.suspects.size() }
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -1,9 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
-	"maps"
-	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -41,6 +38,12 @@
 	// maxSuspectParts and maxPartCrashes bound the evidence.
 	maxSuspectParts = 1024
 	maxPartCrashes  = 16
+	// maxPartsPerStep bounds the parts that one call takes up: the tracker is used under a lock that all
+	// requests of the gate need.
+	maxPartsPerStep = 2048
+	// maxBacklogParts bounds the parts of lost requests that are not taken up yet: twice what a target
+	// with 64 slots loses with prompts of 1,800 parts.
+	maxBacklogParts = 256 << 10
 	// maxCrashWorkspaces bounds the workspaces recorded for one crash of a part.
 	maxCrashWorkspaces = 4
 	// maxCrashedRuns bounds the runs of targets of which the state of a crash is kept.
@@ -96,17 +99,21 @@
 // them apart. A part that crashed targets only in requests of some workspaces is blocked
 // for these alone, so that no workspace can have a part of another one blocked.
 type crashingParts struct {
-	suspects map[uint64]*suspectPart // by part hash
+	suspects *groupTable
 	// completed holds when a request with the part last completed at any gate, lasted when a
 	// response with it had lasted for CrashDelay.
-	completed, lasted *recentTimes[uint64]
+	completed, lasted *partTimes
 	// cleared and outlasted hold those at this gate that concern suspects, for peers.
-	cleared, outlasted map[uint64]time.Duration
+	cleared, outlasted *clearedParts
 	// crashed holds the crashes in which requests with parts were lost.
-	crashed map[TargetRun]time.Duration
+	crashed *boundedRuns
 	// begun holds the crashes shortly before which a response began, disproved the runs of
 	// targets that responded after their presumed crash, with the time of that.
-	begun, disproved map[TargetRun]time.Duration
+	begun, disproved *boundedRuns
+
+	backlog      []lostParts // not taken up yet
+	backlogParts int
+	dropped      int // parts that found no room in backlog, not taken yet
 
 	blocks     []partBlock
 	changed    bool // since the blocks were computed
@@ -116,200 +123,190 @@
 	admitted   [admittedReasons]int // requests with a part at PartCrashLimit, not taken yet
 }
 
-type suspectPart struct {
-	crashes   map[TargetRun]*PartCrash
-	local     bool // a request with the part was lost at this gate
-	lastCrash time.Duration
-	// limitReached is when the number of crashes reached PartCrashLimit.
-	limitReached time.Duration
-	repeats      int // crashes after the end of a block
+// lostParts are the parts of a request that was lost in a crash.
+type lostParts struct {
+	parts []prompt.Part
+	crash PartCrash
 }
 
 func newCrashingParts() *crashingParts {
 	return &crashingParts{
-		suspects: make(map[uint64]*suspectPart), completed: newRecentTimes[uint64](), lasted: newRecentTimes[uint64](),
-		cleared: make(map[uint64]time.Duration), outlasted: make(map[uint64]time.Duration),
-		crashed: make(map[TargetRun]time.Duration), begun: make(map[TargetRun]time.Duration), disproved: make(map[TargetRun]time.Duration),
+		suspects: newGroupTable(maxSuspectParts), completed: newPartTimes(), lasted: newPartTimes(),
+		cleared: newClearedParts(), outlasted: newClearedParts(),
+		crashed: newBoundedRuns(), begun: newBoundedRuns(), disproved: newBoundedRuns(),
 	}
 }
 
 // recordCrash records that a request was in flight at a crash.
-func (p *crashingParts) recordCrash(lost loss) {
-	for _, part := range lost.Parts {
-		p.addCrash(part.Hash, PartCrash{Run: lost.Run, At: lost.at, Workspaces: []WorkspaceID{lost.Workspace}, Phase: lost.phase()})
-		if suspect := p.suspects[part.Hash]; suspect != nil {
-			suspect.local = true
-		}
-	}
-}
-
-// addCrash records a crash against a part, unless a request with the part completed
-// since.
-func (p *crashingParts) addCrash(part uint64, crash PartCrash) {
-	if p.disprovedAfter(crash.Run, crash.At) {
+func (p *crashingParts) recordCrash(lost *loss) {
+	if len(lost.Parts) == 0 {
 		return
 	}
-	if _, known := p.crashed[crash.Run]; !known {
-		setBounded(p.crashed, crash.Run, crash.At)
-	}
-	if _, begun := p.begun[crash.Run]; !begun && crash.Phase == PhaseBegun {
-		setBounded(p.begun, crash.Run, crash.At)
-		p.changed = true
-	}
-	if p.completedSince(part, crash.At) {
+	if p.backlogParts+len(lost.Parts) > maxBacklogParts {
+		p.dropped += len(lost.Parts)
 		return
 	}
-	if lastedAt, ok := p.lasted.at(part); ok && crash.At <= lastedAt {
-		crash.Phase = PhaseLasting
-	}
-	suspect := p.suspects[part]
-	if suspect == nil {
-		p.makeRoom()
-		suspect = &suspectPart{crashes: make(map[TargetRun]*PartCrash)}
-		p.suspects[part] = suspect
-	}
-	if known := suspect.crashes[crash.Run]; known != nil {
-		if crash.Phase < known.Phase {
-			known.Phase, p.changed = crash.Phase, true
-		}
-		for _, workspace := range crash.Workspaces {
-			if len(known.Workspaces) < maxCrashWorkspaces && !slices.Contains(known.Workspaces, workspace) {
-				known.Workspaces = append(known.Workspaces, workspace)
-				p.changed = true
-			}
+	p.backlogParts += len(lost.Parts)
+	p.backlog = append(p.backlog, lostParts{lost.Parts, PartCrash{Run: lost.Run, At: lost.at, Workspaces: []WorkspaceID{lost.Workspace}, Phase: lost.phase()}})
+}
+
+// work takes up some of the parts of lost requests, and reports whether there are more.
+func (p *crashingParts) work() bool {
+	for budget := maxPartsPerStep; budget > 0 && len(p.backlog) > 0; {
+		lost := &p.backlog[0]
+		count := min(budget, len(lost.parts))
+		p.addLoss(lost.parts[:count], &lost.crash)
+		budget, p.backlogParts, lost.parts = budget-count, p.backlogParts-count, lost.parts[count:]
+		if len(lost.parts) == 0 {
+			p.backlog = p.backlog[1:]
 		}
-		return
-	}
-	p.changed = true
-	if len(suspect.crashes) >= PartCrashLimit && crash.At > suspect.blockEnd() {
-		suspect.repeats++
-	}
-	suspect.lastCrash = max(suspect.lastCrash, crash.At)
-	if len(suspect.crashes) >= maxPartCrashes {
-		suspect.dropOldestCrash()
 	}
-	suspect.crashes[crash.Run] = &crash
-	if len(suspect.crashes) == PartCrashLimit {
-		suspect.limitReached = crash.At
+	if len(p.backlog) == 0 {
+		p.backlog = nil
 	}
+	return len(p.backlog) > 0
 }
 
-// setBounded sets the time of a run. If there are maxCrashedRuns, it removes the oldest.
-func setBounded(runs map[TargetRun]time.Duration, run TargetRun, at time.Duration) {
-	if len(runs) >= maxCrashedRuns {
-		oldest := slices.MinFunc(slices.Collect(maps.Keys(runs)), func(a, b TargetRun) int { return cmp.Compare(runs[a], runs[b]) })
-		delete(runs, oldest)
+// addLoss records a crash against the parts of a request that was lost in it at this gate.
+func (p *crashingParts) addLoss(parts []prompt.Part, crash *PartCrash) {
+	if !p.recordRun(crash) {
+		return
+	}
+	groups := make(derivedGroups)
+	for i := range parts {
+		p.addCrash(parts[i].Hash, crash, true, groups)
 	}
-	runs[run] = at
 }
 
-func (s *suspectPart) dropOldestCrash() {
-	oldest := slices.MinFunc(slices.Collect(maps.Values(s.crashes)), func(a, b *PartCrash) int { return cmp.Compare(a.At, b.At) })
-	delete(s.crashes, oldest.Run)
+// recordRun records that requests with parts were lost in a crash. It reports whether the crash
+// counts.
+func (p *crashingParts) recordRun(crash *PartCrash) bool {
+	if p.disprovedAfter(crash.Run, crash.At) {
+		return false
+	}
+	if _, known := p.crashed.at(crash.Run); !known {
+		p.crashed.set(crash.Run, crash.At)
+	}
+	if _, begun := p.begun.at(crash.Run); !begun && crash.Phase == PhaseBegun {
+		p.begun.set(crash.Run, crash.At)
+		p.changed = true
+	}
+	return true
 }
 
-// newestCrashes returns the newest crashes, at most count.
-func (s *suspectPart) newestCrashes(count int) []*PartCrash {
-	crashes := slices.SortedFunc(maps.Values(s.crashes), func(a, b *PartCrash) int {
-		return cmp.Or(cmp.Compare(b.At, a.At), cmp.Compare(a.Run, b.Run))
-	})
-	return crashes[:min(len(crashes), count)]
-}
+// derivedGroups holds, for one crash, the group that the parts of another group get into.
+type derivedGroups map[derivation]*partGroup
 
-func (s *suspectPart) blockEnd() time.Duration {
-	return s.lastCrash + PartBlockTime<<min(s.repeats, maxPartBlockRepeat)
+type derivation struct {
+	from  *partGroup
+	crash *PartCrash // identifies the crash and how the parts were lost
+	phase CrashPhase
 }
 
-// reportAge returns how long after the last crash this gate reports the suspect to peers. A single
-// crash without direct evidence, the most common case, is reported shortly, and only by the gates
-// that lost a request in it.
-func (s *suspectPart) reportAge() time.Duration {
-	for _, crash := range s.crashes {
-		if len(s.crashes) > 1 || crash.Phase == PhaseBegun {
-			return suspectReportAge
-		}
+// addCrash records a crash against a part, unless a request with the part completed
+// since.
+func (p *crashingParts) addCrash(part uint64, crash *PartCrash, local bool, groups derivedGroups) {
+	if p.completedSince(part, crash.At) {
+		return
 	}
-	if s.local {
-		return indirectReportAge
+	phase := crash.Phase
+	if lastedAt, ok := p.lasted.at(part); ok && crash.At <= lastedAt {
+		phase = PhaseLasting
 	}
-	return never
-}
-
-// expired reports whether the suspect can be forgotten.
-func (s *suspectPart) expired(now time.Duration) bool {
-	if len(s.crashes) < PartCrashLimit {
-		return now-s.lastCrash > SuspectLifetime
+	from := p.suspects.group(part)
+	key := derivation{from, crash, phase}
+	to, derived := groups[key]
+	if !derived {
+		counted := *crash
+		counted.Phase = phase
+		to = from.withCrash(&counted, local)
+		groups[key] = to
 	}
-	return now > s.blockEnd()+PartBlockTime
+	p.move(part, from, to)
 }
 
-// makeRoom evicts the suspect with the fewest crashes, the oldest of these, if there are
-// maxSuspectParts.
-func (p *crashingParts) makeRoom() {
-	if len(p.suspects) < maxSuspectParts {
+// move makes a part a member of a group instead of the one that it is in.
+func (p *crashingParts) move(part uint64, from, to *partGroup) {
+	if from == to {
 		return
 	}
-	weaker := func(a, b uint64) int {
-		s, t := p.suspects[a], p.suspects[b]
-		return cmp.Or(cmp.Compare(len(s.crashes), len(t.crashes)), cmp.Compare(s.lastCrash, t.lastCrash), cmp.Compare(a, b))
-	}
-	delete(p.suspects, slices.MinFunc(slices.Collect(maps.Keys(p.suspects)), weaker))
+	p.changed = p.changed || from.mayBeBlocked() || to.mayBeBlocked()
+	p.suspects.move(part, to)
 }
 
+func (g *partGroup) mayBeBlocked() bool { return g != nil && len(g.crashes) >= PartCrashLimit }
+
 // recordCompleted records that a request with the parts completed at this gate, and clears
 // them.
 func (p *crashingParts) recordCompleted(now time.Duration, parts []prompt.Part) {
-	for _, part := range parts {
-		if p.suspects[part.Hash] != nil {
-			p.cleared[part.Hash] = now
-		}
-		p.clear(part.Hash, now, ClearedByCompletion)
+	groups := make(map[*partGroup]*partGroup)
+	for i := range parts {
+		p.clear(parts[i].Hash, now, ClearedByCompletion, groups)
 	}
 }
 
 // clear removes the crashes of a part up to the time at which a request with it
-// completed.
-func (p *crashingParts) clear(part uint64, completedAt time.Duration, cause ClearingCause) {
+// completed. groups holds what has become of other parts that the request clears.
+func (p *crashingParts) clear(part uint64, completedAt time.Duration, cause ClearingCause, groups map[*partGroup]*partGroup) {
 	p.completed.record(part, completedAt)
-	suspect := p.suspects[part]
-	if suspect == nil {
+	from := p.suspects.group(part)
+	if from == nil {
 		return
 	}
-	p.changed = true
-	before := len(suspect.crashes)
-	maps.DeleteFunc(suspect.crashes, func(_ TargetRun, crash *PartCrash) bool { return crash.At <= completedAt })
-	p.recordClearing(part, before-len(suspect.crashes), cause)
-	if len(suspect.crashes) == 0 {
-		delete(p.suspects, part)
+	to, known := groups[from]
+	if !known {
+		to = from.withoutCrashes(completedAt)
+		groups[from] = to
 	}
+	if from == to {
+		return
+	}
+	remaining := 0
+	if to != nil {
+		remaining = len(to.crashes)
+	}
+	if cause == ClearedByCompletion {
+		p.cleared.add(part, completedAt, from.strength)
+	}
+	p.recordClearing(part, len(from.crashes)-remaining, cause)
+	p.move(part, from, to)
 }
 
 // recordLasted records that a response with the parts has lasted for CrashDelay at this gate.
 func (p *crashingParts) recordLasted(now time.Duration, parts []prompt.Part) {
-	for _, part := range parts {
-		if p.outlast(part.Hash, now, ClearedByLasting) {
-			p.outlasted[part.Hash] = now
-		}
+	groups := make(map[*partGroup]*partGroup)
+	for i := range parts {
+		p.outlast(parts[i].Hash, now, ClearedByLasting, groups)
 	}
 }
 
 // outlast makes the crashes of a part up to the time at which a response with it had lasted no
-// direct evidence. It reports whether one was.
-func (p *crashingParts) outlast(part uint64, lastedAt time.Duration, cause ClearingCause) bool {
+// direct evidence.
+func (p *crashingParts) outlast(part uint64, lastedAt time.Duration, cause ClearingCause, groups map[*partGroup]*partGroup) {
 	p.lasted.record(part, lastedAt)
-	suspect := p.suspects[part]
-	if suspect == nil {
-		return false
+	from := p.suspects.group(part)
+	if from == nil {
+		return
+	}
+	to, known := groups[from]
+	if !known {
+		to = from.outlasted(lastedAt)
+		groups[from] = to
+	}
+	if from == to {
+		return
 	}
 	outlasted := 0
-	for _, crash := range suspect.crashes {
-		if crash.At <= lastedAt && crash.Phase != PhaseLasting {
-			crash.Phase, p.changed = PhaseLasting, true
+	for i := range to.crashes {
+		if to.crashes[i].Phase != from.crashes[i].Phase {
 			outlasted++
 		}
 	}
+	if cause == ClearedByLasting {
+		p.outlasted.add(part, lastedAt, from.strength)
+	}
 	p.recordClearing(part, outlasted, cause)
-	return outlasted > 0
+	p.move(part, from, to)
 }
 
 // completedSince reports whether a request with the part completed later than at.
@@ -321,14 +318,14 @@
 // reportCompleted has the last completion of a request with the part reported to peers.
 func (p *crashingParts) reportCompleted(part uint64) {
 	if at, ok := p.completed.at(part); ok {
-		p.cleared[part] = at
+		p.cleared.add(part, at, atLimit)
 	}
 }
 
 // disprovedAfter reports whether the run responded at the time at or later, which disproves
 // its presumed crashes until then.
 func (p *crashingParts) disprovedAfter(run TargetRun, at time.Duration) bool {
-	respondedAt, ok := p.disproved[run]
+	respondedAt, ok := p.disproved.at(run)
 	return ok && at <= respondedAt
 }
 
@@ -337,18 +334,13 @@
 	if p.disprovedAfter(run, respondedAt) {
 		return
 	}
-	setBounded(p.disproved, run, respondedAt)
-	delete(p.begun, run)
-	delete(p.crashed, run)
-	for part, suspect := range p.suspects {
-		if crash := suspect.crashes[run]; crash == nil || crash.At > respondedAt {
-			continue
-		}
+	p.disproved.set(run, respondedAt)
+	p.begun.remove(run)
+	p.crashed.remove(run)
+	p.suspects.dropRun(run, respondedAt, func(g *partGroup) {
 		p.changed = true
-		delete(suspect.crashes, run)
-		p.recordClearing(part, 1, ClearedByTarget)
-		if len(suspect.crashes) == 0 {
-			delete(p.suspects, part)
+		for _, part := range g.members[:min(len(g.members), maxPartClearings)] {
+			p.recordClearing(part, 1, ClearedByTarget)
 		}
-	}
+	})
 }
--- a/internal/quarantine/recent_times.go
+++ b/internal/quarantine/recent_times.go
@@ -1,12 +1,6 @@
 package quarantine
 
-import (
-	"math"
-	"time"
-)
-
-// never is a time before all others.
-const never = time.Duration(math.MinInt64 / 2)
+import "time"
 
 // recentTimes holds the latest time of each key, for at least the last maxCompleted keys.
 type recentTimes[K comparable] struct {
--- a/internal/quarantine/reports.go
+++ b/internal/quarantine/reports.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"cmp"
 	"maps"
 	"slices"
 	"time"
@@ -37,9 +36,11 @@
 // Report returns the evidence of this gate.
 func (t *Tracker) Report(now time.Duration) Report {
 	t.SettleUnframed(now)
+	t.parts.work()
+	t.parts.suspects.purge(now, maxPartsPerStep)
 	return Report{
-		Crashes: t.listConfirmed(now), SuspectParts: t.parts.report(now), DisprovedCrashes: t.parts.listDisproved(now),
-		ClearedParts: reportTimes(now, t.parts.cleared), OutlastedParts: reportTimes(now, t.parts.outlasted), Suspects: t.reportRequests(now),
+		Crashes: t.listConfirmed(now), SuspectParts: t.parts.report(now), DisprovedCrashes: t.parts.disproved.recent(now, suspectReportAge),
+		ClearedParts: t.parts.cleared.report(now), OutlastedParts: t.parts.outlasted.report(now), Suspects: t.requests.report(now),
 	}
 }
 
@@ -55,6 +56,7 @@
 		t.mergeConfirmed(now, run, age)
 	}
 	t.parts.merge(now, report.SuspectParts, report.ClearedParts, report.OutlastedParts)
+	t.parts.work()
 }
 
 // oldSuspectRounds is the number of reports over which each older suspect is named once: 2.6 s
@@ -80,48 +82,37 @@
 	})
 }
 
-// listDisproved returns the recently disproved crashes, with the time since.
-func (p *crashingParts) listDisproved(now time.Duration) map[TargetRun]time.Duration {
-	recent := make(map[TargetRun]time.Duration)
-	for run, at := range p.disproved {
-		if now-at <= suspectReportAge {
-			recent[run] = now - at
-		}
-	}
-	return recent
-}
-
-// report returns the suspects for peers: those with a recent crash, and those at the limit,
-// which gates that have just started must learn too.
+// report returns the suspects for peers, the strongest first: those with a recent crash, and those at
+// the limit, which gates that have just started must learn too.
 func (p *crashingParts) report(now time.Duration) map[uint64][]PartCrash {
-	var reported []uint64
-	for part, suspect := range p.suspects {
-		if now-suspect.lastCrash <= suspect.reportAge() || len(suspect.crashes) >= PartCrashLimit && !suspect.expired(now) {
-			reported = append(reported, part)
+	reported := make(map[uint64][]PartCrash)
+	for strength := atLimit; strength > noEvidence && len(reported) < maxReportedParts; strength-- {
+		for element := p.suspects.groups[strength].Back(); element != nil && len(reported) < maxReportedParts; element = element.Prev() {
+			g, _ := element.Value.(*partGroup)
+			if strength < atLimit && now-g.lastCrash > g.reportAge() || g.expired(now) {
+				continue
+			}
+			crashes := g.agedCrashes(now)
+			for _, part := range p.suspects.appendMembers(nil, g, maxReportedParts-len(reported)) {
+				reported[part] = crashes
+			}
 		}
 	}
-	slices.SortFunc(reported, func(a, b uint64) int {
-		s, t := p.suspects[a], p.suspects[b]
-		return cmp.Or(cmp.Compare(len(t.crashes), len(s.crashes)), cmp.Compare(t.lastCrash, s.lastCrash), cmp.Compare(a, b))
-	})
-	suspects := make(map[uint64][]PartCrash)
-	for _, part := range reported[:min(len(reported), maxReportedParts)] {
-		suspects[part] = p.agedCrashes(now, part)
-	}
-	return suspects
+	return reported
 }
 
-// reportTimes returns the recent ones of the times of parts, cleared or outlasted, as the time
-// since, and removes the others.
-func reportTimes(now time.Duration, times map[uint64]time.Duration) map[uint64]time.Duration {
-	maps.DeleteFunc(times, func(_ uint64, at time.Duration) bool { return now-at > suspectReportAge })
-	ages := make(map[uint64]time.Duration)
-	for part, at := range times {
-		if len(ages) < maxReportedParts {
-			ages[part] = now - at
-		}
+// reportAge returns how long after the last crash this gate reports the group to peers. A single
+// crash without direct evidence, the most common case, is reported shortly, and only by the gates
+// that lost a request in it.
+func (g *partGroup) reportAge() time.Duration {
+	switch {
+	case len(g.crashes) > 1 || g.crashes[0].Phase == PhaseBegun:
+		return suspectReportAge
+	case g.local:
+		return indirectReportAge
+	default:
+		return never
 	}
-	return ages
 }
 
 // blockedCrashes returns the newest crashes of the blocked parts, with the time since.
@@ -129,18 +120,21 @@
 	p.refreshBlocks(now)
 	blocked := make(map[uint64][]PartCrash)
 	for i := range p.blocks {
-		for _, part := range p.blocks[i].parts {
-			blocked[part] = p.agedCrashes(now, part)
+		for _, g := range p.blocks[i].groups {
+			crashes := g.agedCrashes(now)
+			for _, part := range p.suspects.membersOf(g) {
+				blocked[part] = crashes
+			}
 		}
 	}
 	return blocked
 }
 
-// agedCrashes returns the newest crashes of a suspect, with the time since.
-func (p *crashingParts) agedCrashes(now time.Duration, part uint64) []PartCrash {
-	var crashes []PartCrash
-	for _, crash := range p.suspects[part].newestCrashes(maxReportedCrashes) {
-		crashes = append(crashes, PartCrash{Run: crash.Run, At: now - crash.At, Workspaces: slices.Clone(crash.Workspaces), Phase: crash.Phase})
+// agedCrashes returns the newest crashes of a group, with the time since.
+func (g *partGroup) agedCrashes(now time.Duration) []PartCrash {
+	crashes := g.newestCrashes(maxReportedCrashes)
+	for i := range crashes {
+		crashes[i].At = now - crashes[i].At
 	}
 	return crashes
 }
@@ -149,19 +143,32 @@
 // crash is reported back.
 func (p *crashingParts) merge(now time.Duration, suspects map[uint64][]PartCrash, cleared, outlasted map[uint64]time.Duration) {
 	for part, age := range outlasted {
-		p.outlast(part, now-age, ClearedByPeer)
+		p.outlast(part, now-age, ClearedByPeer, make(map[*partGroup]*partGroup))
 	}
 	for part, age := range cleared {
-		p.clear(part, now-age, ClearedByPeer)
+		p.clear(part, now-age, ClearedByPeer, make(map[*partGroup]*partGroup))
 	}
+	groups := make(derivedGroups)
+	merged := make(map[*PartCrash][]PartCrash) // by the first crash of a list, which many parts share
 	for part, crashes := range suspects {
-		for _, crash := range crashes {
-			crash.At = now - crash.At
+		if len(crashes) == 0 {
+			continue
+		}
+		dated, known := merged[&crashes[0]]
+		if !known {
+			dated = slices.Clone(crashes)
+			for i := range dated {
+				dated[i].At = now - dated[i].At
+			}
+			merged[&crashes[0]] = dated
+		}
+		for i := range dated {
+			crash := &dated[i]
 			if p.completedSince(part, crash.At) {
 				p.reportCompleted(part)
-				continue
+			} else if p.recordRun(crash) {
+				p.addCrash(part, crash, false, groups)
 			}
-			p.addCrash(part, crash)
 		}
 	}
 }
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -1,9 +1,7 @@
 package quarantine
 
 import (
-	"cmp"
 	"maps"
-	"slices"
 	"time"
 
 	"github.com/mastichollow/mastichollow/internal/prompt"
@@ -11,17 +9,6 @@
 )
 
 const (
-	// CrashLimit is the number of crashes of targets after which a request is
-	// quarantined. A target that starts again under its ID may crash again. The platform
-	// allows three retries after the third crash.
-	CrashLimit = 3
-	// SuspectLifetime is how long a request that crashed targets is remembered. It is
-	// longer than a target's restart (some seconds) and the retries of the caller.
-	SuspectLifetime = 2 * time.Minute
-	// maxSuspects and maxCompleted bound the entries for suspects and for completed
-	// requests, to about 100 KB each on the smallest VMs (112 MB).
-	maxSuspects  = 4096
-	maxCompleted = 4096
 	// crashWindow is the time within which a second lost connection, or a refused one,
 	// shows that a target crashed and not just that one response was lost.
 	crashWindow = 400 * time.Millisecond
@@ -47,7 +34,7 @@
 // The crash is cleared if the target continues to respond, as it does after a reset of its
 // connections.
 type Tracker struct {
-	crashes   map[Fingerprint]*suspect
+	requests  *suspectTable
 	losses    map[string][]loss           // by target ID, within the last crashWindow
 	crashedAt map[TargetRun]time.Duration // presumed crashes of the last maxDisproofDelay
 	// completed holds the times at which requests completed. Requests that are sent over
@@ -95,12 +82,6 @@
 // maxPresumedCrashes bounds the presumed crashes that are not taken yet.
 const maxPresumedCrashes = 64
 
-type suspect struct {
-	runs      map[TargetRun]time.Duration // when they crashed
-	lastCrash time.Duration
-	local     bool // the request was lost at this gate in one of them
-}
-
 // InFlight is a request that a target runs.
 type InFlight struct {
 	Run         TargetRun
@@ -121,7 +102,7 @@
 // NewTracker returns a tracker without evidence.
 func NewTracker() *Tracker {
 	return &Tracker{
-		crashes: make(map[Fingerprint]*suspect), losses: make(map[string][]loss),
+		requests: newSuspectTable(), losses: make(map[string][]loss),
 		crashedAt: make(map[TargetRun]time.Duration),
 		completed: newRecentTimes[Fingerprint](), confirmed: make(map[TargetRun]confirmedCrash), parts: newCrashingParts(),
 	}
@@ -137,11 +118,13 @@
 	} else if crash, ok := t.confirmed[lost.Run]; ok && now-crash.at <= PeerEvidenceWindow {
 		t.addLoss(now, &losses[len(losses)-1])
 	}
+	t.parts.work()
 }
 
 // RecordUnreachable records that the target refused a connection.
 func (t *Tracker) RecordUnreachable(now time.Duration, instance *target.Instance) {
 	t.recordCrash(now, instance, true)
+	t.parts.work()
 }
 
 // recentLosses returns the losses at a target within the window.
@@ -183,15 +166,16 @@
 
 // addLoss records that the connection of a request was lost by the crash of its target.
 func (t *Tracker) addLoss(now time.Duration, l *loss) {
-	if !l.counted { // each further evidence of the crash adds it again
-		l.counted = true
-		t.lossesInCrashes[l.phase()]++
+	if l.counted {
+		return // further evidence of the same crash
 	}
+	l.counted = true
+	t.lossesInCrashes[l.phase()]++
 	t.addCrash(now, l.at, l.Fingerprint, l.Run)
-	if entry := t.crashes[l.Fingerprint]; entry != nil {
-		entry.local = true
+	if suspect := t.requests.find(l.Fingerprint); suspect != nil {
+		suspect.local = true
 	}
-	t.parts.recordCrash(*l)
+	t.parts.recordCrash(l)
 }
 
 // confirmCrash records evidence of a crash, and reports whether it is new.
@@ -239,17 +223,7 @@
 	if t.completedRecently(now, f) {
 		return
 	}
-	entry := t.crashes[f]
-	if entry == nil {
-		t.evictOldest(now)
-		entry = &suspect{runs: make(map[TargetRun]time.Duration), lastCrash: at}
-		t.crashes[f] = entry
-	}
-	if _, known := entry.runs[run]; known {
-		return // peers report the same crash repeatedly
-	}
-	entry.runs[run] = at
-	entry.lastCrash = max(entry.lastCrash, at)
+	t.requests.add(f, run, at)
 }
 
 // mergeSuspect applies what a peer reported of a request, but for crashes that were
@@ -286,14 +260,7 @@
 		delete(t.confirmed, run)
 	}
 	t.parts.disproveCrash(at, run)
-	for f, entry := range t.crashes {
-		if crashedAt, ok := entry.runs[run]; ok && crashedAt <= at {
-			delete(entry.runs, run)
-		}
-		if len(entry.runs) == 0 {
-			delete(t.crashes, f)
-		}
-	}
+	t.requests.dropRun(run, at)
 }
 
 // Retain removes the crash times of targets for which live returns false. The crashes
@@ -303,21 +270,6 @@
 	maps.DeleteFunc(t.crashedAt, func(run TargetRun, _ time.Duration) bool { return !live(run.targetID()) })
 }
 
-// evictOldest frees an entry for one more suspect if there are maxSuspects.
-func (t *Tracker) evictOldest(now time.Duration) {
-	if len(t.crashes) < maxSuspects {
-		return
-	}
-	var oldest Fingerprint
-	age := time.Duration(-1)
-	for f, entry := range t.crashes {
-		if now-entry.lastCrash > age {
-			oldest, age = f, now-entry.lastCrash
-		}
-	}
-	delete(t.crashes, oldest)
-}
-
 // RecordCompleted records that a request completed at a target, and clears it of its crashes. Its
 // parts are cleared if the target had read the prompt.
 func (t *Tracker) RecordCompleted(now time.Duration, instance *target.Instance, completed InFlight, promptRead bool) {
@@ -326,6 +278,7 @@
 	if promptRead {
 		t.parts.recordCompleted(now, completed.Parts)
 	}
+	t.parts.work()
 }
 
 // RecordLasted records that a response to a request with the parts has lasted for CrashDelay.
@@ -335,7 +288,7 @@
 
 // recordRequestCompleted clears crashes recorded against a request that completed.
 func (t *Tracker) recordRequestCompleted(now time.Duration, f Fingerprint) {
-	delete(t.crashes, f)
+	t.requests.remove(f)
 	t.completed.record(f, now)
 }
 
@@ -348,60 +301,23 @@
 // Quarantined reports whether the request has crashed targets CrashLimit times. Crashes that a
 // blocked part explains do not count against a request without that part.
 func (t *Tracker) Quarantined(now time.Duration, f Fingerprint, parts []prompt.Part) bool {
-	entry := t.crashes[f]
-	if entry == nil {
+	suspect := t.requests.find(f)
+	if suspect == nil {
 		return false
 	}
-	if now-entry.lastCrash > SuspectLifetime {
-		delete(t.crashes, f)
+	if now-suspect.lastCrash > SuspectLifetime {
+		t.requests.remove(f)
 		return false
 	}
-	if len(entry.runs) < CrashLimit {
+	if len(suspect.runs) < CrashLimit {
 		return false
 	}
 	explained := t.parts.crashedWithout(now, parts)
 	unexplained := 0
-	for run := range entry.runs {
+	for run := range suspect.runs {
 		if !explained[run] {
 			unexplained++
 		}
 	}
 	return unexplained >= CrashLimit
 }
-
-// reportRequests returns the suspected requests for peers: those of the last suspectReportAge,
-// and of the older ones the maxOldSuspects latest.
-func (t *Tracker) reportRequests(now time.Duration) map[Fingerprint]map[TargetRun]time.Duration {
-	reported := make(map[Fingerprint]map[TargetRun]time.Duration)
-	var old []Fingerprint
-	for f, entry := range t.crashes {
-		switch age := now - entry.lastCrash; {
-		case age <= suspectReportAge:
-			reported[f] = entry.report(now)
-		case age <= SuspectLifetime:
-			old = append(old, f)
-		}
-	}
-	slices.SortFunc(old, func(a, b Fingerprint) int { return cmp.Compare(t.crashes[b].lastCrash, t.crashes[a].lastCrash) })
-	for _, f := range old[:min(len(old), maxOldSuspects)] {
-		reported[f] = t.crashes[f].report(now)
-	}
-	return reported
-}
-
-// report returns the crashed runs with the time since.
-func (s *suspect) report(now time.Duration) map[TargetRun]time.Duration {
-	ages := make(map[TargetRun]time.Duration, len(s.runs))
-	for run, at := range s.runs {
-		ages[run] = now - at
-	}
-	return ages
-}
-
-const (
-	// suspectReportAge is how long after a crash it is reported to peers, and after its last
-	// crash each suspect.
-	suspectReportAge = 5 * time.Second
-	// maxOldSuspects bounds the suspects with older crashes in a report.
-	maxOldSuspects = 32
-)
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -85,7 +85,8 @@
 	for i := range crashes {
 		now := time.Duration(i) * time.Millisecond
 		run := TargetRun(fmt.Sprint("e", i))
-		p.recordCrash(loss{at: now, InFlight: InFlight{Run: run, Parts: []prompt.Part{{Hash: crashing}, {Hash: uint64(i)}, {Hash: 1}}, Began: true, BeganAt: now, Workspace: WorkspaceID(i)}})
+		p.recordCrash(&loss{at: now, InFlight: InFlight{Run: run, Parts: []prompt.Part{{Hash: crashing}, {Hash: uint64(i)}, {Hash: 1}}, Began: true, BeganAt: now, Workspace: WorkspaceID(i)}})
+		p.work()
 		p.disproveCrash(now, TargetRun(fmt.Sprint("d", i)))
 		for j := range 5 {
 			p.recordCompleted(now, []prompt.Part{{Hash: uint64(1<<40 + 5*i + j)}, {Hash: 1}})
@@ -95,21 +96,24 @@
 			p.blocked(now, []prompt.Part{{Hash: 5}, {Hash: 6}}, 0)
 		}
 	}
-	require.LessOrEqual(t, len(p.suspects), maxSuspectParts)
-	require.LessOrEqual(t, len(p.suspects[crashing].crashes), maxPartCrashes)
-	require.LessOrEqual(t, len(p.begun), maxCrashedRuns)
-	require.LessOrEqual(t, len(p.crashed), maxCrashedRuns)
-	require.LessOrEqual(t, len(p.disproved), maxCrashedRuns)
-	require.LessOrEqual(t, len(p.completed.current)+len(p.completed.previous), 2*maxCompleted)
-	require.LessOrEqual(t, len(p.lasted.current)+len(p.lasted.previous), 2*maxCompleted)
+	require.LessOrEqual(t, len(p.suspects.groupOf), maxSuspectParts)
+	require.LessOrEqual(t, len(p.suspects.group(crashing).crashes), maxPartCrashes)
+	for _, runs := range []*boundedRuns{p.begun, p.crashed, p.disproved} {
+		require.LessOrEqual(t, len(runs.times), maxCrashedRuns)
+		require.LessOrEqual(t, len(runs.order), maxCrashedRuns)
+	}
+	require.Len(t, p.completed.entries, partTimeEntries)
+	require.Len(t, p.lasted.entries, partTimeEntries)
+	require.LessOrEqual(t, len(p.cleared.at), maxClearedParts)
+	require.LessOrEqual(t, len(p.outlasted.at), maxClearedParts)
 	require.LessOrEqual(t, len(p.changes), maxPartChanges)
 	now := crashes * time.Millisecond
 	require.NotNil(t, p.blocked(now+PartSettleTime, []prompt.Part{{Hash: crashing}, {Hash: 1}}, 0))
 	require.LessOrEqual(t, len(p.report(now)), maxReportedParts)
-	require.LessOrEqual(t, len(reportTimes(now, p.cleared)), maxReportedParts)
-	require.LessOrEqual(t, len(reportTimes(now, p.outlasted)), maxReportedParts)
+	require.LessOrEqual(t, len(p.cleared.report(now)), maxReportedParts)
+	require.LessOrEqual(t, len(p.outlasted.report(now)), maxReportedParts)
 	p.computeBlocks(now + 3*PartBlockTime)
-	require.Empty(t, p.suspects)
+	require.Empty(t, p.suspects.groupOf)
 	require.Empty(t, p.blocks)
 }
 
@@ -118,10 +122,10 @@
 func BenchmarkPartBlocks(b *testing.B) {
 	p := newCrashingParts()
 	for i := range maxSuspectParts {
-		p.addCrash(uint64(i), PartCrash{Run: TargetRun(fmt.Sprint("e", i%32)), At: time.Duration(i) * time.Millisecond})
+		p.addLoss([]prompt.Part{{Hash: uint64(i)}}, &PartCrash{Run: TargetRun(fmt.Sprint("e", i%32)), At: time.Duration(i) * time.Millisecond})
 	}
 	for i := range 2 * PartCrashBound {
-		p.addCrash(crashing, PartCrash{Run: TargetRun(fmt.Sprint("e", i)), At: time.Second, Phase: PhaseWaiting})
+		p.addLoss([]prompt.Part{{Hash: crashing}}, &PartCrash{Run: TargetRun(fmt.Sprint("e", i)), At: time.Second, Phase: PhaseWaiting})
 	}
 	for b.Loop() {
 		p.computeBlocks(2 * time.Second)
--- a/internal/quarantine/unframed.go
+++ b/internal/quarantine/unframed.go
@@ -22,6 +22,7 @@
 	end := unframedEnd{loss{InFlight: ended, at: now}, eventSeen}
 	if crash, ok := t.confirmed[end.Run]; ok && now-crash.at <= PeerEvidenceWindow {
 		t.addLoss(now, &end.loss)
+		t.parts.work()
 		return
 	}
 	t.SettleUnframed(now)
