Evidence against parts of prompts is evicted and reported by strength

Cause: of 1,024 suspected parts the one with the lowest hash went first, so that a prompt of more parts evicted the evidence against its own; a report to peers named 48 parts, always the same, so that each gate counted alone. Callers choose the number and the hashes of parts.

Evidence: the part is found if its hash is above all others; with room for all parts, a model of several gates still fails until reports name them in turn. Ruled out: clearing by completions.

Fix: 262,144 parts are kept, in groups; the weakest evidence goes first; a report names 256 parts, the strongest first, the others in turn; crashes that parts have in common are named once. The row of a gate in the store holds parts too, from two crashes on, in place of a call for each blocked part.

--- a/cmd/mastichollow-gate/crashing_part_test.go
+++ b/cmd/mastichollow-gate/crashing_part_test.go
@@ -97,9 +97,17 @@
 	t.Cleanup(engine.Crash)
 }
 
-// call sends a request to a gate and reads the response. The format parts has the parts of the
-// prompt, with a number of a group of requests and one of the request itself.
-func (f *crashingFleet) call(gate int, parts string) {
+// promptParts returns the parts of the prompt of a request by its number.
+type promptParts func(number int) string
+
+// partsLike returns parts by a format with a number of a group of requests and one of the request
+// itself.
+func partsLike(format string) promptParts {
+	return func(number int) string { return fmt.Sprintf(format, number%promptGroups, number) }
+}
+
+// call sends a request to a gate and reads the response.
+func (f *crashingFleet) call(gate int, parts promptParts) {
 	f.mu.Lock()
 	f.sent++
 	number := f.sent
@@ -107,7 +115,7 @@
 	id := fmt.Sprintf("c%06x", number)
 	req, err := standin.Call{
 		ID: id, Host: "h.example", Path: fmt.Sprint("/letters/", streamEvents), Key: "k", Body: []byte(id), Timeout: 4 * time.Second,
-		PromptTokens: 200, MaxOutputTokens: streamEvents, PromptParts: fmt.Sprintf(parts, number%promptGroups, number),
+		PromptTokens: 200, MaxOutputTokens: streamEvents, PromptParts: parts(number),
 	}.Request()
 	if err != nil {
 		return
@@ -121,7 +129,7 @@
 }
 
 // callEach sends requests to the gates in turn until stop is closed.
-func (f *crashingFleet) callEach(stop <-chan struct{}, wg *sync.WaitGroup, interval time.Duration, parts string) {
+func (f *crashingFleet) callEach(stop <-chan struct{}, wg *sync.WaitGroup, interval time.Duration, parts promptParts) {
 	wg.Go(func() {
 		for i := 0; ; i++ {
 			select {
@@ -156,14 +164,20 @@
 }
 
 func testCrashingPart(t *testing.T, stage standin.CrashStage, parts string) {
+	t.Helper()
+	testCrashingPartBeside(t, stage, soundInterval, partsLike("a%x:80,b%x:120"), partsLike(parts))
+}
+
+// testCrashingPartBeside sends requests with the crashing part beside sound ones.
+func testCrashingPartBeside(t *testing.T, stage standin.CrashStage, interval time.Duration, sound, crashing promptParts) {
 	t.Helper()
 	t.Parallel()
 	f := newCrashingFleet(t, stage)
 	stop := make(chan struct{})
 	var wg sync.WaitGroup
-	f.callEach(stop, &wg, soundInterval, "a%x:80,b%x:120")
+	f.callEach(stop, &wg, interval, sound)
 	time.Sleep(time.Second) // until the gates know each other
-	f.callEach(stop, &wg, crashingInterval, parts)
+	f.callEach(stop, &wg, crashingInterval, crashing)
 	time.Sleep(9 * time.Second)
 	close(stop)
 	wg.Wait()
--- a/cmd/mastichollow-gate/long_prompts_test.go
+++ b/cmd/mastichollow-gate/long_prompts_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -27,13 +28,14 @@
 	orderInterval = 25 * time.Millisecond
 )
 
-// longPrompt returns the parts of the n-th prompt, which share none with others.
-func longPrompt(n int) string {
-	parts := make([]string, longPromptParts)
+// longPrompt returns the parts of the n-th prompt, which share none with others. Their hashes are above
+// that of crashingPart.
+func longPrompt(n, count int) []string {
+	parts := make([]string, count)
 	for i := range parts {
-		parts[i] = fmt.Sprintf("%x:1", (n+1)<<20+i)
+		parts[i] = fmt.Sprintf("%x:1", 1<<28+n<<12+i)
 	}
-	return strings.Join(parts, ",")
+	return parts
 }
 
 // Guards against a gate that stands still, for all its services, when an engine crashes that runs
@@ -67,7 +69,7 @@
 		wg.Go(func() {
 			req, err := standin.Call{
 				ID: fmt.Sprintf("a%06x", n), Host: "h.example", Path: fmt.Sprint("/letters/", longStreamEvents), Key: "k", Body: []byte("letter"), Timeout: 9 * time.Second,
-				PromptTokens: longPromptParts, MaxOutputTokens: longStreamEvents, PromptParts: longPrompt(n),
+				PromptTokens: longPromptParts, MaxOutputTokens: longStreamEvents, PromptParts: strings.Join(longPrompt(n, longPromptParts), ","),
 			}.Request()
 			if err != nil {
 				return
@@ -111,3 +113,24 @@
 	require.Zero(t, late.Load())
 	require.EqualValues(t, 100, answered.Load())
 }
+
+// Guards against a part that crashes engines again and again, since the evidence against it is evicted
+// by that against the other parts of long prompts, which sound requests share.
+func TestCrashingPartOfLongPromptsBlocked(t *testing.T) {
+	const (
+		documents = 100
+		partCount = 1300
+		interval  = 40 * time.Millisecond
+	)
+	for name, position := range map[string]int{"first": 0, "middle": partCount / 2, "last": partCount} {
+		t.Run(name, func(t *testing.T) {
+			prompt := func(number int, further ...string) string {
+				parts := slices.Insert(longPrompt(number%documents, partCount), position, further...)
+				return strings.Join(append(parts, fmt.Sprintf("f%08x:1", number)), ",")
+			}
+			sound := func(number int) string { return prompt(number) }
+			crashing := func(number int) string { return prompt(number, crashingPart+":1") }
+			testCrashingPartBeside(t, standin.CrashAfterHead, interval, sound, crashing)
+		})
+	}
+}
--- a/internal/admission/crash_bench_test.go
+++ b/internal/admission/crash_bench_test.go
@@ -50,6 +50,9 @@
 		for range 3 { // callers and checks of the target
 			timed(func() { c.RecordRefused(20*time.Millisecond, &target[0]) })
 		}
+		for more := true; more; {
+			timed(func() { more = c.takeUpStep() })
+		}
 		timed(func() { c.Report(30 * time.Millisecond) })
 		timed(func() { c.Admit(600*time.Millisecond, letterRequest("w", 1, 1), newEngines(2)) })
 	}
--- a/internal/admission/crashes.go
+++ b/internal/admission/crashes.go
@@ -14,6 +14,24 @@
 	c.quarantine.RecordUnreachable(now, instance)
 }
 
+// maxTakeUpSteps bounds the steps before a report: 131,072 parts of lost requests.
+const maxTakeUpSteps = 512
+
+// takeUpLosses takes up the parts of lost requests. Other calls run between two steps.
+func (c *Controller) takeUpLosses() {
+	for range maxTakeUpSteps {
+		if !c.takeUpStep() {
+			return
+		}
+	}
+}
+
+func (c *Controller) takeUpStep() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.quarantine.TakeUpLosses()
+}
+
 // TakePresumedCrashes is quarantine.Tracker.TakePresumedCrashes.
 func (c *Controller) TakePresumedCrashes() []quarantine.PresumedCrash {
 	c.mu.Lock()
@@ -63,30 +81,16 @@
 	return c.quarantine.SuspectedParts(), c.quarantine.TakeDroppedParts()
 }
 
-// DurableRequests is quarantine.Tracker.DurableRequests.
-func (c *Controller) DurableRequests(now time.Duration) map[quarantine.Fingerprint]quarantine.RequestEvidence {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.quarantine.DurableRequests(now)
-}
-
-// RestoreRequests is quarantine.Tracker.RestoreRequests.
-func (c *Controller) RestoreRequests(now time.Duration, evidence map[quarantine.Fingerprint]quarantine.RequestEvidence) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.quarantine.RestoreRequests(now, evidence)
-}
-
-// BlockedParts is quarantine.Tracker.BlockedParts.
-func (c *Controller) BlockedParts(now time.Duration) map[uint64][]quarantine.PartCrash {
+// DurableEvidence is quarantine.Tracker.Durable.
+func (c *Controller) DurableEvidence(now time.Duration) quarantine.Evidence {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.quarantine.BlockedParts(now)
+	return c.quarantine.Durable(now)
 }
 
-// RestoreParts is quarantine.Tracker.RestoreParts.
-func (c *Controller) RestoreParts(now time.Duration, crashes map[uint64][]quarantine.PartCrash) {
+// RestoreEvidence is quarantine.Tracker.Restore.
+func (c *Controller) RestoreEvidence(now time.Duration, evidence quarantine.Evidence) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.quarantine.RestoreParts(now, crashes)
+	c.quarantine.Restore(now, evidence)
 }
--- a/internal/admission/crashing_parts_test.go
+++ b/internal/admission/crashing_parts_test.go
@@ -440,11 +440,12 @@
 	lab := newCrashLab(3)
 	lab.crashToLimit()
 	lab.settle()
-	stored := lab.gates[0].BlockedParts(lab.clock(0))
-	require.Len(t, stored, 1)
+	stored := lab.gates[0].DurableEvidence(lab.clock(0))
+	require.Len(t, stored.Parts, 1)
+	require.Equal(t, []uint64{crashing}, stored.Parts[0].Parts)
 	for gate := range 3 {
 		lab.restart(gate)
-		lab.gates[gate].RestoreParts(lab.clock(gate), stored)
+		lab.gates[gate].RestoreEvidence(lab.clock(gate), stored)
 	}
 	lab.settle()
 	for gate := range 3 {
@@ -500,3 +501,33 @@
 		require.Len(t, lab.gates[gate].Report(lab.clock(gate)).SuspectParts[companion], 2, "gate %d", gate)
 	}
 }
+
+// TestSuspectedPartCountedOnAfterRestartOfAllGates guards against a part that crashes as many engines
+// again each time that all gates restart before it is blocked.
+func TestSuspectedPartCountedOnAfterRestartOfAllGates(t *testing.T) {
+	lab := newCrashLab(3)
+	restartAll := func() {
+		var stored []quarantine.Evidence
+		for gate := range 3 {
+			stored = append(stored, lab.gates[gate].DurableEvidence(lab.clock(gate)))
+		}
+		for gate := range 3 {
+			lab.restart(gate)
+			for _, evidence := range stored {
+				lab.gates[gate].RestoreEvidence(lab.clock(gate), evidence)
+			}
+		}
+	}
+	for i := range quarantine.PartCrashLimit {
+		require.True(t, lab.crash(i%3, workspaceOf(i), uint64(100+i), crashing), "crash %d", i)
+		if i > 0 { // a single crash says little, and is not stored
+			lab.settle()
+			restartAll()
+		}
+	}
+	lab.settle()
+	for gate := range 3 {
+		require.False(t, lab.crash(gate, "w9", 200, crashing), "gate %d", gate)
+		require.True(t, lab.complete(gate, "w9", 200), "gate %d", gate)
+	}
+}
--- a/internal/admission/report.go
+++ b/internal/admission/report.go
@@ -25,6 +25,7 @@
 
 // Report returns the state of this gate.
 func (c *Controller) Report(now time.Duration) Report {
+	c.takeUpLosses()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return Report{
--- a/internal/peers/crashes.go
+++ b/internal/peers/crashes.go
@@ -12,23 +12,29 @@
 	Runs      []string      `cbor:"1,keyasint,omitempty"`
 	Crashes   map[int]int64 `cbor:"2,keyasint,omitempty"`
 	Disproved map[int]int64 `cbor:"3,keyasint,omitempty"`
-	// SuspectParts holds the crashes of parts of prompts, by part hash.
-	SuspectParts map[uint64][]partCrashMessage `cbor:"4,keyasint,omitempty"`
-	ClearedParts map[uint64]int64              `cbor:"5,keyasint,omitempty"`
-	// LastingParts holds the crashes of parts that are no direct evidence, and OutlastedParts the
-	// time since responses with the part had lasted. Gates of earlier builds ignore both and
-	// suspect the parts less.
-	LastingParts   map[uint64][]partCrashMessage `cbor:"7,keyasint,omitempty"`
-	OutlastedParts map[uint64]int64              `cbor:"8,keyasint,omitempty"`
+	// Fields 4 and 7 held the crashes of each part by itself; PartGroups has them now.
+
+	// ClearedParts and OutlastedParts hold the time since a request with a part completed, and since
+	// a response with it had lasted.
+	ClearedParts   map[uint64]int64   `cbor:"5,keyasint,omitempty"`
+	OutlastedParts map[uint64]int64   `cbor:"8,keyasint,omitempty"`
+	PartGroups     []partGroupMessage `cbor:"9,keyasint,omitempty"`
 	// Suspects holds, by request fingerprint, the crashes while it ran.
 	Suspects map[uint64]map[int]int64 `cbor:"6,keyasint,omitempty"`
 }
 
+// partGroupMessage holds the crashes that parts of prompts have in common.
+type partGroupMessage struct {
+	_       struct{} `cbor:",toarray"`
+	Parts   []uint64
+	Crashes []partCrashMessage
+}
+
 type partCrashMessage struct {
 	_          struct{} `cbor:",toarray"`
 	Run        int
 	AgeMillis  int64
-	Waiting    bool
+	Phase      uint8
 	Workspaces []uint32
 }
 
@@ -38,8 +44,7 @@
 		return nil
 	}
 	m := &crashMessage{
-		SuspectParts: make(map[uint64][]partCrashMessage, len(report.SuspectParts)), ClearedParts: make(map[uint64]int64, len(report.ClearedParts)),
-		LastingParts: make(map[uint64][]partCrashMessage), OutlastedParts: make(map[uint64]int64, len(report.OutlastedParts)),
+		ClearedParts: make(map[uint64]int64, len(report.ClearedParts)), OutlastedParts: make(map[uint64]int64, len(report.OutlastedParts)),
 		Suspects: make(map[uint64]map[int]int64, len(report.Suspects)),
 	}
 	indexes := make(map[quarantine.TargetRun]int)
@@ -63,18 +68,18 @@
 	for f, runs := range report.Suspects {
 		m.Suspects[uint64(f)] = encodeAges(runs)
 	}
+	groups := make(map[*quarantine.PartCrash]int) // by the first crash of a list, which many parts share
 	for part, crashes := range report.SuspectParts {
-		for _, crash := range crashes {
-			encoded := partCrashMessage{Run: indexOf(crash.Run), AgeMillis: crash.At.Milliseconds(), Waiting: crash.Phase == quarantine.PhaseWaiting}
-			for _, workspace := range crash.Workspaces {
-				encoded.Workspaces = append(encoded.Workspaces, uint32(workspace))
-			}
-			crashes := m.SuspectParts
-			if crash.Phase == quarantine.PhaseLasting {
-				crashes = m.LastingParts
-			}
-			crashes[part] = append(crashes[part], encoded)
+		if len(crashes) == 0 {
+			continue
+		}
+		group, known := groups[&crashes[0]]
+		if !known {
+			group = len(m.PartGroups)
+			groups[&crashes[0]] = group
+			m.PartGroups = append(m.PartGroups, partGroupMessage{Crashes: encodePartCrashes(crashes, indexOf)})
 		}
+		m.PartGroups[group].Parts = append(m.PartGroups[group].Parts, part)
 	}
 	for part, age := range report.ClearedParts {
 		m.ClearedParts[part] = age.Milliseconds()
@@ -85,6 +90,17 @@
 	return m
 }
 
+func encodePartCrashes(crashes []quarantine.PartCrash, indexOf func(quarantine.TargetRun) int) []partCrashMessage {
+	encoded := make([]partCrashMessage, len(crashes))
+	for i, crash := range crashes {
+		encoded[i] = partCrashMessage{Run: indexOf(crash.Run), AgeMillis: crash.At.Milliseconds(), Phase: uint8(crash.Phase)}
+		for _, workspace := range crash.Workspaces {
+			encoded[i].Workspaces = append(encoded[i].Workspaces, uint32(workspace))
+		}
+	}
+	return encoded
+}
+
 // decodeInto adds the crashes to a report. Entries that name no run of the message are
 // left out.
 func (m *crashMessage) decodeInto(report *quarantine.Report) {
@@ -96,32 +112,34 @@
 	for f, runs := range m.Suspects {
 		report.Suspects[quarantine.Fingerprint(f)] = m.decodeAges(runs)
 	}
-	report.SuspectParts = make(map[uint64][]quarantine.PartCrash, len(m.SuspectParts))
-	m.decodeParts(report.SuspectParts, m.SuspectParts, func(encoded *partCrashMessage) quarantine.CrashPhase {
-		if encoded.Waiting {
-			return quarantine.PhaseWaiting
+	report.SuspectParts = make(map[uint64][]quarantine.PartCrash)
+	for i := range m.PartGroups {
+		crashes := m.decodePartCrashes(m.PartGroups[i].Crashes)
+		for _, part := range m.PartGroups[i].Parts {
+			if len(crashes) > 0 {
+				report.SuspectParts[part] = crashes
+			}
 		}
-		return quarantine.PhaseBegun
-	})
-	m.decodeParts(report.SuspectParts, m.LastingParts, func(*partCrashMessage) quarantine.CrashPhase { return quarantine.PhaseLasting })
+	}
 	report.ClearedParts, report.OutlastedParts = decodePartAges(m.ClearedParts), decodePartAges(m.OutlastedParts)
 }
 
-// decodeParts adds the crashes of parts to decoded.
-func (m *crashMessage) decodeParts(decoded map[uint64][]quarantine.PartCrash, parts map[uint64][]partCrashMessage, phase func(*partCrashMessage) quarantine.CrashPhase) {
-	for part, crashes := range parts {
-		for i := range crashes {
-			run, ok := m.run(crashes[i].Run)
-			if !ok {
-				continue
-			}
-			crash := quarantine.PartCrash{Run: run, At: decodeAge(crashes[i].AgeMillis), Phase: phase(&crashes[i])}
-			for _, workspace := range crashes[i].Workspaces {
-				crash.Workspaces = append(crash.Workspaces, quarantine.WorkspaceID(workspace))
-			}
-			decoded[part] = append(decoded[part], crash)
+// decodePartCrashes returns the crashes that parts have in common.
+func (m *crashMessage) decodePartCrashes(encoded []partCrashMessage) []quarantine.PartCrash {
+	var crashes []quarantine.PartCrash
+	for i := range encoded {
+		run, ok := m.run(encoded[i].Run)
+		phase := quarantine.CrashPhase(encoded[i].Phase)
+		if !ok || !phase.Valid() {
+			continue
+		}
+		crash := quarantine.PartCrash{Run: run, At: decodeAge(encoded[i].AgeMillis), Phase: phase}
+		for _, workspace := range encoded[i].Workspaces {
+			crash.Workspaces = append(crash.Workspaces, quarantine.WorkspaceID(workspace))
 		}
+		crashes = append(crashes, crash)
 	}
+	return crashes
 }
 
 func decodePartAges(encoded map[uint64]int64) map[uint64]time.Duration {
--- a/internal/quarantine/blocks.go
+++ b/internal/quarantine/blocks.go
@@ -43,16 +43,6 @@
 	return block.named[0], block.until, true
 }
 
-// BlockedParts returns the crashes of the parts that are blocked, with the time since.
-func (t *Tracker) BlockedParts(now time.Duration) map[uint64][]PartCrash {
-	return t.parts.blockedCrashes(now)
-}
-
-// RestoreParts records the crashes of parts that BlockedParts returned before a restart.
-func (t *Tracker) RestoreParts(now time.Duration, crashes map[uint64][]PartCrash) {
-	t.parts.merge(now, crashes, nil, nil)
-}
-
 // RecordAdmitted records that a request with the parts was admitted.
 func (t *Tracker) RecordAdmitted(parts []prompt.Part) { t.parts.recordAdmitted(parts) }
 
--- a/internal/quarantine/events.go
+++ b/internal/quarantine/events.go
@@ -22,6 +22,9 @@
 // String returns the phase's label in metrics and logs.
 func (p CrashPhase) String() string { return [...]string{"begun", "waiting", "lasting"}[p] }
 
+// Valid reports whether the phase is one of the constants.
+func (p CrashPhase) Valid() bool { return p < crashPhases }
+
 // PartClearing is the removal of evidence against a suspected part, for logs.
 type PartClearing struct {
 	Part    uint64
--- a/internal/quarantine/groups.go
+++ b/internal/quarantine/groups.go
@@ -233,6 +233,17 @@
 	}
 }
 
+// newestFirst is withStrength, newest first.
+func (t *groupTable) newestFirst(strength evidenceStrength) func(yield func(*partGroup) bool) {
+	return func(yield func(*partGroup) bool) {
+		for element := t.groups[strength].Back(); element != nil; element = element.Prev() {
+			if g, ok := element.Value.(*partGroup); !ok || !yield(g) {
+				return
+			}
+		}
+	}
+}
+
 // move makes a part a member of a group instead of the one that it is in; nil: of none.
 func (t *groupTable) move(part uint64, to *partGroup) {
 	from := t.groupOf[part]
--- a/internal/quarantine/groups_test.go
+++ b/internal/quarantine/groups_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -210,3 +211,39 @@
 	tracker.disprove(3*time.Second, "e9/1")
 	require.Len(t, tracker.requests.byFingerprint, 1)
 }
+
+// BenchmarkMemoryAtBounds measures what a gate keeps when as much is suspected as it retains: parts
+// of long prompts, requests, and times of completions.
+func BenchmarkMemoryAtBounds(b *testing.B) {
+	heap := func() uint64 {
+		runtime.GC()
+		var stats runtime.MemStats
+		runtime.ReadMemStats(&stats)
+		return stats.HeapAlloc
+	}
+	const promptParts = 1800
+	for name, crashes := range map[string]int{"one-crash": 1, "each-at-limit": PartCrashLimit} {
+		b.Run(name, func(b *testing.B) {
+			for b.Loop() {
+				before := heap()
+				tracker := NewTracker()
+				for n := range 2 * maxSuspectParts / promptParts {
+					parts := rangeOf(uint64(n)<<16, promptParts)
+					for crash := range crashes {
+						run := TargetRun(fmt.Sprint("engine-", n, "/", crash))
+						tracker.parts.addLoss(parts, &PartCrash{Run: run, At: time.Second, Workspaces: []WorkspaceID{1}})
+						tracker.addCrash(time.Second, time.Second, Fingerprint(n), run)
+					}
+					tracker.parts.recordCompleted(time.Second/2, parts)
+					tracker.parts.recordLasted(time.Second/2, parts)
+				}
+				for n := range 2 * maxSuspects {
+					tracker.addCrash(time.Second, time.Second, Fingerprint(1<<40+n), "engine/1")
+				}
+				b.ReportMetric(float64(heap()-before)/(1<<20), "MiB")
+				b.ReportMetric(float64(tracker.SuspectedParts()), "parts")
+				runtime.KeepAlive(tracker)
+			}
+		})
+	}
+}
--- a/internal/quarantine/part_times.go
+++ b/internal/quarantine/part_times.go
@@ -72,6 +72,7 @@
 	at map[uint64]time.Duration
 	// weak and strong hold the parts as added, by whether they had more than one crash.
 	weak, strong []uint64
+	round        uint64 // of reports
 }
 
 func newClearedParts() *clearedParts { return &clearedParts{at: make(map[uint64]time.Duration)} }
@@ -102,16 +103,18 @@
 }
 
 // report returns the recent parts with the time since, those first that had more crashes, at most
-// maxReportedParts.
+// maxReportedParts. Those for which there is no room take turns.
 func (c *clearedParts) report(now time.Duration) map[uint64]time.Duration {
+	c.round++
 	ages := make(map[uint64]time.Duration)
 	for _, parts := range []*[]uint64{&c.strong, &c.weak} {
 		for len(*parts) > 0 && now-c.at[(*parts)[0]] > suspectReportAge {
 			*parts = c.drop(*parts)
 		}
-		for i := 0; i < len(*parts) && len(ages) < maxReportedParts; i++ {
-			if age := now - c.at[(*parts)[i]]; age <= suspectReportAge {
-				ages[(*parts)[i]] = age
+		first, end := turn(len(*parts), maxReportedParts-len(ages), c.round)
+		for _, part := range (*parts)[first:end] {
+			if age := now - c.at[part]; age <= suspectReportAge {
+				ages[part] = age
 			}
 		}
 	}
--- a/internal/quarantine/parts.go
+++ b/internal/quarantine/parts.go
@@ -35,12 +35,13 @@
 	// CrashDelay is the time from the begin of a response within which a part crashes its
 	// target. A response that lasts longer clears its parts.
 	CrashDelay = 500 * time.Millisecond
-	// maxSuspectParts and maxPartCrashes bound the evidence.
-	maxSuspectParts = 1024
+	// maxSuspectParts and maxPartCrashes bound the evidence. A target with 64 slots loses some 115,000
+	// parts with prompts of 1,800; the parts lost in one crash must be there at the next.
+	maxSuspectParts = 256 << 10
 	maxPartCrashes  = 16
 	// maxPartsPerStep bounds the parts that one call takes up: the tracker is used under a lock that all
 	// requests of the gate need.
-	maxPartsPerStep = 2048
+	maxPartsPerStep = 256
 	// maxBacklogParts bounds the parts of lost requests that are not taken up yet: twice what a target
 	// with 64 slots loses with prompts of 1,800 parts.
 	maxBacklogParts = 256 << 10
@@ -114,6 +115,7 @@
 	backlog      []lostParts // not taken up yet
 	backlogParts int
 	dropped      int // parts that found no room in backlog, not taken yet
+	reportRound  uint64
 
 	blocks     []partBlock
 	changed    bool // since the blocks were computed
--- a/internal/quarantine/reports.go
+++ b/internal/quarantine/reports.go
@@ -2,13 +2,18 @@
 
 import (
 	"maps"
+	"math/big"
 	"slices"
 	"time"
 )
 
 const (
-	// maxReportedParts bounds the parts in a report to peers.
-	maxReportedParts = 48
+	// maxReportedParts bounds the parts in a report to peers. The parts of a prompt of 1,300 take seven
+	// reports then, 1.4 s.
+	maxReportedParts = 256
+	// strengthReportShare is the share of the room in a report that the parts of a strength may take
+	// from those of weaker ones.
+	strengthReportShare = 0.75
 	// indirectReportAge is how long a suspect with one crash and no direct evidence is reported
 	// after it.
 	indirectReportAge = 2 * time.Second
@@ -36,7 +41,6 @@
 // Report returns the evidence of this gate.
 func (t *Tracker) Report(now time.Duration) Report {
 	t.SettleUnframed(now)
-	t.parts.work()
 	t.parts.suspects.purge(now, maxPartsPerStep)
 	return Report{
 		Crashes: t.listConfirmed(now), SuspectParts: t.parts.report(now), DisprovedCrashes: t.parts.disproved.recent(now, suspectReportAge),
@@ -55,7 +59,8 @@
 	for run, age := range report.Crashes {
 		t.mergeConfirmed(now, run, age)
 	}
-	t.parts.merge(now, report.SuspectParts, report.ClearedParts, report.OutlastedParts)
+	t.parts.clearReported(now, report.ClearedParts, report.OutlastedParts)
+	t.parts.merge(now, report.SuspectParts, false)
 	t.parts.work()
 }
 
@@ -82,23 +87,62 @@
 	})
 }
 
-// report returns the suspects for peers, the strongest first: those with a recent crash, and those at
-// the limit, which gates that have just started must learn too.
+// report returns the suspects for peers: those with a recent crash, and those at the limit, which
+// gates that have just started must learn too. Those with more crashes come first, but leave some
+// room to the others. Suspects of a strength for which there is no room take turns.
 func (p *crashingParts) report(now time.Duration) map[uint64][]PartCrash {
+	p.reportRound++
 	reported := make(map[uint64][]PartCrash)
-	for strength := atLimit; strength > noEvidence && len(reported) < maxReportedParts; strength-- {
-		for element := p.suspects.groups[strength].Back(); element != nil && len(reported) < maxReportedParts; element = element.Prev() {
-			g, _ := element.Value.(*partGroup)
-			if strength < atLimit && now-g.lastCrash > g.reportAge() || g.expired(now) {
-				continue
-			}
+	for strength := atLimit; strength > noEvidence; strength-- {
+		room := maxReportedParts - len(reported)
+		if strength > singleIndirect {
+			room = int(strengthReportShare * float64(room))
+		}
+		p.reportStrength(now, strength, room, reported)
+	}
+	return reported
+}
+
+// reportStrength adds at most room parts of a strength.
+func (p *crashingParts) reportStrength(now time.Duration, strength evidenceStrength, room int, reported map[uint64][]PartCrash) {
+	var groups []*partGroup
+	parts := 0
+	for g := range p.suspects.withStrength(strength) {
+		if !g.expired(now) && (strength == atLimit || now-g.lastCrash <= g.reportAge()) {
+			groups = append(groups, g)
+			parts += g.live
+		}
+	}
+	first, end := turn(parts, room, p.reportRound)
+	position := 0
+	for _, g := range groups {
+		if position < end && position+g.live > first {
 			crashes := g.agedCrashes(now)
-			for _, part := range p.suspects.appendMembers(nil, g, maxReportedParts-len(reported)) {
+			members := p.suspects.membersOf(g)
+			for _, part := range members[max(first-position, 0):min(end-position, len(members))] {
 				reported[part] = crashes
 			}
 		}
+		position += g.live
 	}
-	return reported
+}
+
+// turn returns which of count items are due in a round, if a round has room for a limited number. The
+// number of rounds until all had their turn is a prime, so that a peer that gets only every second
+// or third report learns all of them too; it differs from oldSuspectRounds for the same reason.
+func turn(count, room int, round uint64) (first, end int) {
+	if count <= room {
+		return 0, count
+	}
+	if room <= 0 {
+		return 0, 0
+	}
+	rounds := max(3, (count+room-1)/room)
+	for !big.NewInt(int64(rounds)).ProbablyPrime(0) || rounds == oldSuspectRounds {
+		rounds++
+	}
+	window := int(round % uint64(rounds))
+	return window * count / rounds, (window + 1) * count / rounds
 }
 
 // reportAge returns how long after the last crash this gate reports the group to peers. A single
@@ -115,21 +159,6 @@
 	}
 }
 
-// blockedCrashes returns the newest crashes of the blocked parts, with the time since.
-func (p *crashingParts) blockedCrashes(now time.Duration) map[uint64][]PartCrash {
-	p.refreshBlocks(now)
-	blocked := make(map[uint64][]PartCrash)
-	for i := range p.blocks {
-		for _, g := range p.blocks[i].groups {
-			crashes := g.agedCrashes(now)
-			for _, part := range p.suspects.membersOf(g) {
-				blocked[part] = crashes
-			}
-		}
-	}
-	return blocked
-}
-
 // agedCrashes returns the newest crashes of a group, with the time since.
 func (g *partGroup) agedCrashes(now time.Duration) []PartCrash {
 	crashes := g.newestCrashes(maxReportedCrashes)
@@ -139,15 +168,19 @@
 	return crashes
 }
 
-// merge applies the report of a peer. A completion at this gate that is newer than a
-// crash is reported back.
-func (p *crashingParts) merge(now time.Duration, suspects map[uint64][]PartCrash, cleared, outlasted map[uint64]time.Duration) {
+// clearReported applies what a peer reported of parts that completed or lasted.
+func (p *crashingParts) clearReported(now time.Duration, cleared, outlasted map[uint64]time.Duration) {
 	for part, age := range outlasted {
 		p.outlast(part, now-age, ClearedByPeer, make(map[*partGroup]*partGroup))
 	}
 	for part, age := range cleared {
 		p.clear(part, now-age, ClearedByPeer, make(map[*partGroup]*partGroup))
 	}
+}
+
+// merge applies evidence of a peer, or of this gate before a restart (local). A completion at this
+// gate that is newer than a crash is reported back.
+func (p *crashingParts) merge(now time.Duration, suspects map[uint64][]PartCrash, local bool) {
 	groups := make(derivedGroups)
 	merged := make(map[*PartCrash][]PartCrash) // by the first crash of a list, which many parts share
 	for part, crashes := range suspects {
@@ -167,7 +200,7 @@
 			if p.completedSince(part, crash.At) {
 				p.reportCompleted(part)
 			} else if p.recordRun(crash) {
-				p.addCrash(part, crash, false, groups)
+				p.addCrash(part, crash, local, groups)
 			}
 		}
 	}
--- a/internal/quarantine/tracker.go
+++ b/internal/quarantine/tracker.go
@@ -281,6 +281,10 @@
 	t.parts.work()
 }
 
+// TakeUpLosses takes up some of the parts of lost requests that earlier calls have left, and reports
+// whether there are more.
+func (t *Tracker) TakeUpLosses() bool { return t.parts.work() }
+
 // RecordLasted records that a response to a request with the parts has lasted for CrashDelay.
 func (t *Tracker) RecordLasted(now time.Duration, parts []prompt.Part) {
 	t.parts.recordLasted(now, parts)
--- a/internal/quarantine/tracker_test.go
+++ b/internal/quarantine/tracker_test.go
@@ -80,8 +80,9 @@
 }
 
 func TestCrashingPartStateBounded(t *testing.T) {
+	const maxParts, crashes = 1024, 2048
 	p := newCrashingParts()
-	const crashes = 2 * maxSuspectParts
+	p.suspects.maxParts = maxParts
 	for i := range crashes {
 		now := time.Duration(i) * time.Millisecond
 		run := TargetRun(fmt.Sprint("e", i))
@@ -96,7 +97,7 @@
 			p.blocked(now, []prompt.Part{{Hash: 5}, {Hash: 6}}, 0)
 		}
 	}
-	require.LessOrEqual(t, len(p.suspects.groupOf), maxSuspectParts)
+	require.LessOrEqual(t, len(p.suspects.groupOf), maxParts)
 	require.LessOrEqual(t, len(p.suspects.group(crashing).crashes), maxPartCrashes)
 	for _, runs := range []*boundedRuns{p.begun, p.crashed, p.disproved} {
 		require.LessOrEqual(t, len(runs.times), maxCrashedRuns)
@@ -112,7 +113,9 @@
 	require.LessOrEqual(t, len(p.report(now)), maxReportedParts)
 	require.LessOrEqual(t, len(p.cleared.report(now)), maxReportedParts)
 	require.LessOrEqual(t, len(p.outlasted.report(now)), maxReportedParts)
-	p.computeBlocks(now + 3*PartBlockTime)
+	for range maxParts/maxPartsPerStep + 1 {
+		p.computeBlocks(now + 3*PartBlockTime)
+	}
 	require.Empty(t, p.suspects.groupOf)
 	require.Empty(t, p.blocks)
 }
@@ -121,7 +124,7 @@
 // are suspected as the gate retains.
 func BenchmarkPartBlocks(b *testing.B) {
 	p := newCrashingParts()
-	for i := range maxSuspectParts {
+	for i := range 1024 {
 		p.addLoss([]prompt.Part{{Hash: uint64(i)}}, &PartCrash{Run: TargetRun(fmt.Sprint("e", i%32)), At: time.Duration(i) * time.Millisecond})
 	}
 	for i := range 2 * PartCrashBound {
